--- /dev/null
+++ b/crates/cli/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the `plantainpost` binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Not written yet.
--- /dev/null
+++ b/tests/tests.rs
@@ -0,0 +1,1 @@
+//! Integration tests that start the real binary.
