--- /dev/null
+++ b/crates/core/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Admission at the guard: slots, queue, refusals and request records.
--- /dev/null
+++ b/crates/core/src/balance/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of a target from estimates of its load.
--- /dev/null
+++ b/crates/core/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! Configuration as an aggregate: plan, confirmation, checkpoint, replay.
--- /dev/null
+++ b/crates/core/src/measure/mod.rs
@@ -0,0 +1,1 @@
+//! The budget for measuring load.
--- /dev/null
+++ b/crates/core/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! Membership protocol state machine.
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Budgets for retries and hedges.
