--- /dev/null
+++ b/crates/node/src/entry/mod.rs
@@ -0,0 +1,216 @@
+//! The entry: takes requests of callers and has them run by a guard.
+
+mod answer;
+mod attempt;
+mod body;
+mod call;
+mod flight;
+
+use std::rc::Rc;
+
+use actix_http::{Request, Response, body::BoxBody};
+use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
+use plantainpost_core::{
+    ids::NodeName,
+    retry::{AttemptOutcome, RetryDecision, RetryQuery},
+    time::Instant,
+};
+
+use self::{
+    answer::Outcome,
+    attempt::{Attempt, AttemptEnd, Cause},
+    call::Call,
+};
+use crate::{
+    node::Node,
+    trace::{AttemptTrace, RequestTrace},
+};
+
+/// Answers one request of a caller.
+pub(crate) async fn handle(node: Rc<Node>, req: Request) -> Response<BoxBody> {
+    node.metrics.count("entry.request");
+    let call = match call::receive(&node, req).await {
+        Ok(call) => Rc::new(call),
+        Err(reason) => {
+            node.metrics.count("entry.bad_request");
+            return answer::bad_request(reason);
+        }
+    };
+    let now = node.now();
+    node.retries
+        .borrow_mut()
+        .on_request(now, call.service.as_str());
+    let mut run = Run::new(&node, &call);
+    let end = run.to_end().await;
+    run.finish(end)
+}
+
+type AttemptFuture = LocalBoxFuture<'static, (Attempt, AttemptEnd)>;
+
+/// All attempts of one request.
+struct Run<'a> {
+    node: &'a Rc<Node>,
+    call: &'a Rc<Call>,
+    /// Attempts in flight: one, or two while a hedge is out.
+    running: FuturesUnordered<AttemptFuture>,
+    /// Nodes that were tried, which are not chosen again.
+    tried: Vec<NodeName>,
+    /// When to send a hedge, while none was sent.
+    hedge_at: Option<Instant>,
+    traces: Vec<AttemptTrace>,
+}
+
+impl<'a> Run<'a> {
+    fn new(node: &'a Rc<Node>, call: &'a Rc<Call>) -> Self {
+        Run {
+            node,
+            call,
+            running: FuturesUnordered::new(),
+            tried: Vec::new(),
+            hedge_at: hedge_at(node, call),
+            traces: Vec::new(),
+        }
+    }
+
+    /// Runs attempts until one gives the answer or no further one is allowed.
+    async fn to_end(&mut self) -> AttemptEnd {
+        if let Err(reason) = self.start(Cause::First) {
+            return AttemptEnd::NotRun(reason);
+        }
+        loop {
+            let hedge = wait_for_hedge(self.node, self.hedge_at);
+            let done = tokio::select! {
+                done = self.running.next() => done,
+                () = hedge => {
+                    self.hedge();
+                    continue;
+                }
+            };
+            let Some((attempt, end)) = done else {
+                return AttemptEnd::Unknown("no-attempt");
+            };
+            self.record(&attempt, &end);
+            let is_last = self.running.is_empty();
+            if matches!(end, AttemptEnd::Response(_)) || (is_last && !self.retry(&end)) {
+                return end;
+            }
+        }
+    }
+
+    fn start(&mut self, cause: Cause) -> Result<(), &'static str> {
+        let now = self.node.now();
+        let chosen = self.node.balancer.borrow_mut().choose(
+            now,
+            self.call.service.as_str(),
+            &self.tried,
+            &mut *self.node.rng.borrow_mut(),
+        );
+        let peer = chosen.map_err(|_| "no-target")?;
+        let attempt = Attempt {
+            peer: peer.clone(),
+            number: self.tried.len() as u32,
+            cause,
+            started: now,
+        };
+        self.tried.push(peer);
+        let (node, call) = (Rc::clone(self.node), Rc::clone(self.call));
+        self.running.push(Box::pin(async move {
+            let end = attempt::run(&node, &call, &attempt).await;
+            (attempt, end)
+        }));
+        Ok(())
+    }
+
+    fn hedge(&mut self) {
+        self.hedge_at = None;
+        let now = self.node.now();
+        let service = self.call.service.as_str();
+        let allowed = self.node.retries.borrow_mut().try_hedge(now, service);
+        if allowed && self.start(Cause::Hedge).is_ok() {
+            self.node.metrics.count("entry.hedge");
+        }
+    }
+
+    /// Starts another attempt if the outcome and the budget allow it.
+    fn retry(&mut self, end: &AttemptEnd) -> bool {
+        let outcome = match end {
+            AttemptEnd::NotRun(_) => AttemptOutcome::NotRun,
+            AttemptEnd::Unknown(_) => AttemptOutcome::Unknown,
+            AttemptEnd::Response(_) | AttemptEnd::BadRequest(_) => return false,
+        };
+        let query = RetryQuery {
+            service: self.call.service.as_str(),
+            outcome,
+            idempotent: self.call.idempotent,
+            answer_started: self.call.upload_started(),
+            attempts: self.tried.len() as u32,
+            deadline: self.call.deadline,
+        };
+        let now = self.node.now();
+        let decision = self.node.retries.borrow_mut().may_retry(now, &query);
+        if decision != RetryDecision::Retry {
+            self.node.metrics.count("entry.retry_denied");
+            return false;
+        }
+        self.node.metrics.count("entry.retry");
+        self.start(Cause::Retry).is_ok()
+    }
+
+    fn record(&mut self, attempt: &Attempt, end: &AttemptEnd) {
+        self.traces.push(AttemptTrace {
+            node: attempt.peer.clone(),
+            cause: attempt.cause.as_str(),
+            result: end.describe(),
+            micros: self.node.now().micros_since(attempt.started),
+        });
+    }
+
+    fn finish(self, end: AttemptEnd) -> Response<BoxBody> {
+        let (node, call) = (self.node, self.call);
+        let outcome = end.outcome();
+        let micros = node.now().micros_since(call.received);
+        node.metrics.count(match outcome {
+            Outcome::Answered => "entry.answered",
+            Outcome::NotRun => "entry.not_run",
+            Outcome::Unknown => "entry.unknown",
+        });
+        node.metrics.latency("entry.head_us", micros);
+        node.traces.borrow_mut().push(RequestTrace {
+            id: call.id,
+            service: call.service.as_str().to_owned(),
+            method: call.method.as_str().to_owned(),
+            idempotent: call.idempotent,
+            outcome: outcome.as_str(),
+            micros,
+            attempts: self.traces,
+        });
+        match end {
+            AttemptEnd::Response(answer) => answer.into_response(call),
+            AttemptEnd::NotRun(reason) => answer::not_run(call.id, reason),
+            AttemptEnd::Unknown(reason) => {
+                answer::unknown(call.id, reason, node.now() >= call.deadline)
+            }
+            AttemptEnd::BadRequest(reason) => answer::bad_request(reason),
+        }
+    }
+}
+
+fn hedge_at(node: &Node, call: &Call) -> Option<Instant> {
+    if !call.is_buffered() {
+        return None;
+    }
+    node.retries.borrow_mut().hedge_at(
+        node.now(),
+        call.service.as_str(),
+        call.idempotent,
+        call.hedged,
+        call.deadline,
+    )
+}
+
+async fn wait_for_hedge(node: &Node, at: Option<Instant>) {
+    match at {
+        Some(at) => node.clock.sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,100 @@
+//! Settings of a node.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use plantainpost_core::ids::{DataCentre, NodeName};
+use plantainpost_wire::auth::FleetKeys;
+
+/// Limits on what callers and peers may use.
+///
+/// Lengths of time are settings; they become instants when they are used.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Connections of callers at once.
+    pub caller_connections: usize,
+    /// Connections of peers at once.
+    pub peer_connections: usize,
+    /// Longest body of a request, in bytes.
+    pub body_bytes: u64,
+    /// Remaining time of a request that states none, in milliseconds.
+    pub default_timeout_ms: u64,
+    /// Longest remaining time that a caller may state, in milliseconds.
+    pub max_timeout_ms: u64,
+    /// Longest time that a planned stop waits for requests in flight, in
+    /// milliseconds. It is above `max_timeout_ms`, so that no request is cut.
+    pub stop_timeout_ms: u64,
+    /// Time during which a stopping node still answers its peers, in milliseconds.
+    pub stop_linger_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            caller_connections: 1_024,
+            peer_connections: 4_096,
+            body_bytes: 64 * 1024 * 1024,
+            default_timeout_ms: 10_000,
+            max_timeout_ms: 120_000,
+            stop_timeout_ms: 125_000,
+            stop_linger_ms: 1_000,
+        }
+    }
+}
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Name of the node, unique in the fleet.
+    pub name: NodeName,
+    /// Data centre of the host.
+    pub data_centre: DataCentre,
+    /// Region of the data centre.
+    pub region: String,
+    /// Address of the host that peers use.
+    pub ip: IpAddr,
+    /// Listener for callers.
+    pub listen_callers: SocketAddr,
+    /// Listener for operators and the target.
+    pub listen_admin: SocketAddr,
+    /// TCP listener for peers.
+    pub listen_peer_tcp: SocketAddr,
+    /// UDP socket for peers.
+    pub listen_peer_udp: SocketAddr,
+    /// UDP addresses of nodes to contact first.
+    pub contacts: Vec<SocketAddr>,
+    /// Address of the log service.
+    pub log_address: SocketAddr,
+    /// Keys of the fleet. A node does not start without them.
+    pub keys: Option<FleetKeys>,
+    /// Token that the admin listener asks for. It is needed off loopback.
+    pub admin_token: Option<String>,
+    /// Name of the policy that chooses targets.
+    pub policy: String,
+    /// StatsD server for metrics.
+    pub statsd: Option<SocketAddr>,
+    /// Limits.
+    pub limits: Limits,
+}
+
+impl Default for NodeSettings {
+    fn default() -> Self {
+        let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        NodeSettings {
+            name: NodeName::from("node"),
+            data_centre: DataCentre::from("default"),
+            region: "default".to_owned(),
+            ip,
+            listen_callers: SocketAddr::new(ip, 7400),
+            listen_admin: SocketAddr::new(ip, 7401),
+            listen_peer_tcp: SocketAddr::new(ip, 7402),
+            listen_peer_udp: SocketAddr::new(ip, 7402),
+            contacts: Vec::new(),
+            log_address: SocketAddr::new(ip, 7410),
+            keys: None,
+            admin_token: None,
+            policy: "predicted-completion".to_owned(),
+            statsd: None,
+            limits: Limits::default(),
+        }
+    }
+}
