--- /dev/null
+++ b/crates/core/src/balance/estimate.rs
@@ -0,0 +1,145 @@
+//! What an entry knows about the load of one target.
+
+use std::collections::VecDeque;
+
+use super::Outcome;
+use crate::{load::LoadSample, time::Instant};
+
+/// Largest number of outstanding requests whose send instants are kept per target.
+const MAX_OUTSTANDING: usize = 4_096;
+
+/// Weight of a new round trip in the moving average, as a divisor.
+const RTT_SMOOTHING: u32 = 4;
+
+/// Load as the target itself reports it; the weakest evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// When the report arrived.
+    pub at: Instant,
+    /// Requests that the target says it works on.
+    pub in_flight: u32,
+    /// Slots that the target says it has.
+    pub slots: u32,
+}
+
+/// Estimate of one target by one entry.
+#[derive(Debug)]
+pub struct Estimate {
+    /// When the slow start began: first seen, or returned after being set aside.
+    pub cold_since: Instant,
+    /// Slots that the target announced.
+    pub announced_slots: u32,
+    /// Last load sample of the guard and when it arrived.
+    pub sample: Option<(Instant, LoadSample)>,
+    /// Own requests outstanding when `sample` arrived.
+    pub own_at_sample: u32,
+    /// Last report of the target itself.
+    pub report: Option<Report>,
+    /// Smoothed network round trip, if a probe measured it.
+    pub rtt_us: Option<u32>,
+    /// Moving average of failed requests, from 0 to 1, as of `failures_at`.
+    pub failures: f64,
+    /// Instant of the last outcome that counted in `failures`.
+    pub failures_at: Instant,
+    /// Last refusal by the guard.
+    pub refused_at: Option<Instant>,
+    /// Send instants of own outstanding requests, oldest first.
+    outstanding: VecDeque<Instant>,
+}
+
+impl Estimate {
+    /// Creates an estimate without evidence.
+    pub fn new(now: Instant, announced_slots: u32) -> Self {
+        Estimate {
+            cold_since: now,
+            announced_slots,
+            sample: None,
+            own_at_sample: 0,
+            report: None,
+            rtt_us: None,
+            failures: 0.0,
+            failures_at: now,
+            refused_at: None,
+            outstanding: VecDeque::new(),
+        }
+    }
+
+    /// Returns the number of own requests in flight.
+    pub fn own_in_flight(&self) -> u32 {
+        self.outstanding.len() as u32
+    }
+
+    /// Returns when the oldest own outstanding request was sent.
+    pub fn oldest_sent(&self) -> Option<Instant> {
+        self.outstanding.front().copied()
+    }
+
+    /// Returns the instant of the newest evidence.
+    pub fn observed_at(&self) -> Option<Instant> {
+        self.sample.map(|(at, _)| at)
+    }
+
+    pub(super) fn on_sent(&mut self, now: Instant) {
+        if self.outstanding.len() == MAX_OUTSTANDING {
+            self.outstanding.pop_front();
+        }
+        self.outstanding.push_back(now);
+    }
+
+    /// Takes the request sent nearest to `sent` out of the outstanding ones.
+    pub(super) fn on_ended(&mut self, sent: Instant) {
+        let later = self.outstanding.partition_point(|at| *at < sent);
+        let nearest = [later.checked_sub(1), Some(later)]
+            .into_iter()
+            .flatten()
+            .filter(|index| *index < self.outstanding.len())
+            .min_by_key(|index| {
+                let at = self.outstanding[*index];
+                at.micros_since(sent).max(sent.micros_since(at))
+            });
+        if let Some(index) = nearest {
+            self.outstanding.remove(index);
+        }
+    }
+
+    /// Brings the failure average up to date. Refused and cancelled requests say
+    /// nothing about it.
+    pub(super) fn on_outcome(
+        &mut self,
+        now: Instant,
+        outcome: Outcome,
+        smoothing: f64,
+        memory_us: u64,
+    ) {
+        let failed = match outcome {
+            Outcome::Answered => 0.0,
+            Outcome::ServerError | Outcome::Failed => 1.0,
+            Outcome::Refused => {
+                self.refused_at = Some(now);
+                return;
+            }
+            Outcome::Cancelled => return,
+        };
+        let age_us = now.micros_since(self.failures_at);
+        let left = self.failures * (-(age_us as f64) / memory_us.max(1) as f64).exp();
+        self.failures = left + smoothing * (failed - left);
+        self.failures_at = now;
+    }
+
+    pub(super) fn start_slowly(&mut self, now: Instant) {
+        self.cold_since = now;
+    }
+
+    pub(super) fn on_sample(&mut self, now: Instant, sample: LoadSample) {
+        self.sample = Some((now, sample));
+        self.own_at_sample = self.own_in_flight();
+    }
+
+    pub(super) fn on_rtt(&mut self, rtt_us: u32) {
+        let smoothed = match self.rtt_us {
+            None => rtt_us,
+            Some(old) => old - old / RTT_SMOOTHING + rtt_us / RTT_SMOOTHING,
+        };
+        self.rtt_us = Some(smoothed);
+    }
+}
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -1,1 +1,29 @@
 //! Choice of a target from estimates of its load.
+//!
+//! The [`Balancer`] owns the estimates of one entry and decides which targets are
+//! candidates: those of its subset that carry traffic, are not leaving and are not
+//! set aside. A [`Policy`] picks one of the candidates.
+
+mod balancer;
+mod baseline;
+mod estimate;
+mod evidence;
+mod explain;
+mod policy;
+mod predicted;
+mod score;
+mod settings;
+mod standing;
+mod subset;
+
+pub use balancer::{Balancer, NoChoice, TargetView};
+pub use baseline::{LeastInFlight, RandomChoice, RoundRobin, TwoChoicesReported};
+pub use estimate::{Estimate, Report};
+pub use evidence::{AnswerEvidence, Outcome};
+pub use explain::{BalanceEvent, Change, Explanation, Use};
+pub use policy::{Candidate, Choice, Policy, policy_by_name};
+pub use predicted::PredictedCompletion;
+pub use score::{Score, ScoreSettings};
+pub use settings::BalancerSettings;
+pub use standing::AsideReason;
+pub use subset::subset;
--- /dev/null
+++ b/crates/core/src/balance/policy.rs
@@ -0,0 +1,56 @@
+//! The interface of a policy.
+
+use rand::Rng;
+
+use super::{
+    Estimate, LeastInFlight, PredictedCompletion, RandomChoice, RoundRobin, TwoChoicesReported,
+};
+use crate::time::Instant;
+
+/// A target that may be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Node beside the target.
+    pub node: &'a str,
+    /// Data centre of the target.
+    pub data_centre: &'a str,
+    /// Whether the target is in the data centre of the entry.
+    pub local: bool,
+    /// Share from the configuration, relative to the other candidates; above zero.
+    pub weight: u32,
+    /// Network round trip, measured or assumed, in microseconds.
+    pub distance_us: u32,
+    /// What the entry knows about the target.
+    pub estimate: &'a Estimate,
+}
+
+/// A choice to be made.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice<'a> {
+    /// Present instant.
+    pub now: Instant,
+    /// Targets that may be chosen.
+    pub candidates: &'a [Candidate<'a>],
+}
+
+/// Picks one of several candidates.
+pub trait Policy {
+    /// Returns the name under which settings select the policy.
+    fn name(&self) -> &'static str;
+
+    /// Returns the index of the chosen candidate, or `None` without candidates.
+    fn choose(&mut self, req: &Choice<'_>, rng: &mut dyn Rng) -> Option<usize>;
+}
+
+/// Creates the policy that settings select by name.
+pub fn policy_by_name(name: &str) -> Option<Box<dyn Policy>> {
+    let policy: Box<dyn Policy> = match name {
+        PredictedCompletion::NAME => Box::new(PredictedCompletion::default()),
+        RandomChoice::NAME => Box::new(RandomChoice),
+        RoundRobin::NAME => Box::new(RoundRobin::default()),
+        LeastInFlight::NAME => Box::new(LeastInFlight),
+        TwoChoicesReported::NAME => Box::new(TwoChoicesReported),
+        _ => return None,
+    };
+    Some(policy)
+}
--- /dev/null
+++ b/crates/core/src/balance/predicted.rs
@@ -0,0 +1,87 @@
+//! The policy of the product: least predicted completion time in a small sample.
+
+use rand::{Rng, seq::IteratorRandom};
+
+use super::{Choice, Policy, Score, ScoreSettings, baseline::draw_by_weight};
+
+/// Candidates sampled in the nearest data centre.
+const SAMPLED_NEAR: usize = 2;
+
+/// Candidates sampled elsewhere.
+const SAMPLED_FAR: usize = 1;
+
+/// Samples a few candidates and takes the one with the least predicted completion
+/// time.
+///
+/// The sample is random, so that entries with the same evidence do not all choose
+/// the same target. Where the weights differ, the sample is drawn by weight and the
+/// distance does not count, because the configuration then states the shares.
+#[derive(Debug, Default)]
+pub struct PredictedCompletion {
+    cfg: ScoreSettings,
+    /// Indices of the present sample; kept to reuse the allocation.
+    sampled: Vec<usize>,
+}
+
+impl PredictedCompletion {
+    /// Name in the settings.
+    pub const NAME: &str = "predicted-completion";
+
+    /// Creates the policy with other constants than the default ones.
+    pub fn new(cfg: ScoreSettings) -> Self {
+        PredictedCompletion {
+            cfg,
+            sampled: Vec::new(),
+        }
+    }
+
+    fn sample_by_weight(&mut self, req: &Choice<'_>, rng: &mut dyn Rng) {
+        let draws =
+            (0..SAMPLED_NEAR + SAMPLED_FAR).filter_map(|_| draw_by_weight(req.candidates, rng));
+        self.sampled.extend(draws);
+    }
+
+    fn sample_by_distance(&mut self, req: &Choice<'_>, rng: &mut dyn Rng) {
+        let near = nearest_data_centre(req);
+        for (here, size) in [(true, SAMPLED_NEAR), (false, SAMPLED_FAR)] {
+            let indices = (0..req.candidates.len())
+                .filter(|index| (Some(req.candidates[*index].data_centre) == near) == here);
+            self.sampled.extend(indices.sample(rng, size));
+        }
+    }
+}
+
+impl Policy for PredictedCompletion {
+    fn name(&self) -> &'static str {
+        Self::NAME
+    }
+
+    fn choose(&mut self, req: &Choice<'_>, rng: &mut dyn Rng) -> Option<usize> {
+        let first = req.candidates.first()?;
+        let shared = req.candidates.iter().any(|c| c.weight != first.weight);
+        self.sampled.clear();
+        if shared {
+            self.sample_by_weight(req, rng);
+        } else {
+            self.sample_by_distance(req, rng);
+        }
+        let cost_us = |index: &usize| {
+            let score = Score::new(req.now, &req.candidates[*index], &self.cfg);
+            score.total_us() - if shared { score.distance_us } else { 0.0 }
+        };
+        self.sampled
+            .iter()
+            .copied()
+            .min_by(|a, b| cost_us(a).total_cmp(&cost_us(b)))
+    }
+}
+
+/// Returns the data centre of the entry if it has candidates, otherwise that of the
+/// nearest candidate.
+fn nearest_data_centre<'a>(req: &Choice<'a>) -> Option<&'a str> {
+    let nearest = req
+        .candidates
+        .iter()
+        .min_by_key(|candidate| (!candidate.local, candidate.distance_us));
+    nearest.map(|candidate| candidate.data_centre)
+}
--- /dev/null
+++ b/crates/core/src/balance/score.rs
@@ -0,0 +1,108 @@
+//! Predicted completion time of a request at a target.
+
+use super::Candidate;
+use crate::time::Instant;
+
+/// Constants of the score.
+#[derive(Clone, Copy, Debug)]
+pub struct ScoreSettings {
+    /// Time in which the weight of an observation falls to 1/e.
+    pub load_memory_us: u64,
+    /// Service time that is assumed until one is observed.
+    pub assumed_service_us: u32,
+    /// Penalty of a target whose last requests all failed.
+    pub failure_penalty_us: u32,
+    /// Time in which the memory of failures falls to 1/e.
+    pub failure_memory_us: u64,
+    /// Length of the slow start of a target that is new or has returned.
+    pub cold_us: u64,
+    /// Penalty at the beginning of the slow start.
+    pub cold_penalty_us: u32,
+}
+
+impl Default for ScoreSettings {
+    fn default() -> Self {
+        ScoreSettings {
+            load_memory_us: 100_000,
+            assumed_service_us: 10_000,
+            failure_penalty_us: 1_000_000,
+            failure_memory_us: 5_000_000,
+            cold_us: 2_000_000,
+            cold_penalty_us: 50_000,
+        }
+    }
+}
+
+/// Parts of a predicted completion time, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Score {
+    /// Wait for the requests ahead.
+    pub queue_us: f64,
+    /// Time in service.
+    pub service_us: f64,
+    /// Network round trip.
+    pub distance_us: f64,
+    /// Penalty for recent failures.
+    pub failure_us: f64,
+    /// Penalty of the slow start.
+    pub cold_us: f64,
+}
+
+impl Score {
+    /// Predicts the completion time at a candidate.
+    pub fn new(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> Self {
+        let service_us = service_us(candidate, cfg);
+        Score {
+            queue_us: load_per_slot(now, candidate, cfg) * service_us,
+            service_us,
+            distance_us: f64::from(candidate.distance_us),
+            failure_us: failure_us(now, candidate, cfg),
+            cold_us: cold_us(now, candidate, cfg),
+        }
+    }
+
+    /// Returns the sum of the parts.
+    pub fn total_us(&self) -> f64 {
+        self.queue_us + self.service_us + self.distance_us + self.failure_us + self.cold_us
+    }
+}
+
+/// Returns the share of an observation that is left after its age.
+fn remaining(age_us: u64, memory_us: u64) -> f64 {
+    (-(age_us as f64) / memory_us.max(1) as f64).exp()
+}
+
+fn service_us(candidate: &Candidate<'_>, cfg: &ScoreSettings) -> f64 {
+    let observed = candidate.estimate.sample.map(|(_, s)| s.service_time_us);
+    let known = observed.filter(|us| *us > 0);
+    f64::from(known.unwrap_or(cfg.assumed_service_us))
+}
+
+/// Own requests count in full; those of others as of the last sample, by its age.
+fn load_per_slot(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> f64 {
+    let estimate = candidate.estimate;
+    let own = f64::from(estimate.own_in_flight());
+    let (others, slots) = match estimate.sample {
+        None => (0.0, estimate.announced_slots),
+        Some((at, sample)) => {
+            let seen = sample.in_flight.saturating_add(sample.queued);
+            let others = seen.saturating_sub(estimate.own_at_sample);
+            let left = remaining(now.micros_since(at), cfg.load_memory_us);
+            (f64::from(others) * left, sample.slots)
+        }
+    };
+    (own + others) / f64::from(slots.max(1))
+}
+
+fn failure_us(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> f64 {
+    let estimate = candidate.estimate;
+    let age_us = now.micros_since(estimate.failures_at);
+    let failures = estimate.failures * remaining(age_us, cfg.failure_memory_us);
+    failures * f64::from(cfg.failure_penalty_us)
+}
+
+fn cold_us(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> f64 {
+    let age_us = now.micros_since(candidate.estimate.cold_since);
+    let left_us = cfg.cold_us.saturating_sub(age_us);
+    f64::from(cfg.cold_penalty_us) * left_us as f64 / cfg.cold_us.max(1) as f64
+}
--- /dev/null
+++ b/crates/core/src/balance/settings.rs
@@ -0,0 +1,54 @@
+//! Settings of the balancer.
+
+use super::ScoreSettings;
+use crate::ids::{DataCentre, NodeName};
+
+/// Settings of a [`super::Balancer`].
+#[derive(Clone, Debug)]
+pub struct BalancerSettings {
+    /// Name of the node that chooses.
+    pub entry: NodeName,
+    /// Data centre of that node.
+    pub data_centre: DataCentre,
+    /// Largest number of targets used per service.
+    pub subset_size: usize,
+    /// Failures in a row after which a target is set aside.
+    pub failures_to_set_aside: u32,
+    /// How long a target is set aside for the first time; doubled at each failed
+    /// return.
+    pub first_aside_ms: u64,
+    /// Longest time for which a target is set aside.
+    pub longest_aside_ms: u64,
+    /// Successful trial requests after which a target is in use again.
+    pub trials_to_return: u32,
+    /// Age of evidence above which a probe is wanted.
+    pub probe_age_us: u64,
+    /// Time since the last request to a service after which its targets are no
+    /// longer probed.
+    pub traffic_memory_ms: u64,
+    /// Round trip that is assumed within a data centre until one is measured.
+    pub local_distance_us: u32,
+    /// Round trip that is assumed between data centres until one is measured.
+    pub remote_distance_us: u32,
+    /// Constants of the score, used for explanations.
+    pub score: ScoreSettings,
+}
+
+impl Default for BalancerSettings {
+    fn default() -> Self {
+        BalancerSettings {
+            entry: NodeName::from(""),
+            data_centre: DataCentre::from(""),
+            subset_size: 20,
+            failures_to_set_aside: 3,
+            first_aside_ms: 1_000,
+            longest_aside_ms: 30_000,
+            trials_to_return: 3,
+            probe_age_us: 20_000,
+            traffic_memory_ms: 5_000,
+            local_distance_us: 200,
+            remote_distance_us: 2_000,
+            score: ScoreSettings::default(),
+        }
+    }
+}
