Membership: public API

Cause: other parts build on the membership interface.

Change: messages, records, settings, events, counters and the `Membership` type, with a plain ping and merge behind them. `Region` joins the identifiers; core uses postcard to bound the length of messages.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -59,6 +59,11 @@
     DataCentre
 }
 
+name_type! {
+    /// Name of a region, which holds one or more data centres.
+    Region
+}
+
 /// Distinguishes the lives of a node. A restarted node has a higher incarnation.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- /dev/null
+++ b/crates/core/src/member/event.rs
@@ -0,0 +1,70 @@
+//! Results of a step of the state machine.
+
+use std::net::SocketAddr;
+
+use super::Message;
+use crate::ids::NodeName;
+
+/// What the caller of the state machine must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send one datagram.
+    Send {
+        /// Address of the receiver.
+        to: SocketAddr,
+        /// Message to encode, at most [`MAX_MESSAGE_BYTES`](super::MAX_MESSAGE_BYTES) long.
+        message: Message,
+    },
+    /// Report a change.
+    Event(MemberEvent),
+}
+
+/// Change of the member table.
+///
+/// An event names the member only; [`Membership::get`](super::Membership::get)
+/// returns the record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberEvent {
+    /// A member is new, came back after death, or was replaced at a new address.
+    Joined {
+        /// Name of the member.
+        name: NodeName,
+    },
+    /// A member did not answer probes.
+    Suspected {
+        /// Name of the member.
+        name: NodeName,
+    },
+    /// A suspected member proved that it is alive.
+    Refuted {
+        /// Name of the member.
+        name: NodeName,
+    },
+    /// A suspected member did not refute in time.
+    Died {
+        /// Name of the member.
+        name: NodeName,
+    },
+    /// A member announced that it will stop.
+    Leaving {
+        /// Name of the member.
+        name: NodeName,
+    },
+    /// A leaving member stopped.
+    Left {
+        /// Name of the member.
+        name: NodeName,
+    },
+    /// The target of a member changed.
+    TargetChanged {
+        /// Name of the member.
+        name: NodeName,
+    },
+    /// A peer has read further in the configuration log than this node.
+    PeerAhead {
+        /// Name of the peer.
+        name: NodeName,
+        /// Offset up to which the peer has read.
+        read_to: u64,
+    },
+}
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -1,1 +1,23 @@
 //! Membership protocol state machine.
+//!
+//! SWIM-style membership with suspicion: one direct probe per period, indirect
+//! probes through other members, refutation by a higher incarnation, eager
+//! dissemination of changes, and a periodic comparison of tables. The module
+//! sends nothing itself; every call returns the datagrams to send and the events
+//! to report as [`Action`] values.
+
+mod counters;
+mod event;
+mod membership;
+mod message;
+mod record;
+mod settings;
+
+pub use self::{
+    counters::Counters,
+    event::{Action, MemberEvent},
+    membership::Membership,
+    message::{BUCKETS, MAX_MESSAGE_BYTES, Message},
+    record::{MAX_RECORD_BYTES, MemberRecord, MemberState, TargetInfo},
+    settings::MemberSettings,
+};
--- /dev/null
+++ b/crates/core/src/member/record.rs
@@ -0,0 +1,94 @@
+//! Member records and their order.
+
+use std::net::{IpAddr, SocketAddr};
+
+use serde::{Deserialize, Serialize};
+
+use super::message::encoded_len;
+use crate::ids::{DataCentre, Incarnation, NodeName, Region, ServiceName};
+
+/// Longest encoding of a record that is accepted or sent.
+///
+/// Leaves 150 bytes of a message for the other fields.
+pub const MAX_RECORD_BYTES: usize = 900;
+
+/// State of a member.
+///
+/// The order is the order of precedence within one incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum MemberState {
+    /// Answers probes.
+    Alive,
+    /// Announced that it will stop; takes no new work.
+    Leaving,
+    /// Did not answer probes and may still refute.
+    Suspect,
+    /// Did not refute the suspicion in time.
+    Dead,
+    /// Stopped after it announced that it would.
+    Left,
+}
+
+impl MemberState {
+    /// Returns whether only a higher incarnation can change the state.
+    pub fn is_terminal(self) -> bool {
+        matches!(self, MemberState::Dead | MemberState::Left)
+    }
+}
+
+/// Target beside a node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetInfo {
+    /// Service that the target belongs to.
+    pub service: ServiceName,
+    /// Requests that the target works on at once.
+    pub slots: u32,
+    /// Set when the target takes no new work.
+    pub draining: bool,
+}
+
+/// What the members know about one member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Name of the member, unique in the fleet.
+    pub name: NodeName,
+    /// Life of the member. Only the member itself raises it.
+    pub incarnation: Incarnation,
+    /// Version of the other fields within the incarnation, except `state` and
+    /// `config_version`. Only the member itself raises it.
+    pub revision: u32,
+    /// State; the greatest state seen in an incarnation holds.
+    pub state: MemberState,
+    /// Address of the host.
+    pub ip: IpAddr,
+    /// Port for requests between nodes.
+    pub tcp_port: u16,
+    /// Port for membership datagrams.
+    pub udp_port: u16,
+    /// Data centre of the host.
+    pub data_centre: DataCentre,
+    /// Region of the host.
+    pub region: Region,
+    /// Target beside the node, if one is announced.
+    pub target: Option<TargetInfo>,
+    /// Configuration version in force at the member. Never decreases within an
+    /// incarnation and is not covered by `revision`.
+    pub config_version: u64,
+}
+
+impl MemberRecord {
+    /// Returns the address for membership datagrams.
+    pub fn udp_addr(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.udp_port)
+    }
+
+    /// Returns the address for requests between nodes.
+    pub fn tcp_addr(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.tcp_port)
+    }
+
+    /// Returns the length of the record in a message.
+    pub fn encoded_len(&self) -> usize {
+        encoded_len(self)
+    }
+}
