Add admission at the guard

The guard decides which requests reach the target beside it: slots, a bounded FIFO queue, deadline-aware refusal and a bounded table of request records.

Records outlive the deadline of their request by 1.1 s. Two connections convert one deadline differently, by up to one handshake (1 s) and 12 ms of clock drift, so a record dropped at its own deadline could miss a copy or a fence that comes over another connection.

--- /dev/null
+++ b/crates/core/src/admission/counters.rs
@@ -0,0 +1,55 @@
+//! Counters of the guard.
+
+use super::RefuseReason;
+
+/// Counts of everything that the guard decided since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Requests offered.
+    pub offered: u64,
+    /// Requests that got a slot at once.
+    pub started: u64,
+    /// Requests that entered the queue.
+    pub queued: u64,
+    /// Requests that left the queue with a slot.
+    pub promoted: u64,
+    /// Requests passed to the target.
+    pub dispatched: u64,
+    /// Answers of the target without a server error.
+    pub completed: u64,
+    /// Answers of the target with a server error.
+    pub server_errors: u64,
+    /// Requests that got a slot but were not written to the target.
+    pub not_started: u64,
+    /// Exchanges with the target that failed.
+    pub failed: u64,
+    /// Refusals by the target.
+    pub target_refused: u64,
+    /// Cancelled requests that were queued or held a slot.
+    pub cancelled: u64,
+    /// Fences written on request of an entry.
+    pub fenced: u64,
+    /// Reductions of the concurrency limit.
+    pub limit_lowered: u64,
+    /// Raises of the concurrency limit.
+    pub limit_raised: u64,
+    /// Refusals, indexed in the order of [`RefuseReason::ALL`].
+    refused: [u64; RefuseReason::ALL.len()],
+}
+
+impl Counters {
+    /// Returns the number of refusals for `reason`.
+    pub fn refused(&self, reason: RefuseReason) -> u64 {
+        self.refused[reason as usize]
+    }
+
+    /// Returns the number of all refusals.
+    pub fn refused_total(&self) -> u64 {
+        self.refused.iter().sum()
+    }
+
+    /// Counts a refusal.
+    pub(super) fn count_refusal(&mut self, reason: RefuseReason) {
+        self.refused[reason as usize] += 1;
+    }
+}
--- /dev/null
+++ b/crates/core/src/admission/guard.rs
@@ -0,0 +1,314 @@
+//! The guard aggregate.
+
+use super::{
+    Admission, Announced, AnnouncedTarget, Announcement, Counters, Dispatch, FenceState, Finish,
+    LimitSettings, Offer, RefuseReason, RequestKey, Wakeup,
+    limit::Limit,
+    queue::Queue,
+    records::{Records, State},
+    steps::Place,
+};
+use crate::{load::LoadSample, time::Instant};
+
+/// Settings of a guard.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GuardSettings {
+    /// Requests that may wait, as a multiple of the announced slots.
+    pub queue_factor: u32,
+    /// Bound on the number of request records.
+    pub max_records: usize,
+    /// Time for which a record outlives the deadline of its request, in microseconds.
+    ///
+    /// Two connections convert the same deadline differently: each value is early by
+    /// up to one handshake, which is bounded to 1 s, and off by up to 6 ms of clock
+    /// drift either way. A record dropped at its own deadline could therefore miss a
+    /// copy or a fence that came over another connection.
+    pub record_grace_us: u64,
+    /// Settings of the concurrency limit.
+    pub limit: LimitSettings,
+}
+
+impl Default for GuardSettings {
+    fn default() -> Self {
+        GuardSettings {
+            queue_factor: 2,
+            max_records: 65_536,
+            record_grace_us: 1_100_000,
+            limit: LimitSettings::default(),
+        }
+    }
+}
+
+/// Decides which requests reach the target beside the node.
+#[derive(Debug)]
+pub struct Guard {
+    pub(super) cfg: GuardSettings,
+    /// May have lapsed; [`AnnouncedTarget::is_live`] tells.
+    pub(super) target: Option<AnnouncedTarget>,
+    /// Rises whenever the announcement ends or the target is replaced.
+    pub(super) generation: u64,
+    /// Set by configuration or a planned stop.
+    pub(super) draining: bool,
+    pub(super) limit: Limit,
+    /// Holds exactly the keys of the records in state `Queued`.
+    pub(super) queue: Queue,
+    pub(super) records: Records,
+    /// Number of records in state `Admitted` or `Started`. No admission raises it
+    /// above the limit; it can exceed a limit that was lowered afterwards.
+    pub(super) in_flight: u32,
+    /// Refusals of queued requests that have not been handed out.
+    pub(super) pending: Vec<Wakeup>,
+    /// Set while wakeups may be due: when a slot came free or `pending` grew.
+    pub(super) due: Option<Instant>,
+    pub(super) counters: Counters,
+}
+
+impl Guard {
+    /// Creates a guard without a target.
+    pub fn new(cfg: GuardSettings) -> Self {
+        Guard {
+            target: None,
+            generation: 0,
+            draining: false,
+            limit: Limit::new(cfg.limit, 0),
+            queue: Queue::default(),
+            records: Records::new(cfg.max_records),
+            in_flight: 0,
+            pending: Vec::new(),
+            due: None,
+            counters: Counters::default(),
+            cfg,
+        }
+    }
+
+    /// Takes over an announcement or its renewal.
+    pub fn announce(&mut self, now: Instant, announcement: Announcement<'_>) -> Announced {
+        self.end_lapsed(now);
+        let target = AnnouncedTarget::new(&announcement);
+        let effect = match &self.target {
+            None => Announced::New,
+            Some(old) if old.is_renewed_by(&target) => Announced::Renewed,
+            Some(_) => Announced::Replaced,
+        };
+        if effect == Announced::Replaced {
+            self.withdraw(now);
+        }
+        if effect == Announced::Renewed {
+            self.limit.set_ceiling(target.capacity());
+        } else {
+            self.limit = Limit::new(self.cfg.limit, target.capacity());
+        }
+        self.target = Some(target);
+        self.note_due(now);
+        effect
+    }
+
+    /// Ends the announcement. Queued requests are refused.
+    pub fn withdraw(&mut self, now: Instant) {
+        if self.target.take().is_none() {
+            return;
+        }
+        self.generation += 1;
+        while let Some(key) = self.queue.pop() {
+            self.refuse_waiting(key, RefuseReason::NoTarget);
+        }
+        self.note_due(now);
+    }
+
+    /// Starts or ends draining by configuration or for a planned stop.
+    ///
+    /// A draining guard refuses new requests and serves those that it has admitted.
+    pub fn set_draining(&mut self, draining: bool) {
+        self.draining = draining;
+    }
+
+    /// Returns the announcement in force.
+    pub fn target(&self, now: Instant) -> Option<&AnnouncedTarget> {
+        self.target.as_ref().filter(|target| target.is_live(now))
+    }
+
+    /// Returns whether new requests are refused because the target is leaving.
+    pub fn is_draining(&self) -> bool {
+        self.draining || self.target.as_ref().is_some_and(|target| target.leaving)
+    }
+
+    /// Decides on a new request.
+    pub fn offer(&mut self, now: Instant, offer: &Offer<'_>) -> Admission {
+        self.end_lapsed(now);
+        self.counters.offered += 1;
+        match self.decide(now, offer) {
+            Ok(Place::Slot) => {
+                self.in_flight += 1;
+                self.counters.started += 1;
+                self.put(offer.key, State::Admitted, offer.deadline);
+                Admission::Start
+            }
+            Ok(Place::Queue) => {
+                self.counters.queued += 1;
+                let ticket = self.queue.push(offer.key, offer.deadline);
+                self.put(offer.key, State::Queued(ticket), offer.deadline);
+                Admission::Queued
+            }
+            Err(reason) => {
+                self.counters.count_refusal(reason);
+                Admission::Refused(reason)
+            }
+        }
+    }
+
+    /// Makes the last check before the request is written to the target.
+    ///
+    /// A refusal fences the request and frees its slot. A key that holds no admission
+    /// is refused as `Fenced` or `Duplicate` without effect.
+    pub fn dispatch(&mut self, now: Instant, key: RequestKey) -> Dispatch {
+        self.end_lapsed(now);
+        let Some(record) = self.records.get(key).copied() else {
+            return Dispatch::Refused(RefuseReason::Duplicate);
+        };
+        match record.state {
+            State::Admitted => self.dispatch_admitted(now, key, record),
+            State::Fenced => Dispatch::Refused(RefuseReason::Fenced),
+            State::Queued(_) | State::Started | State::Finished => {
+                Dispatch::Refused(RefuseReason::Duplicate)
+            }
+        }
+    }
+
+    /// Ends a request that held a slot. A key that holds none has no effect.
+    ///
+    /// `service_time_us` is the time from dispatch to the end of the answer.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        finish: Finish,
+        service_time_us: u64,
+    ) -> Vec<Wakeup> {
+        self.end_lapsed(now);
+        let record = self.records.get(key).copied();
+        match record.map(|record| (record.state, record)) {
+            Some((State::Admitted, record)) => {
+                self.counters.not_started += 1;
+                self.release(now, key, State::Fenced, record.deadline);
+            }
+            Some((State::Started, record)) => {
+                self.learn(now, &record, finish, service_time_us);
+                let state = match finish {
+                    Finish::NotStarted => State::Fenced,
+                    _ => State::Finished,
+                };
+                self.release(now, key, state, record.deadline);
+            }
+            _ => {}
+        }
+        self.wake(now)
+    }
+
+    /// Ends a request whose entry has gone away.
+    ///
+    /// A request that is not with the target yet is fenced. The canceller gets no
+    /// wakeup for the request itself.
+    pub fn cancel(&mut self, now: Instant, key: RequestKey) -> Vec<Wakeup> {
+        self.end_lapsed(now);
+        self.pending.retain(|wakeup| wakeup.key != key);
+        if let Some(record) = self.records.get(key).copied() {
+            self.cancel_known(now, key, record);
+        }
+        self.wake(now)
+    }
+
+    /// Makes sure that the request is not run, unless it was already started.
+    ///
+    /// A fenced request that was queued gets a wakeup; one that held a slot learns of
+    /// the fence from [`Guard::dispatch`].
+    pub fn fence(&mut self, now: Instant, key: RequestKey, deadline: Instant) -> FenceState {
+        self.end_lapsed(now);
+        let Some(record) = self.records.get(key).copied() else {
+            return self.fence_unknown(now, key, deadline);
+        };
+        let deadline = deadline.max(record.deadline);
+        match record.state {
+            State::Queued(ticket) => {
+                self.queue.remove(ticket);
+                self.counters.fenced += 1;
+                self.put(key, State::Fenced, deadline);
+                self.push_refusal(key, RefuseReason::Fenced);
+                self.note_due(now);
+                FenceState::Fenced
+            }
+            State::Admitted => {
+                self.counters.fenced += 1;
+                self.release(now, key, State::Fenced, deadline);
+                FenceState::Fenced
+            }
+            State::Fenced => {
+                if record.deadline < deadline {
+                    self.put(key, State::Fenced, deadline);
+                }
+                FenceState::Fenced
+            }
+            State::Started => FenceState::Started,
+            State::Finished => FenceState::Finished,
+        }
+    }
+
+    /// Refuses queued requests whose deadline has passed, drops old records and hands
+    /// out the wakeups that are due.
+    pub fn expire(&mut self, now: Instant) -> Vec<Wakeup> {
+        self.end_lapsed(now);
+        self.records.drop_old(now);
+        self.wake(now)
+    }
+
+    /// Returns the instant at which [`Guard::expire`] has something to do. It is not
+    /// in the future while wakeups are due.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        let lapse = self.target.as_ref().map(|target| target.expires);
+        [
+            self.due,
+            lapse,
+            self.queue.first_deadline(),
+            self.records.next_drop(),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    /// Returns the load for peers.
+    pub fn load(&self, now: Instant) -> LoadSample {
+        let is_live = self.target(now).is_some();
+        LoadSample {
+            in_flight: self.in_flight,
+            queued: self.queued() as u32,
+            slots: if is_live { self.limit.current() } else { 0 },
+            service_time_us: self.limit.service_time_us().try_into().unwrap_or(u32::MAX),
+            draining: self.is_draining() || !is_live,
+        }
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns the number of requests that hold a slot.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the number of requests that wait for a slot.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the number of requests that may hold a slot at once.
+    pub fn limit(&self) -> u32 {
+        self.limit.current()
+    }
+
+    /// Returns the number of request records.
+    pub fn records(&self) -> usize {
+        self.records.len()
+    }
+}
--- /dev/null
+++ b/crates/core/src/admission/steps.rs
@@ -0,0 +1,257 @@
+//! Steps that the operations of the guard share.
+
+use super::{
+    Admission, Dispatch, FenceState, Finish, Guard, Offer, RefuseReason, RequestKey, Wakeup,
+    limit::{Change, Sample},
+    records::{Record, State},
+};
+use crate::time::Instant;
+
+/// Where an admitted request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Place {
+    Slot,
+    Queue,
+}
+
+impl Guard {
+    /// Decides on an offer and writes the fence of a refused one.
+    pub(super) fn decide(
+        &mut self,
+        now: Instant,
+        offer: &Offer<'_>,
+    ) -> Result<Place, RefuseReason> {
+        if let Some(record) = self.records.get(offer.key) {
+            return Err(match record.state {
+                State::Fenced => RefuseReason::Fenced,
+                _ => RefuseReason::Duplicate,
+            });
+        }
+        // Past the grace no copy can have a deadline that is still open.
+        if self.keep_until(offer.deadline) <= now {
+            return Err(RefuseReason::Deadline);
+        }
+        if !self.records.has_room(now) {
+            return Err(RefuseReason::TableFull);
+        }
+        let decision = self.judge(now, offer);
+        if decision.is_err() {
+            self.put(offer.key, State::Fenced, offer.deadline);
+        }
+        decision
+    }
+
+    /// Decides on an offer of a request that is not known yet.
+    fn judge(&self, now: Instant, offer: &Offer<'_>) -> Result<Place, RefuseReason> {
+        if offer.deadline <= now {
+            return Err(RefuseReason::Deadline);
+        }
+        let target = self.target(now).ok_or(RefuseReason::NoTarget)?;
+        if target.service.as_str() != offer.service {
+            return Err(RefuseReason::WrongService);
+        }
+        if self.is_draining() {
+            return Err(RefuseReason::Draining);
+        }
+        if self.queue.len() == 0 && self.in_flight < self.limit.current() {
+            return Ok(Place::Slot);
+        }
+        let max_queued = u64::from(target.slots) * u64::from(self.cfg.queue_factor);
+        let remaining = offer.deadline.micros_since(now);
+        if self.queue.len() as u64 >= max_queued || self.predicted_time_us() > remaining {
+            return Err(RefuseReason::Overloaded);
+        }
+        Ok(Place::Queue)
+    }
+
+    /// Predicts when a request that is queued now is answered, in microseconds.
+    ///
+    /// The request needs one slot to come free for each request ahead and one for
+    /// itself. The prediction includes its own service time, because an answer after
+    /// the deadline occupies a slot for nothing.
+    fn predicted_time_us(&self) -> u64 {
+        let service_time = self.limit.service_time_us();
+        let turns = self.queue.len() as u64 + 1;
+        match u64::from(self.limit.current()) {
+            0 => u64::MAX,
+            slots => service_time.saturating_mul(turns + slots) / slots,
+        }
+    }
+
+    /// Checks an admitted request at the moment of dispatch.
+    pub(super) fn dispatch_admitted(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        record: Record,
+    ) -> Dispatch {
+        let refusal = if record.deadline <= now {
+            Some(RefuseReason::Deadline)
+        } else if self.target(now).is_none() || record.generation != self.generation {
+            Some(RefuseReason::NoTarget)
+        } else {
+            None
+        };
+        if let Some(reason) = refusal {
+            self.counters.count_refusal(reason);
+            self.release(now, key, State::Fenced, record.deadline);
+            return Dispatch::Refused(reason);
+        }
+        self.counters.dispatched += 1;
+        let started = Record {
+            state: State::Started,
+            started: now,
+            level: self.in_flight,
+            ..record
+        };
+        self.records.put(key, started);
+        Dispatch::Go
+    }
+
+    /// Cancels a request in any state.
+    pub(super) fn cancel_known(&mut self, now: Instant, key: RequestKey, record: Record) {
+        match record.state {
+            State::Queued(ticket) => {
+                self.queue.remove(ticket);
+                self.put(key, State::Fenced, record.deadline);
+            }
+            State::Admitted => self.release(now, key, State::Fenced, record.deadline),
+            State::Started => self.release(now, key, State::Finished, record.deadline),
+            State::Finished | State::Fenced => return,
+        }
+        self.counters.cancelled += 1;
+    }
+
+    /// Fences a request without a record.
+    pub(super) fn fence_unknown(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        deadline: Instant,
+    ) -> FenceState {
+        if deadline <= now || !self.records.has_room(now) {
+            return FenceState::Expired;
+        }
+        self.counters.fenced += 1;
+        self.put(key, State::Fenced, deadline);
+        FenceState::Fenced
+    }
+
+    /// Lets the limit and the counters learn from the end of a started request.
+    pub(super) fn learn(&mut self, now: Instant, record: &Record, finish: Finish, time_us: u64) {
+        match finish {
+            Finish::Completed { server_error } if server_error => self.counters.server_errors += 1,
+            Finish::Completed { .. } => self.counters.completed += 1,
+            Finish::NotStarted => self.counters.not_started += 1,
+            Finish::Failed => self.counters.failed += 1,
+            Finish::TargetRefused => self.counters.target_refused += 1,
+        }
+        // An answer of a replaced target says nothing about the present one.
+        if record.generation != self.generation {
+            return;
+        }
+        let change = match finish {
+            Finish::Completed {
+                server_error: false,
+            } => self.limit.on_sample(
+                now,
+                Sample {
+                    started: record.started,
+                    level: record.level,
+                    service_time_us: time_us,
+                },
+            ),
+            Finish::TargetRefused => self.limit.on_refusal(now, record.started, record.level),
+            _ => Change::None,
+        };
+        self.counters.limit_lowered += u64::from(change == Change::Lowered);
+        self.counters.limit_raised += u64::from(change == Change::Raised);
+    }
+
+    /// Frees the slot of a request and puts it into a final state.
+    pub(super) fn release(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        state: State,
+        deadline: Instant,
+    ) {
+        self.in_flight -= 1;
+        self.put(key, state, deadline);
+        self.note_due(now);
+    }
+
+    /// Writes the record of a request that is not with the target.
+    pub(super) fn put(&mut self, key: RequestKey, state: State, deadline: Instant) {
+        let record = Record {
+            state,
+            deadline,
+            keep_until: self.keep_until(deadline),
+            generation: self.generation,
+            started: Instant::default(),
+            level: 0,
+        };
+        self.records.put(key, record);
+    }
+
+    fn keep_until(&self, deadline: Instant) -> Instant {
+        deadline.saturating_add_micros(self.cfg.record_grace_us)
+    }
+
+    /// Ends an announcement that has lapsed.
+    pub(super) fn end_lapsed(&mut self, now: Instant) {
+        if self.target.is_some() && self.target(now).is_none() {
+            self.withdraw(now);
+        }
+    }
+
+    /// Fences a request that was just taken out of the queue, and tells it.
+    pub(super) fn refuse_waiting(&mut self, key: RequestKey, reason: RefuseReason) {
+        if let Some(record) = self.records.get(key).copied() {
+            self.put(key, State::Fenced, record.deadline);
+        }
+        self.counters.count_refusal(reason);
+        self.push_refusal(key, reason);
+    }
+
+    pub(super) fn push_refusal(&mut self, key: RequestKey, reason: RefuseReason) {
+        self.pending.push(Wakeup {
+            key,
+            admission: Admission::Refused(reason),
+        });
+    }
+
+    /// Notes that wakeups may be due.
+    pub(super) fn note_due(&mut self, now: Instant) {
+        let can_promote = self.queue.len() > 0 && self.in_flight < self.limit.current();
+        if can_promote || !self.pending.is_empty() {
+            self.due.get_or_insert(now);
+        }
+    }
+
+    /// Hands out the wakeups that are due: refusals first, then admissions in the
+    /// order of arrival.
+    pub(super) fn wake(&mut self, now: Instant) -> Vec<Wakeup> {
+        while let Some(key) = self.queue.pop_expired(now) {
+            self.refuse_waiting(key, RefuseReason::Deadline);
+        }
+        let mut wakeups = std::mem::take(&mut self.pending);
+        while self.in_flight < self.limit.current() {
+            let Some(key) = self.queue.pop() else { break };
+            wakeups.push(self.promote(key));
+        }
+        self.due = None;
+        wakeups
+    }
+
+    fn promote(&mut self, key: RequestKey) -> Wakeup {
+        let deadline = self.records.get(key).map(|record| record.deadline);
+        self.put(key, State::Admitted, deadline.unwrap_or_default());
+        self.in_flight += 1;
+        self.counters.promoted += 1;
+        Wakeup {
+            key,
+            admission: Admission::Start,
+        }
+    }
+}
