Move the roster of targets out of the balancer

A node that is announced for another service is now taken from the first one: its state could otherwise be removed while the first service still listed it, and choosing would panic.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -6,25 +6,22 @@
 use snafu::Snafu;
 
 use super::{
-    AnswerEvidence, BalanceEvent, BalancerSettings, Candidate, Change, Choice, Estimate,
-    Explanation, Policy, Report, Score, Use,
-    standing::{Standing, State, Step},
+    AnswerEvidence, BalanceEvent, BalancerSettings, Candidate, Change, Choice, Explanation, Policy,
+    Report, Score,
+    roster::{NodeState, Service, Target, candidate, candidates, usage},
+    standing::{State, Step},
     subset::subset,
 };
 use crate::{
     collections::{HashMap, HashSet},
     ids::{DataCentre, NodeName, ServiceName},
     load::LoadSample,
-    time::{Instant, MICROS_PER_MILLI},
+    time::Instant,
 };
 
 /// Events kept until they are taken; the oldest are dropped first.
 const MAX_EVENTS: usize = 1_024;
 
-/// How long a draining mark in a load sample counts. By then the membership has
-/// carried the news, which also says when the target stays after all.
-const DRAINING_MEMORY_US: u64 = 5_000 * MICROS_PER_MILLI;
-
 /// Weight of the newest outcome in the failure average.
 const FAILURE_SMOOTHING: f64 = 0.2;
 
@@ -60,55 +57,13 @@
     pub draining: bool,
 }
 
-#[derive(Debug)]
-struct Target {
-    node: NodeName,
-    data_centre: DataCentre,
-    weight: u32,
-    draining: bool,
-    in_subset: bool,
-}
-
-#[derive(Debug, Default)]
-struct Service {
-    targets: Vec<Target>,
-    last_request: Option<Instant>,
-}
-
-impl Service {
-    fn active(&self) -> impl Iterator<Item = &Target> {
-        self.targets.iter().filter(|target| target.in_subset)
-    }
-}
-
-#[derive(Debug)]
-struct NodeState {
-    /// A node serves one target, so it belongs to one service.
-    service: ServiceName,
-    estimate: Estimate,
-    standing: Standing,
-    draining_seen: Option<Instant>,
-    probe_wanted: Option<Instant>,
-}
-
-impl NodeState {
-    fn is_draining(&self, now: Instant) -> bool {
-        self.draining_seen
-            .is_some_and(|at| now.micros_since(at) < DRAINING_MEMORY_US)
-    }
-
-    fn on_sample(&mut self, now: Instant, sample: LoadSample) {
-        self.estimate.on_sample(now, sample);
-        self.draining_seen = sample.draining.then_some(now);
-    }
-}
-
 /// Chooses targets for one entry.
 pub struct Balancer {
     cfg: BalancerSettings,
     policy: Box<dyn Policy>,
     services: HashMap<ServiceName, Service>,
-    /// At most half of the subset of a service is not in use.
+    /// Holds each target of `services`. At most half of the subset of a service is
+    /// not in use.
     nodes: HashMap<NodeName, NodeState>,
     /// At most `MAX_EVENTS`.
     events: VecDeque<BalanceEvent>,
@@ -127,6 +82,9 @@
     }
 
     /// Replaces the targets of a service. Estimates of targets that stay are kept.
+    ///
+    /// `targets` names each node once. A node that served another service before is
+    /// taken from that service, because a node serves one target.
     pub fn set_targets(&mut self, now: Instant, service: &str, targets: &[TargetView<'_>]) {
         let name = ServiceName::from(service);
         let staying: HashSet<&str> = targets.iter().map(|target| target.node).collect();
@@ -304,10 +262,16 @@
             .nodes
             .entry(NodeName::from(target.node))
             .or_insert_with(|| NodeState::new(now, service, target.slots));
-        if state.service != *service {
-            *state = NodeState::new(now, service, target.slots);
-        }
         state.estimate.announced_slots = target.slots;
+        if state.service == *service {
+            return;
+        }
+        let earlier = std::mem::replace(state, NodeState::new(now, service, target.slots));
+        if let Some(earlier) = self.services.get_mut(&earlier.service) {
+            earlier
+                .targets
+                .retain(|other| other.node.as_str() != target.node);
+        }
     }
 
     /// Targets that take no traffic do not fill places in the subset.
@@ -386,95 +350,3 @@
         self.events.push_back(event);
     }
 }
-
-impl Service {
-    fn has_traffic(&self, now: Instant, cfg: &BalancerSettings) -> bool {
-        let memory_us = cfg.traffic_memory_ms * MICROS_PER_MILLI;
-        self.last_request
-            .is_some_and(|at| now.micros_since(at) < memory_us)
-    }
-}
-
-impl NodeState {
-    fn new(now: Instant, service: &ServiceName, slots: u32) -> Self {
-        NodeState {
-            service: service.clone(),
-            estimate: Estimate::new(now, slots),
-            standing: Standing::new(),
-            draining_seen: None,
-            probe_wanted: None,
-        }
-    }
-}
-
-fn candidates<'a>(
-    cfg: &BalancerSettings,
-    nodes: &'a HashMap<NodeName, NodeState>,
-    now: Instant,
-    service: &'a Service,
-    exclude: &[NodeName],
-) -> Result<Vec<Candidate<'a>>, NoChoice> {
-    let staying: Vec<(&Target, &NodeState)> = service
-        .active()
-        .map(|target| (target, &nodes[&target.node]))
-        .filter(|(_, state)| !state.is_draining(now))
-        .collect();
-    if staying.is_empty() {
-        let leaving = service.targets.iter().any(|target| target.weight > 0);
-        return Err(if leaving {
-            NoChoice::AllDraining
-        } else {
-            NoChoice::NoTarget
-        });
-    }
-    let left: Vec<Candidate<'_>> = staying
-        .into_iter()
-        .filter(|(target, _)| !exclude.contains(&target.node))
-        .map(|(target, state)| candidate(cfg, target, state))
-        .collect();
-    if left.is_empty() {
-        Err(NoChoice::AllExcluded)
-    } else {
-        Ok(left)
-    }
-}
-
-fn candidate<'a>(
-    cfg: &BalancerSettings,
-    target: &'a Target,
-    state: &'a NodeState,
-) -> Candidate<'a> {
-    let local = target.data_centre == cfg.data_centre;
-    let assumed_us = if local {
-        cfg.local_distance_us
-    } else {
-        cfg.remote_distance_us
-    };
-    Candidate {
-        node: target.node.as_str(),
-        data_centre: target.data_centre.as_str(),
-        local,
-        weight: target.weight,
-        distance_us: state.estimate.rtt_us.unwrap_or(assumed_us),
-        estimate: &state.estimate,
-    }
-}
-
-fn usage(now: Instant, target: &Target, state: &NodeState) -> Use {
-    if target.draining || state.is_draining(now) {
-        return Use::Draining;
-    }
-    if target.weight == 0 {
-        return Use::NoWeight;
-    }
-    if !target.in_subset {
-        return Use::OutsideSubset;
-    }
-    match state.standing.state() {
-        State::InUse => Use::InUse,
-        State::SetAside { until, reason, .. } if now < until => Use::SetAside { until, reason },
-        State::SetAside {
-            reason, successes, ..
-        } => Use::OnTrial { successes, reason },
-    }
-}
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -11,6 +11,7 @@
 mod explain;
 mod policy;
 mod predicted;
+mod roster;
 mod score;
 mod settings;
 mod standing;
