standin: log service, target and load tool with fault switches

Other crates need servers to talk to before their tests can be written. The log service, the target and the load tool run in threads of their own and are driven through handles or PUT /faults on a control address.

The servers use the HTTP/1.1 codec of actix-http directly, because the faults need control over how each answer ends.

Known limits: bodies of some 100 KB are slow to generate and check without optimisation; the binary has no subcommands yet.

--- /dev/null
+++ b/crates/standin/src/bin/plantainpost-standin.rs
@@ -0,0 +1,3 @@
+//! The stand-ins as separate processes.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/history.rs
@@ -0,0 +1,100 @@
+//! Histories of callers, targets and nodes.
+
+use serde::{Deserialize, Serialize};
+
+/// One line of a history file (JSON lines).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Record {
+    /// A caller sent a request.
+    Sent {
+        /// The nonce of the request.
+        nonce: String,
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// The service asked for.
+        service: String,
+        /// The method.
+        method: String,
+        /// Whether the request may run more than once.
+        idempotent: bool,
+    },
+    /// A caller's request came to an end.
+    Answered {
+        /// The nonce of the request.
+        nonce: String,
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// What the caller was told.
+        outcome: Outcome,
+        /// The status; 0 when there was no answer head.
+        status: u16,
+        /// Whether the connection showed that the answer was cut.
+        cut: bool,
+        /// Whether every byte of the answer was as expected.
+        whole: bool,
+        /// The nonce that the answer carried.
+        answer_nonce: Option<String>,
+    },
+    /// A target read the head of a request.
+    Started {
+        /// The nonce of the request.
+        nonce: String,
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// The target's name.
+        target: String,
+    },
+    /// A target finished a request.
+    Ended {
+        /// The nonce of the request.
+        nonce: String,
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// The target's name.
+        target: String,
+        /// Whether the whole answer was written.
+        ok: bool,
+    },
+    /// A target was told to leave.
+    Leaving {
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// The target's name.
+        target: String,
+    },
+    /// A leaving target was told to take work again.
+    Returned {
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// The target's name.
+        target: String,
+    },
+    /// A node was seen with a configuration.
+    Config {
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// The node's name.
+        node: String,
+        /// The version in force.
+        version: u64,
+        /// A digest of the content in force.
+        digest: String,
+    },
+}
+
+/// What a caller was told about its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The target's answer was passed on.
+    Answered,
+    /// The request was not run.
+    NotRun,
+    /// It is not known whether the request was run.
+    Unknown,
+    /// The connection failed without an answer head.
+    Failed,
+    /// An answer without the header `plantainpost-outcome`, as when a target is asked directly.
+    Direct,
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,18 @@
-//! Not written yet.
+//! Stand-ins for the systems that a node meets: the log service, targets, callers and
+//! the network. They are not shipped.
+//!
+//! Each server runs in its own thread with its own actix `System`. A `start` function
+//! returns a handle with the addresses and the fault switches; dropping the handle stops
+//! the server. The same servers run as separate processes through the binary
+//! `plantainpost-standin`. Fault switches are also set with `PUT /faults` on the control
+//! address, which stays reachable while the main address is down.
+
+pub mod clock;
+pub mod error;
+pub mod history;
+mod http;
+pub mod load;
+pub mod log;
+pub mod pattern;
+mod server;
+pub mod target;
--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,194 @@
+//! The log service: named streams of records with offsets, kept for a limited time.
+
+mod http;
+mod store;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::{
+    error::Result,
+    server::{self, Gate, Thread},
+};
+
+use store::Store;
+pub use store::{Batch, Entry};
+
+/// Settings of the log service.
+#[derive(Clone, Debug)]
+pub struct LogSettings {
+    /// Where to listen; port 0 takes a free port.
+    pub listen: SocketAddr,
+    /// Where to listen for fault switches.
+    pub control: SocketAddr,
+    /// Records kept per stream; the oldest beyond this count are trimmed.
+    pub keep_records: u64,
+    /// Age in ms after which a record is trimmed; 0 keeps records without regard to age.
+    pub keep_ms: u64,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            control: SocketAddr::from(([127, 0, 0, 1], 0)),
+            keep_records: 1_000_000,
+            keep_ms: 0,
+        }
+    }
+}
+
+/// How the log service is unreachable.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Down {
+    /// It is reachable.
+    #[default]
+    No,
+    /// Connections are refused.
+    Refuse,
+    /// Connections are accepted and closed.
+    Close,
+}
+
+/// Fault switches of the log service. A value states all of them; the default is no fault.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogFaults {
+    /// Whether the service is reachable.
+    pub down: Down,
+    /// Delay in ms before each answer; an append takes effect before the delay.
+    pub delay_ms: u64,
+    /// Appends take effect, but the connection is closed without an answer.
+    pub lose_answers: bool,
+    /// Every call is answered with 503 and has no effect.
+    pub refuse: bool,
+    /// Reads answer as if the newest records, this many, did not exist yet.
+    pub hide_newest: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    gate: Arc<watch::Sender<Gate>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    store: Store,
+    faults: LogFaults,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|err| err.into_inner())
+    }
+
+    fn set_faults(&self, faults: LogFaults) {
+        let gate = match faults.down {
+            Down::No => Gate::Open,
+            Down::Refuse => Gate::Refuse,
+            Down::Close => Gate::Close,
+        };
+        self.lock().faults = faults;
+        self.gate.send_replace(gate);
+    }
+}
+
+/// A running log service, stopped on drop.
+#[derive(Debug)]
+pub struct LogHandle {
+    address: SocketAddr,
+    control: SocketAddr,
+    shared: Arc<Shared>,
+    _thread: Thread,
+}
+
+/// Starts a log service in its own thread.
+///
+/// # Errors
+///
+/// Fails when a listener or the thread cannot be started.
+pub fn start(settings: &LogSettings) -> Result<LogHandle> {
+    let (main, address) = server::bind(settings.listen)?;
+    let (control_listener, control) = server::bind(settings.control)?;
+    let gate = Arc::new(watch::Sender::new(Gate::Open));
+    let shared = Arc::new(Shared {
+        state: Mutex::new(State {
+            store: Store::new(settings.keep_records, settings.keep_ms),
+            faults: LogFaults::default(),
+        }),
+        gate: Arc::clone(&gate),
+    });
+    let served = Arc::clone(&shared);
+    let thread = Thread::start("standin-log", move |stopped| {
+        let (handler, control_handler) = http::handlers(served);
+        server::run(
+            main,
+            handler,
+            control_listener,
+            control_handler,
+            gate,
+            stopped,
+        )
+    })?;
+    Ok(LogHandle {
+        address,
+        control,
+        shared,
+        _thread: thread,
+    })
+}
+
+impl LogHandle {
+    /// The address of the service.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The address that takes `PUT /faults`, `POST /trim` and `POST /restart`.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// The base URL of the service, without a trailing slash.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// The fault switches in force.
+    pub fn faults(&self) -> LogFaults {
+        self.shared.lock().faults.clone()
+    }
+
+    /// Replaces all fault switches.
+    pub fn set_faults(&self, faults: LogFaults) {
+        self.shared.set_faults(faults);
+    }
+
+    /// Trims the records of a stream below offset `oldest`.
+    pub fn trim(&self, stream: &str, oldest: u64) {
+        self.shared.lock().store.trim(stream, oldest);
+    }
+
+    /// Forgets all streams, as after a restart without its data; offsets start at 0 again.
+    pub fn restart_empty(&self) {
+        self.shared.lock().store.clear();
+    }
+
+    /// Appends a record without regard to the fault switches.
+    pub fn append(&self, stream: &str, data: &str) -> u64 {
+        self.shared.lock().store.append(stream, data.to_owned())
+    }
+
+    /// All records that a stream keeps, without regard to the fault switches.
+    pub fn records(&self, stream: &str) -> Vec<Entry> {
+        let mut state = self.shared.lock();
+        state.store.read(stream, 0, usize::MAX, 0).records
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target.rs
@@ -0,0 +1,178 @@
+//! An HTTP/1.1 target that announces itself to a node and verifies what it receives.
+
+mod announce;
+mod faults;
+mod http;
+mod state;
+mod work;
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
+
+use tokio::sync::watch;
+
+use crate::{
+    error::Result,
+    history::Record,
+    server::{self, Gate, Thread},
+};
+
+pub use faults::{Fail, LoadFault, TargetFaults};
+use state::Shared;
+pub use work::ServiceTime;
+pub(crate) use work::exponential;
+
+/// Settings of a target.
+#[derive(Clone, Debug)]
+pub struct TargetSettings {
+    /// Where to listen; port 0 takes a free port.
+    pub listen: SocketAddr,
+    /// Where to listen for fault switches.
+    pub control: SocketAddr,
+    /// The target's name, told in each answer.
+    pub name: String,
+    /// The service that it announces.
+    pub service: String,
+    /// Requests that it works on at the same time; more wait in arrival order.
+    pub slots: u32,
+    /// Connections that it announces.
+    pub connections: u32,
+    /// How long a request takes.
+    pub service_time: ServiceTime,
+    /// The seed of the service time distribution.
+    pub seed: u64,
+    /// The admin address of the node beside it; none for a target that announces nothing.
+    pub node: Option<SocketAddr>,
+    /// The time to live of an announcement in ms; it is renewed three times as often.
+    pub ttl_ms: u64,
+    /// Fault switches at the start.
+    pub faults: TargetFaults,
+}
+
+impl Default for TargetSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            control: SocketAddr::from(([127, 0, 0, 1], 0)),
+            name: "target".to_owned(),
+            service: "stock".to_owned(),
+            slots: 12,
+            connections: 220,
+            service_time: ServiceTime::default(),
+            seed: 1,
+            node: None,
+            ttl_ms: 3000,
+            faults: TargetFaults::default(),
+        }
+    }
+}
+
+/// A running target, stopped on drop.
+#[derive(Debug)]
+pub struct TargetHandle {
+    address: SocketAddr,
+    control: SocketAddr,
+    shared: Arc<Shared>,
+    thread: Thread,
+}
+
+/// Starts a target in its own thread.
+///
+/// # Errors
+///
+/// Fails when a listener or the thread cannot be started.
+pub fn start(settings: &TargetSettings) -> Result<TargetHandle> {
+    let (main, address) = server::bind(settings.listen)?;
+    let (control_listener, control) = server::bind(settings.control)?;
+    let shared = Arc::new(Shared::new(settings.clone(), address));
+    let served = Arc::clone(&shared);
+    let thread = Thread::start("standin-target", move |stopped| async move {
+        let (handler, control_handler) = http::handlers(Arc::clone(&served));
+        actix_rt::spawn(announce::renew(Arc::clone(&served)));
+        let gate = Arc::new(watch::Sender::new(Gate::Open));
+        server::run(
+            main,
+            Rc::clone(&handler),
+            control_listener,
+            control_handler,
+            gate,
+            stopped,
+        )
+        .await;
+        announce::withdraw(&served).await;
+    })?;
+    Ok(TargetHandle {
+        address,
+        control,
+        shared,
+        thread,
+    })
+}
+
+impl TargetHandle {
+    /// The address that takes requests.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The address that takes `PUT /faults` and answers `GET /history` and `GET /counts`.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// The target's name.
+    pub fn name(&self) -> &str {
+        &self.shared.settings.name
+    }
+
+    /// The fault switches in force.
+    pub fn faults(&self) -> TargetFaults {
+        self.shared.faults()
+    }
+
+    /// Replaces all fault switches.
+    pub fn set_faults(&self, faults: TargetFaults) {
+        self.shared.set_faults(faults);
+    }
+
+    /// Says whether the target is leaving; the change is announced at once.
+    pub fn set_leaving(&self, leaving: bool) {
+        let faults = self.faults();
+        self.set_faults(TargetFaults { leaving, ..faults });
+    }
+
+    /// Points the target at the admin address of another node, or at none.
+    pub fn set_node(&self, node: Option<SocketAddr>) {
+        self.shared.set_node(node);
+    }
+
+    /// Whether the last announcement was accepted by the node.
+    pub fn announced(&self) -> bool {
+        self.shared.announced()
+    }
+
+    /// How often a request with this nonce was started.
+    pub fn executions(&self, nonce: &str) -> u64 {
+        self.shared.executions(nonce)
+    }
+
+    /// How many requests were started.
+    pub fn started(&self) -> u64 {
+        self.shared.started()
+    }
+
+    /// Requests that were started and have not ended.
+    pub fn in_flight(&self) -> u32 {
+        self.shared.in_flight()
+    }
+
+    /// The history so far.
+    pub fn history(&self) -> Vec<Record> {
+        self.shared.history()
+    }
+
+    /// Withdraws the announcement, stops the target and returns its history.
+    pub fn stop(mut self) -> Vec<Record> {
+        self.thread.stop();
+        self.shared.history()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target/http.rs
@@ -0,0 +1,175 @@
+//! The HTTP side of a target.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use actix_http::{
+    Method, Request, Response, StatusCode,
+    header::{HeaderName, HeaderValue},
+};
+use actix_rt::time::sleep;
+use bytes::Bytes;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+
+use super::{
+    Fail, TargetFaults,
+    state::{Decision, Shared},
+};
+use crate::{
+    http::{header, json, text},
+    pattern::{body_for, sha256_hex},
+    server::{Ending, Framing, Handler, Reply},
+};
+
+/// Largest answer body that a request may ask for.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// The path of the load report, which is not a request of the service.
+const LOAD_PATH: &str = "/load";
+
+/// The handlers of the main and the control listener.
+pub(super) fn handlers(shared: Arc<Shared>) -> (Rc<dyn Handler>, Rc<dyn Handler>) {
+    (Rc::new(Main(Arc::clone(&shared))), Rc::new(Control(shared)))
+}
+
+struct Main(Arc<Shared>);
+
+impl Handler for Main {
+    fn begin(&self, req: &Request) {
+        if !is_load(req) {
+            self.0.begin(&nonce(req));
+        }
+    }
+
+    fn answer<'a>(&'a self, req: &'a Request, body: Bytes) -> LocalBoxFuture<'a, Reply> {
+        async move {
+            if is_load(req) {
+                return json(&serde_json::json!({
+                    "in_flight": self.0.reported_load(),
+                    "slots": self.0.settings.slots,
+                }));
+            }
+            self.work(req, &body).await
+        }
+        .boxed_local()
+    }
+
+    fn end(&self, req: &Request, ok: bool) {
+        if !is_load(req) {
+            self.0.end(&nonce(req), ok);
+        }
+    }
+}
+
+impl Main {
+    async fn work(&self, req: &Request, body: &[u8]) -> Reply {
+        let decision = self.0.decide(header(req, "x-work-us"));
+        match decision.fail {
+            Fail::Status500 => return self.head_for(req, body, StatusCode::INTERNAL_SERVER_ERROR),
+            Fail::Close => return closed(),
+            _ => {}
+        }
+        {
+            // The semaphore is never closed, so the permit is always given.
+            let _slot = self.0.slots.acquire().await;
+            sleep(Duration::from_micros(decision.work_us)).await;
+        }
+        if decision.late_ms > 0 {
+            sleep(Duration::from_millis(decision.late_ms)).await;
+        }
+        self.finish(req, body, &decision)
+    }
+
+    /// The answer after the work.
+    fn finish(&self, req: &Request, body: &[u8], decision: &Decision) -> Reply {
+        let mut reply = self.head_for(req, body, StatusCode::OK);
+        if let Some(len) = header::<usize>(req, "x-answer-bytes") {
+            reply.body = body_for(&nonce(req), len.min(MAX_ANSWER_BYTES));
+        }
+        if header::<u8>(req, "x-answer-chunked") == Some(1) {
+            reply.framing = Framing::Chunked;
+        }
+        if decision.close_idle {
+            reply.ending = Ending::CloseAfter;
+        }
+        match decision.fail {
+            Fail::CloseAfterWork => reply.ending = Ending::Close,
+            Fail::CutAfterHead => reply.ending = Ending::CutAfterHead,
+            Fail::CutInBody => reply.ending = Ending::CutInBody,
+            Fail::Never => reply.ending = Ending::Never,
+            Fail::Unframed => reply.framing = Framing::Unframed,
+            Fail::No | Fail::Status500 | Fail::Close => {}
+        }
+        reply
+    }
+
+    /// An answer that tells what the target received, in headers and as a JSON body.
+    fn head_for(&self, req: &Request, body: &[u8], status: StatusCode) -> Reply {
+        let nonce = nonce(req);
+        let digest = sha256_hex(body);
+        let length = body.len().to_string();
+        let settings = &self.0.settings;
+        let mut reply = json(&serde_json::json!({
+            "nonce": nonce,
+            "length": body.len(),
+            "sha256": digest,
+            "target": settings.name,
+            "service": settings.service,
+        }));
+        *reply.head.status_mut() = status;
+        for (name, value) in [
+            ("x-nonce", nonce.as_str()),
+            ("x-body-length", length.as_str()),
+            ("x-body-sha256", digest.as_str()),
+            ("x-target", settings.name.as_str()),
+            ("x-service", settings.service.as_str()),
+        ] {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                let name = HeaderName::from_static(name);
+                reply.head.headers_mut().insert(name, value);
+            }
+        }
+        reply
+    }
+}
+
+fn closed() -> Reply {
+    let head = Response::with_body(StatusCode::OK, ());
+    Reply {
+        ending: Ending::Close,
+        ..Reply::new(head, "")
+    }
+}
+
+fn is_load(req: &Request) -> bool {
+    req.method() == Method::GET && req.path() == LOAD_PATH
+}
+
+fn nonce(req: &Request) -> String {
+    header(req, "x-nonce").unwrap_or_default()
+}
+
+struct Control(Arc<Shared>);
+
+impl Handler for Control {
+    fn answer<'a>(&'a self, req: &'a Request, body: Bytes) -> LocalBoxFuture<'a, Reply> {
+        std::future::ready(self.call(req, &body)).boxed_local()
+    }
+}
+
+impl Control {
+    fn call(&self, req: &Request, body: &[u8]) -> Reply {
+        match (req.method().as_str(), req.path()) {
+            ("GET", "/faults") => json(&self.0.faults()),
+            ("PUT", "/faults") => match serde_json::from_slice::<TargetFaults>(body) {
+                Ok(faults) => {
+                    self.0.set_faults(faults);
+                    Reply::new(Response::with_body(StatusCode::NO_CONTENT, ()), "")
+                }
+                Err(err) => text(StatusCode::BAD_REQUEST, &err.to_string()),
+            },
+            ("GET", "/history") => json(&self.0.history()),
+            ("GET", "/counts") => json(&self.0.counts()),
+            _ => text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
