--- /dev/null
+++ b/crates/core/src/config/checkpoint.rs
@@ -0,0 +1,122 @@
+//! When a reader writes a checkpoint.
+
+use rand::{Rng, RngExt};
+
+use crate::time::Instant;
+
+/// Where the log stands, as the last successful read said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Position {
+    /// Oldest offset that is kept.
+    pub oldest: u64,
+    /// Offset that the next append gets.
+    pub next: u64,
+}
+
+/// When a checkpoint has aged, and how its writers are spread.
+#[derive(Clone, Debug)]
+pub struct CheckpointSettings {
+    /// Age at which a checkpoint is renewed even if nothing changed, because the log
+    /// keeps records for a limited time.
+    pub max_age_ms: u64,
+    /// Records after which a checkpoint is renewed, which bounds a replay.
+    pub max_records: u64,
+    /// Longest random delay of a writer.
+    pub spread_ms: u64,
+}
+
+impl Default for CheckpointSettings {
+    fn default() -> Self {
+        CheckpointSettings {
+            max_age_ms: 600_000,
+            max_records: 200,
+            spread_ms: 30_000,
+        }
+    }
+}
+
+/// Timer of one writer.
+#[derive(Debug, Default)]
+pub(super) struct CheckpointTimer {
+    settings: CheckpointSettings,
+    /// Checkpoint known when the timer last looked, and when it first saw it.
+    noted: Option<(Option<u64>, Instant)>,
+    /// When this node writes, unless a newer checkpoint is seen before.
+    due_at: Option<Instant>,
+}
+
+impl CheckpointTimer {
+    pub(super) fn new(settings: CheckpointSettings) -> Self {
+        CheckpointTimer {
+            settings,
+            ..Default::default()
+        }
+    }
+
+    /// Returns whether to write now. `last` is the `complete_to` of the newest
+    /// checkpoint read, and `read_to` what a new one would cover.
+    pub(super) fn is_due(
+        &mut self,
+        now: Instant,
+        position: &Position,
+        last: Option<u64>,
+        read_to: u64,
+        members: usize,
+        rng: &mut dyn Rng,
+    ) -> bool {
+        let noted_at = self.note(now, last);
+        if !self.has_aged(now, noted_at, position, last, read_to) {
+            self.due_at = None;
+            return false;
+        }
+        let spread_ms = self.settings.spread_ms;
+        let due_at = *self
+            .due_at
+            .get_or_insert_with(|| now.saturating_add_millis(delay_ms(spread_ms, members, rng)));
+        let is_due = now >= due_at;
+        if is_due {
+            // An append that fails is tried again after another random delay.
+            self.due_at = None;
+        }
+        is_due
+    }
+
+    /// Restarts the age when a newer checkpoint is seen, and returns its start.
+    fn note(&mut self, now: Instant, last: Option<u64>) -> Instant {
+        match self.noted {
+            Some((noted, at)) if noted == last => at,
+            _ => {
+                self.noted = Some((last, now));
+                self.due_at = None;
+                now
+            }
+        }
+    }
+
+    fn has_aged(
+        &self,
+        now: Instant,
+        noted_at: Instant,
+        position: &Position,
+        last: Option<u64>,
+        read_to: u64,
+    ) -> bool {
+        let Some(last) = last else { return true };
+        last < position.oldest
+            || read_to.saturating_sub(last) >= self.settings.max_records
+            || now >= noted_at.saturating_add_millis(self.settings.max_age_ms)
+    }
+}
+
+/// Returns a random delay of which few members draw a short one.
+///
+/// The density rises exponentially towards the end of the spread. Among `members`
+/// writers, the number that draw within a notification time `d` of the first one is
+/// then about `exp(d / spread * (1 + ln members))`, 3 for 860 members and 4 s; with a
+/// uniform delay it would be 115.
+fn delay_ms(spread_ms: u64, members: usize, rng: &mut dyn Rng) -> u64 {
+    let rate = 1.0 + (members.max(1) as f64).ln();
+    let uniform: f64 = rng.random();
+    let fraction = (uniform * rate.exp_m1()).ln_1p() / rate;
+    (fraction * spread_ms as f64) as u64
+}
--- /dev/null
+++ b/crates/core/src/config/delta.rs
@@ -0,0 +1,59 @@
+//! Difference between two contents, by which a state keeps its earlier versions.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::content::{Content, Leaving, ServiceRules};
+
+/// What turns one content into another.
+///
+/// Sixteen whole contents of the design size would not fit into one frame between
+/// nodes; most versions differ in one service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Delta {
+    /// Rules to set, or `None` to remove the service.
+    services: BTreeMap<String, Option<ServiceRules>>,
+    leaving: Option<BTreeSet<Leaving>>,
+    measuring_permille: Option<u32>,
+}
+
+impl Delta {
+    /// Returns the difference that turns `from` into `to`.
+    pub(super) fn between(from: &Content, to: &Content) -> Self {
+        let mut services = BTreeMap::new();
+        for (name, rules) in &to.services {
+            if from.services.get(name) != Some(rules) {
+                services.insert(name.clone(), Some(rules.clone()));
+            }
+        }
+        for name in from.services.keys() {
+            if !to.services.contains_key(name) {
+                services.insert(name.clone(), None);
+            }
+        }
+        Delta {
+            services,
+            leaving: (from.leaving != to.leaving).then(|| to.leaving.clone()),
+            measuring_permille: (from.measuring_permille != to.measuring_permille)
+                .then_some(to.measuring_permille),
+        }
+    }
+
+    /// Changes `content` by this difference.
+    pub(super) fn apply_to(&self, content: &mut Content) {
+        for (name, rules) in &self.services {
+            match rules {
+                Some(rules) => content.services.insert(name.clone(), rules.clone()),
+                None => content.services.remove(name),
+            };
+        }
+        if let Some(leaving) = &self.leaving {
+            content.leaving.clone_from(leaving);
+        }
+        if let Some(permille) = self.measuring_permille {
+            content.measuring_permille = permille;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/intent.rs
@@ -0,0 +1,101 @@
+//! What an operator asks for.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::content::{Content, Leaving, ServiceRules, ShareKey};
+
+/// A request of an operator, which a plan turns into a content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Intent {
+    /// States the whole table of shares of a service; an empty table removes it.
+    Share {
+        /// The service.
+        service: String,
+        /// Its shares.
+        shares: BTreeMap<ShareKey, u32>,
+    },
+    /// Takes something out of service.
+    Leave {
+        /// What leaves.
+        leaving: Leaving,
+    },
+    /// Takes something back into service.
+    Return {
+        /// What returns, as it was given when it left.
+        leaving: Leaving,
+    },
+    /// States the share of a core that measuring may take.
+    Measure {
+        /// The share in permille.
+        permille: u32,
+    },
+    /// States the whole list of repeatable methods of a service.
+    Repeatable {
+        /// The service.
+        service: String,
+        /// Its methods; an empty list removes it.
+        methods: BTreeSet<String>,
+    },
+    /// Returns to the content of an earlier version.
+    Restore {
+        /// The version, one of the recent ones.
+        version: u64,
+    },
+    /// States the whole content and puts it in force whatever the records said that
+    /// the log has lost. This is the way out of a gap that no node can close.
+    Override {
+        /// The content; without one, the content in force at the planning node.
+        #[serde(default)]
+        content: Option<Content>,
+    },
+}
+
+impl Intent {
+    /// Returns the content that the intent makes of `content`, or `None` if it
+    /// restores a version that `earlier` does not know.
+    pub(super) fn resolve(
+        &self,
+        content: &Content,
+        earlier: impl FnOnce(u64) -> Option<Content>,
+    ) -> Option<Content> {
+        let mut content = content.clone();
+        match self {
+            Intent::Share { service, shares } => {
+                edit_rules(&mut content, service, |rules| {
+                    rules.shares.clone_from(shares)
+                });
+            }
+            Intent::Repeatable { service, methods } => {
+                edit_rules(&mut content, service, |rules| {
+                    rules.repeatable.clone_from(methods);
+                });
+            }
+            Intent::Leave { leaving } => {
+                content.leaving.insert(leaving.clone());
+            }
+            Intent::Return { leaving } => {
+                content.leaving.remove(leaving);
+            }
+            Intent::Measure { permille } => content.measuring_permille = *permille,
+            Intent::Restore { version } => content = earlier(*version)?,
+            Intent::Override { content: stated } => {
+                if let Some(stated) = stated {
+                    content = stated.clone();
+                }
+            }
+        }
+        Some(content)
+    }
+}
+
+/// Edits the rules of a service and removes the entry if nothing is left of it.
+fn edit_rules(content: &mut Content, service: &str, edit: impl FnOnce(&mut ServiceRules)) {
+    let rules = content.services.entry(service.to_owned()).or_default();
+    edit(rules);
+    if rules.is_empty() {
+        content.services.remove(service);
+    }
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,1 +1,31 @@
 //! Configuration as an aggregate: plan, confirmation, checkpoint, replay.
+//!
+//! The log service has no compare-and-set, so agreement comes from replay: every
+//! reader applies the records of the `config` stream in log order by one rule
+//! ([`State`]), and the state at an offset depends on the records below it only.
+//! [`Register`] owns the state of one reader and decides which batches, checkpoints
+//! and states of peers may advance it.
+
+mod checkpoint;
+mod content;
+mod delta;
+mod describe;
+mod intent;
+mod plan;
+mod record;
+mod register;
+mod scan;
+mod state;
+
+pub use checkpoint::{CheckpointSettings, Position};
+pub use content::{
+    Content, ContentError, DEFAULT_MEASURING_PERMILLE, DEFAULT_SHARE, Leaving, MAX_CONTENT_BYTES,
+    MAX_MEASURING_PERMILLE, MAX_NAME_BYTES, MAX_SHARE, ServiceRules, ShareKey, ShareKeyError,
+};
+pub use intent::Intent;
+pub use plan::{KnownTarget, Plan, PlanError, VerifyError};
+pub use record::{
+    Batch, Confirm, LogRecord, MAX_RECORD_BYTES, MAX_SUMMARY_BYTES, Record, RecordError,
+};
+pub use register::{Applied, Counters, Register};
+pub use state::{Decision, MAX_DECISIONS, MAX_VERSIONS, State, StateError, Verdict, VersionInfo};
--- /dev/null
+++ b/crates/core/src/config/record.rs
@@ -0,0 +1,168 @@
+//! Records of the `config` stream and batches of them.
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu, ensure};
+use uuid::Uuid;
+
+use super::{
+    content::{Content, ContentError, check_name},
+    state::{State, StateError},
+};
+
+/// Longest record. A checkpoint of the largest state fits.
+pub const MAX_RECORD_BYTES: usize = 256 * 1024;
+
+/// Longest summary of a confirmation.
+pub const MAX_SUMMARY_BYTES: usize = 256;
+
+/// A record as the log service returns it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogRecord {
+    /// Its place in the stream.
+    pub offset: u64,
+    /// Its text.
+    pub data: String,
+}
+
+/// Answer of the log service to a read.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Batch {
+    /// Oldest offset that is kept.
+    pub oldest: u64,
+    /// Offset that the next append gets.
+    pub next: u64,
+    /// Records in log order, without holes.
+    pub records: Vec<LogRecord>,
+}
+
+impl Batch {
+    /// Returns whether the offsets rise by one and lie between `oldest` and `next`.
+    pub fn is_well_formed(&self) -> bool {
+        let rising = self
+            .records
+            .windows(2)
+            .all(|pair| pair[0].offset.checked_add(1) == Some(pair[1].offset));
+        let first = self.records.first().map_or(self.oldest, |r| r.offset);
+        let last = self.records.last().map(|r| r.offset);
+        rising
+            && self.oldest <= self.next
+            && self.oldest <= first
+            && last.is_none_or(|last| last < self.next)
+    }
+}
+
+/// Confirmation of a plan.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Confirm {
+    /// Id of the plan.
+    pub id: Uuid,
+    /// Version that must be in force at the record's offset.
+    pub base: Option<u64>,
+    /// Set if the record states the whole content regardless of `base`; it is then
+    /// in force if no other confirmation lies between this offset and its own.
+    #[serde(default)]
+    pub overrides: Option<u64>,
+    /// Operator who confirmed.
+    pub author: String,
+    /// Wall clock of the node that took the confirmation, for people to read.
+    pub at_unix_ms: u64,
+    /// Content that comes into force.
+    pub content: Content,
+    /// The changes in short.
+    pub summary: String,
+}
+
+/// A record of the `config` stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Record {
+    /// Confirmation of a plan.
+    Confirm(Confirm),
+    /// State of a reader that has applied every offset below `complete_to`.
+    Checkpoint {
+        /// Equal to the state's `read_to`.
+        complete_to: u64,
+        /// The state.
+        state: State,
+        /// Node that wrote the checkpoint.
+        node: String,
+    },
+}
+
+/// Why a record can't be written or is skipped by every reader.
+#[derive(Debug, Snafu)]
+#[expect(missing_docs, reason = "The messages name the fields.")]
+pub enum RecordError {
+    /// The record is too long.
+    #[snafu(display("the record has {bytes} bytes, above {MAX_RECORD_BYTES}"))]
+    TooLarge { bytes: usize },
+    /// The record is not JSON of a known kind.
+    #[snafu(display("the record is not of a known form"))]
+    Form { source: serde_json::Error },
+    /// The content or a name is out of bounds.
+    #[snafu(display("{source}"), context(false))]
+    Content { source: ContentError },
+    /// The state of a checkpoint does not hold together.
+    #[snafu(display("{source}"), context(false))]
+    State { source: StateError },
+    /// The summary is too long.
+    #[snafu(display("the summary has {bytes} bytes, above {MAX_SUMMARY_BYTES}"))]
+    Summary { bytes: usize },
+    /// A checkpoint's `complete_to` differs from its state's `read_to`.
+    #[snafu(display("checkpoint to {complete_to} holds a state read to {read_to}"))]
+    CompleteTo { complete_to: u64, read_to: u64 },
+}
+
+impl Record {
+    /// Returns the text to append.
+    ///
+    /// # Errors
+    ///
+    /// A record that readers would skip is not encoded.
+    pub fn encode(&self) -> Result<String, RecordError> {
+        self.validate()?;
+        let data = serde_json::to_string(self).context(FormSnafu)?;
+        let bytes = data.len();
+        ensure!(bytes <= MAX_RECORD_BYTES, TooLargeSnafu { bytes });
+        Ok(data)
+    }
+
+    /// Reads a record.
+    ///
+    /// # Errors
+    ///
+    /// Depends on the text only, so every reader skips the same records.
+    pub fn decode(data: &str) -> Result<Self, RecordError> {
+        let bytes = data.len();
+        ensure!(bytes <= MAX_RECORD_BYTES, TooLargeSnafu { bytes });
+        let record: Record = serde_json::from_str(data).context(FormSnafu)?;
+        record.validate()?;
+        Ok(record)
+    }
+
+    fn validate(&self) -> Result<(), RecordError> {
+        match self {
+            Record::Confirm(confirm) => {
+                check_name(&confirm.author)?;
+                let bytes = confirm.summary.len();
+                ensure!(bytes <= MAX_SUMMARY_BYTES, SummarySnafu { bytes });
+                confirm.content.validate()?;
+            }
+            Record::Checkpoint {
+                complete_to, state, ..
+            } => {
+                let (complete_to, read_to) = (*complete_to, state.read_to());
+                ensure!(
+                    complete_to == read_to,
+                    CompleteToSnafu {
+                        complete_to,
+                        read_to
+                    }
+                );
+                state.validate()?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/register.rs
@@ -0,0 +1,360 @@
+//! The configuration of one reader.
+
+use rand::Rng;
+use uuid::Uuid;
+
+use super::{
+    checkpoint::{CheckpointSettings, CheckpointTimer, Position},
+    content::{Content, check_name},
+    describe,
+    intent::Intent,
+    plan::{KnownTarget, NoChangeSnafu, Plan, PlanError},
+    record::{Batch, Confirm, MAX_SUMMARY_BYTES, Record},
+    scan::{Found, Scan},
+    state::{Decision, State, VersionInfo},
+};
+use crate::{config::content::ContentError, time::Instant};
+
+/// What a batch did.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Applied {
+    /// Another version is in force than before.
+    pub version_changed: bool,
+    /// `read_to` rose; peers should be told.
+    pub advanced: bool,
+    /// Confirmations decided, in log order.
+    pub decided: Vec<Decision>,
+    /// Records between `read_to` and the oldest one kept are missing.
+    pub gap: bool,
+    /// The log returned less than was read before; nothing changed.
+    pub older: bool,
+    /// Unknown or broken records passed over.
+    pub skipped: u64,
+}
+
+/// Counts of what a reader refused.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Unknown or broken records passed over.
+    pub skipped: u64,
+    /// Batches that ended below `read_to`.
+    pub older: u64,
+    /// Batches whose offsets don't hold together.
+    pub malformed: u64,
+    /// States of peers that are broken.
+    pub invalid_states: u64,
+    /// States and checkpoints that contradict what this reader has applied.
+    pub conflicts: u64,
+}
+
+/// The configuration aggregate of one reader.
+#[derive(Debug, Default)]
+pub struct Register {
+    /// `read_to` and the version never decrease.
+    state: State,
+    /// Highest `oldest` seen; the gap is from `read_to` to here.
+    oldest: u64,
+    /// Search beyond the gap; `None` without a gap.
+    scan: Option<Scan>,
+    timer: CheckpointTimer,
+    counters: Counters,
+}
+
+impl Register {
+    /// Returns a register that has read nothing.
+    pub fn new() -> Self {
+        Register::default()
+    }
+
+    /// Returns a register that has read nothing and writes checkpoints by `settings`.
+    pub fn with_settings(settings: CheckpointSettings) -> Self {
+        Register {
+            timer: CheckpointTimer::new(settings),
+            ..Register::default()
+        }
+    }
+
+    /// Returns the content in force.
+    pub fn content(&self) -> &Content {
+        self.state.content()
+    }
+
+    /// Returns the version in force, or `None` before the first confirmation.
+    pub fn version(&self) -> Option<u64> {
+        self.state.version()
+    }
+
+    /// Returns the first offset that is not applied yet.
+    pub fn read_to(&self) -> u64 {
+        self.state.read_to()
+    }
+
+    /// Returns the offset to read from next. Beyond a gap this is above `read_to`.
+    pub fn read_from(&self) -> u64 {
+        let scanned = self.scan.as_ref().map_or(0, Scan::next);
+        self.read_to().max(self.oldest).max(scanned)
+    }
+
+    /// Returns whether records between `read_to` and the oldest one kept are missing.
+    pub fn has_gap(&self) -> bool {
+        self.oldest > self.read_to()
+    }
+
+    /// Returns the recent versions, oldest first; the last one is in force.
+    pub fn recent_versions(&self) -> impl Iterator<Item = &VersionInfo> {
+        self.state.versions()
+    }
+
+    /// Returns the remembered decision on a confirmation.
+    pub fn decision(&self, id: Uuid) -> Option<&Decision> {
+        self.state.decision(id)
+    }
+
+    /// Returns the counts of what was refused.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns a copy of the state, for a peer.
+    pub fn snapshot(&self) -> State {
+        self.state.clone()
+    }
+
+    /// Makes a plan without knowledge of the targets; see [`Register::plan_for`].
+    ///
+    /// # Errors
+    ///
+    /// Says why the intent can't be planned.
+    pub fn plan(
+        &self,
+        intent: &Intent,
+        author: &str,
+        expires_at_unix_ms: u64,
+    ) -> Result<Plan, PlanError> {
+        self.plan_for(intent, author, expires_at_unix_ms, &[])
+    }
+
+    /// Makes a plan. It warns of services that lose all known targets, and refuses a
+    /// share that leaves all known targets of a service without weight.
+    ///
+    /// # Errors
+    ///
+    /// Says why the intent can't be planned.
+    pub fn plan_for(
+        &self,
+        intent: &Intent,
+        author: &str,
+        expires_at_unix_ms: u64,
+        targets: &[KnownTarget<'_>],
+    ) -> Result<Plan, PlanError> {
+        check_name(author)?;
+        let is_override = matches!(intent, Intent::Override { .. });
+        if self.has_gap() && !is_override {
+            return Err(PlanError::Gap {
+                read_to: self.read_to(),
+            });
+        }
+        let content = self.resolve(intent)?;
+        content.validate()?;
+        if let Some(service) = describe::weightless_service(&content, targets) {
+            let service = service.to_owned();
+            return Err(ContentError::SharesAllZero { service }.into());
+        }
+        let old = self.content();
+        if !is_override && content == *old {
+            return NoChangeSnafu.fail();
+        }
+        let mut changes = describe::changes(old, &content);
+        if is_override {
+            changes.insert(
+                0,
+                "overrides the version in force and lost records".to_owned(),
+            );
+        }
+        let plan = Plan {
+            id: Uuid::new_v4(),
+            base: self.version(),
+            overrides: is_override.then(|| self.read_from()),
+            changes,
+            stays: describe::stays(old, &content),
+            warnings: describe::warnings(old, &content, targets),
+            content,
+            author: author.to_owned(),
+            digest: String::new(),
+            expires_at_unix_ms,
+        };
+        Ok(plan.sealed())
+    }
+
+    fn resolve(&self, intent: &Intent) -> Result<Content, PlanError> {
+        let mut unknown = 0;
+        let earlier = |version| {
+            unknown = version;
+            self.state.content_of(version)
+        };
+        let content = intent.resolve(self.content(), earlier);
+        content.ok_or(PlanError::UnknownVersion { version: unknown })
+    }
+
+    /// Returns the record that confirms a plan.
+    ///
+    /// The record of a plan always has the plan's id, so that a second append, also
+    /// through another node, has no effect.
+    pub fn confirm_record(&self, plan: &Plan, author: &str, at_unix_ms: u64) -> Record {
+        Record::Confirm(Confirm {
+            id: plan.id,
+            base: plan.base,
+            overrides: plan.overrides,
+            author: author.to_owned(),
+            at_unix_ms,
+            content: plan.content.clone(),
+            summary: summary(&plan.changes),
+        })
+    }
+
+    /// Returns the record of a checkpoint of this reader.
+    pub fn checkpoint_record(&self, node: &str) -> Record {
+        Record::Checkpoint {
+            complete_to: self.read_to(),
+            state: self.state.clone(),
+            node: node.to_owned(),
+        }
+    }
+
+    /// Returns whether this node writes a checkpoint now. To be asked after each
+    /// successful read, with the position that it returned.
+    pub fn checkpoint_due(
+        &mut self,
+        now: Instant,
+        position: &Position,
+        members: usize,
+        rng: &mut dyn Rng,
+    ) -> bool {
+        let read_to = self.read_to();
+        if self.has_gap() || self.version().is_none() || position.next != read_to {
+            return false;
+        }
+        let last = self.state.checkpoint();
+        self.timer
+            .is_due(now, position, last, read_to, members, rng)
+    }
+
+    /// Takes over the state of a peer if it is further, and returns whether it did.
+    pub fn adopt(&mut self, state: State) -> bool {
+        if state.read_to() <= self.read_to() {
+            return false;
+        }
+        if state.validate().is_err() {
+            self.counters.invalid_states += 1;
+            return false;
+        }
+        if self.contradicts(&state) {
+            self.counters.conflicts += 1;
+            return false;
+        }
+        self.state = state;
+        self.drop_closed_scan();
+        true
+    }
+
+    /// Returns whether a further state can't come from the log that was read here.
+    /// This happens when the log lost its records and started again.
+    fn contradicts(&self, state: &State) -> bool {
+        state.version() < self.version()
+            || (state.version() == self.version() && state.content() != self.content())
+    }
+
+    fn drop_closed_scan(&mut self) {
+        if !self.has_gap() {
+            self.scan = None;
+        }
+    }
+
+    /// Applies the records of a read from [`Register::read_from`] or below.
+    ///
+    /// Records that don't continue at `read_to` are left for a later read.
+    pub fn apply(&mut self, batch: &Batch) -> Applied {
+        let (version, read_to) = (self.version(), self.read_to());
+        let mut applied = Applied::default();
+        if batch.next < read_to {
+            self.counters.older += 1;
+            applied.older = true;
+        } else if batch.is_well_formed() {
+            self.oldest = self.oldest.max(batch.oldest);
+            // Each further pass starts from a checkpoint with a higher `read_to`.
+            while self.pass(batch, &mut applied) {}
+            self.drop_closed_scan();
+        } else {
+            self.counters.malformed += 1;
+        }
+        applied.version_changed = self.version() != version;
+        applied.advanced = self.read_to() > read_to;
+        applied.gap = self.has_gap();
+        self.counters.skipped += applied.skipped;
+        applied
+    }
+
+    /// Goes through a batch once, and returns whether a checkpoint was taken over, so
+    /// that records before it in the batch may apply now.
+    fn pass(&mut self, batch: &Batch, applied: &mut Applied) -> bool {
+        for record in &batch.records {
+            let offset = record.offset;
+            if offset < self.read_to() {
+                continue;
+            }
+            if offset == self.read_to() {
+                self.replay(offset, &record.data, applied);
+            } else if !self.has_gap() {
+                return false;
+            } else if self.search(offset, &record.data, applied) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Applies the record at `read_to`.
+    fn replay(&mut self, offset: u64, data: &str, applied: &mut Applied) {
+        match Record::decode(data) {
+            Ok(Record::Confirm(confirm)) => {
+                applied.decided.push(self.state.confirm(offset, confirm));
+            }
+            Ok(Record::Checkpoint {
+                complete_to, state, ..
+            }) if complete_to <= offset => {
+                if complete_to == offset && state != self.state {
+                    self.counters.conflicts += 1;
+                }
+                self.state.note_checkpoint(offset, complete_to);
+            }
+            _ => {
+                applied.skipped += 1;
+                self.state.skip(offset);
+            }
+        }
+    }
+
+    /// Looks at a record beyond the gap, and returns whether a checkpoint closed it.
+    fn search(&mut self, offset: u64, data: &str, applied: &mut Applied) -> bool {
+        let scan = self.scan.get_or_insert_with(|| Scan::new(offset));
+        if offset < scan.next() {
+            return false;
+        }
+        match scan.see(offset, data) {
+            Found::Nothing => false,
+            Found::Checkpoint(state) => state.read_to() >= self.oldest && self.adopt(*state),
+            Found::Override(confirm) => {
+                applied.decided.push(self.state.restart(offset, *confirm));
+                false
+            }
+        }
+    }
+}
+
+/// Joins the changes up to the longest summary.
+fn summary(changes: &[String]) -> String {
+    let mut summary = changes.join("; ");
+    let end = summary.floor_char_boundary(MAX_SUMMARY_BYTES);
+    summary.truncate(end);
+    summary
+}
