--- /dev/null
+++ b/crates/node/src/config_sync.rs
@@ -0,0 +1,221 @@
+//! Reading the configuration log, and passing its state among peers.
+
+use std::{cell::RefCell, rc::Rc};
+
+use bytes::BytesMut;
+use plantainpost_core::{
+    config::{Applied, Position, State, Verdict},
+    ids::NodeName,
+};
+use plantainpost_platform::LogError;
+use plantainpost_wire::message::PeerMessage;
+use rand::RngExt;
+use slog::{info, warn};
+
+use crate::{
+    audit::{self, AuditEvent},
+    fleet, gossip,
+    node::Node,
+};
+
+/// Stream of the configuration.
+pub(crate) const STREAM: &str = "config";
+
+/// Reads of the configuration log per second that the whole fleet makes.
+const FLEET_READS_PER_SECOND: u64 = 40;
+
+/// Shortest mean time between two reads of a node, in milliseconds.
+const MIN_READ_EVERY_MS: u64 = 1_000;
+
+/// Records in one read.
+const READ_RECORDS: usize = 100;
+
+/// Time for a peer to send its state, in milliseconds.
+const FETCH_TIMEOUT_MS: u64 = 2_000;
+
+/// Longest state of a peer, in bytes.
+const MAX_STATE_BYTES: usize = 4 * 1024 * 1024;
+
+/// A peer that has read further than this node.
+#[derive(Default)]
+pub(crate) struct Ahead {
+    peer: RefCell<Option<NodeName>>,
+    wake: tokio::sync::Notify,
+}
+
+/// Notes that a peer has read further, so that its state is fetched.
+pub(crate) fn peer_ahead(node: &Rc<Node>, peer: &NodeName, read_to: u64) {
+    if read_to > node.register.borrow().read_to() {
+        node.ahead.peer.replace(Some(peer.clone()));
+        node.ahead.wake.notify_one();
+    }
+}
+
+/// Reads the log at random times until the process exits.
+pub(crate) async fn read_log(node: Rc<Node>) {
+    let mut log_is_up = true;
+    loop {
+        let outcome = read_all(&node).await;
+        if outcome.is_ok() != log_is_up {
+            log_is_up = outcome.is_ok();
+            match &outcome {
+                Ok(()) => info!(node.logger, "the log service answers again"),
+                Err(e) => warn!(node.logger, "the log service does not answer"; "error" => %e),
+            }
+        }
+        let at = node.now().saturating_add_millis(read_delay_ms(&node));
+        tokio::select! {
+            () = node.clock.sleep_until(at) => (),
+            () = node.read_config.notified() => (),
+        }
+    }
+}
+
+fn read_delay_ms(node: &Node) -> u64 {
+    let members = node.members.borrow().members().count() as u64 + 1;
+    let mean = (members * 1_000 / FLEET_READS_PER_SECOND).max(MIN_READ_EVERY_MS);
+    node.rng.borrow_mut().random_range(mean / 2..=mean * 3 / 2)
+}
+
+/// Reads to the end of the log.
+pub(crate) async fn read_all(node: &Rc<Node>) -> Result<(), LogError> {
+    loop {
+        let from = node.register.borrow().read_from();
+        let read = node.log_service.read(STREAM, from, READ_RECORDS).await;
+        let batch = read.inspect_err(|_| node.metrics.count("config.read_error"))?;
+        node.metrics.count("config.read");
+        let applied = node.register.borrow_mut().apply(&batch);
+        on_applied(node, &applied).await;
+        let position = Position {
+            oldest: batch.oldest,
+            next: batch.next,
+        };
+        if batch.records.is_empty() || node.register.borrow().read_from() >= batch.next {
+            write_checkpoint_if_due(node, &position).await;
+            return Ok(());
+        }
+    }
+}
+
+async fn on_applied(node: &Rc<Node>, applied: &Applied) {
+    if applied.older {
+        node.metrics.count("config.older_log");
+    }
+    if applied.gap {
+        node.metrics.count("config.gap");
+    }
+    for decision in &applied.decided {
+        if let Verdict::Void {
+            winner_offset,
+            winner_author,
+            ..
+        } = &decision.verdict
+        {
+            let event = AuditEvent::Void {
+                id: decision.id.to_string(),
+                author: decision.author.clone(),
+                winner: *winner_offset,
+                winner_author: winner_author.clone(),
+            };
+            audit::note(node, event);
+        }
+    }
+    after_change(node, applied.version_changed, applied.advanced).await;
+}
+
+async fn after_change(node: &Rc<Node>, version_changed: bool, advanced: bool) {
+    let (version, read_to) = {
+        let register = node.register.borrow();
+        (register.version(), register.read_to())
+    };
+    node.members
+        .borrow_mut()
+        .set_config(version.unwrap_or(0), read_to);
+    if version_changed {
+        node.metrics.count("config.version_changed");
+        audit::note(node, AuditEvent::InForce { version });
+    }
+    fleet::refresh(node);
+    if advanced {
+        node.config_changed.notify_waiters();
+        gossip::notify_config(node).await;
+    }
+}
+
+async fn write_checkpoint_if_due(node: &Rc<Node>, position: &Position) {
+    let now = node.now();
+    let members = node.members.borrow().members().count() + 1;
+    let record = {
+        let mut register = node.register.borrow_mut();
+        let mut rng = node.rng.borrow_mut();
+        if !register.checkpoint_due(now, position, members, &mut *rng) {
+            return;
+        }
+        register.checkpoint_record(node.name().as_str()).encode()
+    };
+    let Ok(data) = record else {
+        node.metrics.count("config.checkpoint_too_long");
+        return;
+    };
+    match node.log_service.append(STREAM, &data).await {
+        Ok(offset) => {
+            node.metrics.count("config.checkpoint");
+            audit::note(node, AuditEvent::Checkpoint { offset });
+        }
+        Err(_) => node.metrics.count("config.checkpoint_error"),
+    }
+}
+
+/// Fetches the state of peers that have read further, until the process exits.
+pub(crate) async fn follow_peers(node: Rc<Node>) {
+    loop {
+        node.ahead.wake.notified().await;
+        let Some(peer) = node.ahead.peer.take() else {
+            continue;
+        };
+        match fetch(&node, &peer).await {
+            Some(state) => adopt(&node, state).await,
+            None => node.metrics.count("config.fetch_error"),
+        }
+    }
+}
+
+async fn adopt(node: &Rc<Node>, state: State) {
+    let (before, adopted, after) = {
+        let mut register = node.register.borrow_mut();
+        let before = register.version();
+        let adopted = register.adopt(state);
+        (before, adopted, register.version())
+    };
+    if adopted {
+        node.metrics.count("config.adopted");
+        after_change(node, before != after, true).await;
+    }
+}
+
+async fn fetch(node: &Node, peer: &NodeName) -> Option<State> {
+    let addr = {
+        let members = node.members.borrow();
+        members.get(peer.as_str())?.tcp_addr()
+    };
+    let have = node.register.borrow().read_to();
+    let deadline = node.now().saturating_add_millis(FETCH_TIMEOUT_MS);
+    let fetch = async {
+        let mut conn = node.peers.acquire(peer, addr, deadline).await.ok()?;
+        let question = PeerMessage::FetchConfig { have };
+        conn.tx.write(&question).await.ok()?;
+        let mut buf = BytesMut::new();
+        loop {
+            match conn.rx.read().await.ok()? {
+                PeerMessage::Body(piece) if buf.len() + piece.len() <= MAX_STATE_BYTES => {
+                    buf.extend_from_slice(&piece);
+                }
+                PeerMessage::BodyEnd { length, .. } if length == buf.len() as u64 => break,
+                _ => return None,
+            }
+        }
+        node.peers.release(peer, conn);
+        postcard::from_bytes(&buf).ok()
+    };
+    node.clock.before(deadline, fetch).await.flatten()
+}
--- a/crates/node/src/entry/body.rs
+++ b/crates/node/src/entry/body.rs
@@ -35,7 +35,7 @@
 
 impl Answer {
     /// Passes the answer on to the caller.
-    pub(crate) fn into_response(mut self, call: &Rc<Call>) -> Response<BoxBody> {
+    pub(crate) fn into_response(self, call: &Rc<Call>) -> Response<BoxBody> {
         let (id, length) = (call.id, self.head.body);
         let head = self.head.clone();
         if length == BodyLength::None {
--- a/crates/node/src/entry/flight.rs
+++ b/crates/node/src/entry/flight.rs
@@ -25,7 +25,7 @@
     /// Counts an attempt as in flight.
     pub(crate) fn start(node: &Rc<Node>, peer: &NodeName) -> Self {
         let sent = node.now();
-        node.balancer.borrow_mut().on_sent(sent, peer);
+        node.balancer.borrow_mut().on_sent(sent, peer.as_str());
         Flight {
             node: Rc::clone(node),
             peer: peer.clone(),
@@ -51,7 +51,7 @@
         };
         let now = self.node.now();
         let mut balancer = self.node.balancer.borrow_mut();
-        balancer.on_answer(now, &self.peer, &evidence);
+        balancer.on_answer(now, self.peer.as_str(), &evidence);
     }
 }
 
--- /dev/null
+++ b/crates/node/src/guard/mod.rs
@@ -0,0 +1,146 @@
+//! The guard: runs requests of entries on the target beside this node.
+
+mod relay;
+mod request;
+mod slot;
+
+use std::{rc::Rc, time::Duration};
+
+use actix_rt::net::{TcpListener, TcpStream};
+use bytes::Bytes;
+use plantainpost_core::time::Instant;
+use plantainpost_wire::{
+    frame::{self, FrameError, FrameReader, FrameWriter},
+    handshake::{self, AcceptedPeer},
+    message::{MAX_BODY_PIECE, PeerMessage},
+};
+use slog::warn;
+
+use crate::node::Node;
+
+/// Time that a peer has for its part of the handshake, in milliseconds.
+const HANDSHAKE_TIMEOUT_MS: u64 = 2_000;
+
+/// Time that an idle connection of a peer stays open, in milliseconds. It is above
+/// the idle time of the pool, so that the opening side closes first.
+const IDLE_MS: u64 = 45_000;
+
+/// Pause after a failed accept, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A connection of a peer.
+struct Conn {
+    rx: FrameReader,
+    tx: FrameWriter,
+    peer: AcceptedPeer,
+}
+
+/// Whether a connection can take another request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Exchange {
+    /// The last exchange ended cleanly.
+    Clean,
+    /// The connection must be closed.
+    Broken,
+}
+
+/// Accepts connections of peers until the process exits.
+pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
+    let limit = node.settings.limits.peer_connections;
+    let open = Rc::new(());
+    loop {
+        match listener.accept().await {
+            Ok(_) if Rc::strong_count(&open) > limit => node.metrics.count("guard.conn_refused"),
+            Ok((io, _)) => {
+                let (node, open) = (Rc::clone(&node), Rc::clone(&open));
+                actix_rt::spawn(async move {
+                    let _open = open;
+                    serve_conn(node, io).await;
+                });
+            }
+            Err(e) => {
+                node.metrics.count("guard.accept_error");
+                warn!(node.logger, "can't accept a connection"; "listener" => "peers", "error" => %e);
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_conn(node: Rc<Node>, io: TcpStream) {
+    let (mut rx, mut tx) = frame::split(io);
+    let clock = node.clock;
+    let now = || clock.now();
+    let limit = clock.now().saturating_add_millis(HANDSHAKE_TIMEOUT_MS);
+    let shake = handshake::accept(&mut rx, &mut tx, &node.identity, &node.keys, &now);
+    let Some(Ok(peer)) = clock.before(limit, shake).await else {
+        node.metrics.count("guard.handshake_failed");
+        return;
+    };
+    let mut conn = Conn { rx, tx, peer };
+    loop {
+        let idle_until = clock.now().saturating_add_millis(IDLE_MS);
+        let Some(msg) = clock.before(idle_until, conn.rx.read()).await else {
+            return;
+        };
+        let exchange = match msg {
+            Ok(msg) => answer(&node, &mut conn, msg).await,
+            Err(FrameError::Closed | FrameError::Io { .. }) => return,
+            Err(_) => Exchange::Broken,
+        };
+        if exchange == Exchange::Broken {
+            node.metrics.count("guard.conn_broken");
+            return;
+        }
+    }
+}
+
+async fn answer(node: &Rc<Node>, conn: &mut Conn, msg: PeerMessage) -> Exchange {
+    match msg {
+        PeerMessage::Request(head) => request::serve(node, conn, head).await,
+        PeerMessage::Fence { key, deadline } => {
+            let deadline = conn.peer.shift.to_local(deadline);
+            let state = node.guard.borrow_mut().fence(node.now(), key, deadline);
+            // A queued request was taken out of the queue.
+            let wakeups = node.guard.borrow_mut().expire(node.now());
+            node.wake(wakeups);
+            let reply = PeerMessage::FenceResult { key, state };
+            sent(conn.tx.write(&reply).await)
+        }
+        PeerMessage::FetchConfig { have } => send_config(node, conn, have).await,
+        _ => Exchange::Broken,
+    }
+}
+
+fn sent(outcome: Result<(), FrameError>) -> Exchange {
+    match outcome {
+        Ok(()) => Exchange::Clean,
+        Err(_) => Exchange::Broken,
+    }
+}
+
+/// Sends the configuration state, or an empty body when the peer is not behind.
+async fn send_config(node: &Node, conn: &mut Conn, have: u64) -> Exchange {
+    let state = {
+        let register = node.register.borrow();
+        (register.read_to() > have).then(|| register.snapshot())
+    };
+    let bytes = state.and_then(|state| postcard::to_allocvec(&state).ok());
+    let bytes = Bytes::from(bytes.unwrap_or_default());
+    for piece in bytes.chunks(MAX_BODY_PIECE) {
+        let piece = bytes.slice_ref(piece);
+        if conn.tx.write(&PeerMessage::Body(piece)).await.is_err() {
+            return Exchange::Broken;
+        }
+    }
+    let end = PeerMessage::BodyEnd {
+        length: bytes.len() as u64,
+        load: None,
+    };
+    sent(conn.tx.write(&end).await)
+}
+
+/// Returns the deadline of a request on the own clock.
+fn local_deadline(conn: &Conn, deadline: Instant) -> Instant {
+    conn.peer.shift.to_local(deadline)
+}
--- /dev/null
+++ b/crates/node/src/guard/slot.rs
@@ -0,0 +1,94 @@
+//! A request that holds a slot of the target.
+
+use std::rc::Rc;
+
+use plantainpost_core::{
+    admission::{Finish, RequestKey},
+    time::Instant,
+};
+
+use crate::node::Node;
+
+/// A slot held by a dispatched request.
+///
+/// Dropping it without a word means that the exchange with the target was
+/// abandoned: the slot is freed and the request counts as failed.
+pub(super) struct Slot {
+    node: Rc<Node>,
+    key: RequestKey,
+    dispatched: Instant,
+    finished: bool,
+}
+
+impl Slot {
+    /// Takes charge of the slot of a request that was just dispatched.
+    pub(super) fn new(node: &Rc<Node>, key: RequestKey) -> Self {
+        Slot {
+            node: Rc::clone(node),
+            key,
+            dispatched: node.now(),
+            finished: false,
+        }
+    }
+
+    /// Frees the slot.
+    pub(super) fn finish(mut self, finish: Finish) {
+        self.release(finish);
+    }
+
+    fn release(&mut self, finish: Finish) {
+        if std::mem::replace(&mut self.finished, true) {
+            return;
+        }
+        let now = self.node.now();
+        let micros = now.micros_since(self.dispatched);
+        self.node.metrics.latency("guard.service_us", micros);
+        let mut guard = self.node.guard.borrow_mut();
+        let wakeups = guard.finish(now, self.key, finish, micros);
+        drop(guard);
+        self.node.wake(wakeups);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.release(Finish::Failed);
+    }
+}
+
+/// A request that the guard knows but has not dispatched.
+///
+/// Dropping it cancels the request.
+pub(super) struct Admitted {
+    node: Rc<Node>,
+    key: RequestKey,
+    dispatched: bool,
+}
+
+impl Admitted {
+    /// Takes charge of a request that is queued or holds a slot.
+    pub(super) fn new(node: &Rc<Node>, key: RequestKey) -> Self {
+        Admitted {
+            node: Rc::clone(node),
+            key,
+            dispatched: false,
+        }
+    }
+
+    /// Hands over to [`Slot`], or ends without a cancellation.
+    pub(super) fn done(mut self) {
+        self.dispatched = true;
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        if self.dispatched {
+            return;
+        }
+        self.node.waiters.borrow_mut().remove(&self.key);
+        let now = self.node.now();
+        let wakeups = self.node.guard.borrow_mut().cancel(now, self.key);
+        self.node.wake(wakeups);
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,7 +14,7 @@
     balance::Balancer,
     collections::HashMap,
     config::Register,
-    ids::NodeName,
+    ids::{NodeName, ServiceName},
     measure,
     member::Membership,
     retry::Budgets,
@@ -27,8 +27,9 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::{
-    audit::AuditQueue, clock::Clock, metrics::Metrics, peers::PeerPool, settings::NodeSettings,
-    target::TargetPool, trace::TraceRing,
+    audit::AuditQueue, clock::Clock, config_sync::Ahead, fleet::Applied, metrics::Metrics,
+    peers::PeerPool, probe::Probes, settings::NodeSettings, target::TargetPool,
+    trace::TraceRing,
 };
 
 /// A request that waits at the guard, by its key.
@@ -57,6 +58,13 @@
     pub(crate) traces: RefCell<TraceRing>,
     pub(crate) log_service: Rc<dyn LogService>,
     pub(crate) udp: UdpSocket,
+    pub(crate) probes: Probes,
+    /// A peer whose configuration state is to be fetched.
+    pub(crate) ahead: Ahead,
+    /// What the balancer and the guard were last told of the fleet.
+    pub(crate) applied: Applied,
+    /// Services that the balancer was told of.
+    pub(crate) known_services: RefCell<Vec<ServiceName>>,
     /// Wakes the reader of the configuration log.
     pub(crate) read_config: Notify,
     /// Wakes everybody who waits for a decision on a confirmation.
@@ -70,8 +78,6 @@
     started: Cell<bool>,
     /// Wakes connections that wait for the stop.
     notify: Notify,
-    /// Requests of callers in flight.
-    pub(crate) calls: Cell<usize>,
 }
 
 impl Stop {
--- /dev/null
+++ b/crates/node/src/start.rs
@@ -0,0 +1,257 @@
+//! Start of a node.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use actix_rt::net::{TcpListener, UdpSocket};
+use plantainpost_core::{
+    admission::{Guard, GuardSettings},
+    balance::{Balancer, BalancerSettings, policy_by_name},
+    config::Register,
+    ids::{Incarnation, Region},
+    measure,
+    member::{MemberRecord, MemberSettings, MemberState, Membership},
+    retry::Budgets,
+    time::Instant,
+};
+use plantainpost_platform::{HttpLog, HttpLogSettings};
+use plantainpost_wire::{auth::FleetKeys, handshake::Identity};
+use slog::{Logger, info};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+
+use crate::{
+    admin,
+    audit::{self, AuditEvent, AuditQueue},
+    clock::{self, Clock},
+    config_sync, entry, gossip, guard,
+    http::{self, HttpSettings, OnStop},
+    metrics::Metrics,
+    node::{Node, Stop},
+    peers::PeerPool,
+    settings::NodeSettings,
+    stop::{self, Summary},
+    target::TargetPool,
+};
+
+/// Connections of operators and the target at once.
+const ADMIN_CONNECTIONS: usize = 64;
+
+/// A node could not start.
+#[derive(Debug, Snafu)]
+pub enum NodeError {
+    /// A listener could not be opened.
+    #[snafu(display("can't listen on {addr} for {purpose}: {source}"))]
+    Listen {
+        /// Address of the listener.
+        addr: SocketAddr,
+        /// What the listener is for.
+        purpose: &'static str,
+        /// Error of the socket.
+        source: io::Error,
+    },
+    /// The metrics or signal handlers could not be set up.
+    #[snafu(display("can't set up {what}: {source}"))]
+    Setup {
+        /// What was set up.
+        what: &'static str,
+        /// Error of the system.
+        source: io::Error,
+    },
+    /// There is no fleet key.
+    #[snafu(display("a fleet key is needed: set key_file in [security]"))]
+    NoKey,
+    /// The admin listener needs a token.
+    #[snafu(display("the admin listener on {addr} needs a token: set token_file in [security]"))]
+    NoToken {
+        /// Address of the listener.
+        addr: SocketAddr,
+    },
+    /// There is no such policy.
+    #[snafu(display("there is no policy named {name}"))]
+    NoPolicy {
+        /// Name from the settings.
+        name: String,
+    },
+}
+
+struct Listeners {
+    callers: TcpListener,
+    admin: TcpListener,
+    peer_tcp: TcpListener,
+    peer_udp: UdpSocket,
+}
+
+impl Listeners {
+    async fn open(settings: &NodeSettings) -> Result<Self, NodeError> {
+        let addr = settings.listen_peer_udp;
+        let peer_udp = UdpSocket::bind(addr).await.context(ListenSnafu {
+            addr,
+            purpose: "peers (UDP)",
+        })?;
+        Ok(Listeners {
+            callers: listen(settings.listen_callers, "callers").await?,
+            admin: listen(settings.listen_admin, "operators").await?,
+            peer_tcp: listen(settings.listen_peer_tcp, "peers (TCP)").await?,
+            peer_udp,
+        })
+    }
+}
+
+async fn listen(addr: SocketAddr, purpose: &'static str) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(addr)
+        .await
+        .context(ListenSnafu { addr, purpose })
+}
+
+/// Runs a node until a planned stop has ended.
+///
+/// It must be called on an `actix-rt` system.
+///
+/// # Errors
+///
+/// Fails when the settings can't be used or a listener can't be opened.
+pub async fn run(settings: NodeSettings, logger: Logger) -> Result<Summary, NodeError> {
+    let keys = settings.keys.clone().context(NoKeySnafu)?;
+    let admin = settings.listen_admin;
+    ensure!(
+        admin.ip().is_loopback() || settings.admin_token.is_some(),
+        NoTokenSnafu { addr: admin }
+    );
+    let listeners = Listeners::open(&settings).await?;
+    let node = build(settings, keys, logger, listeners.peer_udp)?;
+    info!(node.logger, "node started";
+        "node" => %node.name(),
+        "callers" => %node.settings.listen_callers,
+        "admin" => %admin,
+        "peers" => %node.settings.listen_peer_tcp);
+    audit::note(&node, AuditEvent::Started);
+    let callers = Rc::new(Cell::new(0));
+    spawn_listeners(&node, &callers, listeners.callers, listeners.admin);
+    actix_rt::spawn(guard::serve(Rc::clone(&node), listeners.peer_tcp));
+    spawn_tasks(&node);
+    stop::wait_for_signal(&node)
+        .await
+        .context(SetupSnafu { what: "signals" })?;
+    let summary = stop::stop(&node, &callers).await;
+    info!(node.logger, "{}", summary);
+    Ok(summary)
+}
+
+fn spawn_listeners(
+    node: &Rc<Node>,
+    callers: &Rc<Cell<usize>>,
+    for_callers: TcpListener,
+    for_admin: TcpListener,
+) {
+    let settings = HttpSettings {
+        name: "callers",
+        limit: node.settings.limits.caller_connections,
+        on_stop: OnStop::Drain,
+        open: Rc::clone(callers),
+    };
+    actix_rt::spawn(http::serve(
+        Rc::clone(node),
+        for_callers,
+        settings,
+        entry::handle,
+    ));
+    let settings = HttpSettings {
+        name: "admin",
+        limit: ADMIN_CONNECTIONS,
+        on_stop: OnStop::Continue,
+        open: Rc::default(),
+    };
+    actix_rt::spawn(http::serve(
+        Rc::clone(node),
+        for_admin,
+        settings,
+        admin::handle,
+    ));
+}
+
+fn spawn_tasks(node: &Rc<Node>) {
+    actix_rt::spawn(gossip::receive(Rc::clone(node)));
+    actix_rt::spawn(gossip::tick(Rc::clone(node)));
+    actix_rt::spawn(gossip::expire_queue(Rc::clone(node)));
+    actix_rt::spawn(config_sync::read_log(Rc::clone(node)));
+    actix_rt::spawn(config_sync::follow_peers(Rc::clone(node)));
+    actix_rt::spawn(audit::run(Rc::clone(node)));
+}
+
+fn build(
+    settings: NodeSettings,
+    keys: FleetKeys,
+    logger: Logger,
+    udp: UdpSocket,
+) -> Result<Rc<Node>, NodeError> {
+    let clock = Clock::start();
+    let incarnation = Incarnation(clock::unix_ms());
+    let identity = Identity {
+        node: settings.name.clone(),
+        incarnation,
+    };
+    let policy = policy_by_name(&settings.policy).context(NoPolicySnafu {
+        name: &settings.policy,
+    })?;
+    let balancer_settings = BalancerSettings {
+        entry: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        ..Default::default()
+    };
+    let log = HttpLogSettings {
+        address: settings.log_address.to_string(),
+        ..Default::default()
+    };
+    let metrics = Metrics::new(settings.statsd).context(SetupSnafu { what: "metrics" })?;
+    let node = Node {
+        clock,
+        rng: RefCell::new(rand::make_rng()),
+        guard: RefCell::new(Guard::new(GuardSettings::default())),
+        waiters: RefCell::default(),
+        balancer: RefCell::new(Balancer::new(balancer_settings, policy)),
+        retries: RefCell::new(Budgets::new()),
+        measuring: RefCell::new(measure::Budget::new()),
+        members: RefCell::new(membership(&settings, incarnation, clock.now())),
+        register: RefCell::new(Register::new()),
+        peers: PeerPool::new(identity.clone(), keys.clone(), clock),
+        targets: TargetPool::default(),
+        metrics,
+        audit: AuditQueue::default(),
+        traces: RefCell::default(),
+        log_service: Rc::new(HttpLog::new(log)),
+        udp,
+        probes: Default::default(),
+        ahead: Default::default(),
+        applied: Default::default(),
+        known_services: RefCell::default(),
+        read_config: Default::default(),
+        config_changed: Default::default(),
+        stop: Stop::default(),
+        identity,
+        keys,
+        logger,
+        settings,
+    };
+    Ok(Rc::new(node))
+}
+
+fn membership(settings: &NodeSettings, incarnation: Incarnation, now: Instant) -> Membership {
+    let local = MemberRecord {
+        name: settings.name.clone(),
+        incarnation,
+        revision: 0,
+        state: MemberState::Alive,
+        ip: settings.ip,
+        tcp_port: settings.listen_peer_tcp.port(),
+        udp_port: settings.listen_peer_udp.port(),
+        data_centre: settings.data_centre.clone(),
+        region: Region::from(settings.region.as_str()),
+        target: None,
+        config_version: 0,
+    };
+    Membership::new(MemberSettings::default(), local, &settings.contacts, now)
+}
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -116,6 +116,11 @@
         })
     }
 
+    /// Returns the address of the target.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Reports whether the target has neither closed the connection nor sent
     /// anything since the last answer.
     fn is_quiet(&self) -> bool {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -172,6 +172,11 @@
         Ok(())
     }
 
+    /// Returns the bytes that were queued.
+    pub fn queued(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Sends what was queued.
     ///
     /// # Errors
