standin: load tool tells cut answers from complete ones

The body stream of awc ends in the same way for a complete and a cut chunked body. The load tool now connects through a transport on which the end of the connection is an error, and counts cut and wrong answers apart. Routes with the same label share a row; reasons, targets and the tool's own sending lag are counted; requests beyond max_open are counted as skipped.

--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -31,8 +31,10 @@
         status: u16,
         /// Whether the connection showed that the answer was cut.
         cut: bool,
-        /// Whether every byte of the answer was as expected.
+        /// Whether the answer is complete and every byte is as expected.
         whole: bool,
+        /// Whether some byte of the answer is not as expected, also when it was cut.
+        foreign: bool,
         /// The nonce that the answer carried.
         answer_nonce: Option<String>,
     },
@@ -98,3 +100,16 @@
     /// An answer without the header `plantainpost-outcome`, as when a target is asked directly.
     Direct,
 }
+
+impl Outcome {
+    /// The outcome as the header `plantainpost-outcome` and the histories write it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+            Self::Failed => "failed",
+            Self::Direct => "direct",
+        }
+    }
+}
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -3,6 +3,8 @@
 mod exchange;
 mod pace;
 mod report;
+mod run;
+mod transport;
 
 use std::{net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
 
@@ -13,12 +15,15 @@
     server::Thread,
 };
 
-pub use report::{Report, Row};
+use run::{GRACE, Run};
+
+pub use report::{Difference, Report, Row};
 
 /// Settings of a load run.
 #[derive(Clone, Debug)]
 pub struct LoadSettings {
-    /// Where requests go. With more than one, requests alternate between them.
+    /// Where requests go. With more than one, requests alternate between them. Routes with
+    /// the same label are counted in one row.
     pub routes: Vec<Route>,
     /// Arrivals per second over all routes.
     pub rate: f64,
@@ -32,8 +37,12 @@
     pub timeout_ms: u64,
     /// The kinds of requests, chosen by weight.
     pub kinds: Vec<Kind>,
+    /// Most requests open at the same time; further ones are counted as skipped.
+    pub max_open: usize,
     /// Where the history is written.
     pub history: Option<PathBuf>,
+    /// Whether the report carries the history.
+    pub keep_records: bool,
 }
 
 impl Default for LoadSettings {
@@ -46,7 +55,9 @@
             connections: 64,
             timeout_ms: 10_000,
             kinds: vec![Kind::default()],
+            max_open: 20_000,
             history: None,
+            keep_records: true,
         }
     }
 }
@@ -168,7 +179,7 @@
 /// Fails when the settings have no meaning or the history cannot be written.
 pub async fn run(settings: &LoadSettings) -> Result<Report> {
     check(settings)?;
-    let run = Rc::new(exchange::Run::new(settings)?);
+    let run = Rc::new(Run::new(settings)?);
     let mut rng = StdRng::seed_from_u64(settings.seed);
     let mut arrivals = pace::start(settings, &mut rng)?;
     let mut index = 0;
@@ -178,9 +189,9 @@
         exchange::spawn(&run, index, kind, nonce, arrival);
         index += 1;
     }
-    let limit = Duration::from_millis(settings.timeout_ms) + exchange::GRACE;
+    let limit = Duration::from_millis(settings.timeout_ms) + GRACE;
     run.drained(limit).await;
-    run.report(index as u64)
+    run.report()
 }
 
 fn check(settings: &LoadSettings) -> Result<()> {
--- a/crates/standin/src/load/exchange.rs
+++ b/crates/standin/src/load/exchange.rs
@@ -1,152 +1,67 @@
 //! One request of a load run and the check of its answer.
 
 use std::{
-    cell::RefCell,
-    collections::BTreeMap,
-    fs::File,
-    io::{BufWriter, Write},
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use actix_rt::time::{sleep, timeout};
-use awc::http::{Method, header::HeaderMap};
+use actix_rt::time::timeout;
+use awc::{
+    ClientRequest, ClientResponse,
+    http::{Method, header::HeaderMap},
+};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
-use hdrhistogram::Histogram;
-use snafu::ResultExt;
+use futures_util::{Stream, StreamExt};
 
-use super::{Kind, LoadSettings, Report, Row};
+use super::{
+    Kind,
+    run::{GRACE, Run},
+};
 use crate::{
     clock::now_us,
-    error::{FileSnafu, Result},
     history::{Outcome, Record},
-    pattern::{body_for, sha256_hex},
+    pattern::{body_for, echo, sha256_hex},
 };
 
-/// Time that answers have beyond the deadline of their request.
-pub(super) const GRACE: Duration = Duration::from_secs(2);
-
-/// Pause between checks for the end of a run.
-const DRAIN_PAUSE: Duration = Duration::from_millis(5);
-
-/// A run in progress.
-pub(super) struct Run {
-    settings: LoadSettings,
-    clients: Vec<awc::Client>,
-    state: RefCell<State>,
-}
-
-struct State {
-    rows: Vec<(Row, Histogram<u64>)>,
-    open: u64,
-    history: Option<BufWriter<File>>,
-}
-
 /// What became of a request.
-struct Answer {
-    outcome: Outcome,
-    status: u16,
-    cut: bool,
-    whole: bool,
-    nonce: Option<String>,
+pub(super) struct Answer {
+    pub(super) outcome: Outcome,
+    pub(super) status: u16,
+    /// Whether the connection ended before the answer did.
+    pub(super) cut: bool,
+    /// Whether the answer is complete and every byte is as expected.
+    pub(super) whole: bool,
+    /// Whether some byte of the answer is not as expected.
+    pub(super) foreign: bool,
+    pub(super) nonce: Option<String>,
+    pub(super) target: Option<String>,
+    pub(super) reason: Option<String>,
 }
 
-impl Run {
-    pub(super) fn new(settings: &LoadSettings) -> Result<Self> {
-        let clients = settings.routes.iter().map(|_| client(settings)).collect();
-        let rows = settings
-            .routes
-            .iter()
-            .map(|route| (empty_row(&route.label), histogram()))
-            .collect();
-        let history = match &settings.history {
-            Some(path) => Some(BufWriter::new(File::create(path).with_context(|_| {
-                FileSnafu {
-                    path: path.display().to_string(),
-                }
-            })?)),
-            None => None,
-        };
-        Ok(Self {
-            settings: settings.clone(),
-            clients,
-            state: RefCell::new(State {
-                rows,
-                open: 0,
-                history,
-            }),
-        })
-    }
-
-    /// Waits until no request is open, at most for `limit`.
-    pub(super) async fn drained(&self, limit: Duration) {
-        let end = Instant::now() + limit;
-        while self.state.borrow().open > 0 && Instant::now() < end {
-            sleep(DRAIN_PAUSE).await;
-        }
-    }
-
-    /// The figures so far; flushes the history.
-    pub(super) fn report(&self, _sent: u64) -> Result<Report> {
-        let mut state = self.state.borrow_mut();
-        if let (Some(file), Some(path)) = (&mut state.history, &self.settings.history) {
-            file.flush().with_context(|_| FileSnafu {
-                path: path.display().to_string(),
-            })?;
-        }
-        let rows = state
-            .rows
-            .iter()
-            .map(|(row, histogram)| {
-                let mut row = row.clone();
-                row.correct_share = row.correct as f64 / row.sent.max(1) as f64;
-                row.set_latency(histogram);
-                row
-            })
-            .collect();
-        Ok(Report::new(rows))
-    }
-
-    fn record(&self, record: &Record) {
-        if let Some(file) = &mut self.state.borrow_mut().history
-            && let Ok(line) = serde_json::to_string(record)
-        {
-            // A failed write shows as an error when the file is flushed at the end.
-            drop(writeln!(file, "{line}"));
-        }
-    }
-
-    fn count(&self, route: usize, answer: &Answer, latency: Duration) {
-        let mut state = self.state.borrow_mut();
-        state.open -= 1;
-        let (row, histogram) = &mut state.rows[route];
-        let outcome = serde_json::to_value(answer.outcome).unwrap_or_default();
-        let outcome = outcome.as_str().unwrap_or_default().to_owned();
-        *row.outcomes.entry(outcome).or_default() += 1;
-        *row.statuses.entry(answer.status).or_default() += 1;
-        let served = matches!(answer.outcome, Outcome::Answered | Outcome::Direct);
-        row.cut += u64::from(answer.cut);
-        row.wrong += u64::from(served && !answer.cut && !answer.whole);
-        if served && answer.whole && answer.status == 200 {
-            row.correct += 1;
-            histogram.saturating_record(latency.as_micros() as u64);
-        }
-    }
-}
+/// No answer head arrived.
+const FAILED: Answer = Answer {
+    outcome: Outcome::Failed,
+    status: 0,
+    cut: false,
+    whole: false,
+    foreign: false,
+    nonce: None,
+    target: None,
+    reason: None,
+};
 
 /// Sends one request without waiting for its answer.
 pub(super) fn spawn(run: &Rc<Run>, index: usize, kind: usize, nonce: String, due: Instant) {
     let run = Rc::clone(run);
     let route = index % run.settings.routes.len();
-    {
-        let mut state = run.state.borrow_mut();
-        state.open += 1;
-        state.rows[route].0.sent += 1;
+    if !run.has_room() {
+        run.skip(route);
+        return;
     }
+    run.open(route, due.elapsed());
     actix_rt::spawn(async move {
         let kind = &run.settings.kinds[kind];
-        run.record(&Record::Sent {
+        run.record(Record::Sent {
             nonce: nonce.clone(),
             at: now_us(),
             service: kind.service.clone(),
@@ -158,40 +73,43 @@
             .await
             .unwrap_or(FAILED);
         let latency = due.elapsed();
-        run.record(&Record::Answered {
+        run.count(route, &answer, latency);
+        run.record(Record::Answered {
             nonce,
             at: now_us(),
             outcome: answer.outcome,
             status: answer.status,
             cut: answer.cut,
             whole: answer.whole,
-            answer_nonce: answer.nonce.clone(),
+            foreign: answer.foreign,
+            answer_nonce: answer.nonce,
         });
-        run.count(route, &answer, latency);
     });
 }
 
-const FAILED: Answer = Answer {
-    outcome: Outcome::Failed,
-    status: 0,
-    cut: false,
-    whole: false,
-    nonce: None,
-};
-
 /// Sends one request and reads its answer.
 async fn exchange(run: &Run, route: usize, kind: &Kind, nonce: &str) -> Answer {
+    let body = body_for(nonce, kind.body_bytes);
+    let req = request(run, route, kind, nonce);
+    let sent = if body.is_empty() {
+        req.send().await
+    } else {
+        req.send_body(body.clone()).await
+    };
+    let Ok(mut res) = sent else { return FAILED };
+    let (received, cut) = read(&mut res).await;
+    check(kind, nonce, &body, &res, &received, cut)
+}
+
+fn request(run: &Run, route: usize, kind: &Kind, nonce: &str) -> ClientRequest {
     let address = run.settings.routes[route].address;
+    let timeout_ms = run.settings.timeout_ms.to_string();
     let method = Method::from_bytes(kind.method.as_bytes()).unwrap_or(Method::GET);
-    let body = body_for(nonce, kind.body_bytes);
     let mut req = run.clients[route]
         .request(method, format!("http://{address}{}", kind.path))
         .insert_header(("Host", kind.service.as_str()))
         .insert_header(("x-nonce", nonce))
-        .insert_header((
-            "plantainpost-timeout-ms",
-            run.settings.timeout_ms.to_string(),
-        ));
+        .insert_header(("plantainpost-timeout-ms", timeout_ms));
     if let Some(len) = kind.answer_bytes {
         req = req.insert_header(("x-answer-bytes", len.to_string()));
     }
@@ -201,51 +119,71 @@
     if let Some(us) = kind.work_us {
         req = req.insert_header(("x-work-us", us.to_string()));
     }
-    let sent = if kind.body_bytes > 0 {
-        req.send_body(body.clone()).await
-    } else {
-        req.send().await
-    };
-    let Ok(mut res) = sent else { return FAILED };
-    let outcome = outcome_of(res.headers());
-    let status = res.status().as_u16();
+    req
+}
+
+/// The body of an answer as far as it arrived, and whether it was cut.
+async fn read<S>(res: &mut ClientResponse<S>) -> (Bytes, bool)
+where
+    ClientResponse<S>: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
     let mut received = BytesMut::new();
-    let mut cut = false;
     while let Some(part) = res.next().await {
         match part {
             Ok(part) => received.extend_from_slice(&part),
-            Err(_) => {
-                cut = true;
-                break;
-            }
+            Err(_) => return (received.freeze(), true),
         }
     }
-    let answer_nonce = text(res.headers(), "x-nonce");
-    let whole = !cut
-        && answer_nonce.as_deref() == Some(nonce)
-        && text(res.headers(), "x-body-sha256") == Some(sha256_hex(&body))
-        && body_matches(kind, nonce, &body, &received.freeze());
+    (received.freeze(), false)
+}
+
+/// Compares an answer with the one that belongs to the request.
+fn check<S>(
+    kind: &Kind,
+    nonce: &str,
+    sent: &[u8],
+    res: &ClientResponse<S>,
+    received: &[u8],
+    cut: bool,
+) -> Answer {
+    let headers = res.headers();
+    let outcome = outcome_of(headers);
+    let answer_nonce = text(headers, "x-nonce");
+    let digest = sha256_hex(sent);
+    let expected = expected_body(kind, nonce, sent, &digest, headers);
+    // The other outcomes are told by a node, whose answer carries no body of a target.
+    let served = matches!(outcome, Outcome::Answered | Outcome::Direct);
+    let own_head = answer_nonce.as_deref() == Some(nonce)
+        && text(headers, "x-body-sha256").as_deref() == Some(&digest);
     Answer {
         outcome,
-        status,
+        status: res.status().as_u16(),
         cut,
-        whole,
+        whole: served && !cut && own_head && received == expected,
+        foreign: served && !(own_head && expected.starts_with(received)),
         nonce: answer_nonce,
+        target: text(headers, "x-target"),
+        reason: text(headers, "plantainpost-reason"),
     }
 }
 
-/// Whether the answer's body is the one that belongs to the request.
-fn body_matches(kind: &Kind, nonce: &str, sent: &[u8], received: &Bytes) -> bool {
+/// The body that belongs to the request.
+fn expected_body(
+    kind: &Kind,
+    nonce: &str,
+    sent: &[u8],
+    digest: &str,
+    headers: &HeaderMap,
+) -> Bytes {
     if kind.method == "HEAD" {
-        return received.is_empty();
+        return Bytes::new();
     }
     if let Some(len) = kind.answer_bytes {
-        return *received == body_for(nonce, len);
+        return body_for(nonce, len);
     }
-    let Ok(json) = serde_json::from_slice::<serde_json::Value>(received) else {
-        return false;
-    };
-    json["nonce"] == nonce && json["length"] == sent.len() && json["sha256"] == sha256_hex(sent)
+    let target = text(headers, "x-target").unwrap_or_default();
+    let service = text(headers, "x-service").unwrap_or_default();
+    echo(nonce, sent.len(), digest, &target, &service)
 }
 
 fn outcome_of(headers: &HeaderMap) -> Outcome {
@@ -260,34 +198,3 @@
 fn text(headers: &HeaderMap, name: &str) -> Option<String> {
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
-
-fn client(settings: &LoadSettings) -> awc::Client {
-    awc::Client::builder()
-        .connector(awc::Connector::new().limit(settings.connections))
-        .timeout(Duration::from_millis(settings.timeout_ms) + GRACE)
-        .disable_redirects()
-        .finish()
-}
-
-fn histogram() -> Histogram<u64> {
-    // The bounds and the precision are valid constants.
-    Histogram::new_with_bounds(1, 600_000_000, 3).expect("valid histogram bounds")
-}
-
-fn empty_row(label: &str) -> Row {
-    Row {
-        label: label.to_owned(),
-        sent: 0,
-        correct: 0,
-        correct_share: 0.0,
-        wrong: 0,
-        cut: 0,
-        outcomes: BTreeMap::new(),
-        statuses: BTreeMap::new(),
-        p50: 0,
-        p90: 0,
-        p99: 0,
-        p999: 0,
-        max: 0,
-    }
-}
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -2,38 +2,50 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use crate::history::Record;
+
 /// The result of a load run.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
-    /// One row per route, in the order of the settings.
+    /// One row per route label, in the order of the settings.
     pub rows: Vec<Row>,
-    /// Second row minus first row, when there are two routes.
+    /// Second row minus first row, when there are two rows.
     pub difference: Option<Difference>,
+    /// The callers' history, when the settings ask to keep it.
+    #[serde(skip)]
+    pub records: Vec<Record>,
 }
 
-/// The figures of one route. Latencies are in µs from the intended send time.
-#[derive(Clone, Debug, Serialize)]
+/// The figures of the routes with one label. Latencies are those of correct answers, in µs
+/// from the intended send time.
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct Row {
-    /// The route's label.
+    /// The routes' label.
     pub label: String,
     /// Requests sent.
     pub sent: u64,
-    /// Requests whose answer came from a target and was correct in every byte.
+    /// Requests not sent because too many were open.
+    pub skipped: u64,
+    /// Requests whose answer came from a target with status 200 and was correct in every
+    /// byte.
     pub correct: u64,
-    /// Share of requests answered correctly, 0 to 1.
+    /// Share of requests answered correctly, 0 to 1; skipped requests count as failed.
     pub correct_share: f64,
-    /// Complete answers that were not as expected.
+    /// Answers of a target that ended cleanly and were not as expected.
     pub wrong: u64,
     /// Answers that were cut.
     pub cut: u64,
     /// Requests by outcome.
     pub outcomes: BTreeMap<String, u64>,
+    /// Requests by the header `plantainpost-reason`.
+    pub reasons: BTreeMap<String, u64>,
     /// Requests by status; 0 when there was no answer head.
     pub statuses: BTreeMap<u16, u64>,
-    /// Median latency of correct answers.
+    /// Answers by target.
+    pub targets: BTreeMap<String, u64>,
+    /// Median latency.
     pub p50: u64,
     /// 90th percentile.
     pub p90: u64,
@@ -43,9 +55,12 @@
     pub p999: u64,
     /// Highest latency.
     pub max: u64,
+    /// 99th percentile of the time from the intended send time to the start of sending, in
+    /// µs. It is part of the latency and shows how far the tool itself was behind.
+    pub send_lag_p99: u64,
 }
 
-/// Differences of latencies in µs between two routes.
+/// Differences of latencies in µs between two rows.
 #[derive(Clone, Debug, Serialize)]
 pub struct Difference {
     /// Of the medians.
@@ -60,19 +75,8 @@
     pub max: i64,
 }
 
-impl Row {
-    /// Takes the percentiles from a histogram.
-    pub(super) fn set_latency(&mut self, histogram: &Histogram<u64>) {
-        self.p50 = histogram.value_at_quantile(0.5);
-        self.p90 = histogram.value_at_quantile(0.9);
-        self.p99 = histogram.value_at_quantile(0.99);
-        self.p999 = histogram.value_at_quantile(0.999);
-        self.max = histogram.max();
-    }
-}
-
 impl Report {
-    pub(super) fn new(rows: Vec<Row>) -> Self {
+    pub(super) fn new(rows: Vec<Row>, records: Vec<Record>) -> Self {
         let difference = match &rows[..] {
             [first, second] => Some(Difference {
                 p50: second.p50 as i64 - first.p50 as i64,
@@ -83,56 +87,79 @@
             }),
             _ => None,
         };
-        Self { rows, difference }
+        Self {
+            rows,
+            difference,
+            records,
+        }
+    }
+
+    /// The row with this label.
+    pub fn row(&self, label: &str) -> Option<&Row> {
+        self.rows.iter().find(|row| row.label == label)
     }
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(
-            f,
-            "{:<12} {:>8} {:>8} {:>7} {:>6} {:>6} {:>8} {:>8} {:>8} {:>8} {:>8}",
-            "route",
-            "sent",
-            "correct",
-            "share",
-            "wrong",
-            "cut",
-            "p50 us",
-            "p90 us",
-            "p99 us",
-            "p99.9 us",
-            "max us"
-        )?;
+        write!(f, "{:<12}", "route")?;
+        for name in ["sent", "skipped", "correct", "share", "wrong", "cut"] {
+            write!(f, " {name:>8}")?;
+        }
+        for name in [
+            "p50 us", "p90 us", "p99 us", "p99.9 us", "max us", "lag99 us",
+        ] {
+            write!(f, " {name:>9}")?;
+        }
+        writeln!(f)?;
         for row in &self.rows {
-            writeln!(
-                f,
-                "{:<12} {:>8} {:>8} {:>7.4} {:>6} {:>6} {:>8} {:>8} {:>8} {:>8} {:>8}",
-                row.label,
-                row.sent,
-                row.correct,
-                row.correct_share,
-                row.wrong,
-                row.cut,
-                row.p50,
-                row.p90,
-                row.p99,
-                row.p999,
-                row.max
-            )?;
+            row.write_line(f)?;
         }
         if let Some(diff) = &self.difference {
-            writeln!(
-                f,
-                "{:<51} {:>8} {:>8} {:>8} {:>8} {:>8}",
-                "difference", diff.p50, diff.p90, diff.p99, diff.p999, diff.max
-            )?;
+            write!(f, "{:<66}", "difference")?;
+            for value in [diff.p50, diff.p90, diff.p99, diff.p999, diff.max] {
+                write!(f, " {value:>9}")?;
+            }
+            writeln!(f)?;
         }
         for row in &self.rows {
-            for (outcome, count) in &row.outcomes {
-                writeln!(f, "{} {outcome}: {count}", row.label)?;
+            row.write_counts(f)?;
+        }
+        Ok(())
+    }
+}
+
+impl Row {
+    fn write_line(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:<12}", self.label)?;
+        for value in [self.sent, self.skipped, self.correct] {
+            write!(f, " {value:>8}")?;
+        }
+        write!(f, " {:>8.5}", self.correct_share)?;
+        for value in [self.wrong, self.cut] {
+            write!(f, " {value:>8}")?;
+        }
+        let latencies = [self.p50, self.p90, self.p99, self.p999, self.max];
+        for value in latencies.into_iter().chain([self.send_lag_p99]) {
+            write!(f, " {value:>9}")?;
+        }
+        writeln!(f)
+    }
+
+    fn write_counts(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let groups = [
+            ("outcome", &self.outcomes),
+            ("reason", &self.reasons),
+            ("target", &self.targets),
+        ];
+        for (group, counts) in groups {
+            for (name, count) in counts {
+                writeln!(f, "{} {group} {name}: {count}", self.label)?;
             }
         }
+        for (status, count) in &self.statuses {
+            writeln!(f, "{} status {status}: {count}", self.label)?;
+        }
         Ok(())
     }
 }
--- a/crates/standin/src/target/http.rs
+++ b/crates/standin/src/target/http.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     http::{header, json, text},
-    pattern::{body_for, sha256_hex},
+    pattern::{body_for, echo, sha256_hex},
     server::{Ending, Framing, Handler, Reply},
 };
 
@@ -64,7 +64,7 @@
     async fn work(&self, req: &Request, body: &[u8]) -> Reply {
         let decision = self.0.decide(header(req, "x-work-us"));
         match decision.fail {
-            Fail::Status500 => return self.head_for(req, body, StatusCode::INTERNAL_SERVER_ERROR),
+            Fail::Status500 => return self.echo(req, body, StatusCode::INTERNAL_SERVER_ERROR),
             Fail::Close => return closed(),
             _ => {}
         }
@@ -76,52 +76,32 @@
         if decision.late_ms > 0 {
             sleep(Duration::from_millis(decision.late_ms)).await;
         }
-        self.finish(req, body, &decision)
-    }
-
-    /// The answer after the work.
-    fn finish(&self, req: &Request, body: &[u8], decision: &Decision) -> Reply {
-        let mut reply = self.head_for(req, body, StatusCode::OK);
-        if let Some(len) = header::<usize>(req, "x-answer-bytes") {
-            reply.body = body_for(&nonce(req), len.min(MAX_ANSWER_BYTES));
-        }
-        if header::<u8>(req, "x-answer-chunked") == Some(1) {
-            reply.framing = Framing::Chunked;
-        }
-        if decision.close_idle {
-            reply.ending = Ending::CloseAfter;
-        }
-        match decision.fail {
-            Fail::CloseAfterWork => reply.ending = Ending::Close,
-            Fail::CutAfterHead => reply.ending = Ending::CutAfterHead,
-            Fail::CutInBody => reply.ending = Ending::CutInBody,
-            Fail::Never => reply.ending = Ending::Never,
-            Fail::Unframed => reply.framing = Framing::Unframed,
-            Fail::No | Fail::Status500 | Fail::Close => {}
-        }
+        let mut reply = self.echo(req, body, StatusCode::OK);
+        apply(&decision, &mut reply);
         reply
     }
 
-    /// An answer that tells what the target received, in headers and as a JSON body.
-    fn head_for(&self, req: &Request, body: &[u8], status: StatusCode) -> Reply {
+    /// The answer that tells what the target received.
+    fn echo(&self, req: &Request, body: &[u8], status: StatusCode) -> Reply {
         let nonce = nonce(req);
         let digest = sha256_hex(body);
-        let length = body.len().to_string();
-        let settings = &self.0.settings;
-        let mut reply = json(&serde_json::json!({
-            "nonce": nonce,
-            "length": body.len(),
-            "sha256": digest,
-            "target": settings.name,
-            "service": settings.service,
-        }));
-        *reply.head.status_mut() = status;
+        let (name, service) = (&self.0.settings.name, &self.0.settings.service);
+        let mut reply = Reply::new(
+            Response::with_body(status, ()),
+            match header::<usize>(req, "x-answer-bytes") {
+                Some(len) => body_for(&nonce, len.min(MAX_ANSWER_BYTES)),
+                None => echo(&nonce, body.len(), &digest, name, service),
+            },
+        );
+        if header::<u8>(req, "x-answer-chunked") == Some(1) {
+            reply.framing = Framing::Chunked;
+        }
         for (name, value) in [
             ("x-nonce", nonce.as_str()),
-            ("x-body-length", length.as_str()),
-            ("x-body-sha256", digest.as_str()),
-            ("x-target", settings.name.as_str()),
-            ("x-service", settings.service.as_str()),
+            ("x-body-length", &body.len().to_string()),
+            ("x-body-sha256", &digest),
+            ("x-target", name),
+            ("x-service", service),
         ] {
             if let Ok(value) = HeaderValue::from_str(value) {
                 let name = HeaderName::from_static(name);
@@ -132,6 +112,21 @@
     }
 }
 
+/// Applies the fault switches to an answer.
+fn apply(decision: &Decision, reply: &mut Reply) {
+    if decision.close_idle {
+        reply.ending = Ending::CloseAfter;
+    }
+    match decision.fail {
+        Fail::CloseAfterWork => reply.ending = Ending::Close,
+        Fail::CutAfterHead => reply.ending = Ending::CutAfterHead,
+        Fail::CutInBody => reply.ending = Ending::CutInBody,
+        Fail::Never => reply.ending = Ending::Never,
+        Fail::Unframed => reply.framing = Framing::Unframed,
+        Fail::No | Fail::Status500 | Fail::Close => {}
+    }
+}
+
 fn closed() -> Reply {
     let head = Response::with_body(StatusCode::OK, ());
     Reply {
