standin: checker of histories

Concurrent runs are judged by their histories, so one checker reads the records of callers, targets and nodes and names the first record that breaks a rule. Targets write their history line by line, so that it survives SIGKILL, and can drain before they stop.

--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -1,7 +1,14 @@
-//! Histories of callers, targets and nodes.
+//! Histories of callers, targets and nodes, and the checker that reads them.
+
+mod check;
+mod file;
 
 use serde::{Deserialize, Serialize};
 
+pub use check::{CheckSettings, Rule, Summary, Violation, check};
+pub(crate) use file::create;
+pub use file::{parse, read_files, to_lines, write_file};
+
 /// One line of a history file (JSON lines).
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -65,8 +72,8 @@
         /// The target's name.
         target: String,
     },
-    /// A leaving target was told to take work again.
-    Returned {
+    /// A target was started, or takes work again after it was told to leave.
+    Serving {
         /// Time in µs since the Unix epoch.
         at: u64,
         /// The target's name.
@@ -76,7 +83,8 @@
     Config {
         /// Time in µs since the Unix epoch.
         at: u64,
-        /// The node's name.
+        /// The node's name. A node that restarts begins without a configuration, so its name
+        /// has to be told apart from the earlier one, for example by the incarnation.
         node: String,
         /// The version in force.
         version: u64,
@@ -113,3 +121,29 @@
         }
     }
 }
+
+impl Record {
+    /// The instant of the record in µs since the Unix epoch.
+    pub fn at(&self) -> u64 {
+        match self {
+            Self::Sent { at, .. }
+            | Self::Answered { at, .. }
+            | Self::Started { at, .. }
+            | Self::Ended { at, .. }
+            | Self::Leaving { at, .. }
+            | Self::Serving { at, .. }
+            | Self::Config { at, .. } => *at,
+        }
+    }
+
+    /// The nonce of the request, for records of requests.
+    pub fn nonce(&self) -> Option<&str> {
+        match self {
+            Self::Sent { nonce, .. }
+            | Self::Answered { nonce, .. }
+            | Self::Started { nonce, .. }
+            | Self::Ended { nonce, .. } => Some(nonce),
+            Self::Leaving { .. } | Self::Serving { .. } | Self::Config { .. } => None,
+        }
+    }
+}
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -23,6 +23,11 @@
     reply(status, "text/plain", format!("{line}\n").into_bytes())
 }
 
+/// An answer with JSON lines.
+pub(crate) fn lines(body: String) -> Reply {
+    reply(StatusCode::OK, "application/jsonl", body.into_bytes())
+}
+
 fn reply(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Reply {
     let mut head = Response::with_body(status, ());
     head.headers_mut()
--- a/crates/standin/src/load/run.rs
+++ b/crates/standin/src/load/run.rs
@@ -4,8 +4,7 @@
     cell::RefCell,
     collections::BTreeMap,
     fs::File,
-    io::{BufWriter, Write},
-    path::Path,
+    io::{self, BufWriter, Write},
     time::{Duration, Instant},
 };
 
@@ -16,7 +15,7 @@
 use super::{LoadSettings, Report, Row, exchange::Answer, transport};
 use crate::{
     error::{FileSnafu, Result},
-    history::{Outcome, Record},
+    history::{Outcome, Record, create, to_lines},
 };
 
 /// Time that answers have beyond the deadline of their request.
@@ -43,6 +42,8 @@
     open: u64,
     records: Vec<Record>,
     file: Option<BufWriter<File>>,
+    /// The first failure to write the history.
+    failed: Option<io::Error>,
 }
 
 /// The figures of all routes with one label.
@@ -64,6 +65,7 @@
             }
         }
         let file = settings.history.as_deref().map(create).transpose()?;
+        let file = file.map(BufWriter::new);
         Ok(Self {
             settings: settings.clone(),
             clients: settings.routes.iter().map(|_| client(settings)).collect(),
@@ -73,6 +75,7 @@
                 open: 0,
                 records: Vec::new(),
                 file,
+                failed: None,
             }),
         })
     }
@@ -106,12 +109,11 @@
 
     /// Adds a record to the history.
     pub(super) fn record(&self, record: Record) {
-        let mut state = self.state.borrow_mut();
+        let state = &mut *self.state.borrow_mut();
         if let Some(file) = &mut state.file
-            && let Ok(line) = serde_json::to_string(&record)
+            && state.failed.is_none()
         {
-            // A failed write shows as an error when the file is flushed at the end.
-            drop(writeln!(file, "{line}"));
+            state.failed = file.write_all(to_lines([&record]).as_bytes()).err();
         }
         if self.settings.keep_records {
             state.records.push(record);
@@ -127,9 +129,11 @@
 
     /// The figures of the run; flushes the history.
     pub(super) fn report(&self) -> Result<Report> {
-        let mut state = self.state.borrow_mut();
+        let state = &mut *self.state.borrow_mut();
         if let (Some(file), Some(path)) = (&mut state.file, &self.settings.history) {
-            file.flush().with_context(|_| FileSnafu {
+            let flushed = file.flush();
+            let written = state.failed.take().map_or(flushed, Err);
+            written.with_context(|_| FileSnafu {
                 path: path.display().to_string(),
             })?;
         }
@@ -193,13 +197,6 @@
     *counts.entry(key.to_owned()).or_default() += 1;
 }
 
-fn create(path: &Path) -> Result<BufWriter<File>> {
-    let file = File::create(path).with_context(|_| FileSnafu {
-        path: path.display().to_string(),
-    })?;
-    Ok(BufWriter::new(file))
-}
-
 fn client(settings: &LoadSettings) -> awc::Client {
     let connector = awc::Connector::new()
         .connector(transport::connector())
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -6,7 +6,14 @@
 mod state;
 mod work;
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    rc::Rc,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use tokio::sync::watch;
 
@@ -21,6 +28,13 @@
 pub use work::ServiceTime;
 pub(crate) use work::exponential;
 
+/// How long a draining target must have been idle. Requests that the node dispatched before
+/// it read the announcement arrive within this time on loopback.
+const DRAIN_SETTLE: Duration = Duration::from_millis(200);
+
+/// Pause between two looks at a draining target.
+const DRAIN_PAUSE: Duration = Duration::from_millis(5);
+
 /// Settings of a target.
 #[derive(Clone, Debug)]
 pub struct TargetSettings {
@@ -46,6 +60,8 @@
     pub ttl_ms: u64,
     /// Fault switches at the start.
     pub faults: TargetFaults,
+    /// Where the history is written, line by line.
+    pub history: Option<PathBuf>,
 }
 
 impl Default for TargetSettings {
@@ -62,6 +78,7 @@
             node: None,
             ttl_ms: 3000,
             faults: TargetFaults::default(),
+            history: None,
         }
     }
 }
@@ -83,7 +100,7 @@
 pub fn start(settings: &TargetSettings) -> Result<TargetHandle> {
     let (main, address) = server::bind(settings.listen)?;
     let (control_listener, control) = server::bind(settings.control)?;
-    let shared = Arc::new(Shared::new(settings.clone(), address));
+    let shared = Arc::new(Shared::new(settings.clone(), address)?);
     let served = Arc::clone(&shared);
     let thread = Thread::start("standin-target", move |stopped| async move {
         let (handler, control_handler) = http::handlers(Arc::clone(&served));
@@ -114,7 +131,8 @@
         self.address
     }
 
-    /// The address that takes `PUT /faults` and answers `GET /history` and `GET /counts`.
+    /// The address that takes `PUT /faults` and answers `GET /faults`, `GET /history` (JSON
+    /// lines) and `GET /counts` (executions by nonce).
     pub fn control(&self) -> SocketAddr {
         self.control
     }
@@ -170,6 +188,22 @@
         self.shared.history()
     }
 
+    /// Leaves gracefully: announces that the target is leaving, waits until no request was
+    /// in flight for a moment, at most for `limit`, withdraws the announcement and stops.
+    /// Returns the history.
+    pub fn drain(self, limit: Duration) -> Vec<Record> {
+        self.set_leaving(true);
+        let deadline = Instant::now() + limit;
+        let mut idle_since = Instant::now();
+        while Instant::now() < deadline && idle_since.elapsed() < DRAIN_SETTLE {
+            if self.in_flight() > 0 {
+                idle_since = Instant::now();
+            }
+            thread::sleep(DRAIN_PAUSE);
+        }
+        self.stop()
+    }
+
     /// Withdraws the announcement, stops the target and returns its history.
     pub fn stop(mut self) -> Vec<Record> {
         self.thread.stop();
--- a/crates/standin/src/target/http.rs
+++ b/crates/standin/src/target/http.rs
@@ -15,7 +15,8 @@
     state::{Decision, Shared},
 };
 use crate::{
-    http::{header, json, text},
+    history::to_lines,
+    http::{header, json, lines, text},
     pattern::{body_for, echo, sha256_hex},
     server::{Ending, Framing, Handler, Reply},
 };
@@ -162,7 +163,7 @@
                 }
                 Err(err) => text(StatusCode::BAD_REQUEST, &err.to_string()),
             },
-            ("GET", "/history") => json(&self.0.history()),
+            ("GET", "/history") => lines(to_lines(&self.0.history())),
             ("GET", "/counts") => json(&self.0.counts()),
             _ => text(StatusCode::NOT_FOUND, "no such path"),
         }
--- a/crates/standin/src/target/state.rs
+++ b/crates/standin/src/target/state.rs
@@ -2,6 +2,8 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    fs::File,
+    io::Write,
     net::SocketAddr,
     sync::{Mutex, MutexGuard},
     time::Instant,
@@ -11,7 +13,11 @@
 use tokio::sync::{Notify, Semaphore};
 
 use super::{Fail, LoadFault, TargetFaults, TargetSettings};
-use crate::{clock::now_us, history::Record};
+use crate::{
+    clock::now_us,
+    error::Result,
+    history::{Record, create, to_lines},
+};
 
 /// Load observations kept for the delayed load report.
 const LOAD_SAMPLES: usize = 100_000;
@@ -42,6 +48,7 @@
     executions: HashMap<String, u64>,
     started: u64,
     history: Vec<Record>,
+    file: Option<File>,
     rng: StdRng,
 }
 
@@ -55,9 +62,10 @@
 }
 
 impl Shared {
-    pub(super) fn new(settings: TargetSettings, address: SocketAddr) -> Self {
+    pub(super) fn new(settings: TargetSettings, address: SocketAddr) -> Result<Self> {
         let now = Instant::now();
-        Self {
+        let file = settings.history.as_deref().map(create).transpose()?;
+        let shared = Self {
             address,
             slots: Semaphore::new(settings.slots as usize),
             changed: Notify::new(),
@@ -72,10 +80,14 @@
                 executions: HashMap::new(),
                 started: 0,
                 history: Vec::new(),
+                file,
                 rng: StdRng::seed_from_u64(settings.seed),
             }),
             settings,
-        }
+        };
+        let leaving = shared.settings.faults.leaving;
+        shared.note_leaving(&mut shared.lock(), leaving);
+        Ok(shared)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -88,17 +100,8 @@
 
     pub(super) fn set_faults(&self, faults: TargetFaults) {
         let mut state = self.lock();
-        let target = self.settings.name.clone();
-        match (state.faults.leaving, faults.leaving) {
-            (false, true) => state.history.push(Record::Leaving {
-                at: now_us(),
-                target,
-            }),
-            (true, false) => state.history.push(Record::Returned {
-                at: now_us(),
-                target,
-            }),
-            _ => {}
+        if state.faults.leaving != faults.leaving {
+            self.note_leaving(&mut state, faults.leaving);
         }
         state.faults = faults;
         state.faults_since = Instant::now();
@@ -106,6 +109,14 @@
         self.changed.notify_one();
     }
 
+    fn note_leaving(&self, state: &mut State, leaving: bool) {
+        let (at, target) = (now_us(), self.settings.name.clone());
+        state.note(match leaving {
+            true => Record::Leaving { at, target },
+            false => Record::Serving { at, target },
+        });
+    }
+
     pub(super) fn node(&self) -> Option<SocketAddr> {
         self.lock().node
     }
@@ -151,7 +162,7 @@
         let mut state = self.lock();
         state.started += 1;
         *state.executions.entry(nonce.to_owned()).or_default() += 1;
-        state.history.push(Record::Started {
+        state.note(Record::Started {
             nonce: nonce.to_owned(),
             at: now_us(),
             target: self.settings.name.clone(),
@@ -163,7 +174,7 @@
     /// Notes that a request ended.
     pub(super) fn end(&self, nonce: &str, ok: bool) {
         let mut state = self.lock();
-        state.history.push(Record::Ended {
+        state.note(Record::Ended {
             nonce: nonce.to_owned(),
             at: now_us(),
             target: self.settings.name.clone(),
@@ -224,6 +235,16 @@
         factor
     }
 
+    /// Adds a record to the history. Each line is written at once, so that the file is
+    /// complete when the process is killed.
+    fn note(&mut self, record: Record) {
+        if let Some(file) = &mut self.file {
+            // The file only serves a later check, which finds the records missing.
+            drop(file.write_all(to_lines([&record]).as_bytes()));
+        }
+        self.history.push(record);
+    }
+
     fn note_load(&mut self) {
         if self.loads.len() == LOAD_SAMPLES {
             self.loads.pop_front();
