--- /dev/null
+++ b/crates/core/src/balance/roster.rs
@@ -0,0 +1,153 @@
+//! The targets of each service and what is known about their nodes.
+
+use super::{
+    BalancerSettings, Candidate, Estimate, NoChoice, Use,
+    standing::{Standing, State},
+};
+use crate::{
+    collections::HashMap,
+    ids::{DataCentre, NodeName, ServiceName},
+    load::LoadSample,
+    time::{Instant, MICROS_PER_MILLI},
+};
+
+/// How long a draining mark in a load sample counts. By then the membership has
+/// carried the news, which also says when the target stays after all.
+const DRAINING_MEMORY_US: u64 = 5_000 * MICROS_PER_MILLI;
+
+#[derive(Debug)]
+pub(super) struct Target {
+    pub(super) node: NodeName,
+    pub(super) data_centre: DataCentre,
+    pub(super) weight: u32,
+    pub(super) draining: bool,
+    /// Set only if the target has a share and is not leaving.
+    pub(super) in_subset: bool,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Service {
+    pub(super) targets: Vec<Target>,
+    /// When a request for the service last asked for a target.
+    pub(super) last_request: Option<Instant>,
+}
+
+impl Service {
+    pub(super) fn active(&self) -> impl Iterator<Item = &Target> {
+        self.targets.iter().filter(|target| target.in_subset)
+    }
+
+    pub(super) fn has_traffic(&self, now: Instant, cfg: &BalancerSettings) -> bool {
+        let memory_us = cfg.traffic_memory_ms * MICROS_PER_MILLI;
+        self.last_request
+            .is_some_and(|at| now.micros_since(at) < memory_us)
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct NodeState {
+    /// A node serves one target, so it belongs to one service.
+    pub(super) service: ServiceName,
+    pub(super) estimate: Estimate,
+    pub(super) standing: Standing,
+    /// When a load sample last said that the target is leaving, unless a later one
+    /// denied it.
+    pub(super) draining_seen: Option<Instant>,
+    /// When a probe was last asked for, until its reply.
+    pub(super) probe_wanted: Option<Instant>,
+}
+
+impl NodeState {
+    pub(super) fn new(now: Instant, service: &ServiceName, slots: u32) -> Self {
+        NodeState {
+            service: service.clone(),
+            estimate: Estimate::new(now, slots),
+            standing: Standing::new(),
+            draining_seen: None,
+            probe_wanted: None,
+        }
+    }
+
+    pub(super) fn is_draining(&self, now: Instant) -> bool {
+        self.draining_seen
+            .is_some_and(|at| now.micros_since(at) < DRAINING_MEMORY_US)
+    }
+
+    pub(super) fn on_sample(&mut self, now: Instant, sample: LoadSample) {
+        self.estimate.on_sample(now, sample);
+        self.draining_seen = sample.draining.then_some(now);
+    }
+}
+
+/// Returns the targets that may be chosen, set aside or not.
+pub(super) fn candidates<'a>(
+    cfg: &BalancerSettings,
+    nodes: &'a HashMap<NodeName, NodeState>,
+    now: Instant,
+    service: &'a Service,
+    exclude: &[NodeName],
+) -> Result<Vec<Candidate<'a>>, NoChoice> {
+    let staying: Vec<(&Target, &NodeState)> = service
+        .active()
+        .map(|target| (target, &nodes[&target.node]))
+        .filter(|(_, state)| !state.is_draining(now))
+        .collect();
+    if staying.is_empty() {
+        let leaving = service.targets.iter().any(|target| target.weight > 0);
+        return Err(if leaving {
+            NoChoice::AllDraining
+        } else {
+            NoChoice::NoTarget
+        });
+    }
+    let left: Vec<Candidate<'_>> = staying
+        .into_iter()
+        .filter(|(target, _)| !exclude.contains(&target.node))
+        .map(|(target, state)| candidate(cfg, target, state))
+        .collect();
+    if left.is_empty() {
+        Err(NoChoice::AllExcluded)
+    } else {
+        Ok(left)
+    }
+}
+
+pub(super) fn candidate<'a>(
+    cfg: &BalancerSettings,
+    target: &'a Target,
+    state: &'a NodeState,
+) -> Candidate<'a> {
+    let local = target.data_centre == cfg.data_centre;
+    let assumed_us = if local {
+        cfg.local_distance_us
+    } else {
+        cfg.remote_distance_us
+    };
+    Candidate {
+        node: target.node.as_str(),
+        data_centre: target.data_centre.as_str(),
+        local,
+        weight: target.weight,
+        distance_us: state.estimate.rtt_us.unwrap_or(assumed_us),
+        estimate: &state.estimate,
+    }
+}
+
+pub(super) fn usage(now: Instant, target: &Target, state: &NodeState) -> Use {
+    if target.draining || state.is_draining(now) {
+        return Use::Draining;
+    }
+    if target.weight == 0 {
+        return Use::NoWeight;
+    }
+    if !target.in_subset {
+        return Use::OutsideSubset;
+    }
+    match state.standing.state() {
+        State::InUse => Use::InUse,
+        State::SetAside { until, reason, .. } if now < until => Use::SetAside { until, reason },
+        State::SetAside {
+            reason, successes, ..
+        } => Use::OnTrial { successes, reason },
+    }
+}
