Wire tests: framing, handshake and datagrams

The decoders, the handshake and the conversion of deadlines had no tests. Rows cover false lengths, unknown messages, changed and foreign datagrams, a recorded handshake, a slow handshake and a change of keys.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use actix_http::{HttpMessage, Method, Request, Response, StatusCode, body::BoxBody, header, header::HeaderValue};
+use actix_http::{
+    HttpMessage, Method, Request, Response, StatusCode, body::BoxBody, header, header::HeaderValue,
+};
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use plantainpost_core::{
@@ -108,8 +110,12 @@
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Answer> {
-    serde_json::from_slice(body)
-        .map_err(|e| refuse(StatusCode::BAD_REQUEST, &format!("the body is not valid: {e}")))
+    serde_json::from_slice(body).map_err(|e| {
+        refuse(
+            StatusCode::BAD_REQUEST,
+            &format!("the body is not valid: {e}"),
+        )
+    })
 }
 
 fn with_json<T: DeserializeOwned>(body: &[u8], f: impl FnOnce(T) -> Answer) -> Answer {
@@ -289,7 +295,10 @@
 
 fn explain_request(node: &Node, request: &str) -> Answer {
     let Ok(id) = u128::from_str_radix(request, 16) else {
-        return refuse(StatusCode::BAD_REQUEST, "request: 32 hexadecimal digits are needed");
+        return refuse(
+            StatusCode::BAD_REQUEST,
+            "request: 32 hexadecimal digits are needed",
+        );
     };
     let traces = node.traces.borrow();
     match traces.find(RequestId(id)) {
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -49,7 +49,9 @@
 fn with_reason(mut builder: ResponseBuilder, reason: &str) -> Response<BoxBody> {
     builder.insert_header((headers::REASON, headers::value(reason)));
     builder.insert_header((header::CONTENT_TYPE, "text/plain; charset=utf-8"));
-    builder.finish().set_body(BoxBody::new(format!("{reason}\n")))
+    builder
+        .finish()
+        .set_body(BoxBody::new(format!("{reason}\n")))
 }
 
 /// Tells the caller that its request is not valid. It was not run.
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -41,7 +41,7 @@
         .borrow_mut()
         .on_request(now, call.service.as_str());
     let mut run = Run::new(&node, &call);
-    let end = run.to_end().await;
+    let end = run.complete().await;
     run.finish(end)
 }
 
@@ -73,7 +73,7 @@
     }
 
     /// Runs attempts until one gives the answer or no further one is allowed.
-    async fn to_end(&mut self) -> AttemptEnd {
+    async fn complete(&mut self) -> AttemptEnd {
         if let Err(reason) = self.start(Cause::First) {
             return AttemptEnd::NotRun(reason);
         }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -113,7 +113,10 @@
             weight: content.weight(target.service.as_str(), name, dc),
             draining: target.draining || content.is_leaving(name, target.ip, dc),
         };
-        services.entry(target.service.clone()).or_default().push(view);
+        services
+            .entry(target.service.clone())
+            .or_default()
+            .push(view);
     }
     let now = node.now();
     let mut balancer = node.balancer.borrow_mut();
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -51,15 +51,17 @@
     match datagram {
         Datagram::Member(message) => {
             let now = node.now();
-            let mut rng = node.rng.borrow_mut();
-            let actions = node
-                .members
-                .borrow_mut()
-                .receive(now, from, &message, &mut *rng);
-            drop(rng);
+            let actions = {
+                let mut rng = node.rng.borrow_mut();
+                let mut members = node.members.borrow_mut();
+                members.receive(now, from, &message, &mut *rng)
+            };
             perform(node, actions).await;
         }
-        Datagram::ConfigNotice { from: peer, read_to } => {
+        Datagram::ConfigNotice {
+            from: peer,
+            read_to,
+        } => {
             config_sync::peer_ahead(node, &peer, read_to);
         }
         Datagram::LoadProbe { seq } => probe::reply(node, from, seq).await,
@@ -115,9 +117,7 @@
     let read_to = node.register.borrow().read_to();
     let peers = {
         let mut rng = node.rng.borrow_mut();
-        node.members
-            .borrow()
-            .random_peers(NOTICE_FANOUT, &mut *rng)
+        node.members.borrow().random_peers(NOTICE_FANOUT, &mut *rng)
     };
     let notice = Datagram::ConfigNotice {
         from: node.name().clone(),
@@ -163,13 +163,15 @@
     node.targets.expire(now);
     probe::expire(node, now);
     let guard = node.guard.borrow();
-    node.metrics.gauge("guard.in_flight", guard.in_flight().into());
+    node.metrics
+        .gauge("guard.in_flight", guard.in_flight().into());
     node.metrics.gauge("guard.queued", guard.queued() as u64);
     node.metrics.gauge("guard.records", guard.records() as u64);
     drop(guard);
     let spent = node.measuring.borrow().spent_us(now);
     node.metrics.gauge("measure.spent_us", spent);
-    node.metrics.gauge("peer.idle", node.peers.idle_count() as u64);
+    node.metrics
+        .gauge("peer.idle", node.peers.idle_count() as u64);
     node.metrics.flush();
 }
 
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -70,12 +70,7 @@
 }
 
 /// Sends the request to the target and waits for the head of its answer.
-async fn exchange(
-    node: &Node,
-    conn: &mut Conn,
-    req: &mut Pending,
-    target_conn: TargetConn,
-) -> End {
+async fn exchange(node: &Node, conn: &mut Conn, req: &mut Pending, target_conn: TargetConn) -> End {
     let may_repeat = req.head.idempotent && target_conn.reused && is_replayable(req);
     let target = target_conn.addr();
     let pieces = req.body.pieces.clone();
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -149,12 +149,7 @@
 }
 
 /// Opens the way to the target, makes the last checks and runs the request.
-async fn dispatch(
-    node: &Rc<Node>,
-    conn: &mut Conn,
-    req: Pending,
-    admitted: Admitted,
-) -> Exchange {
+async fn dispatch(node: &Rc<Node>, conn: &mut Conn, req: Pending, admitted: Admitted) -> Exchange {
     let key = req.head.key;
     // The connection comes first, so that the check of the deadline is the last step
     // before the request is written.
@@ -207,12 +202,7 @@
 
 /// Tells the entry that the request was refused, and reads the rest of its body, so
 /// that the connection can be used again.
-async fn refuse(
-    node: &Node,
-    conn: &mut Conn,
-    mut req: Pending,
-    reason: RefuseReason,
-) -> Exchange {
+async fn refuse(node: &Node, conn: &mut Conn, mut req: Pending, reason: RefuseReason) -> Exchange {
     node.metrics.count("guard.refused");
     let load = node.guard.borrow().load(node.now());
     let key = req.head.key;
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -104,13 +104,8 @@
     }
 }
 
-fn start<S>(
-    node: &Rc<Node>,
-    settings: &HttpSettings,
-    service: &S,
-    io: TcpStream,
-    peer: SocketAddr,
-) where
+fn start<S>(node: &Rc<Node>, settings: &HttpSettings, service: &S, io: TcpStream, peer: SocketAddr)
+where
     S: Service<(TcpStream, Option<SocketAddr>), Response = ()>,
     S::Future: 'static,
 {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,8 +28,7 @@
 
 use crate::{
     audit::AuditQueue, clock::Clock, config_sync::Ahead, fleet::Applied, metrics::Metrics,
-    peers::PeerPool, probe::Probes, settings::NodeSettings, target::TargetPool,
-    trace::TraceRing,
+    peers::PeerPool, probe::Probes, settings::NodeSettings, target::TargetPool, trace::TraceRing,
 };
 
 /// A request that waits at the guard, by its key.
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -6,9 +6,7 @@
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
-use plantainpost_core::{
-    collections::HashMap, ids::NodeName, load::LoadSample, time::Instant,
-};
+use plantainpost_core::{collections::HashMap, ids::NodeName, load::LoadSample, time::Instant};
 use plantainpost_wire::datagram::Datagram;
 
 use crate::{
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -62,7 +62,10 @@
                 _ = int.recv() => (),
             }
             node.metrics.count("stop.signal_repeated");
-            info!(node.logger, "already stopping; requests in flight are finished first");
+            info!(
+                node.logger,
+                "already stopping; requests in flight are finished first"
+            );
         }
     });
     Ok(())
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -94,7 +94,11 @@
 
     fn take_idle(&self, addr: SocketAddr, now: Instant) -> Option<TargetConn> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(Idle { mut conn, closes_at }) = idle.pop() {
+        while let Some(Idle {
+            mut conn,
+            closes_at,
+        }) = idle.pop()
+        {
             if closes_at > now && conn.addr == addr && conn.is_quiet() {
                 conn.reused = true;
                 return Some(conn);
@@ -168,9 +172,7 @@
         let length = answer_length(&head, is_head);
         let ended = self.framed.codec_ref().message_type() == MessageType::None;
         let body = TargetBody {
-            framed: self
-                .framed
-                .into_map_codec(ClientCodec::into_payload_codec),
+            framed: self.framed.into_map_codec(ClientCodec::into_payload_codec),
             addr: self.addr,
             ended,
         };
@@ -181,7 +183,10 @@
 /// Returns the length of an answer, or `None` when only the end of the connection
 /// would mark its end, so that a cut could not be seen.
 fn answer_length(head: &ResponseHead, is_head: bool) -> Option<BodyLength> {
-    let bodyless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let bodyless = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
     if is_head || bodyless {
         return Some(BodyLength::None);
     }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -50,10 +50,7 @@
 impl FrameError {
     /// Reports whether the peer sent something that no node sends.
     pub fn is_protocol_error(&self) -> bool {
-        matches!(
-            self,
-            FrameError::TooLong { .. } | FrameError::Decode { .. }
-        )
+        matches!(self, FrameError::TooLong { .. } | FrameError::Decode { .. })
     }
 }
 
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -218,10 +218,7 @@
     };
     let numbers = Numbers::new(&hello, &auth);
     let signed = parts(ACCEPTING_LABEL, &hello, &auth, &numbers);
-    ensure!(
-        keys.primary().verify(&signed, &mac),
-        UnauthenticatedSnafu
-    );
+    ensure!(keys.primary().verify(&signed, &mac), UnauthenticatedSnafu);
     Ok(Identity {
         node: hello.node,
         incarnation: hello.incarnation,
--- /dev/null
+++ b/crates/wire/tests/wire.rs
@@ -0,0 +1,278 @@
+//! Framing, handshake and datagrams, with what an attacker or a fault can send.
+
+use std::{cell::Cell, time::Duration};
+
+use actix_rt::{
+    System,
+    net::{TcpListener, TcpStream},
+};
+use bytes::Bytes;
+use googletest::prelude::*;
+use plantainpost_core::{
+    admission::RequestKey,
+    ids::{Incarnation, NodeName, RequestId},
+    load::LoadSample,
+    time::Instant,
+};
+use plantainpost_wire::{
+    auth::{FleetKeys, Key},
+    datagram::{self, Datagram, DatagramError, MAX_DATAGRAM_BYTES},
+    frame::{self, FrameError, FrameReader, FrameWriter, MAX_FRAME_BYTES},
+    handshake::{self, ClockShift, HandshakeError, Identity},
+    message::{Hello, PeerMessage},
+};
+use proptest::prelude::{any, prop, proptest};
+use tokio::io::AsyncWriteExt;
+
+fn keys(primary: u8, secondary: Option<u8>) -> FleetKeys {
+    let key = |seed| Key::new(&[seed; 32]).expect("the key is long enough");
+    FleetKeys::new(key(primary), secondary.map(key))
+}
+
+fn identity(name: &str) -> Identity {
+    Identity {
+        node: NodeName::from(name),
+        incarnation: Incarnation(7),
+    }
+}
+
+async fn sockets() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let opened = TcpStream::connect(addr).await.unwrap();
+    let (accepted, _) = listener.accept().await.unwrap();
+    (opened, accepted)
+}
+
+type Side = (FrameReader, FrameWriter);
+
+async fn pair() -> (Side, Side) {
+    let (opened, accepted) = sockets().await;
+    (frame::split(opened), frame::split(accepted))
+}
+
+fn run<F: Future>(fut: F) -> F::Output {
+    System::new().block_on(fut)
+}
+
+/// Guards against messages that are merged, cut or reordered by the framing.
+#[gtest]
+fn frames_arrive_whole_and_in_order() {
+    run(async {
+        let ((_orx, mut tx), (mut rx, _atx)) = pair().await;
+        let sizes = [0, 1, 100, 64 * 1024];
+        for size in sizes {
+            let msg = PeerMessage::Body(Bytes::from(vec![7; size]));
+            tx.queue(&msg).unwrap();
+        }
+        let write = actix_rt::spawn(async move { tx.flush().await.is_ok() });
+        for size in sizes {
+            let msg = rx.read().await.unwrap();
+            expect_that!(msg, eq(&PeerMessage::Body(Bytes::from(vec![7; size]))));
+        }
+        expect_true!(write.await.unwrap());
+        drop(_orx);
+        expect_that!(rx.read().await, err(matches_pattern!(FrameError::Closed)));
+    });
+}
+
+/// Guards against a peer that makes a node reserve memory by a false length, or stops
+/// the process with bytes that are no message.
+#[gtest]
+fn bad_frames_are_errors() {
+    let too_long = (MAX_FRAME_BYTES as u32 + 1).to_le_bytes();
+    let rows: [(&str, Vec<u8>); 4] = [
+        ("length above the limit", too_long.to_vec()),
+        ("largest length", u32::MAX.to_le_bytes().to_vec()),
+        ("unknown message", vec![1, 0, 0, 0, 250]),
+        ("empty message", vec![0, 0, 0, 0]),
+    ];
+    for (name, bytes) in rows {
+        run(async {
+            let (mut opened, accepted) = sockets().await;
+            let (mut rx, _tx) = frame::split(accepted);
+            opened.write_all(&bytes).await.unwrap();
+            let error = rx.read().await.unwrap_err();
+            expect_true!(error.is_protocol_error(), "{name}: {error}");
+        });
+    }
+}
+
+proptest! {
+    /// Guards against bytes from the network that stop the process.
+    #[test]
+    fn random_datagrams_are_dropped(bytes in prop::collection::vec(any::<u8>(), 0..1_300)) {
+        assert!(datagram::open(&keys(1, None), &bytes).is_err());
+    }
+
+    /// Guards against a change on the way that is taken for the sender's word.
+    #[test]
+    fn changed_datagrams_are_dropped(at in any::<prop::sample::Index>(), flip in 1_u8..) {
+        let datagram = Datagram::LoadProbe { seq: 12 };
+        let mut bytes = datagram::seal(&keys(1, None), &datagram).unwrap();
+        let at = at.index(bytes.len());
+        bytes[at] ^= flip;
+        assert!(datagram::open(&keys(1, None), &bytes).is_err());
+    }
+
+    /// Guards against a decoder that panics on authenticated nonsense, such as from a
+    /// node with another version.
+    #[test]
+    fn any_message_bytes_decode_or_fail(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = postcard::from_bytes::<PeerMessage>(&bytes);
+        let _ = postcard::from_bytes::<Datagram>(&bytes);
+    }
+
+    /// Guards against a deadline that the conversion between clocks makes later.
+    #[test]
+    fn converted_deadlines_are_never_late(
+        offset in 0_u64..1_000_000_000,
+        opened_at in 0_u64..1_000_000_000,
+        round_trip in 0_u64..1_000_000,
+        remaining in 0_u64..120_000_000,
+    ) {
+        // The accepting clock reads `offset` more than the opening clock.
+        let remote = opened_at + round_trip / 2;
+        let local = opened_at + offset;
+        let shift = ClockShift::new(Instant::from_micros(local), Instant::from_micros(remote));
+        let deadline = remote + remaining;
+        let converted = shift.to_local(Instant::from_micros(deadline)).as_micros();
+        let exact = deadline + offset;
+        assert!(converted <= exact);
+        assert!(exact - converted <= round_trip);
+    }
+}
+
+/// Who holds which keys while a fleet changes them, and whether messages pass.
+fn key_rows() -> [(&'static str, FleetKeys, FleetKeys, bool); 4] {
+    [
+        ("same key", keys(1, None), keys(1, None), true),
+        ("receiver ahead", keys(1, None), keys(2, Some(1)), true),
+        ("sender ahead", keys(2, Some(1)), keys(1, Some(2)), true),
+        ("foreign key", keys(3, None), keys(1, Some(2)), false),
+    ]
+}
+
+/// Guards against a fleet that is cut in two while its keys are changed.
+#[gtest]
+fn datagrams_pass_while_keys_change() {
+    for (name, sender, receiver, passes) in key_rows() {
+        let bytes = datagram::seal(&sender, &Datagram::LoadProbe { seq: 1 }).unwrap();
+        let opened = datagram::open(&receiver, &bytes);
+        expect_that!(opened.is_ok(), eq(passes), "{name}");
+    }
+}
+
+/// Guards against datagrams that the network would have to fragment.
+#[gtest]
+fn long_datagrams_are_not_sent() {
+    let datagram = Datagram::LoadReply {
+        seq: 1,
+        from: NodeName::from("n".repeat(MAX_DATAGRAM_BYTES).as_str()),
+        load: LoadSample::default(),
+    };
+    let sealed = datagram::seal(&keys(1, None), &datagram);
+    expect_that!(sealed, err(matches_pattern!(DatagramError::Length { .. })));
+}
+
+/// Runs the accepting side with a clock that reads `step_ms` more at each look.
+async fn accept((mut rx, mut tx): Side, keys: FleetKeys, step_ms: u64) -> Option<HandshakeError> {
+    let looks = Cell::new(0);
+    let now = || {
+        looks.set(looks.get() + 1);
+        Instant::from_millis(looks.get() * step_ms)
+    };
+    let me = identity("b");
+    handshake::accept(&mut rx, &mut tx, &me, &keys, &now)
+        .await
+        .err()
+}
+
+async fn open((mut rx, mut tx): Side, keys: FleetKeys) -> Option<HandshakeError> {
+    let now = || Instant::from_millis(9);
+    let me = identity("a");
+    handshake::open(&mut rx, &mut tx, &me, &keys, &now)
+        .await
+        .err()
+}
+
+/// Guards against connections between nodes without a common key, and against a fleet
+/// that is cut in two while its keys are changed.
+#[gtest]
+fn handshakes_need_a_common_key() {
+    for (name, opening, accepting, passes) in key_rows() {
+        run(async {
+            let (opened, accepted) = pair().await;
+            let accept = actix_rt::spawn(accept(accepted, accepting, 1));
+            let opened = open(opened, opening).await;
+            expect_that!(opened.is_none(), eq(passes), "{name}");
+            expect_that!(accept.await.unwrap().is_none(), eq(passes), "{name}");
+        });
+    }
+}
+
+/// Guards against a recorded handshake that is played back.
+#[gtest]
+fn recorded_handshakes_are_refused() {
+    run(async {
+        let (opened, (mut arx, mut atx)) = pair().await;
+        let hello = Hello {
+            version: 1,
+            node: NodeName::from("b"),
+            incarnation: Incarnation(7),
+            nonce: [9; 16],
+        };
+        atx.write(&PeerMessage::Hello(hello)).await.unwrap();
+        let open = actix_rt::spawn(open(opened, keys(1, None)));
+        let recorded = arx.read().await.unwrap();
+        drop((arx, atx));
+        expect_true!(open.await.unwrap().is_some());
+        // Another connection draws a fresh nonce and gets the recording.
+        let ((mut orx, mut otx), accepted) = pair().await;
+        let accept = actix_rt::spawn(accept(accepted, keys(1, None), 1));
+        let _hello = orx.read().await.unwrap();
+        otx.write(&recorded).await.unwrap();
+        let error = accept.await.unwrap();
+        expect_that!(
+            error,
+            some(matches_pattern!(HandshakeError::Unauthenticated))
+        );
+    });
+}
+
+/// Guards against a pause during the handshake that would make deadlines early by as
+/// much, so that requests are refused for no reason.
+#[gtest]
+fn slow_handshakes_are_refused() {
+    run(async {
+        let (opened, accepted) = pair().await;
+        let accept = actix_rt::spawn(accept(accepted, keys(1, None), 1_500));
+        expect_true!(open(opened, keys(1, None)).await.is_some());
+        let error = accept.await.unwrap();
+        expect_that!(
+            error,
+            some(matches_pattern!(HandshakeError::TooSlow { .. }))
+        );
+    });
+}
+
+/// Guards against an idle connection that is taken from the pool although the peer has
+/// closed it or has sent something.
+#[gtest]
+fn stale_connections_are_noticed() {
+    run(async {
+        let ((rx, _tx), (_arx, mut atx)) = pair().await;
+        expect_false!(rx.is_stale());
+        let key = RequestKey {
+            id: RequestId(1),
+            attempt: 0,
+        };
+        atx.write(&PeerMessage::Continue { key }).await.unwrap();
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        expect_true!(rx.is_stale());
+        let ((rx, _tx), accepted) = pair().await;
+        drop(accepted);
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        expect_true!(rx.is_stale());
+    });
+}
