Let an unconfirmed service time fall back to the usual one

A target keeps the service time of its slow phase until an answer corrects it, and entries that avoid it get no answers. The service time now goes back to the long-term one with the time since it last changed.

--- a/crates/core/src/balance/estimate.rs
+++ b/crates/core/src/balance/estimate.rs
@@ -11,6 +11,9 @@
 /// Weight of a new round trip in the moving average, as a divisor.
 const RTT_SMOOTHING: u32 = 4;
 
+/// Weight of a new service time in the long-term average.
+const USUAL_SMOOTHING: f64 = 1.0 / 64.0;
+
 /// Load as the target itself reports it; the weakest evidence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -33,6 +36,11 @@
     pub sample: Option<(Instant, LoadSample)>,
     /// Own requests outstanding when `sample` arrived.
     pub own_at_sample: u32,
+    /// When the service time in `sample` last changed. It only changes when the
+    /// target answers, so it can be older than the sample.
+    pub service_at: Instant,
+    /// Long-term service time, if one was observed.
+    pub usual_service_us: Option<f64>,
     /// Last report of the target itself.
     pub report: Option<Report>,
     /// Smoothed network round trip, if a probe measured it.
@@ -55,6 +63,8 @@
             announced_slots,
             sample: None,
             own_at_sample: 0,
+            service_at: now,
+            usual_service_us: None,
             report: None,
             rtt_us: None,
             failures: 0.0,
@@ -131,6 +141,13 @@
     }
 
     pub(super) fn on_sample(&mut self, now: Instant, sample: LoadSample) {
+        let last_us = self.sample.map(|(_, last)| last.service_time_us);
+        if sample.service_time_us > 0 && last_us != Some(sample.service_time_us) {
+            self.service_at = now;
+            let observed_us = f64::from(sample.service_time_us);
+            let usual_us = self.usual_service_us.unwrap_or(observed_us);
+            self.usual_service_us = Some(usual_us + (observed_us - usual_us) * USUAL_SMOOTHING);
+        }
         self.sample = Some((now, sample));
         self.own_at_sample = self.own_in_flight();
     }
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -8,6 +8,9 @@
 pub struct ScoreSettings {
     /// Time in which the weight of an observation falls to 1/e.
     pub load_memory_us: u64,
+    /// Time in which a service time without newer answers falls back to the usual one
+    /// by 1 - 1/e.
+    pub service_memory_us: u64,
     /// Service time that is assumed until one is observed.
     pub assumed_service_us: u32,
     /// Penalty of a target whose last requests all failed.
@@ -24,6 +27,7 @@
     fn default() -> Self {
         ScoreSettings {
             load_memory_us: 100_000,
+            service_memory_us: 100_000,
             assumed_service_us: 10_000,
             failure_penalty_us: 1_000_000,
             failure_memory_us: 5_000_000,
@@ -51,7 +55,7 @@
 impl Score {
     /// Predicts the completion time at a candidate.
     pub fn new(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> Self {
-        let service_us = service_us(candidate, cfg);
+        let service_us = service_us(now, candidate, cfg);
         Score {
             queue_us: load_per_slot(now, candidate, cfg) * service_us,
             service_us,
@@ -72,10 +76,17 @@
     (-(age_us as f64) / memory_us.max(1) as f64).exp()
 }
 
-fn service_us(candidate: &Candidate<'_>, cfg: &ScoreSettings) -> f64 {
-    let observed = candidate.estimate.sample.map(|(_, s)| s.service_time_us);
-    let known = observed.filter(|us| *us > 0);
-    f64::from(known.unwrap_or(cfg.assumed_service_us))
+/// A service time that has not changed for long is the last one before the target was
+/// avoided, so the figure goes back to the usual one.
+fn service_us(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> f64 {
+    let estimate = candidate.estimate;
+    let observed = estimate.sample.zip(estimate.usual_service_us);
+    let Some(((_, sample), usual_us)) = observed else {
+        return f64::from(cfg.assumed_service_us);
+    };
+    let age_us = now.micros_since(estimate.service_at);
+    let recent_us = f64::from(sample.service_time_us);
+    usual_us + (recent_us - usual_us) * remaining(age_us, cfg.service_memory_us)
 }
 
 /// Own requests count in full; those of others as of the last sample, by its age.
