Infer a slow target from the age of its oldest request

When a target slows down, no answer says so until the first slow one arrives. The age of the oldest own request in flight is known at once; half of it is now a lower bound of the service time.

--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -3,6 +3,9 @@
 use super::Candidate;
 use crate::time::Instant;
 
+/// Service time that is inferred from the age of the oldest own request, as a share.
+const OVERDUE_SHARE: f64 = 0.5;
+
 /// Constants of the score.
 #[derive(Clone, Copy, Debug)]
 pub struct ScoreSettings {
@@ -85,8 +88,18 @@
         return f64::from(cfg.assumed_service_us);
     };
     let age_us = now.micros_since(estimate.service_at);
+    let overdue_us = overdue_us(now, candidate);
     let recent_us = f64::from(sample.service_time_us);
-    usual_us + (recent_us - usual_us) * remaining(age_us, cfg.service_memory_us)
+    let aged_us = usual_us + (recent_us - usual_us) * remaining(age_us, cfg.service_memory_us);
+    aged_us.max(overdue_us)
+}
+
+/// An own request that has been out for long shows a slow target before any answer
+/// does.
+fn overdue_us(now: Instant, candidate: &Candidate<'_>) -> f64 {
+    let oldest = candidate.estimate.oldest_sent();
+    let out_us = oldest.map_or(0, |sent| now.micros_since(sent));
+    out_us.saturating_sub(candidate.distance_us.into()) as f64 * OVERDUE_SHARE
 }
 
 /// Own requests count in full; those of others as of the last sample, by its age.
