--- a/crates/core/src/config/record.rs
+++ b/crates/core/src/config/record.rs
@@ -6,7 +6,7 @@
 
 use super::{
     content::{Content, ContentError, check_name},
-    state::{State, StateError},
+    state::{State, StateError, is_summary},
 };
 
 /// Longest record. A checkpoint of the largest state fits.
@@ -106,9 +106,11 @@
     /// The state of a checkpoint does not hold together.
     #[snafu(display("{source}"), context(false))]
     State { source: StateError },
-    /// The summary is too long.
-    #[snafu(display("the summary has {bytes} bytes, above {MAX_SUMMARY_BYTES}"))]
-    Summary { bytes: usize },
+    /// The summary is out of bounds.
+    #[snafu(display(
+        "the summary is longer than {MAX_SUMMARY_BYTES} bytes or has control characters"
+    ))]
+    Summary,
     /// A checkpoint's `complete_to` differs from its state's `read_to`.
     #[snafu(display("checkpoint to {complete_to} holds a state read to {read_to}"))]
     CompleteTo { complete_to: u64, read_to: u64 },
@@ -145,8 +147,7 @@
         match self {
             Record::Confirm(confirm) => {
                 check_name(&confirm.author)?;
-                let bytes = confirm.summary.len();
-                ensure!(bytes <= MAX_SUMMARY_BYTES, SummarySnafu { bytes });
+                ensure!(is_summary(&confirm.summary), SummarySnafu);
                 confirm.content.validate()?;
             }
             Record::Checkpoint {
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -345,6 +345,12 @@
 
 fn check_texts(author: &str, summary: &str) -> Result<(), StateError> {
     check_name(author)?;
-    ensure!(summary.len() <= MAX_SUMMARY_BYTES, SizeSnafu);
+    ensure!(is_summary(summary), SizeSnafu);
     Ok(())
 }
+
+/// Returns whether a summary is in bounds. Control characters would take up to six
+/// bytes each in JSON.
+pub(super) fn is_summary(summary: &str) -> bool {
+    summary.len() <= MAX_SUMMARY_BYTES && !summary.chars().any(char::is_control)
+}
--- /dev/null
+++ b/crates/core/tests/config.rs
@@ -0,0 +1,14 @@
+//! Tests of the configuration aggregate.
+
+#[path = "config/agreement.rs"]
+mod agreement;
+#[path = "config/checkpoint.rs"]
+mod checkpoint;
+#[path = "config/plan.rs"]
+mod plan;
+#[path = "config/replay.rs"]
+mod replay;
+#[path = "config/size.rs"]
+mod size;
+#[path = "config/world.rs"]
+mod world;
--- /dev/null
+++ b/crates/core/tests/config/world.rs
@@ -0,0 +1,240 @@
+//! Readers of one log, checked after each step against a reader that missed nothing.
+
+use std::collections::BTreeMap;
+
+use plantainpost_core::config::{
+    Batch, Content, Decision, Intent, Leaving, LogRecord, Plan, Register, ShareKey, State,
+};
+
+/// Number of readers, and of places for plans and checkpoints that wait.
+pub(crate) const READERS: usize = 3;
+
+/// A log in memory.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FakeLog {
+    pub(crate) records: Vec<String>,
+    pub(crate) oldest: u64,
+}
+
+impl FakeLog {
+    pub(crate) fn next(&self) -> u64 {
+        self.records.len() as u64
+    }
+
+    pub(crate) fn append(&mut self, data: String) -> u64 {
+        self.records.push(data);
+        self.next() - 1
+    }
+
+    /// Reads as the log was when `next` records had been appended.
+    pub(crate) fn read(&self, next: u64, from: u64, max: usize) -> Batch {
+        let oldest = self.oldest.min(next);
+        let offsets = (from.max(oldest)..next).take(max);
+        let record = |offset: u64| LogRecord {
+            offset,
+            data: self.records[offset as usize].clone(),
+        };
+        Batch {
+            oldest,
+            next,
+            records: offsets.map(record).collect(),
+        }
+    }
+}
+
+/// One step. Numbers beyond the bounds wrap around.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    /// A reader plans; the plan waits in the place of that number.
+    Plan(usize, usize, u32),
+    /// A reader plans an override.
+    Override(usize, usize, u32),
+    /// The waiting plan is confirmed; a second time is a lost answer or a second node.
+    Confirm(usize),
+    /// A reader makes a checkpoint and is paused; it waits in the place of that number.
+    MakeCheckpoint(usize, usize),
+    /// The waiting checkpoint is appended.
+    AppendCheckpoint(usize),
+    /// A record that is not of a known form.
+    Junk,
+    /// The log drops all records below an offset.
+    Trim(u64),
+    /// A reader reads at most that many records.
+    Read(usize, usize),
+    /// All readers read to the end.
+    ReadAll,
+    /// A reader reads from an earlier offset than it needs, as in a late answer.
+    ReadFrom(usize, u64),
+    /// A reader gets an answer from when the log ended at that offset.
+    ReadOlder(usize, u64),
+    /// The first reader takes over the state of the second.
+    Adopt(usize, usize),
+    /// A reader loses its memory.
+    Restart(usize),
+}
+
+/// Readers, the log, and what a reader that missed nothing has seen.
+pub(crate) struct World {
+    pub(crate) log: FakeLog,
+    pub(crate) readers: Vec<Register>,
+    pub(crate) plans: Vec<Option<Plan>>,
+    checkpoints: Vec<Option<String>>,
+    complete: Register,
+    /// State of the complete reader by `read_to`.
+    states: Vec<State>,
+    decisions: BTreeMap<u64, Decision>,
+}
+
+impl World {
+    pub(crate) fn new() -> Self {
+        World {
+            log: FakeLog::default(),
+            readers: (0..READERS).map(|_| Register::new()).collect(),
+            plans: vec![None; READERS],
+            checkpoints: vec![None; READERS],
+            complete: Register::new(),
+            states: vec![State::default()],
+            decisions: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a step and checks that all readers agree and none went back.
+    pub(crate) fn step(&mut self, step: &Step) {
+        let before: Vec<_> = self.readers.iter().map(progress).collect();
+        let restarted = match step {
+            Step::Restart(reader) => Some(reader % READERS),
+            _ => None,
+        };
+        self.take(step);
+        for (i, before) in before.into_iter().enumerate() {
+            let after = progress(&self.readers[i]);
+            assert!(
+                after >= before || restarted == Some(i),
+                "{i} went back: {step:?}"
+            );
+        }
+        self.check();
+    }
+
+    fn take(&mut self, step: &Step) {
+        let reads = |reader: usize| reader % READERS;
+        match *step {
+            Step::Plan(at, reader, n) => self.plan(at, reads(reader), &intent(n)),
+            Step::Override(at, reader, n) => {
+                let content = Some(Content {
+                    measuring_permille: n % 1_000,
+                    ..Content::default()
+                });
+                self.plan(at, reads(reader), &Intent::Override { content });
+            }
+            Step::Confirm(at) => self.confirm(at % READERS),
+            Step::MakeCheckpoint(at, reader) => {
+                let record = self.readers[reads(reader)].checkpoint_record("node");
+                self.checkpoints[at % READERS] = Some(record.encode().expect("within bounds"));
+            }
+            Step::AppendCheckpoint(at) => {
+                if let Some(data) = self.checkpoints[at % READERS].clone() {
+                    self.append(data);
+                }
+            }
+            Step::Junk => self.append("{\"later_kind\":{}}".to_owned()),
+            Step::Trim(to) => {
+                self.log.oldest = self.log.oldest.max(to.min(self.log.next()));
+            }
+            Step::Read(reader, max) => {
+                let from = self.readers[reads(reader)].read_from();
+                self.read(reads(reader), self.log.next(), from, max);
+            }
+            Step::ReadAll => self.read_all(),
+            Step::ReadFrom(reader, from) => {
+                self.read(reads(reader), self.log.next(), from, usize::MAX);
+            }
+            Step::ReadOlder(reader, next) => {
+                let next = next.min(self.log.next());
+                let from = self.readers[reads(reader)].read_from();
+                self.read(reads(reader), next, from, usize::MAX);
+            }
+            Step::Adopt(reader, peer) => {
+                let state = self.readers[reads(peer)].snapshot();
+                self.readers[reads(reader)].adopt(state);
+            }
+            Step::Restart(reader) => self.readers[reads(reader)] = Register::new(),
+        }
+    }
+
+    fn plan(&mut self, at: usize, reader: usize, intent: &Intent) {
+        // A node behind a gap plans nothing but overrides.
+        if let Ok(plan) = self.readers[reader].plan(intent, &format!("author-{at}"), 1_000) {
+            self.plans[at % READERS] = Some(plan);
+        }
+    }
+
+    fn confirm(&mut self, at: usize) {
+        if let Some(plan) = &self.plans[at] {
+            let record = self.complete.confirm_record(plan, "confirmer", 500);
+            let data = record.encode().expect("a plan is within bounds");
+            self.append(data);
+        }
+    }
+
+    fn append(&mut self, data: String) {
+        let offset = self.log.append(data.clone());
+        let batch = Batch {
+            oldest: 0,
+            next: offset + 1,
+            records: vec![LogRecord { offset, data }],
+        };
+        let applied = self.complete.apply(&batch);
+        for decision in applied.decided {
+            self.decisions.insert(decision.offset, decision);
+        }
+        self.states.push(self.complete.snapshot());
+    }
+
+    fn read(&mut self, reader: usize, next: u64, from: u64, max: usize) {
+        let batch = self.log.read(next, from, max);
+        for decision in self.readers[reader].apply(&batch).decided {
+            let expected = self.decisions.get(&decision.offset);
+            assert_eq!(Some(&decision), expected, "a reader decided differently");
+        }
+    }
+
+    /// A reader that finds a checkpoint reads again from there.
+    fn read_all(&mut self) {
+        for reader in (0..READERS).flat_map(|reader| [reader; 3]) {
+            let from = self.readers[reader].read_from();
+            self.read(reader, self.log.next(), from, usize::MAX);
+        }
+    }
+
+    fn check(&self) {
+        for reader in self.readers.iter().chain([&self.complete]) {
+            let expected = &self.states[reader.read_to() as usize];
+            assert_eq!(&reader.snapshot(), expected, "readers disagree");
+            assert_eq!(reader.counters().conflicts, 0, "false conflict");
+        }
+    }
+}
+
+/// What never decreases while a reader runs.
+fn progress(reader: &Register) -> (u64, Option<u64>) {
+    (reader.read_to(), reader.version())
+}
+
+/// Returns one of a varied set of intents.
+pub(crate) fn intent(n: u32) -> Intent {
+    let name = format!("s{}", n % 3);
+    match n % 4 {
+        0 => Intent::Measure { permille: n },
+        1 => Intent::Share {
+            service: name,
+            shares: BTreeMap::from([(ShareKey::DataCentre("pos".to_owned()), n)]),
+        },
+        2 => Intent::Leave {
+            leaving: Leaving::Target(name),
+        },
+        _ => Intent::Restore {
+            version: u64::from(n / 4),
+        },
+    }
+}
