Keep request records twice the spread of deadlines, with fault tables

Cause: the property test found a request that was run and later reported as not run. Its record was dropped 1.1 s after an early conversion of the deadline, and a copy with the true deadline then got a fence of its own.

Change: records outlive the deadline by twice the spread of conversions (2.2 s).

Conclusion: a refusal with a fence is authoritative whichever connection a copy comes over.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -17,13 +17,15 @@
     pub queue_factor: u32,
     /// Bound on the number of request records.
     pub max_records: usize,
-    /// Time for which a record outlives the deadline of its request, in microseconds.
+    /// Bound on the difference between two conversions of one deadline, in
+    /// microseconds. Records outlive the deadline of their request by twice this time.
     ///
     /// Two connections convert the same deadline differently: each value is early by
     /// up to one handshake, which is bounded to 1 s, and off by up to 6 ms of clock
-    /// drift either way. A record dropped at its own deadline could therefore miss a
-    /// copy or a fence that came over another connection.
-    pub record_grace_us: u64,
+    /// drift either way. A record dropped at its own deadline could miss a copy or a
+    /// fence that came over another connection. Twice the bound also covers copies
+    /// that are refused, and fenced, after the deadline.
+    pub deadline_spread_us: u64,
     /// Settings of the concurrency limit.
     pub limit: LimitSettings,
 }
@@ -33,7 +35,7 @@
         GuardSettings {
             queue_factor: 2,
             max_records: 65_536,
-            record_grace_us: 1_100_000,
+            deadline_spread_us: 1_100_000,
             limit: LimitSettings::default(),
         }
     }
@@ -159,7 +161,9 @@
     /// Makes the last check before the request is written to the target.
     ///
     /// A refusal fences the request and frees its slot. A key that holds no admission
-    /// is refused as `Fenced` or `Duplicate` without effect.
+    /// is refused as `Fenced` or `Duplicate` without effect. `Duplicate` is also the
+    /// answer for a fenced request whose record has been dropped since, long after its
+    /// deadline: an unknown outcome is the safe one.
     pub fn dispatch(&mut self, now: Instant, key: RequestKey) -> Dispatch {
         self.end_lapsed(now);
         let Some(record) = self.records.get(key).copied() else {
--- a/crates/core/src/admission/steps.rs
+++ b/crates/core/src/admission/steps.rs
@@ -27,8 +27,9 @@
                 _ => RefuseReason::Duplicate,
             });
         }
-        // Past the grace no copy can have a deadline that is still open.
-        if self.keep_until(offer.deadline) <= now {
+        // No copy can have a deadline that is still open, so no fence is needed.
+        let spread = self.cfg.deadline_spread_us;
+        if offer.deadline.saturating_add_micros(spread) <= now {
             return Err(RefuseReason::Deadline);
         }
         if !self.records.has_room(now) {
@@ -195,7 +196,7 @@
     }
 
     fn keep_until(&self, deadline: Instant) -> Instant {
-        deadline.saturating_add_micros(self.cfg.record_grace_us)
+        deadline.saturating_add_micros(2 * self.cfg.deadline_spread_us)
     }
 
     /// Ends an announcement that has lapsed.
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,293 @@
+//! Fault cases of admission at the guard, as rows of scripts.
+//!
+//! A script is a list of `step = result`, separated by semicolons. Times are in
+//! milliseconds. Results of steps that give wakeups are written `key:admission`;
+//! a step without a result is not checked.
+
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use plantainpost_core::{
+    admission::{
+        Admission, Announcement, Dispatch, FenceState, Finish, Guard, GuardSettings, Offer,
+        RefuseReason, RequestKey, Wakeup,
+    },
+    ids::RequestId,
+    time::Instant,
+};
+
+/// Guard under a script, with its present time.
+struct Script {
+    guard: Guard,
+    now: Instant,
+}
+
+fn key(name: &str) -> RequestKey {
+    let attempt = u32::from(name.ends_with('\''));
+    let id = RequestId(u128::from(name.as_bytes()[0]));
+    RequestKey { id, attempt }
+}
+
+fn millis(word: &str) -> Instant {
+    Instant::from_millis(word.parse().expect("milliseconds"))
+}
+
+fn admission(admission: Admission) -> String {
+    match admission {
+        Admission::Start => "start".into(),
+        Admission::Queued => "queued".into(),
+        Admission::Refused(reason) => reason.to_string(),
+    }
+}
+
+fn wakeups(wakeups: Vec<Wakeup>) -> String {
+    let name = |key: RequestKey| char::from(key.id.0 as u8);
+    let words: Vec<_> = wakeups
+        .into_iter()
+        .map(|wakeup| format!("{}:{}", name(wakeup.key), admission(wakeup.admission)))
+        .collect();
+    words.join(" ")
+}
+
+fn finish(word: &str) -> Finish {
+    match word {
+        "ok" => Finish::Completed {
+            server_error: false,
+        },
+        "error" => Finish::Completed { server_error: true },
+        "not-started" => Finish::NotStarted,
+        "failed" => Finish::Failed,
+        "target-refused" => Finish::TargetRefused,
+        _ => panic!("unknown end: {word}"),
+    }
+}
+
+impl Script {
+    fn new(max_records: usize) -> Self {
+        Script {
+            guard: Guard::new(GuardSettings {
+                max_records,
+                ..GuardSettings::default()
+            }),
+            now: Instant::default(),
+        }
+    }
+
+    fn announce(&mut self, port: &str, slots: &str, expires: &str, leaving: bool) -> String {
+        let announcement = Announcement {
+            service: "Stock",
+            address: SocketAddr::from(([127, 0, 0, 1], port.parse().expect("port"))),
+            slots: slots.parse().expect("slots"),
+            connections: 220,
+            expires: millis(expires),
+            leaving,
+        };
+        format!("{:?}", self.guard.announce(self.now, announcement)).to_lowercase()
+    }
+
+    fn offer(&mut self, name: &str, service: &str, deadline: &str) -> String {
+        let (key, deadline) = (key(name), millis(deadline));
+        admission(self.guard.offer(
+            self.now,
+            &Offer {
+                key,
+                service,
+                deadline,
+            },
+        ))
+    }
+
+    fn step(&mut self, step: &str) -> String {
+        let (guard, now) = (&mut self.guard, self.now);
+        match *step.split_whitespace().collect::<Vec<_>>() {
+            ["at", time] => {
+                self.now = millis(time);
+                String::new()
+            }
+            ["announce", port, slots, expires] => self.announce(port, slots, expires, false),
+            ["leave", port, slots, expires] => self.announce(port, slots, expires, true),
+            ["withdraw"] => {
+                guard.withdraw(now);
+                String::new()
+            }
+            ["drain", on] => {
+                guard.set_draining(on == "on");
+                String::new()
+            }
+            ["offer", key, deadline] => self.offer(key, "stock", deadline),
+            ["offer", key, deadline, service] => self.offer(key, service, deadline),
+            ["dispatch", name] => match guard.dispatch(now, key(name)) {
+                Dispatch::Go => "go".into(),
+                Dispatch::Refused(reason) => reason.to_string(),
+            },
+            ["finish", name, end] => wakeups(guard.finish(now, key(name), finish(end), 5_000)),
+            ["cancel", name] => wakeups(guard.cancel(now, key(name))),
+            ["fence", name, deadline] => match guard.fence(now, key(name), millis(deadline)) {
+                FenceState::Fenced => "fenced".into(),
+                FenceState::Started => "started".into(),
+                FenceState::Finished => "finished".into(),
+                FenceState::Expired => "expired".into(),
+            },
+            ["expire"] => wakeups(guard.expire(now)),
+            ["due"] => guard.next_expiry().is_some_and(|at| at <= now).to_string(),
+            ["load"] => {
+                let load = guard.load(now);
+                format!("{}/{} +{}", load.in_flight, load.slots, load.queued)
+            }
+            ["records"] => guard.records().to_string(),
+            _ => panic!("unknown step: {step}"),
+        }
+    }
+
+    fn run(&mut self, failure: &str, script: &str) {
+        for (i, line) in script.split(';').enumerate() {
+            let (step, want) = match line.split_once('=') {
+                Some((step, want)) => (step.trim(), Some(want.trim())),
+                None => (line.trim(), None),
+            };
+            let got = self.step(step);
+            expect_true!(
+                want.is_none_or(|want| got == want),
+                "{failure}: step {i} `{step}` gave `{got}`, not `{want:?}`"
+            );
+        }
+    }
+}
+
+/// Each row names the failure that it guards against. A target with one slot and
+/// port 1 is announced until 60 s.
+const FAULTS: &[(&str, &str)] = &[
+    ("a duplicate of a started request runs twice",
+     "offer a 1000 = start; offer a 1000 = duplicate; dispatch a = go; offer a 1000 = duplicate;
+      dispatch a = duplicate; load = 1/1 +0"),
+    ("a duplicate of a queued request is queued twice",
+     "offer a 1000; offer b 1000 = queued; offer b 1000 = duplicate; load = 1/1 +1"),
+    ("a duplicate of a finished request runs again",
+     "offer a 1000; dispatch a; finish a ok; offer a 1000 = duplicate; dispatch a = duplicate"),
+    ("a duplicate of a refused request runs although it was reported as not run",
+     "drain on; offer a 1000 = draining; drain off; offer a 1000 = fenced"),
+    ("a retry at the same guard is taken for a duplicate",
+     "drain on; offer a 1000 = draining; drain off; offer a' 1000 = start"),
+    ("a request that comes after its fence runs",
+     "fence a 1000 = fenced; offer a 1000 = fenced; dispatch a = fenced"),
+    ("a fence is dropped before a copy with a later converted deadline arrives",
+     "fence a 1000 = fenced; at 1900; expire; offer a 1990 = fenced; at 3250; expire; records = 0"),
+    ("a fence repeated with a later deadline is dropped at the earlier one",
+     "fence a 1000; fence a 5000 = fenced; at 3500; expire; offer a 5000 = fenced"),
+    ("a fenced queued request keeps its place or is never told",
+     "offer a 1000; dispatch a; offer b 1000 = queued; fence b 1000 = fenced; load = 1/1 +0;
+      due = true; expire = b:fenced; due = false; finish a ok = ; dispatch b = fenced"),
+    ("a request that is fenced between admission and dispatch runs or leaks its slot",
+     "offer a 1000 = start; offer b 1000 = queued; fence a 1000 = fenced; dispatch a = fenced;
+      due = true; expire = b:start; dispatch b = go"),
+    ("a fence reports a started or finished request as not run",
+     "offer a 1000; dispatch a; fence a 1000 = started; finish a ok; fence a 1000 = finished"),
+    ("a fence of a request cancelled in the queue gives an unknown outcome",
+     "offer a 1000; offer b 1000; cancel b = ; fence b 1000 = fenced; offer b 1000 = fenced"),
+    ("a fence after the deadline claims that the request was not run",
+     "at 1000; fence a 1000 = expired; records = 0"),
+    ("a request past its deadline is admitted",
+     "at 1000; offer a 1000 = deadline; offer a 1500 = fenced; offer b 1001 = start"),
+    ("a request whose deadline passes before dispatch runs",
+     "offer a 1000 = start; at 1000; dispatch a = deadline; load = 0/1 +0; offer a 2000 = fenced"),
+    ("a refused dispatch followed by its end frees the slot twice",
+     "offer a 1000; offer b 5000; at 1000; dispatch a = deadline; finish a not-started = b:start;
+      load = 1/1 +0"),
+    ("a queued request waits past its deadline",
+     "offer a 9000; dispatch a; offer b 500 = queued; offer c 800 = queued; at 500;
+      expire = b:deadline; finish a ok = c:start"),
+    ("a queued request past its deadline gets the free slot",
+     "offer a 9000; dispatch a; offer b 500; offer c 800; at 600; finish a ok = b:deadline c:start"),
+    ("a slot leaks when a request is cancelled before dispatch",
+     "offer a 1000 = start; offer b 1000; cancel a = b:start; dispatch a = fenced"),
+    ("a slot leaks when a started request is cancelled, or its record allows a copy",
+     "offer a 1000; dispatch a; offer b 1000; cancel a = b:start; fence a 1000 = finished;
+      finish a ok = ; load = 1/1 +0"),
+    ("cancelling a finished, fenced or unknown request has an effect",
+     "offer a 1000; dispatch a; finish a ok; cancel a = ; fence b 1000; cancel b = ; cancel c = ;
+      load = 0/1 +0; records = 2"),
+    ("a cancelled request gets the wakeup of its fence",
+     "offer a 1000; offer b 1000; fence b 1000 = fenced; cancel b = ; expire = "),
+    ("requests wait for a target whose announcement lapsed",
+     "announce 1 1 100 = renewed; offer a 1000; dispatch a = go; offer b 1000 = queued; at 100;
+      due = true; expire = b:no-target; finish a ok = ; offer c 1000 = no-target"),
+    ("a request is dispatched on a lapsed announcement, or on one renewed after a lapse",
+     "announce 1 2 100; offer a 1000 = start; offer b 1000 = start; at 100;
+      dispatch a = no-target; announce 1 2 900 = new; dispatch b = no-target"),
+    ("a renewal in time refuses requests",
+     "announce 1 1 100; offer a 1000; offer b 1000; at 99; announce 1 1 900 = renewed; at 150;
+      dispatch a = go; finish a ok = b:start"),
+    ("a request admitted for one target goes to its replacement",
+     "offer a 1000; offer b 1000; announce 2 1 900 = replaced; expire = b:no-target;
+      dispatch a = no-target; offer c 1000 = start; dispatch c = go"),
+    ("a withdrawn target gets requests",
+     "offer a 1000; offer b 1000; withdraw; due = true; expire = b:no-target;
+      dispatch a = no-target; offer c 1000 = no-target"),
+    ("a draining guard accepts new requests or drops those that it admitted",
+     "offer a 1000; offer b 1000; drain on; offer c 1000 = draining; dispatch a = go;
+      finish a ok = b:start; dispatch b = go"),
+    ("a leaving target gets new requests, or can't come back",
+     "leave 1 1 900 = renewed; offer a 1000 = draining; announce 1 1 900; offer b 1000 = start"),
+    ("a request for another service reaches the target",
+     "offer a 1000 photos = wrong-service; offer a 1000 = fenced"),
+    ("the queue grows beyond twice the slots or isn't FIFO",
+     "offer a 1000; offer b 1000 = queued; offer c 1000 = queued; offer d 1000 = overloaded;
+      dispatch a; finish a ok = b:start; offer e 1000 = queued; finish b not-started = c:start"),
+    ("a request that can't be answered in time is queued",
+     "offer a 1000; dispatch a; finish a ok; offer b 1000; offer c 10 = queued;
+      offer d 14 = overloaded; offer e 15 = queued"),
+    ("a new request overtakes the queue while a slot is free",
+     "offer a 1000; offer b 1000; fence a 1000; offer c 1000 = queued; expire = b:start"),
+    ("a target without slots gets requests",
+     "announce 1 0 900; offer a 1000 = overloaded"),
+    ("more slots are announced and queued requests still wait",
+     "offer a 1000; offer b 1000; announce 1 2 900; due = true; expire = b:start"),
+    ("fewer slots are announced and requests are still admitted up to the old number",
+     "announce 1 2 900; offer a 1000; offer b 1000; offer c 1000; announce 1 1 900; dispatch a;
+      finish a ok = ; dispatch b; finish b ok = c:start"),
+    ("a request that was not written to the target counts as run",
+     "offer a 1000; dispatch a; finish a not-started; fence a 1000 = fenced; offer a 1000 = fenced"),
+    ("a failed exchange counts as not run",
+     "offer a 1000; dispatch a; finish a failed; fence a 1000 = finished"),
+    ("a record of a request still with the target is dropped at its deadline",
+     "offer a 1000; dispatch a; at 9000; expire; records = 1; offer a 9999 = duplicate;
+      finish a ok; expire; records = 0"),
+];
+
+/// Guards against the failure that each row names.
+#[gtest]
+fn faults() {
+    for (failure, script) in FAULTS {
+        let mut run = Script::new(64);
+        run.run(failure, "announce 1 1 60000 = new");
+        run.run(failure, script);
+    }
+}
+
+/// Guards against a full table that grows, forgets a fence, or claims a fence that
+/// it could not write.
+#[gtest]
+fn full_table() {
+    let mut run = Script::new(2);
+    run.run(
+        "table full",
+        "announce 1 1 60000; offer a 1000 = start; fence b 1000 = fenced; records = 2;
+         offer c 9000 = table-full; fence d 9000 = expired; offer b 1000 = fenced;
+         dispatch a = go; finish a ok; records = 2; at 3200; offer c 9000 = table-full;
+         at 3250; offer c 9000 = start; records = 1",
+    );
+}
+
+/// Guards against reasons that claim "not run" without a fence, and against a change
+/// of the words that callers see.
+#[gtest]
+fn reasons() {
+    for reason in RefuseReason::ALL {
+        let is_known = !["duplicate", "table-full"].contains(&reason.as_str());
+        expect_that!(reason.is_not_run(), eq(is_known), "{reason}");
+        expect_that!(
+            serde_json::to_string(&reason).expect("JSON"),
+            eq(&format!("\"{reason}\""))
+        );
+    }
+}
