--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -282,11 +282,12 @@
     /// Returns the load for peers.
     pub fn load(&self, now: Instant) -> LoadSample {
         let is_live = self.target(now).is_some();
+        let service_time_us = self.limit.service_time().mean_us();
         LoadSample {
             in_flight: self.in_flight,
             queued: self.queued() as u32,
-            slots: if is_live { self.limit.current() } else { 0 },
-            service_time_us: self.limit.service_time_us().try_into().unwrap_or(u32::MAX),
+            slots: if is_live { self.limit.slots() } else { 0 },
+            service_time_us: service_time_us.try_into().unwrap_or(u32::MAX),
             draining: self.is_draining() || !is_live,
         }
     }
@@ -306,7 +307,9 @@
         self.queue.len()
     }
 
-    /// Returns the number of requests that may hold a slot at once.
+    /// Returns the number of requests that may hold a slot now. It is lower than the
+    /// slots in [`Guard::load`] for the short times in which the service time at low
+    /// concurrency is sampled.
     pub fn limit(&self) -> u32 {
         self.limit.current()
     }
--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -5,49 +5,38 @@
 //! its service time at low concurrency, which means that it works on fewer requests at
 //! once than it announced. The limit rises by one slot at a time.
 
+use super::service_time::{CompareSettings, Comparison, Level, ServiceTime, Verdict};
 use crate::time::Instant;
 
 /// Settings of the concurrency limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitSettings {
-    /// Completed requests at high concurrency that make up one comparison.
-    pub window: u32,
-    /// Ratio of service times, high to low concurrency, that lowers the limit.
-    ///
-    /// The mean of 32 samples of an exponential distribution has a standard deviation
-    /// of 18 %, so chance alone doesn't reach a ratio of 2.
-    pub lower_ratio: f64,
-    /// Ratio up to which the limit may rise.
-    pub raise_ratio: f64,
-    /// Factor of one reduction.
+    /// Settings of the comparison of service times.
+    pub compare: CompareSettings,
+    /// Factor of a reduction, other than the first one after a refusal.
     pub lower_factor: f64,
-    /// Time after a reduction during which the limit doesn't rise, in microseconds.
-    pub hold_us: u64,
+    /// Least time between a reduction and the next rise, in microseconds.
+    pub min_hold_us: u64,
+    /// Greatest time between a reduction and the next rise, in microseconds.
+    pub max_hold_us: u64,
 }
 
 impl Default for LimitSettings {
     fn default() -> Self {
         LimitSettings {
-            window: 32,
-            lower_ratio: 2.0,
-            raise_ratio: 1.5,
+            compare: CompareSettings::default(),
             lower_factor: 0.75,
-            hold_us: 1_000_000,
+            min_hold_us: 1_000_000,
+            max_hold_us: 30_000_000,
         }
     }
 }
 
-/// Completed requests for the first estimate of the service time at low concurrency.
-const MIN_BASE_SAMPLES: u32 = 16;
-
-/// Weight of a sample in the running means is at least one in this many.
-const MEAN_SAMPLES: u32 = 32;
-
-/// A sample counts at most this many times the mean at low concurrency, so that a
-/// few stalled requests don't pass for overload.
-const SAMPLE_CAP: f64 = 4.0;
+/// Announced capacity below which service times are not compared: low and high
+/// concurrency would be too close to tell apart.
+const MIN_COMPARED: u32 = 4;
 
-/// What a change of the limit amounted to.
+/// What became of the limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Change {
     None,
@@ -66,27 +55,6 @@
     pub(super) service_time_us: u64,
 }
 
-/// Mean that weighs recent samples more once it has seen enough of them.
-#[derive(Clone, Copy, Debug, Default)]
-struct RunningMean {
-    samples: u32,
-    value: f64,
-}
-
-impl RunningMean {
-    fn add(&mut self, sample: f64) {
-        self.samples = (self.samples + 1).min(MEAN_SAMPLES);
-        self.value += (sample - self.value) / f64::from(self.samples);
-    }
-}
-
-/// Samples at high concurrency since the last comparison.
-#[derive(Clone, Copy, Debug, Default)]
-struct Window {
-    samples: u32,
-    sum: f64,
-}
-
 /// Adaptive concurrency limit of one target.
 #[derive(Debug)]
 pub(super) struct Limit {
@@ -95,45 +63,66 @@
     ceiling: u32,
     /// At most `ceiling`; at least one unless `ceiling` is zero.
     current: u32,
-    /// Service time of all samples.
-    mean: RunningMean,
-    /// Service time of samples at low concurrency.
-    base: RunningMean,
-    window: Window,
+    service_time: ServiceTime,
+    comparison: Comparison,
+    /// Completed requests at high concurrency since the last change, counted where
+    /// service times can't be compared.
+    successes: u32,
     /// Instant of the last change. Requests dispatched earlier are no evidence for a
     /// further change.
     changed: Instant,
     /// The limit doesn't rise before this instant.
     hold_until: Instant,
+    /// Hold of the next reduction. It doubles with each reduction and halves with each
+    /// rise that follows another, so that a target at its true limit is seldom tried
+    /// above it.
+    next_hold_us: u64,
+    /// The last change was a rise.
+    has_risen: bool,
 }
 
 impl Limit {
     /// Creates a limit for a target that announced `ceiling` requests at once.
     pub(super) fn new(cfg: LimitSettings, ceiling: u32) -> Self {
         Limit {
-            cfg,
             ceiling,
             current: ceiling,
-            mean: RunningMean::default(),
-            base: RunningMean::default(),
-            window: Window::default(),
+            service_time: ServiceTime::default(),
+            comparison: Comparison::new(cfg.compare),
+            successes: 0,
             changed: Instant::default(),
             hold_until: Instant::default(),
+            next_hold_us: cfg.min_hold_us,
+            has_risen: false,
+            cfg,
         }
     }
 
-    /// Returns the limit.
-    pub(super) fn current(&self) -> u32 {
+    /// Returns the number of requests that the target is taken to work on at once.
+    pub(super) fn slots(&self) -> u32 {
         self.current
     }
 
-    /// Returns the recent service time in microseconds, zero if unknown.
-    pub(super) fn service_time_us(&self) -> u64 {
-        self.mean.value as u64
+    /// Returns the number of requests that may hold a slot now. It is below
+    /// [`Limit::slots`] while the service time at low concurrency is sampled.
+    pub(super) fn current(&self) -> u32 {
+        if self.comparison.is_sampling() {
+            self.current.min(self.low())
+        } else {
+            self.current
+        }
+    }
+
+    /// Returns the service time of the target.
+    pub(super) fn service_time(&self) -> &ServiceTime {
+        &self.service_time
     }
 
     /// Takes over a renewed announcement. A lowered limit stays lowered.
     pub(super) fn set_ceiling(&mut self, ceiling: u32) {
+        if ceiling == self.ceiling {
+            return;
+        }
         let was_lowered = self.current < self.ceiling;
         self.ceiling = ceiling;
         self.current = if was_lowered {
@@ -141,78 +130,92 @@
         } else {
             ceiling
         };
+        // Low concurrency means another number now.
+        self.comparison = Comparison::new(self.cfg.compare);
     }
 
     /// Learns that the target refused a request dispatched at `started`.
+    ///
+    /// The first refusal after a quiet time tells the level that was one too high.
+    /// Refusals that go on lower the limit by a factor.
     pub(super) fn on_refusal(&mut self, now: Instant, started: Instant, level: u32) -> Change {
         if started < self.changed {
             return Change::None;
         }
-        self.lower(now, self.current.min(level))
+        let from = self.current.min(level);
+        let limit = if now < self.hold_until {
+            self.reduced(from)
+        } else {
+            from.saturating_sub(1)
+        };
+        self.lower(now, limit)
+    }
+
+    /// Learns that a request was cancelled after `micros` at the target.
+    pub(super) fn on_cancel(&mut self, micros: u64) {
+        self.service_time.add_cancelled(micros);
     }
 
     /// Learns the service time of a completed request.
     pub(super) fn on_sample(&mut self, now: Instant, sample: Sample) -> Change {
-        let service_time = sample.service_time_us as f64;
-        self.mean.add(service_time);
-        if sample.level <= self.ceiling.div_ceil(2) {
-            self.base.add(service_time);
-        }
-        let is_high = u64::from(sample.level) * 4 > u64::from(self.current) * 3;
-        if !is_high || sample.started < self.changed {
+        self.service_time.add(sample.service_time_us);
+        let is_full = self.is_full(sample.level);
+        if is_full && sample.started < self.changed {
             return Change::None;
         }
-        let cap = if self.has_base() {
-            self.base.value * SAMPLE_CAP
-        } else {
-            f64::MAX
+        let level = match sample.level {
+            level if level <= self.low() => Level::Low,
+            _ if is_full => Level::High,
+            _ => Level::Medium,
         };
-        self.window.samples += 1;
-        self.window.sum += service_time.min(cap);
-        if self.window.samples < self.cfg.window {
+        let verdict = self.comparison.add(level, sample.service_time_us);
+        if self.ceiling < MIN_COMPARED || self.current <= self.low() {
+            return self.count_success(now, is_full);
+        }
+        match verdict {
+            Some(Verdict::Misled) => self.lower(now, self.reduced(self.current)),
+            Some(Verdict::Copes) => self.raise(now),
+            _ => Change::None,
+        }
+    }
+
+    /// Counts a success where service times can't be compared.
+    fn count_success(&mut self, now: Instant, is_full: bool) -> Change {
+        self.successes += u32::from(is_full);
+        if self.successes < self.cfg.compare.window {
             return Change::None;
         }
-        self.compare(now)
+        self.successes = 0;
+        self.raise(now)
     }
 
-    fn has_base(&self) -> bool {
-        self.base.samples >= MIN_BASE_SAMPLES
+    /// Returns the greatest number of requests at once that counts as low concurrency.
+    fn low(&self) -> u32 {
+        self.ceiling.div_ceil(4)
     }
 
-    /// Compares the service time at high concurrency with that at low concurrency.
-    fn compare(&mut self, now: Instant) -> Change {
-        let window = std::mem::take(&mut self.window);
-        if !self.has_base() {
-            // A limit lowered by refusals must be able to rise without a base.
-            return self.raise(now);
-        }
-        let ratio = window.sum / f64::from(window.samples) / self.base.value.max(1.0);
-        if ratio >= self.cfg.lower_ratio && self.current > self.floor() {
-            self.lower(now, self.current)
-        } else if ratio <= self.cfg.raise_ratio {
-            self.raise(now)
-        } else {
-            Change::None
-        }
+    /// Returns whether a request was dispatched at high concurrency.
+    fn is_full(&self, level: u32) -> bool {
+        u64::from(level) * 4 > u64::from(self.current) * 3
     }
 
-    /// Returns the limit below which service times no longer lower it: samples at up
-    /// to half the ceiling are the base of the comparison.
-    fn floor(&self) -> u32 {
-        self.ceiling.div_ceil(2)
+    fn reduced(&self, from: u32) -> u32 {
+        (f64::from(from) * self.cfg.lower_factor) as u32
     }
 
-    fn lower(&mut self, now: Instant, from: u32) -> Change {
-        let target = (f64::from(from) * self.cfg.lower_factor) as u32;
-        let target = target.max(1).min(self.current);
-        self.changed = now;
-        self.hold_until = now.saturating_add_micros(self.cfg.hold_us);
-        self.window = Window::default();
-        if target == self.current {
-            return Change::None;
+    fn lower(&mut self, now: Instant, limit: u32) -> Change {
+        let limit = limit.max(1).min(self.current);
+        let is_lower = limit < self.current;
+        self.current = limit;
+        self.note_change(now);
+        self.hold_until = now.saturating_add_micros(self.next_hold_us);
+        self.next_hold_us = (self.next_hold_us * 2).min(self.cfg.max_hold_us);
+        self.has_risen = false;
+        if is_lower {
+            Change::Lowered
+        } else {
+            Change::None
         }
-        self.current = target;
-        Change::Lowered
     }
 
     fn raise(&mut self, now: Instant) -> Change {
@@ -220,7 +223,17 @@
             return Change::None;
         }
         self.current += 1;
-        self.changed = now;
+        self.note_change(now);
+        if self.has_risen {
+            self.next_hold_us = (self.next_hold_us / 2).max(self.cfg.min_hold_us);
+        }
+        self.has_risen = true;
         Change::Raised
     }
+
+    fn note_change(&mut self, now: Instant) {
+        self.changed = now;
+        self.successes = 0;
+        self.comparison.restart_window();
+    }
 }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -17,6 +17,7 @@
 mod limit;
 mod queue;
 mod records;
+mod service_time;
 mod steps;
 mod target;
 mod types;
@@ -25,6 +26,7 @@
     counters::Counters,
     guard::{Guard, GuardSettings},
     limit::LimitSettings,
+    service_time::CompareSettings,
     target::{Announced, AnnouncedTarget, Announcement},
     types::{Admission, Dispatch, FenceState, Finish, Offer, RefuseReason, RequestKey, Wakeup},
 };
--- a/crates/core/src/admission/steps.rs
+++ b/crates/core/src/admission/steps.rs
@@ -71,11 +71,14 @@
     /// itself. The prediction includes its own service time, because an answer after
     /// the deadline occupies a slot for nothing.
     fn predicted_time_us(&self) -> u64 {
-        let service_time = self.limit.service_time_us();
+        let service_time = self.limit.service_time();
         let turns = self.queue.len() as u64 + 1;
         match u64::from(self.limit.current()) {
             0 => u64::MAX,
-            slots => service_time.saturating_mul(turns + slots) / slots,
+            slots => {
+                let wait = service_time.mean_us().saturating_mul(turns) / slots;
+                wait.saturating_add(service_time.usual_us())
+            }
         }
     }
 
@@ -117,7 +120,12 @@
                 self.put(key, State::Fenced, record.deadline);
             }
             State::Admitted => self.release(now, key, State::Fenced, record.deadline),
-            State::Started => self.release(now, key, State::Finished, record.deadline),
+            State::Started => {
+                if record.generation == self.generation {
+                    self.limit.on_cancel(now.micros_since(record.started));
+                }
+                self.release(now, key, State::Finished, record.deadline);
+            }
             State::Finished | State::Fenced => return,
         }
         self.counters.cancelled += 1;
