--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,5 +14,7 @@
 pub mod load;
 pub mod log;
 pub mod pattern;
+pub mod process;
+pub mod proxy;
 mod server;
 pub mod target;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -12,7 +12,7 @@
 
 use actix_codec::Framed;
 use actix_http::{
-    Request, Response,
+    ConnectionType, Request, Response,
     body::BodySize,
     h1::{Codec, Message, MessageType},
 };
@@ -27,8 +27,8 @@
 
 use crate::error::{ListenSnafu, Result, ThreadSnafu};
 
-/// Pause before a listener that could not be opened again is retried.
-const REBIND_PAUSE: Duration = Duration::from_millis(5);
+/// Pause after a failed system call, so that a lasting failure does not take a whole core.
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(5);
 
 /// Length of the queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1024;
@@ -71,8 +71,10 @@
     Sized,
     /// By chunks.
     Chunked,
-    /// By the end of the connection.
+    /// By the end of the connection, with `Connection: close`.
     Unframed,
+    /// By the end of the connection, without notice.
+    UnframedSilent,
 }
 
 /// An answer and the way in which it is written.
@@ -187,7 +189,7 @@
         let Some(open) = &listener else {
             listener = reopen(address).ok();
             if listener.is_none() {
-                actix_rt::time::sleep(REBIND_PAUSE).await;
+                actix_rt::time::sleep(RETRY_PAUSE).await;
             }
             continue;
         };
@@ -200,7 +202,10 @@
                 Either::Right((Err(_), _)) => return,
             }
         };
-        let Ok((io, _)) = accepted else { continue };
+        let Ok((io, _)) = accepted else {
+            actix_rt::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
         if mode == Gate::Close {
             continue;
         }
@@ -307,8 +312,12 @@
     let size = match reply.framing {
         Framing::Sized => BodySize::Sized(reply.body.len() as u64),
         Framing::Chunked => BodySize::Stream,
-        Framing::Unframed => {
+        Framing::Unframed | Framing::UnframedSilent => {
             reply.head.head_mut().no_chunking(true);
+            if reply.framing == Framing::Unframed {
+                let kind = ConnectionType::Close;
+                reply.head.head_mut().set_connection_type(kind);
+            }
             BodySize::Stream
         }
     };
@@ -327,8 +336,8 @@
     }
     framed.send(Message::Chunk(None)).await.ok()?;
     match reply.framing {
-        Framing::Unframed => Some(Ending::CloseAfter),
-        _ => Some(reply.ending),
+        Framing::Unframed | Framing::UnframedSilent => Some(Ending::CloseAfter),
+        Framing::Sized | Framing::Chunked => Some(reply.ending),
     }
 }
 
--- a/crates/standin/src/target/faults.rs
+++ b/crates/standin/src/target/faults.rs
@@ -70,8 +70,12 @@
     CutInBody,
     /// The answer is never sent; the connection stays open.
     Never,
-    /// The answer has neither a content length nor chunks and ends with the connection.
+    /// The answer has neither a content length nor chunks and ends with the connection; its
+    /// head says `Connection: close`. The client codec of `actix-http` 3.20 takes such an
+    /// answer for one without a body.
     Unframed,
+    /// Like `Unframed`, but the head does not say that the connection is closed.
+    UnframedSilent,
 }
 
 /// How the load report misleads.
--- a/crates/standin/src/target/http.rs
+++ b/crates/standin/src/target/http.rs
@@ -124,6 +124,7 @@
         Fail::CutInBody => reply.ending = Ending::CutInBody,
         Fail::Never => reply.ending = Ending::Never,
         Fail::Unframed => reply.framing = Framing::Unframed,
+        Fail::UnframedSilent => reply.framing = Framing::UnframedSilent,
         Fail::No | Fail::Status500 | Fail::Close => {}
     }
 }
