--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -1,6 +1,7 @@
 //! An open-loop load tool: requests arrive at a rate and do not wait for answers.
 
 mod exchange;
+mod kind;
 mod pace;
 mod report;
 mod run;
@@ -17,6 +18,7 @@
 
 use run::{GRACE, Run};
 
+pub use kind::Kind;
 pub use report::{Difference, Report, Row};
 
 /// Settings of a load run.
@@ -81,52 +83,6 @@
     }
 }
 
-/// One kind of request in the mix.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Kind {
-    /// The service, sent in `Host`.
-    pub service: String,
-    /// The method.
-    pub method: String,
-    /// The path.
-    pub path: String,
-    /// Bytes of request body.
-    pub body_bytes: usize,
-    /// Bytes of answer body; none for the short JSON answer.
-    pub answer_bytes: Option<usize>,
-    /// Whether the answer shall be chunked.
-    pub answer_chunked: bool,
-    /// Overrides the target's service time, in µs.
-    pub work_us: Option<u64>,
-    /// Whether the configuration lists the method as repeatable.
-    pub repeatable: bool,
-    /// Its weight in the mix.
-    pub weight: u32,
-}
-
-impl Default for Kind {
-    fn default() -> Self {
-        Self {
-            service: "stock".to_owned(),
-            method: "GET".to_owned(),
-            path: "/".to_owned(),
-            body_bytes: 0,
-            answer_bytes: None,
-            answer_chunked: false,
-            work_us: None,
-            repeatable: false,
-            weight: 1,
-        }
-    }
-}
-
-impl Kind {
-    /// Whether the request may run more than once.
-    pub fn idempotent(&self) -> bool {
-        self.repeatable || matches!(self.method.as_str(), "GET" | "HEAD" | "OPTIONS")
-    }
-}
-
 /// A load run in its own thread.
 #[derive(Debug)]
 pub struct LoadHandle {
@@ -189,7 +145,8 @@
         exchange::spawn(&run, index, kind, nonce, arrival);
         index += 1;
     }
-    let limit = Duration::from_millis(settings.timeout_ms) + GRACE;
+    // Each request ends by its own limit, which is one `GRACE` earlier.
+    let limit = Duration::from_millis(settings.timeout_ms) + GRACE + GRACE;
     run.drained(limit).await;
     run.report()
 }
@@ -199,6 +156,8 @@
         "at least one route is needed"
     } else if settings.kinds.iter().all(|kind| kind.weight == 0) {
         "at least one kind with a weight is needed"
+    } else if settings.kinds.iter().any(|kind| !kind.is_valid()) {
+        "a kind has an invalid method or path"
     } else if !settings.rate.is_finite() || settings.rate <= 0.0 {
         "the rate must be above zero"
     } else {
--- /dev/null
+++ b/crates/standin/tests/log.rs
@@ -0,0 +1,184 @@
+//! The log service through HTTP: offsets, retention and each fault switch.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::call;
+use googletest::prelude::*;
+use plantainpost_standin::log::{self, Batch, Down, LogFaults, LogHandle, LogSettings};
+
+fn append(log: &LogHandle, data: &str) -> std::io::Result<(u16, String)> {
+    call(log.address(), "POST /streams/config", data)
+}
+
+fn read(log: &LogHandle, query: &str) -> Result<Batch> {
+    let (status, body) = call(log.address(), &format!("GET /streams/config{query}"), "")?;
+    verify_that!(status, eq(200))?;
+    Ok(serde_json::from_str(&body)?)
+}
+
+/// Guards against a contract that differs from section 3.3 of the design page.
+#[gtest]
+fn appends_and_reads_follow_the_contract() -> Result<()> {
+    let log = log::start(&LogSettings::default())?;
+    for (offset, data) in ["a", "b \"quoted\"", "c"].into_iter().enumerate() {
+        let answer = append(&log, data)?;
+        verify_that!(answer, eq(&(200, format!("{{\"offset\":{offset}}}"))))?;
+    }
+    let batch = read(&log, "?from=1&max=1")?;
+    verify_that!((batch.oldest, batch.next), eq((0, 3)))?;
+    verify_that!(batch.records.len(), eq(1))?;
+    verify_that!(batch.records[0].data, eq("b \"quoted\""))?;
+    verify_that!(read(&log, "?from=7&max=9")?.records, is_empty())?;
+
+    log.trim("config", 2);
+    let batch = read(&log, "?from=0&max=9")?;
+    verify_that!(
+        (batch.oldest, batch.next, batch.records[0].offset),
+        eq((2, 3, 2))
+    )?;
+
+    log.restart_empty();
+    let batch = read(&log, "")?;
+    verify_that!(
+        (batch.oldest, batch.next, batch.records.len()),
+        eq((0, 0, 0))
+    )
+}
+
+/// Guards against retention that loses offsets or keeps records too long.
+#[gtest]
+fn records_are_kept_by_count_and_age() -> Result<()> {
+    let log = log::start(&LogSettings {
+        keep_records: 2,
+        keep_ms: 100,
+        ..Default::default()
+    })?;
+    for data in ["a", "b", "c"] {
+        append(&log, data)?;
+    }
+    let batch = read(&log, "")?;
+    verify_that!(
+        (batch.oldest, batch.next, batch.records.len()),
+        eq((1, 3, 2))
+    )?;
+    std::thread::sleep(Duration::from_millis(150));
+    let batch = read(&log, "")?;
+    verify_that!(
+        (batch.oldest, batch.next, batch.records.len()),
+        eq((3, 3, 0))
+    )
+}
+
+/// Guards against fault switches without effect, with the wrong effect, or that stay on.
+#[gtest]
+fn each_fault_shows() -> Result<()> {
+    let no = LogFaults::default;
+    // Each row: the switches, the status of an append (none: no answer), whether the append
+    // takes effect, and the records that a read returns when two were there before.
+    let rows = [
+        (no(), Some(200), true, Some(3)),
+        (
+            LogFaults {
+                refuse: true,
+                ..no()
+            },
+            Some(503),
+            false,
+            None,
+        ),
+        (
+            LogFaults {
+                lose_answers: true,
+                ..no()
+            },
+            None,
+            true,
+            Some(3),
+        ),
+        (
+            LogFaults {
+                down: Down::Refuse,
+                ..no()
+            },
+            None,
+            false,
+            None,
+        ),
+        (
+            LogFaults {
+                down: Down::Close,
+                ..no()
+            },
+            None,
+            false,
+            None,
+        ),
+        (
+            LogFaults {
+                hide_newest: 2,
+                ..no()
+            },
+            Some(200),
+            true,
+            Some(1),
+        ),
+    ];
+    let log = log::start(&LogSettings::default())?;
+    for (faults, status, effect, records) in rows {
+        log.restart_empty();
+        log.append("config", "a");
+        log.append("config", "b");
+        let json = serde_json::to_string(&faults)?;
+        let (put, _) = call(log.control(), "PUT /faults", &json)?;
+        verify_that!(put, eq(204))?;
+        let appended = append(&log, "c").ok().map(|(status, _)| status);
+        expect_that!(appended, eq(status), "{json}");
+        let kept = log.records("config").len();
+        expect_that!(kept, eq(2 + usize::from(effect)), "{json}");
+        let seen = read(&log, "").ok().map(|batch| batch.records.len());
+        expect_that!(seen, eq(records), "{json}");
+        log.set_faults(no());
+        // The listener may have to be opened again.
+        let until = Instant::now() + Duration::from_secs(2);
+        while read(&log, "").is_err() && Instant::now() < until {}
+        expect_that!(read(&log, "")?.records.len(), eq(kept), "after {json}");
+    }
+    Ok(())
+}
+
+/// Guards against a delay that does not delay, and against one that hides the effect of an
+/// append until the answer.
+#[gtest]
+fn a_slow_append_takes_effect_before_its_answer() -> Result<()> {
+    let log = log::start(&LogSettings::default())?;
+    log.set_faults(LogFaults {
+        delay_ms: 300,
+        ..Default::default()
+    });
+    let start = Instant::now();
+    let address = log.address();
+    let appended = std::thread::spawn(move || call(address, "POST /streams/config", "a"));
+    while log.records("config").is_empty() && start.elapsed() < Duration::from_secs(5) {}
+    verify_that!(start.elapsed(), lt(Duration::from_millis(300)))?;
+    let (status, _) = appended.join().expect("the thread does not panic")?;
+    verify_that!(status, eq(200))?;
+    verify_that!(start.elapsed(), ge(Duration::from_millis(300)))
+}
+
+/// Guards against control calls that are accepted although they mean nothing.
+#[gtest]
+fn wrong_control_calls_are_refused() -> Result<()> {
+    let log = log::start(&LogSettings::default())?;
+    for (line, body, status) in [
+        ("PUT /faults", "{\"donw\":\"refuse\"}", 400),
+        ("PUT /faults", "", 400),
+        ("POST /trim", "{}", 400),
+        ("GET /other", "", 404),
+    ] {
+        let (answer, _) = call(log.control(), line, body)?;
+        expect_that!(answer, eq(status), "{line} {body}");
+    }
+    Ok(())
+}
