--- a/crates/core/src/admission/steps.rs
+++ b/crates/core/src/admission/steps.rs
@@ -27,8 +27,9 @@
                 _ => RefuseReason::Duplicate,
             });
         }
-        // Past the grace no copy can have a deadline that is still open.
-        if self.keep_until(offer.deadline) <= now {
+        // No copy can have a deadline that is still open, so no fence is needed.
+        let spread = self.cfg.deadline_spread_us;
+        if offer.deadline.saturating_add_micros(spread) <= now {
             return Err(RefuseReason::Deadline);
         }
         if !self.records.has_room(now) {
@@ -70,11 +71,14 @@
     /// itself. The prediction includes its own service time, because an answer after
     /// the deadline occupies a slot for nothing.
     fn predicted_time_us(&self) -> u64 {
-        let service_time = self.limit.service_time_us();
+        let service_time = self.limit.service_time();
         let turns = self.queue.len() as u64 + 1;
         match u64::from(self.limit.current()) {
             0 => u64::MAX,
-            slots => service_time.saturating_mul(turns + slots) / slots,
+            slots => {
+                let wait = service_time.mean_us().saturating_mul(turns) / slots;
+                wait.saturating_add(service_time.usual_us())
+            }
         }
     }
 
@@ -116,7 +120,12 @@
                 self.put(key, State::Fenced, record.deadline);
             }
             State::Admitted => self.release(now, key, State::Fenced, record.deadline),
-            State::Started => self.release(now, key, State::Finished, record.deadline),
+            State::Started => {
+                if record.generation == self.generation {
+                    self.limit.on_cancel(now.micros_since(record.started));
+                }
+                self.release(now, key, State::Finished, record.deadline);
+            }
             State::Finished | State::Fenced => return,
         }
         self.counters.cancelled += 1;
@@ -195,7 +204,7 @@
     }
 
     fn keep_until(&self, deadline: Instant) -> Instant {
-        deadline.saturating_add_micros(self.cfg.record_grace_us)
+        deadline.saturating_add_micros(2 * self.cfg.deadline_spread_us)
     }
 
     /// Ends an announcement that has lapsed.
--- a/crates/standin/src/bin/plantainpost-standin.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! The stand-ins as separate processes.
-
-fn main() {}
