Send answers to callers without waiting for their acknowledgement

Cause: actix-http sets TCP_NODELAY only on connections that it accepts itself, so the end of an answer waited for the delayed acknowledgement of its head. Ruled out: the nodes, whose own longest request took 5.8 ms.

Change: the option is set on each accepted connection. Also, a request whose body is found too long after the target began to receive it is answered as unknown and no longer as not run.

--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -54,13 +54,15 @@
         .set_body(BoxBody::new(format!("{reason}\n")))
 }
 
-/// Tells the caller that its request is not valid. It was not run.
-pub(crate) fn bad_request(reason: BadRequest) -> Response<BoxBody> {
+/// Tells the caller that its request is not valid.
+///
+/// The outcome is unknown when a target had begun to receive the request.
+pub(crate) fn bad_request(reason: BadRequest, outcome: Outcome) -> Response<BoxBody> {
     let status = match reason {
         BadRequest::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
         _ => StatusCode::BAD_REQUEST,
     };
-    with_reason(start(status, Outcome::NotRun, None), reason.as_str())
+    with_reason(start(status, outcome, None), reason.as_str())
 }
 
 /// Tells the caller that its request was not run.
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -33,7 +33,7 @@
         Ok(call) => Rc::new(call),
         Err(reason) => {
             node.metrics.count("entry.bad_request");
-            return answer::bad_request(reason);
+            return answer::bad_request(reason, Outcome::NotRun);
         }
     };
     let now = node.now();
@@ -190,7 +190,7 @@
             AttemptEnd::Unknown(reason) => {
                 answer::unknown(call.id, reason, node.now() >= call.deadline)
             }
-            AttemptEnd::BadRequest(reason) => answer::bad_request(reason),
+            AttemptEnd::BadRequest(reason) => answer::bad_request(reason, outcome),
         }
     }
 }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -70,7 +70,6 @@
     let factory = HttpService::build()
         .client_request_timeout(HEAD_TIMEOUT)
         .keep_alive(KEEP_ALIVE)
-        .tcp_nodelay(true)
         // The end of the caller's connection cancels its request.
         .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || stop_signal(Rc::clone(&for_signal), drain))
@@ -114,6 +113,9 @@
         return;
     }
     node.metrics.count("http.connection");
+    // Without it the end of an answer waits up to 40 ms for the caller's
+    // acknowledgement of its head.
+    let _ = io.set_nodelay(true);
     let conn = OpenConn::new(&settings.open);
     let fut = service.call((io, Some(peer)));
     let node = Rc::clone(node);
