--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -24,9 +24,6 @@
 /// Reads of the configuration log per second that the whole fleet makes.
 const FLEET_READS_PER_SECOND: u64 = 40;
 
-/// Shortest mean time between two reads of a node, in milliseconds.
-const MIN_READ_EVERY_MS: u64 = 1_000;
-
 /// Records in one read.
 const READ_RECORDS: usize = 100;
 
@@ -73,7 +70,7 @@
 
 fn read_delay_ms(node: &Node) -> u64 {
     let members = node.members.borrow().members().count() as u64 + 1;
-    let mean = (members * 1_000 / FLEET_READS_PER_SECOND).max(MIN_READ_EVERY_MS);
+    let mean = (members * 1_000 / FLEET_READS_PER_SECOND).max(node.settings.log_read_every_ms);
     node.rng.borrow_mut().random_range(mean / 2..=mean * 3 / 2)
 }
 
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -60,6 +60,7 @@
 pub(crate) fn bad_request(reason: BadRequest, outcome: Outcome) -> Response<BoxBody> {
     let status = match reason {
         BadRequest::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        BadRequest::Head => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
         _ => StatusCode::BAD_REQUEST,
     };
     with_reason(start(status, outcome, None), reason.as_str())
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -23,6 +23,8 @@
 /// Why a request of a caller is not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BadRequest {
+    /// The head is longer than the settings allow.
+    Head,
     /// The `Host` header is missing or not valid.
     Host,
     /// The timeout header is not a number from 1.
@@ -39,6 +41,7 @@
     /// Returns the word for the reason header.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
+            BadRequest::Head => "head-too-long",
             BadRequest::Host => "bad-host",
             BadRequest::Timeout => "bad-timeout",
             BadRequest::Length => "bad-length",
@@ -134,6 +137,9 @@
 /// Reads the head and the first bytes of the body of a request.
 pub(crate) async fn receive(node: &Rc<Node>, mut req: Request) -> Result<Call, BadRequest> {
     let received = node.now();
+    if head_bytes(&req) > node.settings.limits.header_bytes {
+        return Err(BadRequest::Head);
+    }
     let service = service(&req).ok_or(BadRequest::Host)?;
     let deadline = deadline(node, req.headers(), received)?;
     let stated = content_length(req.headers())?;
@@ -193,6 +199,14 @@
     Ok((buf.freeze(), upload.stated == Some(upload.length)))
 }
 
+/// Returns about the length of the head as it was received.
+fn head_bytes(req: &Request) -> usize {
+    let headers = req.headers().iter();
+    let lines = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
+    let target = req.uri().path_and_query().map_or(1, |p| p.as_str().len());
+    target + lines.sum::<usize>()
+}
+
 fn body_length(stated: Option<u64>, first: usize, ended: bool) -> BodyLength {
     match stated {
         Some(length) => BodyLength::Sized(length),
--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -21,9 +21,9 @@
 /// Time that a peer has for its part of the handshake, in milliseconds.
 const HANDSHAKE_TIMEOUT_MS: u64 = 2_000;
 
-/// Time that an idle connection of a peer stays open, in milliseconds. It is above
-/// the idle time of the pool, so that the opening side closes first.
-const IDLE_MS: u64 = 45_000;
+/// Time that an idle connection of a peer stays open longer than the idle time of the
+/// pool, in milliseconds, so that the opening side closes first.
+const IDLE_MARGIN_MS: u64 = 15_000;
 
 /// Pause after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -78,8 +78,9 @@
         return;
     };
     let mut conn = Conn { rx, tx, peer };
+    let idle_ms = node.settings.limits.idle_timeout_ms + IDLE_MARGIN_MS;
     loop {
-        let idle_until = clock.now().saturating_add_millis(IDLE_MS);
+        let idle_until = clock.now().saturating_add_millis(idle_ms);
         let Some(msg) = clock.before(idle_until, conn.rx.read()).await else {
             return;
         };
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -19,9 +19,6 @@
 };
 use crate::{node::Node, target::TargetConn};
 
-/// Longest time to open a connection to the target on this host, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 1_000;
-
 /// Time that an entry has to send the rest of the body of a refused request, in
 /// milliseconds.
 pub(super) const DRAIN_TIMEOUT_MS: u64 = 5_000;
@@ -186,7 +183,8 @@
     let now = node.now();
     let target = node.guard.borrow().target(now).map(|target| target.address);
     let target = target.ok_or(Unreachable::NoTarget)?;
-    let limit = now.saturating_add_millis(CONNECT_TIMEOUT_MS).min(deadline);
+    let timeout_ms = node.settings.limits.connect_timeout_ms;
+    let limit = now.saturating_add_millis(timeout_ms).min(deadline);
     match node
         .clock
         .before(limit, node.targets.acquire(target, now))
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -9,12 +9,6 @@
 
 use crate::node::Node;
 
-/// Time that a caller has to send the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Time that an idle connection of a caller stays open.
-const KEEP_ALIVE: Duration = Duration::from_secs(75);
-
 /// Pause after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -67,9 +61,10 @@
 {
     let drain = settings.on_stop == OnStop::Drain;
     let (for_signal, for_handler) = (Rc::clone(&node), Rc::clone(&node));
+    let limits = &node.settings.limits;
     let factory = HttpService::build()
-        .client_request_timeout(HEAD_TIMEOUT)
-        .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(Duration::from_millis(limits.head_timeout_ms))
+        .keep_alive(Duration::from_millis(limits.idle_timeout_ms))
         // The end of the caller's connection cancels its request.
         .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || stop_signal(Rc::clone(&for_signal), drain))
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -15,16 +15,7 @@
 };
 use snafu::{ResultExt, Snafu, ensure};
 
-use crate::clock::Clock;
-
-/// Longest time to open a connection and finish the handshake, in milliseconds.
-///
-/// Several round trips between regions; a host that needs longer is no better
-/// than one that is down.
-pub(crate) const CONNECT_TIMEOUT_MS: u64 = 1_000;
-
-/// Time after which an idle connection is closed, in milliseconds.
-const IDLE_MS: u64 = 30_000;
+use crate::{clock::Clock, settings::Limits};
 
 /// Age at which a connection is closed, in milliseconds.
 ///
@@ -84,6 +75,10 @@
     me: Identity,
     keys: FleetKeys,
     clock: Clock,
+    /// Time to open a connection and finish the handshake, in milliseconds.
+    connect_timeout_ms: u64,
+    /// Time after which an idle connection is closed, in milliseconds.
+    idle_timeout_ms: u64,
     /// Connections on which the last exchange ended cleanly. The last one of a
     /// peer was used most recently.
     idle: RefCell<HashMap<NodeName, Vec<Idle>>>,
@@ -91,11 +86,13 @@
 
 impl PeerPool {
     /// Makes an empty pool.
-    pub(crate) fn new(me: Identity, keys: FleetKeys, clock: Clock) -> Self {
+    pub(crate) fn new(me: Identity, keys: FleetKeys, clock: Clock, limits: &Limits) -> Self {
         PeerPool {
             me,
             keys,
             clock,
+            connect_timeout_ms: limits.connect_timeout_ms,
+            idle_timeout_ms: limits.idle_timeout_ms,
             idle: RefCell::default(),
         }
     }
@@ -120,7 +117,8 @@
         addr: SocketAddr,
         deadline: Instant,
     ) -> Result<PeerConn, ConnectError> {
-        let limit = self.clock.now().saturating_add_millis(CONNECT_TIMEOUT_MS);
+        let now = self.clock.now();
+        let limit = now.saturating_add_millis(self.connect_timeout_ms);
         self.clock
             .before(limit.min(deadline), self.handshake(node, addr))
             .await
@@ -153,7 +151,8 @@
     /// Keeps a connection whose exchange ended cleanly.
     pub(crate) fn release(&self, node: &NodeName, conn: PeerConn) {
         let now = self.clock.now();
-        let closes_at = now.saturating_add_millis(IDLE_MS).min(conn.retires_at);
+        let idle_until = now.saturating_add_millis(self.idle_timeout_ms);
+        let closes_at = idle_until.min(conn.retires_at);
         let mut idle = self.idle.borrow_mut();
         let conns = idle.entry(node.clone()).or_default();
         if conns.len() < MAX_IDLE_PER_PEER {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -10,6 +10,8 @@
 /// Lengths of time are settings; they become instants when they are used.
 #[derive(Clone, Debug)]
 pub struct Limits {
+    /// Longest head of a request, in bytes.
+    pub header_bytes: usize,
     /// Connections of callers at once.
     pub caller_connections: usize,
     /// Connections of peers at once.
@@ -20,6 +22,14 @@
     pub default_timeout_ms: u64,
     /// Longest remaining time that a caller may state, in milliseconds.
     pub max_timeout_ms: u64,
+    /// Time to open a connection to a peer or the target, in milliseconds.
+    pub connect_timeout_ms: u64,
+    /// Time that a caller has to send the head of a request, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// Time after which an unused connection is closed, in milliseconds.
+    pub idle_timeout_ms: u64,
+    /// Requests that may wait for the target, as a multiple of its slots.
+    pub queue_factor: u32,
     /// Longest time that a planned stop waits for requests in flight, in
     /// milliseconds. It is above `max_timeout_ms`, so that no request is cut.
     pub stop_timeout_ms: u64,
@@ -30,12 +40,17 @@
 impl Default for Limits {
     fn default() -> Self {
         Limits {
+            header_bytes: 16 * 1024,
             caller_connections: 1_024,
             peer_connections: 4_096,
-            body_bytes: 64 * 1024 * 1024,
+            body_bytes: 32 * 1024 * 1024,
             default_timeout_ms: 10_000,
             max_timeout_ms: 120_000,
-            stop_timeout_ms: 125_000,
+            connect_timeout_ms: 250,
+            head_timeout_ms: 5_000,
+            idle_timeout_ms: 30_000,
+            queue_factor: 2,
+            stop_timeout_ms: 130_000,
             stop_linger_ms: 1_000,
         }
     }
@@ -62,8 +77,10 @@
     pub listen_peer_udp: SocketAddr,
     /// UDP addresses of nodes to contact first.
     pub contacts: Vec<SocketAddr>,
-    /// Address of the log service.
-    pub log_address: SocketAddr,
+    /// Host and port of the log service.
+    pub log_address: String,
+    /// Least mean time between two reads of the log, in milliseconds.
+    pub log_read_every_ms: u64,
     /// Keys of the fleet. A node does not start without them.
     pub keys: Option<FleetKeys>,
     /// Token that the admin listener asks for. It is needed off loopback.
@@ -89,7 +106,8 @@
             listen_peer_tcp: SocketAddr::new(ip, 7402),
             listen_peer_udp: SocketAddr::new(ip, 7402),
             contacts: Vec::new(),
-            log_address: SocketAddr::new(ip, 7410),
+            log_address: "127.0.0.1:7410".to_owned(),
+            log_read_every_ms: 1_000,
             keys: None,
             admin_token: None,
             policy: "predicted-completion".to_owned(),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -203,21 +203,25 @@
         ..Default::default()
     };
     let log = HttpLogSettings {
-        address: settings.log_address.to_string(),
+        address: settings.log_address.clone(),
+        ..Default::default()
+    };
+    let guard_settings = GuardSettings {
+        queue_factor: settings.limits.queue_factor,
         ..Default::default()
     };
     let metrics = Metrics::new(settings.statsd).context(SetupSnafu { what: "metrics" })?;
     let node = Node {
         clock,
         rng: RefCell::new(rand::make_rng()),
-        guard: RefCell::new(Guard::new(GuardSettings::default())),
+        guard: RefCell::new(Guard::new(guard_settings)),
         waiters: RefCell::default(),
         balancer: RefCell::new(Balancer::new(balancer_settings, policy)),
         retries: RefCell::new(Budgets::new()),
         measuring: RefCell::new(measure::Budget::new()),
         members: RefCell::new(membership(&settings, incarnation, clock.now())),
         register: RefCell::new(Register::new()),
-        peers: PeerPool::new(identity.clone(), keys.clone(), clock),
+        peers: PeerPool::new(identity.clone(), keys.clone(), clock, &settings.limits),
         targets: TargetPool::default(),
         metrics,
         audit: AuditQueue::default(),
