--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -69,7 +69,8 @@
             seq,
             from: peer,
             load,
-        } => probe::received(node, seq, &peer, load),
+            reported,
+        } => probe::received(node, seq, &peer, load, reported),
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod node;
 mod peers;
 mod probe;
+mod report;
 pub mod settings;
 mod start;
 mod status;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,7 +28,8 @@
 
 use crate::{
     audit::AuditQueue, clock::Clock, config_sync::Ahead, fleet::Applied, metrics::Metrics,
-    peers::PeerPool, probe::Probes, settings::NodeSettings, target::TargetPool, trace::TraceRing,
+    peers::PeerPool, probe::Probes, report::LastReport, settings::NodeSettings, target::TargetPool,
+    trace::TraceRing,
 };
 
 /// A request that waits at the guard, by its key.
@@ -58,6 +59,7 @@
     pub(crate) log_service: Rc<dyn LogService>,
     pub(crate) udp: UdpSocket,
     pub(crate) probes: Probes,
+    pub(crate) report: LastReport,
     /// A peer whose configuration state is to be fetched.
     pub(crate) ahead: Ahead,
     /// What the balancer and the guard were last told of the fleet.
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -7,7 +7,7 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
 use plantainpost_core::{collections::HashMap, ids::NodeName, load::LoadSample, time::Instant};
-use plantainpost_wire::datagram::Datagram;
+use plantainpost_wire::datagram::{Datagram, Reported};
 
 use crate::{
     audit::{self, AuditEvent},
@@ -53,7 +53,7 @@
         let Some(addr) = gossip::udp_addr(node, &to) else {
             continue;
         };
-        if !spend(node, now) {
+        if !spend(node, now, PROBE_COST_US) {
             return;
         }
         node.metrics.count("probe.sent");
@@ -64,9 +64,10 @@
     }
 }
 
-fn spend(node: &Node, now: Instant) -> bool {
+/// Charges the measuring budget, and reports whether it allows the cost.
+pub(crate) fn spend(node: &Node, now: Instant, cost_us: u64) -> bool {
     let mut budget = node.measuring.borrow_mut();
-    let allowed = budget.try_spend(now, PROBE_COST_US);
+    let allowed = budget.try_spend(now, cost_us);
     let refused = budget.refused();
     drop(budget);
     if !allowed {
@@ -75,14 +76,14 @@
             audit::note(node, AuditEvent::BudgetReached { refused });
         }
     } else {
-        node.metrics.add("measure.cost_us", PROBE_COST_US as i64);
+        node.metrics.add("measure.cost_us", cost_us as i64);
     }
     allowed
 }
 
 /// Answers a probe, if the budget allows it.
 pub(crate) async fn reply(node: &Node, to: SocketAddr, seq: u64) {
-    if !spend(node, node.now()) {
+    if !spend(node, node.now(), PROBE_COST_US) {
         return;
     }
     node.metrics.count("probe.answered");
@@ -90,12 +91,19 @@
         seq,
         from: node.name().clone(),
         load: gossip::own_load(node),
+        reported: node.report.get(node.now()),
     };
     gossip::send(node, to, &reply).await;
 }
 
 /// Takes the reply to a probe. Late and unexpected ones are dropped.
-pub(crate) fn received(node: &Node, seq: u64, from: &NodeName, load: LoadSample) {
+pub(crate) fn received(
+    node: &Node,
+    seq: u64,
+    from: &NodeName,
+    load: LoadSample,
+    reported: Option<Reported>,
+) {
     let now = node.now();
     let sent = node.probes.open.borrow_mut().remove(&seq);
     let Some(sent) = sent.filter(|sent| sent.to == *from) else {
@@ -105,6 +113,9 @@
     let rtt_us = now.micros_since(sent.at).try_into().unwrap_or(u32::MAX);
     let mut balancer = node.balancer.borrow_mut();
     balancer.on_probe(now, from.as_str(), rtt_us, load);
+    if let Some(Reported { in_flight, slots }) = reported {
+        balancer.on_report(now, from.as_str(), in_flight, slots);
+    }
 }
 
 /// Forgets probes that were not answered.
--- /dev/null
+++ b/crates/node/src/report.rs
@@ -0,0 +1,119 @@
+//! Load reports of the target itself.
+//!
+//! They are the weakest evidence: a report lags, and may mislead. The guard's own counts
+//! travel on every answer; reports only go along with probe replies.
+
+use std::{cell::Cell, rc::Rc};
+
+use actix_http::{Method, RequestHead, StatusCode, Uri, header};
+use bytes::BytesMut;
+use plantainpost_core::time::Instant;
+use plantainpost_wire::{datagram::Reported, message::BodyLength};
+use serde::Deserialize;
+
+use crate::{
+    headers,
+    node::Node,
+    probe,
+    target::{BodyPart, TargetConn},
+};
+
+/// Path at which a target reports its load.
+const PATH: &str = "/load";
+
+/// Time between two polls, in milliseconds.
+const POLL_EVERY_MS: u64 = 500;
+
+/// Time after which a target that reports no load is asked again, in milliseconds.
+const ASK_AGAIN_MS: u64 = 60_000;
+
+/// Time for one poll, in milliseconds.
+const TIMEOUT_MS: u64 = 250;
+
+/// Longest report, in bytes.
+const MAX_REPORT_BYTES: usize = 1_024;
+
+/// Processor time that is charged for a poll, in microseconds: one small HTTP exchange.
+const POLL_COST_US: u64 = 100;
+
+/// Age at which a report is no longer passed on, in microseconds.
+const MAX_AGE_US: u64 = 2_000_000;
+
+#[derive(Debug, Deserialize)]
+struct Report {
+    in_flight: u32,
+    slots: u32,
+}
+
+/// The last report of the target on this host.
+#[derive(Default)]
+pub(crate) struct LastReport {
+    report: Cell<Option<(u32, u32, Instant)>>,
+}
+
+impl LastReport {
+    /// Returns the last report, unless it is too old.
+    pub(crate) fn get(&self, now: Instant) -> Option<Reported> {
+        let (in_flight, slots, at) = self.report.get()?;
+        (now.micros_since(at) <= MAX_AGE_US).then_some(Reported { in_flight, slots })
+    }
+}
+
+/// Polls the target until the process exits.
+pub(crate) async fn poll(node: Rc<Node>) {
+    let mut next = node.now();
+    loop {
+        next = next.saturating_add_millis(POLL_EVERY_MS).max(node.now());
+        node.clock.sleep_until(next).await;
+        let target = {
+            let guard = node.guard.borrow();
+            guard.target(node.now()).map(|target| target.address)
+        };
+        let Some(target) = target else { continue };
+        if !probe::spend(&node, node.now(), POLL_COST_US) {
+            continue;
+        }
+        let deadline = node.now().saturating_add_millis(TIMEOUT_MS);
+        let asked = node.clock.before(deadline, ask(&node, target)).await;
+        match asked.flatten() {
+            Some(report) => {
+                let at = node.now();
+                let report = (report.in_flight, report.slots, at);
+                node.report.report.set(Some(report));
+            }
+            None => {
+                node.metrics.count("report.missing");
+                next = next.saturating_add_millis(ASK_AGAIN_MS);
+            }
+        }
+    }
+}
+
+async fn ask(node: &Node, target: std::net::SocketAddr) -> Option<Report> {
+    let mut conn: TargetConn = node.targets.acquire(target, node.now()).await.ok()?;
+    let mut head = RequestHead::default();
+    head.method = Method::GET;
+    head.uri = Uri::from_static(PATH);
+    let host = headers::value(&target.to_string());
+    head.headers.insert(header::HOST, host);
+    conn.send_head(head, BodyLength::None).await.ok()?;
+    let head = conn.read_head().await?.ok()?;
+    let status = head.status;
+    let mut answer = conn.into_answer(head, false);
+    answer.length?;
+    let mut buf = BytesMut::new();
+    loop {
+        match answer.body.next().await {
+            BodyPart::Piece(piece) if buf.len() + piece.len() <= MAX_REPORT_BYTES => {
+                buf.extend_from_slice(&piece);
+            }
+            BodyPart::End => break,
+            BodyPart::Piece(_) | BodyPart::Cut => return None,
+        }
+    }
+    if let Some(conn) = answer.body.into_conn() {
+        node.targets.release(conn, node.now());
+    }
+    (status == StatusCode::OK).then_some(())?;
+    serde_json::from_slice(&buf).ok()
+}
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -32,6 +32,7 @@
     metrics::Metrics,
     node::{Node, Stop},
     peers::PeerPool,
+    report,
     settings::NodeSettings,
     stop::{self, Summary},
     target::TargetPool,
@@ -180,6 +181,7 @@
     actix_rt::spawn(config_sync::read_log(Rc::clone(node)));
     actix_rt::spawn(config_sync::follow_peers(Rc::clone(node)));
     actix_rt::spawn(audit::run(Rc::clone(node)));
+    actix_rt::spawn(report::poll(Rc::clone(node)));
 }
 
 fn build(
@@ -229,6 +231,7 @@
         log_service: Rc::new(HttpLog::new(log)),
         udp,
         probes: Default::default(),
+        report: Default::default(),
         ahead: Default::default(),
         applied: Default::default(),
         known_services: RefCell::default(),
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -14,6 +14,15 @@
 
 const LABEL: &[u8] = b"plantainpost datagram";
 
+/// Load as a target reports it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reported {
+    /// Requests that the target says it is working on.
+    pub in_flight: u32,
+    /// Requests that the target says it can work on at once.
+    pub slots: u32,
+}
+
 /// Everything that a datagram can hold.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -39,6 +48,8 @@
         from: NodeName,
         /// Load of its target.
         load: LoadSample,
+        /// What the target itself last reported.
+        reported: Option<Reported>,
     },
 }
 
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -170,6 +170,7 @@
         seq: 1,
         from: NodeName::from("n".repeat(MAX_DATAGRAM_BYTES).as_str()),
         load: LoadSample::default(),
+        reported: None,
     };
     let sealed = datagram::seal(&keys(1, None), &datagram);
     expect_that!(sealed, err(matches_pattern!(DatagramError::Length { .. })));
