Ignore the noise of recent service times

More far candidates made the tail worse even in quiet: all entries see the same recent service time, an average of few answers, and its noise sends all of them to the same target. A recent service time now counts only above twice the usual one.

--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -6,6 +6,11 @@
 /// Service time that is inferred from the age of the oldest own request, as a share.
 const OVERDUE_SHARE: f64 = 0.5;
 
+/// Recent service time up to which a target counts as normal, as a multiple of the
+/// usual one. The recent figure is an average of few answers and known to all entries,
+/// so that its noise would send all of them to the same target.
+const NORMAL_SERVICE: f64 = 2.0;
+
 /// Constants of the score.
 #[derive(Clone, Copy, Debug)]
 pub struct ScoreSettings {
@@ -90,7 +95,8 @@
     let age_us = now.micros_since(estimate.service_at);
     let overdue_us = overdue_us(now, candidate);
     let recent_us = f64::from(sample.service_time_us);
-    let aged_us = usual_us + (recent_us - usual_us) * remaining(age_us, cfg.service_memory_us);
+    let excess_us = (recent_us - usual_us * NORMAL_SERVICE).max(0.0);
+    let aged_us = usual_us + excess_us * remaining(age_us, cfg.service_memory_us);
     aged_us.max(overdue_us)
 }
 
