Keep a slow service time while the target is busy

A busy target shows its recovery by answers, and only an idle one cannot. The service time therefore ages only while samples show no request in flight.

--- a/crates/core/src/balance/estimate.rs
+++ b/crates/core/src/balance/estimate.rs
@@ -142,8 +142,10 @@
 
     pub(super) fn on_sample(&mut self, now: Instant, sample: LoadSample) {
         let last_us = self.sample.map(|(_, last)| last.service_time_us);
-        if sample.service_time_us > 0 && last_us != Some(sample.service_time_us) {
+        if sample.in_flight > 0 {
             self.service_at = now;
+        }
+        if sample.service_time_us > 0 && last_us != Some(sample.service_time_us) {
             let observed_us = f64::from(sample.service_time_us);
             let usual_us = self.usual_service_us.unwrap_or(observed_us);
             self.usual_service_us = Some(usual_us + (observed_us - usual_us) * USUAL_SMOOTHING);
