--- /dev/null
+++ b/crates/core/examples/membership.rs
@@ -0,0 +1,75 @@
+//! Runs the membership protocol of a whole fleet under virtual time and prints a
+//! table.
+//!
+//! Usage: `membership [members] [seed] [scenario…]`; without scenarios all are run.
+
+#[path = "../tests/member_sim/mod.rs"]
+mod member_sim;
+
+use member_sim::{
+    Network, Sim,
+    scenario::{self, Report},
+};
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let number = |at: usize, default| args.get(at).and_then(|a| a.parse().ok()).unwrap_or(default);
+    let (members, seed) = (number(0, 860) as usize, number(1, 1));
+    println!(
+        "{:<26} {:>5} {:>5} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+        "scenario",
+        "n",
+        "seed",
+        "max ms",
+        "mean ms",
+        "probes",
+        "f.susp",
+        "f.dead",
+        "B/s",
+        "max B/s"
+    );
+    for (name, run) in SCENARIOS {
+        if args.len() > 2 && !args[2..].iter().any(|a| a == name) {
+            continue;
+        }
+        let started = std::time::Instant::now();
+        let (mut sim, start) = scenario::cold_start(members, Network::default(), seed);
+        let report = run(&mut sim, &start);
+        let wall = started.elapsed().as_secs_f32();
+        println!("{name:<26} {members:>5} {seed:>5} {report}  ({wall:.0} s)");
+    }
+}
+
+type Run = fn(&mut Sim, &Report) -> Report;
+
+const SCENARIOS: &[(&str, Run)] = &[
+    ("cold-start", |_, start| start.clone()),
+    ("steady-300s", |sim, _| scenario::steady(sim, 300)),
+    ("suspected", |sim, _| scenario::detect(sim, 7)),
+    ("dead", |sim, _| scenario::kill(sim, &[7])),
+    ("drain", |sim, _| {
+        scenario::drain(sim, &(0..sim.nodes.len().min(30)).collect::<Vec<_>>())
+    }),
+    ("data-centre-lost", |sim, _| {
+        scenario::kill(sim, &quarter(sim))
+    }),
+    ("data-centre-back", |sim, _| {
+        let lost = quarter(sim);
+        scenario::kill(sim, &lost);
+        sim.run_ms(60_000);
+        scenario::come_back(sim, &lost)
+    }),
+    ("frozen-30s", |sim, _| scenario::freeze(sim, 9, 30)),
+    ("replace-130", |sim, _| scenario::replace(sim, 130, 5_000)),
+    ("cut-60s", |sim, _| {
+        scenario::partition(sim, sim.nodes.len() / 2, 60)
+    }),
+    ("cut-1h", |sim, _| {
+        scenario::partition(sim, sim.nodes.len() / 2, 3_600)
+    }),
+];
+
+/// Returns the nodes of one data centre, without the contacts.
+fn quarter(sim: &Sim) -> Vec<usize> {
+    (4..sim.nodes.len()).filter(|i| i % 4 == 1).collect()
+}
--- /dev/null
+++ b/crates/core/src/member/compose.rs
@@ -0,0 +1,165 @@
+//! Filling messages with records up to the size limit, and sending them.
+
+use std::net::SocketAddr;
+
+use rand::Rng;
+
+use super::{Action, MAX_MESSAGE_BYTES, MAX_RECORD_BYTES, MemberRecord, MemberState};
+use super::{Membership, Message};
+use crate::{ids::NodeName, time::Instant};
+
+/// Bytes of a datagram besides the message: IP and UDP headers (28), the truncated
+/// HMAC (16) and the envelope (2).
+const OVERHEAD_BYTES: usize = 46;
+
+/// Bytes by which the length prefix of the records may grow.
+const PREFIX_GROWTH: usize = 1;
+
+/// Changed records considered for one message; more do not fit.
+const MAX_PIGGYBACKED: usize = 32;
+
+/// One call of the state machine: its time, its random source and its results.
+pub(super) struct Step<'a> {
+    pub(super) now: Instant,
+    pub(super) rng: &'a mut dyn Rng,
+    pub(super) actions: Vec<Action>,
+}
+
+impl<'a> Step<'a> {
+    pub(super) fn new(now: Instant, rng: &'a mut dyn Rng) -> Self {
+        let actions = Vec::new();
+        Step { now, rng, actions }
+    }
+}
+
+/// A message that is being filled.
+pub(super) struct Packer {
+    message: Message,
+    room: usize,
+}
+
+impl Packer {
+    pub(super) fn new(message: Message) -> Self {
+        let room = MAX_MESSAGE_BYTES.saturating_sub(message.encoded_len() + PREFIX_GROWTH);
+        Packer { message, room }
+    }
+
+    /// Adds a record; returns whether there was room.
+    pub(super) fn add(&mut self, record: &MemberRecord) -> bool {
+        let len = record.encoded_len();
+        let fits = len <= self.room;
+        if fits {
+            self.room -= len;
+            self.message.records_mut().push(record.clone());
+        }
+        fits
+    }
+
+    pub(super) fn finish(self) -> Message {
+        self.message
+    }
+}
+
+/// Returns a message with as many records as fit from the front of `records`, and
+/// their number.
+pub(super) fn pack<'a>(
+    seq: u32,
+    records: impl Iterator<Item = &'a MemberRecord>,
+) -> (Message, usize) {
+    let empty = Vec::new();
+    let mut packer = Packer::new(Message::Records {
+        seq,
+        records: empty,
+    });
+    let taken = records.take_while(|r| packer.add(r)).count();
+    (packer.finish(), taken)
+}
+
+/// Returns the cost of a message on the network.
+pub(super) fn cost(message: &Message) -> usize {
+    message.encoded_len() + OVERHEAD_BYTES
+}
+
+impl Membership {
+    /// Sends a message.
+    pub(super) fn send(&mut self, step: &mut Step<'_>, to: SocketAddr, message: Message) {
+        self.counters.sent += 1;
+        self.counters.sent_bytes += message.encoded_len() as u64;
+        step.actions.push(Action::Send { to, message });
+    }
+
+    /// Sends a message to random peers; returns to how many.
+    pub(super) fn send_to_peers(
+        &mut self,
+        step: &mut Step<'_>,
+        n: usize,
+        message: &Message,
+    ) -> usize {
+        let peers = self.random_peers(n, step.rng);
+        for (_, to) in &peers {
+            self.send(step, *to, message.clone());
+        }
+        peers.len()
+    }
+
+    /// Sends one record, outside the budget.
+    pub(super) fn send_record(
+        &mut self,
+        step: &mut Step<'_>,
+        to: SocketAddr,
+        record: &MemberRecord,
+    ) {
+        let (message, _) = pack(0, std::iter::once(record));
+        self.send(step, to, message);
+    }
+
+    /// Fills a ping or an ack: the own record, `claims` for the receiver, changed
+    /// records, and a few unchanged ones.
+    pub(super) fn fill(&mut self, message: Message, claims: &[MemberRecord]) -> Message {
+        let mut packer = Packer::new(message);
+        self.add_local(&mut packer);
+        for claim in claims {
+            packer.add(claim);
+        }
+        self.add_changed(&mut packer);
+        for _ in 0..self.settings.fill_records {
+            if !self.table.rotate().is_some_and(|r| packer.add(r)) {
+                break;
+            }
+        }
+        packer.finish()
+    }
+
+    fn add_local(&mut self, packer: &mut Packer) {
+        if self.local.encoded_len() > MAX_RECORD_BYTES || !packer.add(&self.local) {
+            self.counters.oversized += 1;
+        }
+    }
+
+    fn add_changed(&mut self, packer: &mut Packer) {
+        let limit = (self.table.len() + 2).ilog2() + 3;
+        let known = |name: &NodeName| self.table.get(name.as_str());
+        let names = self.gossip.next(MAX_PIGGYBACKED);
+        let taken = names.iter();
+        let taken = taken.take_while(|n| known(n).is_none_or(|e| packer.add(&e.record)));
+        let taken = taken.count();
+        self.gossip.sent(taken, limit);
+    }
+
+    /// Returns up to `n` distinct random members that are alive.
+    pub fn random_peers(&self, n: usize, rng: &mut dyn Rng) -> Vec<(NodeName, SocketAddr)> {
+        let alive = |r: &MemberRecord| r.state == MemberState::Alive;
+        let peers = self.table.sample(n, rng, alive).into_iter();
+        peers.map(|r| (r.name.clone(), r.udp_addr())).collect()
+    }
+
+    /// Returns a sequence number, which is never zero. The first one is random, so
+    /// that answers to an earlier life of this node match nothing.
+    pub(super) fn next_seq(&mut self, rng: &mut dyn Rng) -> u32 {
+        if self.seq == 0 {
+            self.seq = rng.next_u32();
+        }
+        self.seq = self.seq.wrapping_add(1).max(1);
+        self.seq
+    }
+}
--- a/crates/core/src/member/counters.rs
+++ b/crates/core/src/member/counters.rs
@@ -29,15 +29,17 @@
     pub name_conflicts: u64,
     /// Received records with an unspecified or unusable address.
     pub bad_addresses: u64,
-    /// Received records with an incarnation above the ceiling.
+    /// Received records with an incarnation too far above the known ones.
     pub bad_incarnations: u64,
     /// Received records of new members that found the table full.
     pub table_full: u64,
+    /// Received records of deaths that are checked by a probe before they count.
+    pub unconfirmed_deaths: u64,
     /// Records, received or own, whose encoding is too long for a message.
     pub oversized: u64,
     /// Replies that matched no open sequence number.
     pub unmatched: u64,
-    /// Messages that should not reach this node or that it has no room to serve.
+    /// Messages from this node itself, after its departure, or beyond its relays.
     pub refused: u64,
     /// Pauses of this process that were detected between two ticks.
     pub pauses: u64,
--- /dev/null
+++ b/crates/core/src/member/digest.rs
@@ -0,0 +1,44 @@
+//! Digest of a member table, by bucket.
+//!
+//! A bucket is the exclusive-or of one value per record, so that a change of a
+//! record costs two updates. Terminal records are left out: nodes forget them at
+//! different times. `config_version` is left out as well, because 750 changes a day
+//! would make every bucket of every pair of tables differ for a while.
+
+use sha2::{Digest as _, Sha256};
+
+use super::{BUCKETS, MemberRecord};
+
+/// One value per bucket.
+pub(super) type Digest = [u32; BUCKETS];
+
+/// Returns the bucket of a name.
+pub(super) fn bucket(name: &str) -> usize {
+    Sha256::digest(name)[0] as usize % BUCKETS
+}
+
+/// Adds the record to the digest or, if it is in it, takes it out.
+pub(super) fn toggle(digest: &mut Digest, record: &MemberRecord) {
+    if record.state.is_terminal() {
+        return;
+    }
+    let mut hash = Sha256::new();
+    hash.update(record.incarnation.0.to_le_bytes());
+    hash.update(record.revision.to_le_bytes());
+    hash.update([record.state as u8]);
+    hash.update(record.name.as_str());
+    let [a, b, c, d, ..] = <[u8; 32]>::from(hash.finalize());
+    digest[bucket(record.name.as_str())] ^= u32::from_le_bytes([a, b, c, d]);
+}
+
+/// Returns the digest with the record added.
+pub(super) fn with(digest: &Digest, record: &MemberRecord) -> Digest {
+    let mut digest = *digest;
+    toggle(&mut digest, record);
+    digest
+}
+
+/// Returns which buckets differ.
+pub(super) fn differing(a: &Digest, b: &Digest) -> [bool; BUCKETS] {
+    std::array::from_fn(|at| a[at] != b[at])
+}
--- /dev/null
+++ b/crates/core/src/member/learn.rs
@@ -0,0 +1,157 @@
+//! What a node does with a record that it receives.
+
+use super::{Action, merge::Fault};
+use super::{MemberRecord, MemberState, Membership, compose::Step, gossip::Urgency, merge};
+use crate::{ids::Incarnation, time::Instant};
+
+impl Membership {
+    /// Merges received records into the table.
+    pub(super) fn learn_all(&mut self, step: &mut Step<'_>, records: &[MemberRecord]) {
+        for record in records {
+            self.learn(step, record);
+        }
+    }
+
+    fn learn(&mut self, step: &mut Step<'_>, record: &MemberRecord) {
+        if let Err(fault) = merge::check(record, self.known_incarnation(record)) {
+            return self.count_fault(fault);
+        }
+        if record.name == self.local.name {
+            return self.learn_about_self(record);
+        }
+        let Some(entry) = self.table.get(record.name.as_str()) else {
+            return self.learn_new(step, record);
+        };
+        let known = &entry.record;
+        if is_unconfirmed_death(known, record) {
+            self.counters.unconfirmed_deaths += 1;
+            return self.probes.check(record);
+        }
+        if known.state == MemberState::Dead && record.incarnation <= known.incarnation {
+            self.counters.stale_records += 1;
+            return self.check_dead(step.now, record);
+        }
+        let joined = merge::join(known, record);
+        if joined == *known {
+            self.counters.stale_records += 1;
+            return;
+        }
+        self.store(step, joined);
+        if record.state == MemberState::Leaving
+            && let Some(entry) = self.table.get_mut(record.name.as_str())
+        {
+            entry.was_leaving = true;
+        }
+    }
+
+    fn known_incarnation(&self, record: &MemberRecord) -> Incarnation {
+        let known = self.get(record.name.as_str()).map(|r| r.incarnation);
+        known.unwrap_or_default().max(self.local.incarnation)
+    }
+
+    fn count_fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Address => self.counters.bad_addresses += 1,
+            Fault::Incarnation => self.counters.bad_incarnations += 1,
+            Fault::Size => self.counters.oversized += 1,
+        }
+    }
+
+    fn learn_new(&mut self, step: &mut Step<'_>, record: &MemberRecord) {
+        let full = self.table.len() >= self.settings.max_members;
+        if full && (record.state.is_terminal() || !self.table.evict_ended()) {
+            self.counters.table_full += 1;
+            return;
+        }
+        self.store(step, record.clone());
+    }
+
+    /// Someone saw a member alive that is dead here: after a partition both sides
+    /// hold such records. The member is asked itself, with the record to refute.
+    fn check_dead(&mut self, now: Instant, record: &MemberRecord) {
+        let again = now.saturating_add_millis(self.settings.retry_every_ms);
+        let Some(entry) = self.table.get_mut(record.name.as_str()) else {
+            return;
+        };
+        if !record.state.is_terminal() && entry.retry_after <= now {
+            entry.retry_after = again;
+            self.probes.check(&entry.record);
+        }
+    }
+
+    /// Refutes what others say about this node, if it is wrong.
+    fn learn_about_self(&mut self, record: &MemberRecord) {
+        let local = &self.local;
+        let version = |r: &MemberRecord| (r.incarnation, r.state, r.revision);
+        let elsewhere = record.udp_addr() != local.udp_addr();
+        let disputed = elsewhere && record.incarnation == local.incarnation;
+        if version(record) <= version(local) && !disputed {
+            self.counters.self_records += 1;
+            return;
+        }
+        // A live host elsewhere has taken over the name. Refuting would start a race
+        // of incarnations; if that host is dead, its record will say so.
+        if elsewhere && !record.state.is_terminal() && !disputed {
+            self.counters.name_conflicts += 1;
+            return;
+        }
+        let incarnation = record.incarnation.max(local.incarnation).0;
+        self.local.incarnation.0 = incarnation.saturating_add(1);
+        self.counters.refutations += 1;
+        self.generation += 1;
+        self.own_changed = true;
+    }
+
+    /// Stores a record that differs from the known one, and tells of the change.
+    pub(super) fn store(&mut self, step: &mut Step<'_>, record: MemberRecord) {
+        let name = record.name.clone();
+        let old = self.table.get(name.as_str()).map(|e| e.record.clone());
+        let was_present = old.as_ref().is_some_and(|r| !r.state.is_terminal());
+        if !was_present && !record.state.is_terminal() {
+            self.probes.insert(name.clone(), step.rng);
+        }
+        let events = merge::events(old.as_ref(), &record);
+        step.actions.extend(events.into_iter().map(Action::Event));
+        if merge::is_news(old.as_ref(), &record) {
+            self.gossip.add(&name, urgency(old.as_ref(), &record));
+        }
+        let suspect_until = self.suspicion_end(step.now);
+        if record.state == MemberState::Suspect {
+            self.suspicion_scan_at = self.suspicion_scan_at.min(suspect_until);
+        }
+        self.table.put(record, step.now, suspect_until);
+        self.generation += 1;
+    }
+
+    /// Returns when a suspicion raised now ends. It lasts longer while this node
+    /// itself seems to be cut off.
+    fn suspicion_end(&self, now: Instant) -> Instant {
+        let factor = u64::from(1 + self.isolation);
+        now.saturating_add_millis(self.settings.suspicion_ms.saturating_mul(factor))
+    }
+}
+
+/// Returns whether a member that answers, as far as this node knows, is said to be
+/// dead. Such a record may come from the other side of a partition or from a node
+/// that was cut off, so it is checked by a probe instead of believed. A real death
+/// was preceded by a suspicion and is believed.
+fn is_unconfirmed_death(known: &MemberRecord, record: &MemberRecord) -> bool {
+    record.state == MemberState::Dead
+        && known.state < MemberState::Suspect
+        && record.incarnation >= known.incarnation
+}
+
+fn urgency(old: Option<&MemberRecord>, new: &MemberRecord) -> Urgency {
+    let takes_work = |r: &MemberRecord| r.target.as_ref().is_some_and(|t| !t.draining);
+    let stops_work = old.is_some_and(takes_work) && !takes_work(new);
+    let refuted = old.is_some_and(|r| r.state == MemberState::Suspect);
+    match new.state {
+        // Every member that knows of the suspicion ends it by itself.
+        MemberState::Dead => Urgency::WithProbes,
+        MemberState::Left if old.is_none() => Urgency::WithProbes,
+        MemberState::Left | MemberState::Leaving => Urgency::Now,
+        MemberState::Alive if refuted => Urgency::Now,
+        _ if stops_work => Urgency::Now,
+        _ => Urgency::Soon,
+    }
+}
--- a/crates/core/src/member/membership.rs
+++ b/crates/core/src/member/membership.rs
@@ -1,24 +1,63 @@
-//! The member table and the protocol that keeps it up to date.
+//! The aggregate: its state, its construction, and changes made by its owner.
 
 use std::net::SocketAddr;
 
-use rand::{Rng, seq::IndexedRandom};
+use rand::Rng;
 
-use super::{Action, Counters, MemberEvent, MemberRecord, MemberSettings, MemberState};
-use super::{Message, TargetInfo};
-use crate::{collections::HashMap, ids::NodeName, time::Instant};
+use super::budget::ByteBudget;
+use super::compose::Step;
+use super::gossip::Gossip;
+use super::probe::Probes;
+use super::sync::Sync;
+use super::table::Table;
+use super::{Action, Counters, MemberRecord, MemberSettings, MemberState, TargetInfo};
+use crate::time::Instant;
+
+/// Attempts per period to reach unknown contacts after the start.
+///
+/// Nodes that start together know one contact each. Without these attempts they
+/// formed separate groups that met only 10 s later.
+const MAX_EARLY_RETRIES: usize = 8;
 
 /// Membership of one node.
+///
+/// The incarnation of the local record must be greater than in earlier lives of the
+/// node where possible, for example the wall clock in microseconds or a coarser
+/// unit. If a clock was set back, the node learns its earlier incarnation from the
+/// other members and raises its own above it.
 pub struct Membership {
-    settings: MemberSettings,
-    local: MemberRecord,
-    read_to: u64,
-    contacts: Vec<SocketAddr>,
-    table: HashMap<NodeName, MemberRecord>,
-    next_probe: Instant,
-    seq: u32,
-    generation: u64,
-    counters: Counters,
+    pub(super) settings: MemberSettings,
+    /// Record of this node. Never in `table`. Its state is `Alive`, `Leaving` or
+    /// `Left`.
+    pub(super) local: MemberRecord,
+    /// Never decreases.
+    pub(super) read_to: u64,
+    pub(super) contacts: Vec<SocketAddr>,
+    pub(super) table: Table,
+    pub(super) gossip: Gossip,
+    pub(super) probes: Probes,
+    pub(super) sync: Sync,
+    pub(super) push_budget: ByteBudget,
+    pub(super) sync_budget: ByteBudget,
+    pub(super) next_probe: Instant,
+    pub(super) next_retry: Instant,
+    /// Attempts to reach unknown contacts that are still made once per period.
+    pub(super) early_retries: usize,
+    pub(super) next_purge: Instant,
+    /// Not later than the end of any suspicion in `table`.
+    pub(super) suspicion_scan_at: Instant,
+    pub(super) last_tick: Instant,
+    /// When the last expected message came.
+    pub(super) last_heard: Option<Instant>,
+    /// Raised by a failed probe during which nothing was received, lowered by an
+    /// answer. Above zero, this node may be the one that is cut off.
+    pub(super) isolation: u32,
+    /// Set while a change of `local` is to be pushed at the next tick.
+    pub(super) own_changed: bool,
+    /// Last sequence number used, or zero.
+    pub(super) seq: u32,
+    pub(super) generation: u64,
+    pub(super) counters: Counters,
 }
 
 impl Membership {
@@ -29,148 +68,103 @@
         contacts: &[SocketAddr],
         now: Instant,
     ) -> Self {
+        let budget = |rate| ByteBudget::new(rate, settings.burst_bytes, now);
         Membership {
-            settings,
             local,
             read_to: 0,
             contacts: contacts.to_vec(),
-            table: HashMap::default(),
+            table: Table::default(),
+            gossip: Gossip::default(),
+            probes: Probes::default(),
+            sync: Sync::new(now),
+            push_budget: budget(settings.push_bytes_per_second),
+            sync_budget: budget(settings.sync_bytes_per_second),
             next_probe: now,
+            next_retry: now.saturating_add_millis(settings.period_ms),
+            early_retries: contacts.len().min(MAX_EARLY_RETRIES),
+            next_purge: now,
+            suspicion_scan_at: Instant::MAX,
+            last_tick: now,
+            last_heard: None,
+            isolation: 0,
+            own_changed: true,
             seq: 0,
             generation: 0,
             counters: Counters::default(),
+            settings,
         }
     }
 
-    /// Does what is due. To be called about every 100 ms.
-    pub fn tick(&mut self, now: Instant, rng: &mut dyn Rng) -> Vec<Action> {
-        if now < self.next_probe {
-            return Vec::new();
-        }
-        self.next_probe = now.saturating_add_millis(self.settings.period_ms);
-        self.seq = self.seq.wrapping_add(1);
-        let peer = self.random_peers(1, rng).into_iter().next();
-        let (to, addr) = match peer {
-            Some((name, addr)) => (Some(name), addr),
-            None => match self.contacts.choose(rng) {
-                Some(addr) => (None, *addr),
-                None => return Vec::new(),
-            },
-        };
-        let message = Message::Ping {
-            seq: self.seq,
-            from: self.local.name.clone(),
-            to,
-            read_to: self.read_to,
-            records: vec![self.local.clone()],
-        };
-        vec![Action::Send { to: addr, message }]
-    }
-
-    /// Handles one message.
-    pub fn receive(
-        &mut self,
-        _now: Instant,
-        from: SocketAddr,
-        message: &Message,
-        _rng: &mut dyn Rng,
-    ) -> Vec<Action> {
-        self.counters.received += 1;
-        let mut actions = Vec::new();
-        for record in message.records() {
-            self.merge(record, &mut actions);
-        }
-        if let Message::Ping { seq, .. } = message {
-            let mut records = vec![self.local.clone()];
-            records.extend(self.table.values().take(8).cloned());
-            let message = Message::Ack {
-                seq: *seq,
-                from: self.local.name.clone(),
-                read_to: self.read_to,
-                records,
-            };
-            actions.push(Action::Send { to: from, message });
-        }
-        if let Message::Ping { from, read_to, .. } | Message::Ack { from, read_to, .. } = message
-            && *read_to > self.read_to
-        {
-            let (name, read_to) = (from.clone(), *read_to);
-            actions.push(Action::Event(MemberEvent::PeerAhead { name, read_to }));
-        }
-        actions
-    }
-
-    fn merge(&mut self, record: &MemberRecord, actions: &mut Vec<Action>) {
-        if record.name == self.local.name {
-            self.counters.self_records += 1;
-            return;
-        }
-        let name = record.name.clone();
-        let order = |r: &MemberRecord| (r.incarnation, r.revision);
-        match self.table.get(&name) {
-            Some(known) if order(known) >= order(record) => self.counters.stale_records += 1,
-            known => {
-                let event = match known {
-                    None => MemberEvent::Joined { name: name.clone() },
-                    Some(_) => MemberEvent::TargetChanged { name: name.clone() },
-                };
-                self.table.insert(name, record.clone());
-                self.generation += 1;
-                actions.push(Action::Event(event));
-            }
-        }
-    }
-
-    /// Changes the local target and announces it at the next tick.
+    /// Changes the local target and announces it at the next tick. The target of a
+    /// leaving node is draining whatever is given.
     pub fn set_target(&mut self, target: Option<TargetInfo>) {
+        let leaving = self.local.state != MemberState::Alive;
+        let target = target.map(|t| TargetInfo {
+            draining: t.draining || leaving,
+            ..t
+        });
         if self.local.target != target {
             self.local.target = target;
-            self.local.revision += 1;
-            self.generation += 1;
+            self.local_changed();
         }
     }
 
     /// Sets the configuration version in force here and the offset read so far.
+    /// Lower values than before are ignored.
     pub fn set_config(&mut self, version: u64, read_to: u64) {
-        self.local.config_version = version;
-        self.read_to = read_to;
+        self.read_to = self.read_to.max(read_to);
+        if version > self.local.config_version {
+            self.local.config_version = version;
+            self.generation += 1;
+        }
     }
 
     /// Adds addresses to be tried as first contacts.
     pub fn add_contacts(&mut self, contacts: &[SocketAddr]) {
-        self.contacts.extend_from_slice(contacts);
+        for contact in contacts {
+            if !self.contacts.contains(contact) {
+                self.contacts.push(*contact);
+            }
+        }
     }
 
-    /// Announces that this node will stop, and tells several peers at once.
-    pub fn leave(&mut self, _now: Instant, rng: &mut dyn Rng) -> Vec<Action> {
-        self.announce(MemberState::Leaving, rng)
+    /// Announces that this node will stop, and tells several peers at once. Its
+    /// target is draining from now on. A second call does nothing.
+    pub fn leave(&mut self, now: Instant, rng: &mut dyn Rng) -> Vec<Action> {
+        self.announce(MemberState::Leaving, now, rng)
     }
 
     /// Announces that this node stops now, and tells several peers at once. To be
-    /// called after [`leave`](Self::leave), when the last request has finished.
-    pub fn depart(&mut self, _now: Instant, rng: &mut dyn Rng) -> Vec<Action> {
-        self.announce(MemberState::Left, rng)
+    /// called after [`leave`](Self::leave), when the last request has finished; the
+    /// node neither sends nor answers from then on.
+    pub fn depart(&mut self, now: Instant, rng: &mut dyn Rng) -> Vec<Action> {
+        self.announce(MemberState::Left, now, rng)
     }
 
-    fn announce(&mut self, state: MemberState, rng: &mut dyn Rng) -> Vec<Action> {
+    fn announce(&mut self, state: MemberState, now: Instant, rng: &mut dyn Rng) -> Vec<Action> {
+        let mut step = Step::new(now, rng);
+        if self.local.state >= state {
+            return step.actions;
+        }
         self.local.state = state;
+        if let Some(target) = &mut self.local.target {
+            target.draining = true;
+        }
+        self.local_changed();
+        self.push_local(&mut step);
+        step.actions
+    }
+
+    fn local_changed(&mut self) {
         self.local.revision += 1;
         self.generation += 1;
-        let message = Message::Records {
-            seq: 0,
-            records: vec![self.local.clone()],
-        };
-        let peers = self.random_peers(self.settings.own_fanout, rng);
-        let send = |(_, to)| Action::Send {
-            to,
-            message: message.clone(),
-        };
-        peers.into_iter().map(send).collect()
+        self.own_changed = true;
     }
 
     /// Returns all known records, dead members included, the local one first.
     pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
-        std::iter::once(&self.local).chain(self.table.values())
+        let others = self.table.iter().map(|entry| &entry.record);
+        std::iter::once(&self.local).chain(others)
     }
 
     /// Returns the record of a member, which may be the local one.
@@ -178,7 +172,7 @@
         if name == self.local.name.as_str() {
             return Some(&self.local);
         }
-        self.table.get(name)
+        self.table.get(name).map(|entry| &entry.record)
     }
 
     /// Returns the record of this node.
@@ -191,17 +185,6 @@
         self.generation
     }
 
-    /// Returns up to `n` distinct random members that are alive.
-    pub fn random_peers(&self, n: usize, rng: &mut dyn Rng) -> Vec<(NodeName, SocketAddr)> {
-        let alive: Vec<&MemberRecord> = self
-            .table
-            .values()
-            .filter(|r| r.state == MemberState::Alive)
-            .collect();
-        let chosen = alive.sample(rng, n);
-        chosen.map(|r| (r.name.clone(), r.udp_addr())).collect()
-    }
-
     /// Returns the counters.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- /dev/null
+++ b/crates/core/src/member/merge.rs
@@ -0,0 +1,100 @@
+//! Rules for records: which are acceptable, how two are joined, what changed.
+
+use super::{MAX_RECORD_BYTES, MemberEvent, MemberRecord, MemberState};
+use crate::ids::Incarnation;
+
+/// Greatest step of an incarnation above the known ones that is accepted.
+///
+/// A member refutes by raising its incarnation; a value near the end of the range
+/// would leave it no room. The step is 142 years in microseconds, so that a node
+/// whose clock starts in 1970 and the others accept each other.
+const MAX_INCARNATION_STEP: u64 = 1 << 52;
+
+/// Why a record is not acceptable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Fault {
+    /// The address is unspecified, multicast or broadcast, or a port is zero.
+    Address,
+    /// The incarnation is too far above the known ones.
+    Incarnation,
+    /// The encoding is too long for a message.
+    Size,
+}
+
+/// Checks a record. `known` is the greater of the local incarnation and that known
+/// of the member.
+pub(super) fn check(record: &MemberRecord, known: Incarnation) -> Result<(), Fault> {
+    if !is_usable(record) {
+        return Err(Fault::Address);
+    }
+    if record.incarnation.0 > known.0.saturating_add(MAX_INCARNATION_STEP) {
+        return Err(Fault::Incarnation);
+    }
+    if record.encoded_len() > MAX_RECORD_BYTES {
+        return Err(Fault::Size);
+    }
+    Ok(())
+}
+
+fn is_usable(record: &MemberRecord) -> bool {
+    let broadcast = match record.ip {
+        std::net::IpAddr::V4(ip) => ip.is_broadcast(),
+        std::net::IpAddr::V6(_) => false,
+    };
+    let ports = record.tcp_port != 0 && record.udp_port != 0;
+    ports && !broadcast && !record.ip.is_unspecified() && !record.ip.is_multicast()
+}
+
+/// Joins two records of one member.
+///
+/// The join is commutative, associative and idempotent, so the order and number of
+/// deliveries do not matter. The higher incarnation wins. Within an incarnation the
+/// greater state, the content of the higher revision, and the greater configuration
+/// version hold: the member itself writes the content, but others write the state.
+pub(super) fn join(known: &MemberRecord, received: &MemberRecord) -> MemberRecord {
+    if known.incarnation != received.incarnation {
+        let newer = received.incarnation > known.incarnation;
+        return if newer { received } else { known }.clone();
+    }
+    let newer = received.revision > known.revision;
+    let content = if newer { received } else { known };
+    MemberRecord {
+        state: known.state.max(received.state),
+        config_version: known.config_version.max(received.config_version),
+        ..content.clone()
+    }
+}
+
+/// Returns the events of a change from `old` to `new`.
+pub(super) fn events(old: Option<&MemberRecord>, new: &MemberRecord) -> Vec<MemberEvent> {
+    let name = || new.name.clone();
+    let old_state = old.map(|r| r.state).filter(|s| !s.is_terminal());
+    let mut events = Vec::new();
+    let present = old.filter(|r| !r.state.is_terminal());
+    let moved = present.is_none_or(|r| r.ip != new.ip || r.udp_port != new.udp_port);
+    if !new.state.is_terminal() && moved {
+        events.push(MemberEvent::Joined { name: name() });
+    } else if old_state == Some(MemberState::Suspect) && new.state < MemberState::Suspect {
+        events.push(MemberEvent::Refuted { name: name() });
+    }
+    let changed = old_state != Some(new.state);
+    match new.state {
+        MemberState::Leaving if changed => events.push(MemberEvent::Leaving { name: name() }),
+        MemberState::Suspect if changed => events.push(MemberEvent::Suspected { name: name() }),
+        MemberState::Dead if present.is_some() => events.push(MemberEvent::Died { name: name() }),
+        MemberState::Left if present.is_some() => events.push(MemberEvent::Left { name: name() }),
+        _ => {}
+    }
+    if !new.state.is_terminal() && present.is_some_and(|r| r.target != new.target) {
+        events.push(MemberEvent::TargetChanged { name: name() });
+    }
+    events
+}
+
+/// Returns whether the change must be told to others. A configuration version
+/// alone is not: it travels with records that are sent anyway.
+pub(super) fn is_news(old: Option<&MemberRecord>, new: &MemberRecord) -> bool {
+    old.is_none_or(|old| {
+        (old.incarnation, old.revision, old.state) != (new.incarnation, new.revision, new.state)
+    })
+}
--- a/crates/core/src/member/message.rs
+++ b/crates/core/src/member/message.rs
@@ -95,6 +95,17 @@
             | Message::Records { records, .. } => records,
         }
     }
+
+    /// Returns the records that the message carries, to be changed.
+    pub(super) fn records_mut(&mut self) -> &mut Vec<MemberRecord> {
+        match self {
+            Message::Ping { records, .. }
+            | Message::Ack { records, .. }
+            | Message::PingReq { records, .. }
+            | Message::Sync { records, .. }
+            | Message::Records { records, .. } => records,
+        }
+    }
 }
 
 /// Returns the length of the postcard encoding, or `usize::MAX` if there is none.
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -6,12 +6,23 @@
 //! sends nothing itself; every call returns the datagrams to send and the events
 //! to report as [`Action`] values.
 
+mod budget;
+mod compose;
 mod counters;
+mod digest;
 mod event;
+mod gossip;
+mod learn;
 mod membership;
+mod merge;
 mod message;
+mod probe;
+mod receive;
 mod record;
 mod settings;
+mod sync;
+mod table;
+mod tick;
 
 pub use self::{
     counters::Counters,
--- a/crates/core/src/member/settings.rs
+++ b/crates/core/src/member/settings.rs
@@ -14,8 +14,11 @@
     pub suspicion_ms: u64,
     /// Peers that a changed record is sent to at once.
     pub fanout: usize,
-    /// Peers that a change of the own record is sent to at once.
-    pub own_fanout: usize,
+    /// The same for changes that stop new work, refutations, and the own record. At
+    /// 8 and 2 % loss, 0.04 % of the peers remain for the next probes.
+    pub urgent_fanout: usize,
+    /// The same when more than one message is waiting.
+    pub bulk_fanout: usize,
     /// Time between two comparisons of tables, in milliseconds.
     pub sync_every_ms: u64,
     /// Time between two comparisons while the last one found differences, in
@@ -33,11 +36,13 @@
     pub pause_ms: u64,
     /// Members kept in the table, without the local one.
     pub max_members: usize,
-    /// Bytes per second for changed records and answers to digests. Probes and
-    /// records of leaving members are not limited.
-    pub bulk_bytes_per_second: u64,
-    /// Bytes that may be sent at once after a quiet time.
-    pub bulk_burst_bytes: u64,
+    /// Bytes per second for changed records. Probes and urgent changes are not
+    /// limited.
+    pub push_bytes_per_second: u64,
+    /// Bytes per second for records that answer a digest.
+    pub sync_bytes_per_second: u64,
+    /// Bytes of each kind that may be sent at once after a quiet time.
+    pub burst_bytes: u64,
     /// Unchanged records added to a probe, which spread `config_version`.
     pub fill_records: usize,
 }
@@ -50,7 +55,8 @@
             indirect_probes: 3,
             suspicion_ms: 5_000,
             fanout: 4,
-            own_fanout: 8,
+            urgent_fanout: 8,
+            bulk_fanout: 2,
             sync_every_ms: 10_000,
             sync_again_ms: 1_000,
             sync_datagrams: 8,
@@ -58,8 +64,9 @@
             retry_every_ms: 10_000,
             pause_ms: 500,
             max_members: 4_096,
-            bulk_bytes_per_second: 6_000,
-            bulk_burst_bytes: 20_000,
+            push_bytes_per_second: 4_000,
+            sync_bytes_per_second: 4_000,
+            burst_bytes: 16_000,
             fill_records: 6,
         }
     }
--- /dev/null
+++ b/crates/core/src/member/table.rs
@@ -0,0 +1,165 @@
+//! The records of the other members and the digest over them.
+
+use std::net::SocketAddr;
+
+use rand::{Rng, RngExt, seq::IteratorRandom};
+
+use super::{
+    MemberRecord, MemberState,
+    digest::{self, Digest},
+};
+use crate::{collections::HashMap, ids::NodeName, time::Instant};
+
+/// One other member.
+pub(super) struct Entry {
+    /// The record, as merged from all that was received.
+    pub(super) record: MemberRecord,
+    /// Set if and only if the state is `Suspect`: when the member is declared dead.
+    pub(super) suspect_until: Option<Instant>,
+    /// Set if and only if the state is terminal: when this node learned it.
+    pub(super) ended_at: Option<Instant>,
+    /// Whether the member was seen as `Leaving` in this incarnation.
+    pub(super) was_leaving: bool,
+    /// Bucket of the name in the digest.
+    pub(super) bucket: usize,
+    /// Earliest time of the next direct attempt to reach a dead member on hearsay.
+    pub(super) retry_after: Instant,
+}
+
+/// Table of the other members.
+#[derive(Default)]
+pub(super) struct Table {
+    /// Entries in no particular order.
+    entries: Vec<Entry>,
+    /// Index of each name in `entries`.
+    index: HashMap<NodeName, usize>,
+    /// Digest over the entries that are not terminal.
+    digest: Digest,
+    /// Where the next unchanged record for a probe is taken from.
+    cursor: usize,
+}
+
+impl Table {
+    /// Returns the number of members.
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns the entry of a member.
+    pub(super) fn get(&self, name: &str) -> Option<&Entry> {
+        self.index.get(name).map(|&at| &self.entries[at])
+    }
+
+    /// Returns the entry of a member for changes that the digest does not cover.
+    pub(super) fn get_mut(&mut self, name: &str) -> Option<&mut Entry> {
+        self.index.get(name).map(|&at| &mut self.entries[at])
+    }
+
+    /// Returns all entries.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter()
+    }
+
+    /// Returns all entries for changes that the digest does not cover.
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Entry> {
+        self.entries.iter_mut()
+    }
+
+    /// Returns the digest over the members that are not terminal.
+    pub(super) fn digest(&self) -> &Digest {
+        &self.digest
+    }
+
+    /// Stores a record. `suspect_until` is used if the record's state is `Suspect`.
+    pub(super) fn put(&mut self, record: MemberRecord, now: Instant, suspect_until: Instant) {
+        digest::toggle(&mut self.digest, &record);
+        let suspect = record.state == MemberState::Suspect;
+        let leaving = record.state == MemberState::Leaving;
+        let ended = record.state.is_terminal();
+        let Some(&at) = self.index.get(&record.name) else {
+            self.index.insert(record.name.clone(), self.entries.len());
+            self.entries.push(Entry {
+                suspect_until: suspect.then_some(suspect_until),
+                ended_at: ended.then_some(now),
+                was_leaving: leaving,
+                bucket: digest::bucket(record.name.as_str()),
+                retry_after: now,
+                record,
+            });
+            return;
+        };
+        let entry = &mut self.entries[at];
+        digest::toggle(&mut self.digest, &entry.record);
+        let same_life = entry.record.incarnation == record.incarnation;
+        entry.was_leaving = leaving || (same_life && entry.was_leaving);
+        entry.suspect_until = match entry.suspect_until {
+            Some(until) if suspect && same_life => Some(until),
+            _ => suspect.then_some(suspect_until),
+        };
+        entry.ended_at = ended.then(|| entry.ended_at.unwrap_or(now));
+        entry.record = record;
+    }
+
+    /// Removes a member.
+    fn remove(&mut self, at: usize) {
+        let entry = self.entries.swap_remove(at);
+        self.index.remove(&entry.record.name);
+        digest::toggle(&mut self.digest, &entry.record);
+        if let Some(moved) = self.entries.get(at) {
+            self.index.insert(moved.record.name.clone(), at);
+        }
+    }
+
+    /// Removes the members that ended `kept_ms` ago or earlier; returns how many.
+    pub(super) fn purge(&mut self, now: Instant, kept_ms: u64) -> usize {
+        let before = self.entries.len();
+        let due = |t: Instant| t.saturating_add_millis(kept_ms) <= now;
+        for at in (0..before).rev() {
+            if self.entries[at].ended_at.is_some_and(due) {
+                self.remove(at);
+            }
+        }
+        before - self.entries.len()
+    }
+
+    /// Removes the member that ended first; returns whether there was one.
+    pub(super) fn evict_ended(&mut self) -> bool {
+        let ended = |(at, entry): (usize, &Entry)| entry.ended_at.map(|t| (t, at));
+        let oldest = self.entries.iter().enumerate().filter_map(ended).min();
+        oldest.inspect(|&(_, at)| self.remove(at)).is_some()
+    }
+
+    /// Returns up to `n` distinct random records that satisfy `accept`.
+    pub(super) fn sample(
+        &self,
+        n: usize,
+        rng: &mut dyn Rng,
+        accept: impl Fn(&MemberRecord) -> bool,
+    ) -> Vec<&MemberRecord> {
+        let records = self.entries.iter().map(|entry| &entry.record);
+        records.filter(|r| accept(r)).sample(rng, n)
+    }
+
+    /// Returns the next record that is not terminal, in rotation.
+    pub(super) fn rotate(&mut self) -> Option<&MemberRecord> {
+        for _ in 0..self.entries.len() {
+            self.cursor = (self.cursor + 1) % self.entries.len();
+            if !self.entries[self.cursor].record.state.is_terminal() {
+                return Some(&self.entries[self.cursor].record);
+            }
+        }
+        None
+    }
+
+    /// Starts the rotation at a random place, so that nodes with equal tables do
+    /// not send the same records.
+    pub(super) fn scatter(&mut self, rng: &mut dyn Rng) {
+        self.cursor = rng.random_range(0..self.entries.len().max(1));
+    }
+
+    /// Returns whether a member that is not terminal has the address.
+    pub(super) fn has_addr(&self, addr: SocketAddr) -> bool {
+        let record = |entry: &Entry| entry.ended_at.is_none() && entry.record.udp_addr() == addr;
+        self.entries.iter().any(record)
+    }
+}
--- /dev/null
+++ b/crates/core/src/member/tick.rs
@@ -0,0 +1,375 @@
+//! What a node does by itself as time passes.
+
+use std::net::SocketAddr;
+
+use rand::{Rng, RngExt, seq::IndexedRandom};
+
+use super::compose::{Packer, Step, cost, pack};
+use super::probe::{Check, Probe, Subject};
+use super::{Action, MemberRecord, MemberState, Membership, Message};
+use crate::ids::NodeName;
+use crate::time::{Instant, MICROS_PER_MILLI};
+
+/// Time between two searches for dead members to forget.
+const PURGE_EVERY_MS: u64 = 60_000;
+
+/// Probes on hearsay per tick.
+const CHECKS_PER_TICK: usize = 2;
+
+/// Messages of changed records per tick that the budget applies to. Each goes to
+/// `fanout` peers.
+const PUSHES_PER_TICK: usize = 2;
+
+/// Greatest value of the isolation score.
+const MAX_ISOLATION: u32 = 7;
+
+impl Membership {
+    /// Does what is due. To be called about every 100 ms.
+    pub fn tick(&mut self, now: Instant, rng: &mut dyn Rng) -> Vec<Action> {
+        let mut step = Step::new(now, rng);
+        if self.local.state == MemberState::Left {
+            return step.actions;
+        }
+        self.notice_pause(now);
+        self.probe_indirectly(&mut step);
+        self.fail_probes(&mut step);
+        self.end_suspicions(&mut step);
+        self.push_changes(&mut step);
+        self.probe_next(&mut step);
+        self.probe_checks(&mut step);
+        self.retry_lost(&mut step);
+        self.sync_next(&mut step);
+        self.purge(now);
+        step.actions
+    }
+
+    /// Extends the open deadlines by the length of a pause of this process. Without
+    /// this, a process that was frozen would declare members dead whose answers wait
+    /// in its socket.
+    fn notice_pause(&mut self, now: Instant) {
+        let gap = now.micros_since(self.last_tick);
+        self.last_tick = now;
+        if gap <= self.settings.pause_ms.saturating_mul(MICROS_PER_MILLI) {
+            return;
+        }
+        self.counters.pauses += 1;
+        self.probes.extend(gap);
+        self.sync.extend(gap);
+        self.suspicion_scan_at = self.suspicion_scan_at.saturating_add_micros(gap);
+        for entry in self.table.iter_mut() {
+            entry.suspect_until = entry.suspect_until.map(|t| t.saturating_add_micros(gap));
+        }
+    }
+
+    /// Asks other members to probe those that did not answer, and probes them again.
+    fn probe_indirectly(&mut self, step: &mut Step<'_>) {
+        for (seq, name) in self.probes.take_indirect(step.now) {
+            let Some(entry) = self.table.get(name.as_str()) else {
+                continue;
+            };
+            self.counters.indirect_probes += 1;
+            let subject = entry.record.clone();
+            self.send_ping_reqs(step, seq, &subject);
+            let ping = self.ping(seq, Some(&name));
+            let ping = self.fill(ping, &claims(&subject));
+            self.send(step, subject.udp_addr(), ping);
+        }
+    }
+
+    fn send_ping_reqs(&mut self, step: &mut Step<'_>, seq: u32, subject: &MemberRecord) {
+        let helper = |r: &MemberRecord| r.state == MemberState::Alive && r.name != subject.name;
+        let n = self.settings.indirect_probes;
+        let helpers = self.table.sample(n, step.rng, helper);
+        let helpers: Vec<SocketAddr> = helpers.iter().map(|r| r.udp_addr()).collect();
+        for to in helpers {
+            let message = Message::PingReq {
+                seq,
+                from: self.local.name.clone(),
+                to: subject.name.clone(),
+                addr: subject.udp_addr(),
+                records: Vec::new(),
+            };
+            self.send(step, to, message);
+        }
+    }
+
+    /// Suspects the members that no one got an answer from.
+    fn fail_probes(&mut self, step: &mut Step<'_>) {
+        for probe in self.probes.take_failed(step.now) {
+            let Subject::Member(name) = &probe.subject else {
+                continue;
+            };
+            self.counters.failed_probes += 1;
+            if self.last_heard.is_none_or(|t| t < probe.sent_at) {
+                self.isolation = (self.isolation + 1).min(MAX_ISOLATION);
+            }
+            self.suspect(step, name);
+        }
+    }
+
+    fn suspect(&mut self, step: &mut Step<'_>, name: &NodeName) {
+        let Some(entry) = self.table.get(name.as_str()) else {
+            return;
+        };
+        if entry.record.state >= MemberState::Suspect {
+            return;
+        }
+        let record = MemberRecord {
+            state: MemberState::Suspect,
+            ..entry.record.clone()
+        };
+        self.counters.suspicions += 1;
+        self.send_record(step, record.udp_addr(), &record);
+        self.store(step, record);
+    }
+
+    /// Declares the suspected members dead that did not refute in time.
+    fn end_suspicions(&mut self, step: &mut Step<'_>) {
+        if step.now < self.suspicion_scan_at {
+            return;
+        }
+        let mut ended = Vec::new();
+        self.suspicion_scan_at = Instant::MAX;
+        for entry in self.table.iter() {
+            match entry.suspect_until {
+                Some(until) if until <= step.now => {
+                    let state = match entry.was_leaving {
+                        true => MemberState::Left,
+                        false => MemberState::Dead,
+                    };
+                    let record = entry.record.clone();
+                    ended.push(MemberRecord { state, ..record });
+                }
+                Some(until) => self.suspicion_scan_at = self.suspicion_scan_at.min(until),
+                None => {}
+            }
+        }
+        self.counters.deaths += ended.len() as u64;
+        for record in ended {
+            self.store(step, record);
+        }
+    }
+
+    /// Pushes changed records to random peers.
+    fn push_changes(&mut self, step: &mut Step<'_>) {
+        if self.own_changed {
+            self.own_changed = !self.push_local(step);
+        }
+        self.push_now(step);
+        for _ in 0..PUSHES_PER_TICK {
+            if !self.push_soon(step) {
+                break;
+            }
+        }
+    }
+
+    /// Pushes the own record; returns whether there was a peer to push it to.
+    pub(super) fn push_local(&mut self, step: &mut Step<'_>) -> bool {
+        let (message, taken) = pack(0, std::iter::once(&self.local));
+        if taken == 0 {
+            self.counters.oversized += 1;
+            return true;
+        }
+        self.send_to_peers(step, self.settings.urgent_fanout, &message) > 0
+    }
+
+    /// Pushes the urgent changes.
+    fn push_now(&mut self, step: &mut Step<'_>) {
+        let names = self.gossip.take_now();
+        let mut records = self.records(names.iter());
+        let (mut message, mut taken) = pack(0, records.iter());
+        let fanout = match taken == records.len() {
+            true => self.settings.urgent_fanout,
+            false => self.settings.fanout,
+        };
+        while taken > 0 {
+            self.push_budget.spend(step.now, cost(&message) * fanout);
+            self.send_to_peers(step, fanout, &message);
+            records.drain(..taken);
+            (message, taken) = pack(0, records.iter());
+        }
+    }
+
+    /// Pushes one message within the budget; returns whether there may be more.
+    fn push_soon(&mut self, step: &mut Step<'_>) -> bool {
+        let empty = Vec::new();
+        let mut packer = Packer::new(Message::Records {
+            seq: 0,
+            records: empty,
+        });
+        let known = |name: &NodeName| self.table.get(name.as_str());
+        let names = self.gossip.soon();
+        let taken = names.take_while(|n| known(n).is_none_or(|e| packer.add(&e.record)));
+        let taken = taken.count();
+        let message = packer.finish();
+        let fanout = match taken == self.gossip.soon_len() {
+            true => self.settings.fanout,
+            false => self.settings.bulk_fanout,
+        };
+        let cost = cost(&message) * fanout;
+        if taken == 0 || !self.push_budget.allows(step.now, cost) {
+            self.counters.deferred += u64::from(taken != 0);
+            return false;
+        }
+        self.gossip.pop_soon(taken);
+        self.push_budget.spend(step.now, cost);
+        self.send_to_peers(step, fanout, &message);
+        true
+    }
+
+    /// Probes the next member of the round, or a contact while no member is known.
+    fn probe_next(&mut self, step: &mut Step<'_>) {
+        if step.now < self.next_probe {
+            return;
+        }
+        let period = self.settings.period_ms;
+        let next = self.next_probe.saturating_add_millis(period);
+        let late = next <= step.now;
+        self.next_probe = match late {
+            true => step.now.saturating_add_millis(period),
+            false => next,
+        };
+        match self.next_member(step.rng) {
+            Some(record) => self.probe_member(step, &record, &claims(&record)),
+            None => self.probe_contact(step),
+        }
+    }
+
+    fn next_member(&mut self, rng: &mut dyn Rng) -> Option<MemberRecord> {
+        for _ in 0..2 {
+            while let Some(name) = self.probes.next_in_round() {
+                let entry = self.table.get(name.as_str());
+                let entry = entry.filter(|e| e.ended_at.is_none() && !self.probes.is_open(&name));
+                if let Some(entry) = entry {
+                    return Some(entry.record.clone());
+                }
+            }
+            let present = self.table.iter().filter(|e| e.ended_at.is_none());
+            let names = present.map(|e| e.record.name.clone()).collect();
+            self.probes.start_round(names, rng);
+            self.table.scatter(rng);
+        }
+        None
+    }
+
+    fn probe_member(
+        &mut self,
+        step: &mut Step<'_>,
+        record: &MemberRecord,
+        claims: &[MemberRecord],
+    ) {
+        let name = record.name.clone();
+        let subject = match record.state.is_terminal() {
+            true => Subject::Dead(name),
+            false => Subject::Member(name),
+        };
+        self.counters.probes += 1;
+        self.send_probe(step, subject, record.udp_addr(), claims);
+    }
+
+    fn probe_contact(&mut self, step: &mut Step<'_>) {
+        let unknown =
+            |addr: &&SocketAddr| **addr != self.local.udp_addr() && !self.table.has_addr(**addr);
+        let contacts: Vec<SocketAddr> = self.contacts.iter().filter(unknown).copied().collect();
+        if let Some(&addr) = contacts.choose(step.rng) {
+            self.send_probe(step, Subject::Contact, addr, &[]);
+        }
+    }
+
+    fn send_probe(
+        &mut self,
+        step: &mut Step<'_>,
+        subject: Subject,
+        to: SocketAddr,
+        claims: &[MemberRecord],
+    ) {
+        let seq = self.next_seq(step.rng);
+        let name = match &subject {
+            Subject::Member(name) | Subject::Dead(name) => Some(name),
+            Subject::Contact => None,
+        };
+        let ping = self.ping(seq, name);
+        let ping = self.fill(ping, claims);
+        let after = |ms| step.now.saturating_add_millis(ms);
+        self.probes.open(Probe {
+            seq,
+            subject,
+            sent_at: step.now,
+            indirect_at: Some(after(self.settings.direct_timeout_ms)),
+            fails_at: after(self.settings.period_ms),
+        });
+        self.send(step, to, ping);
+    }
+
+    /// Returns a ping without records.
+    pub(super) fn ping(&self, seq: u32, to: Option<&NodeName>) -> Message {
+        Message::Ping {
+            seq,
+            from: self.local.name.clone(),
+            to: to.cloned(),
+            read_to: self.read_to,
+            records: Vec::new(),
+        }
+    }
+
+    /// Probes members because of what others say about them.
+    fn probe_checks(&mut self, step: &mut Step<'_>) {
+        for _ in 0..CHECKS_PER_TICK {
+            let Some(Check { name, claim }) = self.probes.next_check() else {
+                return;
+            };
+            let Some(entry) = self.table.get(name.as_str()) else {
+                continue;
+            };
+            let settled = entry.record.incarnation > claim.incarnation;
+            if !settled && !self.probes.is_open(&name) {
+                let record = entry.record.clone();
+                self.probe_member(step, &record, &[claim]);
+            }
+        }
+    }
+
+    /// Tries a dead member or an unknown contact now and then, so that parts of the
+    /// fleet that were cut off from each other meet again.
+    fn retry_lost(&mut self, step: &mut Step<'_>) {
+        if step.now < self.next_retry {
+            return;
+        }
+        let every = match self.early_retries {
+            0 => self.settings.retry_every_ms,
+            _ => self.settings.period_ms,
+        };
+        self.early_retries = self.early_retries.saturating_sub(1);
+        let ms = self.jitter(every, step);
+        self.next_retry = step.now.saturating_add_millis(ms);
+        let dead = |r: &MemberRecord| r.state == MemberState::Dead;
+        let dead = self.table.sample(1, step.rng, dead).pop().cloned();
+        match dead {
+            Some(record) if step.rng.random() => {
+                self.probe_member(step, &record, std::slice::from_ref(&record));
+            }
+            _ => self.probe_contact(step),
+        }
+    }
+
+    fn purge(&mut self, now: Instant) {
+        if now < self.next_purge {
+            return;
+        }
+        self.next_purge = now.saturating_add_millis(PURGE_EVERY_MS);
+        let purged = self.table.purge(now, self.settings.dead_kept_ms);
+        self.generation += purged as u64;
+    }
+
+    /// Returns the records of members that are still in the table.
+    fn records<'a>(&self, names: impl Iterator<Item = &'a NodeName>) -> Vec<MemberRecord> {
+        let entries = names.filter_map(|name| self.table.get(name.as_str()));
+        entries.map(|e| e.record.clone()).collect()
+    }
+}
+
+/// Returns the record that the probed member should refute.
+fn claims(record: &MemberRecord) -> Vec<MemberRecord> {
+    let wrong = record.state >= MemberState::Suspect;
+    wrong.then(|| record.clone()).into_iter().collect()
+}
--- /dev/null
+++ b/crates/core/tests/member_sim/mod.rs
@@ -0,0 +1,407 @@
+//! Members of a fleet in one process, under virtual time and with fake datagrams.
+//!
+//! Used by the tests of the membership protocol and by the example `membership`.
+
+pub(crate) mod scenario;
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    ops::RangeInclusive,
+    rc::Rc,
+};
+
+use plantainpost_core::{
+    ids::{DataCentre, Incarnation, NodeName, Region, ServiceName},
+    member::{
+        Action, MAX_MESSAGE_BYTES, MemberEvent, MemberRecord, MemberSettings, MemberState,
+        Membership, Message, TargetInfo,
+    },
+    time::{Instant, MICROS_PER_SECOND},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+/// Time between two ticks of a node.
+const TICK_MS: u64 = 100;
+
+/// Datagrams that the socket of a frozen node keeps.
+const SOCKET_BACKLOG: usize = 200;
+
+/// Bytes of a datagram besides the message: IP and UDP headers, HMAC, envelope.
+const OVERHEAD_BYTES: u64 = 46;
+
+/// What the network does to datagrams. Different delays reorder them.
+#[derive(Clone, Debug)]
+pub(crate) struct Network {
+    /// Datagrams lost, per thousand.
+    pub(crate) loss: u32,
+    /// Datagrams delivered twice, per thousand.
+    pub(crate) duplicate: u32,
+    /// One-way delay in microseconds.
+    pub(crate) delay_us: RangeInclusive<u64>,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Network {
+            loss: 20,
+            duplicate: 0,
+            delay_us: 300..=2_000,
+        }
+    }
+}
+
+/// One node and the state of its host.
+pub(crate) struct Node {
+    pub(crate) member: Membership,
+    /// Whether the process runs.
+    pub(crate) up: bool,
+    frozen: bool,
+    /// Incarnation at the start of the process.
+    born: Incarnation,
+    backlog: Vec<(SocketAddr, Rc<Message>)>,
+    pub(crate) sent_bytes: u64,
+    pub(crate) received_bytes: u64,
+}
+
+enum Due {
+    Tick(usize),
+    Deliver(SocketAddr, SocketAddr, Rc<Message>),
+}
+
+/// An event at one node.
+pub(crate) struct Seen {
+    pub(crate) at: Instant,
+    pub(crate) event: MemberEvent,
+    /// Whether it is about a process that was running and reachable.
+    pub(crate) subject_up: bool,
+}
+
+/// The fleet.
+pub(crate) struct Sim {
+    pub(crate) now: Instant,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) network: Network,
+    /// Nodes below this index can't reach the others.
+    pub(crate) cut: Option<usize>,
+    pub(crate) seen: Vec<Seen>,
+    settings: MemberSettings,
+    rng: StdRng,
+    queue: BinaryHeap<Reverse<(Instant, u64)>>,
+    due: HashMap<u64, Due>,
+    order: u64,
+    by_addr: HashMap<SocketAddr, usize>,
+    by_name: BTreeMap<String, usize>,
+}
+
+/// Returns the address of the `i`th host.
+pub(crate) fn addr(i: usize) -> SocketAddr {
+    let [.., a, b, c] = (i as u32 + 1).to_be_bytes();
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, a, b, c)), 7_100)
+}
+
+/// Returns a record of a node at the `i`th host, as long as in a real fleet.
+pub(crate) fn record(name: &str, i: usize, incarnation: u64) -> MemberRecord {
+    let addr = addr(i);
+    MemberRecord {
+        name: NodeName::from(name),
+        incarnation: Incarnation(incarnation),
+        revision: 0,
+        state: MemberState::Alive,
+        ip: addr.ip(),
+        tcp_port: 7_101,
+        udp_port: addr.port(),
+        data_centre: DataCentre::from(["pos", "arima", "chaguanas", "sando"][i % 4]),
+        region: Region::from(["trinidad", "ashanti"][i % 2]),
+        target: Some(TargetInfo {
+            service: ServiceName::from(format!("service-{}.example", i % 49).as_str()),
+            slots: 12,
+            draining: false,
+        }),
+        config_version: 100_000,
+    }
+}
+
+impl Sim {
+    pub(crate) fn new(seed: u64, network: Network, settings: MemberSettings) -> Self {
+        Sim {
+            now: Instant::from_millis(60_000),
+            nodes: Vec::new(),
+            network,
+            cut: None,
+            seen: Vec::new(),
+            settings,
+            rng: StdRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            due: HashMap::new(),
+            order: 0,
+            by_addr: HashMap::new(),
+            by_name: BTreeMap::new(),
+        }
+    }
+
+    /// Starts `n` nodes at once; the first four are the contacts of all.
+    pub(crate) fn start_fleet(&mut self, n: usize) {
+        for i in 0..n {
+            self.start(&format!("node-{i:04}.fleet"));
+        }
+    }
+
+    /// Starts a node at a new host. A node of the same name is replaced.
+    pub(crate) fn start(&mut self, name: &str) -> usize {
+        let i = self.nodes.len();
+        let incarnation = 1_796_000_000_000_000 + self.now.as_micros();
+        let local = record(name, i, incarnation);
+        let contacts = [addr(0), addr(1), addr(2), addr(3)];
+        let node = Node {
+            born: local.incarnation,
+            member: Membership::new(self.settings.clone(), local, &contacts, self.now),
+            up: true,
+            frozen: false,
+            backlog: Vec::new(),
+            sent_bytes: 0,
+            received_bytes: 0,
+        };
+        self.nodes.push(node);
+        self.by_addr.insert(addr(i), i);
+        self.by_name.insert(name.to_string(), i);
+        let micros = self.rng.random_range(0..TICK_MS * 1_000);
+        self.schedule(self.now.saturating_add_micros(micros), Due::Tick(i));
+        i
+    }
+
+    /// Starts a stopped node again on its host, with a higher incarnation.
+    pub(crate) fn restart(&mut self, i: usize) {
+        let mut local = self.nodes[i].member.local().clone();
+        local.state = MemberState::Alive;
+        local.incarnation = Incarnation(1_796_000_000_000_000 + self.now.as_micros());
+        let contacts = [addr(0), addr(1), addr(2), addr(3)];
+        let settings = self.settings.clone();
+        self.nodes[i].born = local.incarnation;
+        self.nodes[i].member = Membership::new(settings, local, &contacts, self.now);
+        self.nodes[i].up = true;
+        let micros = self.rng.random_range(0..TICK_MS * 1_000);
+        self.schedule(self.now.saturating_add_micros(micros), Due::Tick(i));
+    }
+
+    /// Stops the process of a node without notice.
+    pub(crate) fn kill(&mut self, i: usize) {
+        self.nodes[i].up = false;
+    }
+
+    /// Stops the process of a node until `resume`; its socket keeps datagrams.
+    pub(crate) fn freeze(&mut self, i: usize) {
+        self.nodes[i].frozen = true;
+    }
+
+    /// Lets a frozen process go on.
+    pub(crate) fn resume(&mut self, i: usize) {
+        self.nodes[i].frozen = false;
+        for (from, message) in std::mem::take(&mut self.nodes[i].backlog) {
+            self.receive(i, from, &message);
+        }
+        self.schedule(self.now, Due::Tick(i));
+    }
+
+    /// Lets the node's owner do something.
+    pub(crate) fn act(
+        &mut self,
+        i: usize,
+        act: impl FnOnce(&mut Membership, Instant, &mut StdRng) -> Vec<Action>,
+    ) {
+        let actions = act(&mut self.nodes[i].member, self.now, &mut self.rng);
+        self.perform(i, actions);
+    }
+
+    /// Lets `ms` milliseconds pass.
+    pub(crate) fn run_ms(&mut self, ms: u64) {
+        let end = self.now.saturating_add_millis(ms);
+        while let Some(&Reverse((at, order))) = self.queue.peek()
+            && at <= end
+        {
+            self.queue.pop();
+            self.now = at;
+            match self.due.remove(&order) {
+                Some(Due::Tick(i)) => self.tick(i),
+                Some(Due::Deliver(from, to, message)) => self.deliver(from, to, &message),
+                None => {}
+            }
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until `done`, checked every 100 ms; returns the milliseconds,
+    /// or `None` if it was not done within `limit_ms`.
+    pub(crate) fn run_until(&mut self, limit_ms: u64, done: impl Fn(&Sim) -> bool) -> Option<u64> {
+        for ms in (0..=limit_ms).step_by(TICK_MS as usize) {
+            if done(self) {
+                return Some(ms);
+            }
+            self.run_ms(TICK_MS);
+        }
+        None
+    }
+
+    fn schedule(&mut self, at: Instant, due: Due) {
+        self.order += 1;
+        self.queue.push(Reverse((at, self.order)));
+        self.due.insert(self.order, due);
+    }
+
+    fn tick(&mut self, i: usize) {
+        let node = &mut self.nodes[i];
+        if !node.up || node.frozen {
+            return;
+        }
+        let actions = node.member.tick(self.now, &mut self.rng);
+        self.perform(i, actions);
+        let next = self.now.saturating_add_millis(TICK_MS);
+        self.schedule(next, Due::Tick(i));
+    }
+
+    fn deliver(&mut self, from: SocketAddr, to: SocketAddr, message: &Rc<Message>) {
+        let Some(&i) = self.by_addr.get(&to) else {
+            return;
+        };
+        let node = &mut self.nodes[i];
+        if !node.up {
+            return;
+        }
+        if !node.frozen {
+            self.receive(i, from, message);
+        } else if node.backlog.len() < SOCKET_BACKLOG {
+            node.backlog.push((from, Rc::clone(message)));
+        }
+    }
+
+    fn receive(&mut self, i: usize, from: SocketAddr, message: &Message) {
+        let node = &mut self.nodes[i];
+        node.received_bytes += message.encoded_len() as u64 + OVERHEAD_BYTES;
+        let actions = node.member.receive(self.now, from, message, &mut self.rng);
+        self.perform(i, actions);
+    }
+
+    fn perform(&mut self, i: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(i, to, message),
+                Action::Event(event) => self.note(i, event),
+            }
+        }
+    }
+
+    fn send(&mut self, i: usize, to: SocketAddr, message: Message) {
+        let len = message.encoded_len();
+        assert!(len <= MAX_MESSAGE_BYTES, "{len} bytes: {message:?}");
+        self.nodes[i].sent_bytes += len as u64 + OVERHEAD_BYTES;
+        let from = self.nodes[i].member.local().udp_addr();
+        let message = Rc::new(message);
+        let copies = 1 + u32::from(self.chance(self.network.duplicate));
+        for _ in 0..copies {
+            let apart = self.by_addr.get(&to).is_some_and(|&j| self.is_cut(i, j));
+            if apart || self.chance(self.network.loss) {
+                continue;
+            }
+            let delay = self.rng.random_range(self.network.delay_us.clone());
+            let at = self.now.saturating_add_micros(delay);
+            self.schedule(at, Due::Deliver(from, to, Rc::clone(&message)));
+        }
+    }
+
+    fn chance(&mut self, permille: u32) -> bool {
+        self.rng.random_range(0..1_000) < permille
+    }
+
+    fn is_cut(&self, i: usize, j: usize) -> bool {
+        self.cut.is_some_and(|cut| (i < cut) != (j < cut))
+    }
+
+    fn note(&mut self, observer: usize, event: MemberEvent) {
+        let name = event_name(&event).as_str();
+        let subject = self.by_name.get(name);
+        let record = self.nodes[observer].member.get(name);
+        let subject_up = subject.zip(record).is_some_and(|(&j, record)| {
+            let node = &self.nodes[j];
+            let same_life = record.ip == addr(j).ip() && record.incarnation >= node.born;
+            node.up && !node.frozen && same_life && !self.is_cut(observer, j)
+        });
+        self.seen.push(Seen {
+            at: self.now,
+            event,
+            subject_up,
+        });
+    }
+
+    /// Returns the indices of the running nodes.
+    pub(crate) fn up(&self) -> impl Iterator<Item = usize> {
+        (0..self.nodes.len()).filter(|&i| self.nodes[i].up)
+    }
+
+    /// Returns whether every running node satisfies `check` on its record of the
+    /// named member.
+    pub(crate) fn all_see(
+        &self,
+        name: &str,
+        check: impl Fn(Option<&MemberRecord>) -> bool,
+    ) -> bool {
+        let mut others = self.up();
+        others.all(|i| check(self.nodes[i].member.get(name)))
+    }
+
+    /// Returns whether every running node has the present record of every other
+    /// running node. Configuration versions spread lazily and are left out.
+    pub(crate) fn settled(&self) -> bool {
+        self.up().all(|j| {
+            let local = self.nodes[j].member.local();
+            self.all_see(local.name.as_str(), |r| {
+                r.is_some_and(|r| {
+                    let known = (r.incarnation, r.revision, r.state);
+                    known == (local.incarnation, local.revision, local.state)
+                })
+            })
+        })
+    }
+
+    /// Counts the events since `start` that `accept` selects.
+    pub(crate) fn count(&self, start: Instant, accept: impl Fn(&Seen) -> bool) -> usize {
+        let recent = self.seen.iter().filter(|s| s.at >= start);
+        recent.filter(|s| accept(s)).count()
+    }
+
+    /// Returns bytes per second of each node that ran all the time, sent and received,
+    /// since the counts `before`.
+    pub(crate) fn rates(&self, before: &[(u64, u64)], since: Instant) -> Vec<(u64, u64)> {
+        let micros = self.now.micros_since(since).max(1);
+        let rate = |now: u64, then: u64| (now - then) * MICROS_PER_SECOND / micros;
+        let rates = self.up().filter(|&i| i < before.len()).map(|i| {
+            let (sent, received) = before[i];
+            let node = &self.nodes[i];
+            (
+                rate(node.sent_bytes, sent),
+                rate(node.received_bytes, received),
+            )
+        });
+        rates.collect()
+    }
+
+    /// Returns the bytes sent and received so far by each node.
+    pub(crate) fn bytes(&self) -> Vec<(u64, u64)> {
+        let bytes = |n: &Node| (n.sent_bytes, n.received_bytes);
+        self.nodes.iter().map(bytes).collect()
+    }
+}
+
+/// Returns the member that an event is about.
+pub(crate) fn event_name(event: &MemberEvent) -> &NodeName {
+    match event {
+        MemberEvent::Joined { name }
+        | MemberEvent::Suspected { name }
+        | MemberEvent::Refuted { name }
+        | MemberEvent::Died { name }
+        | MemberEvent::Leaving { name }
+        | MemberEvent::Left { name }
+        | MemberEvent::TargetChanged { name }
+        | MemberEvent::PeerAhead { name, .. } => name,
+    }
+}
--- /dev/null
+++ b/crates/core/tests/member_sim/scenario.rs
@@ -0,0 +1,225 @@
+//! Scenarios with the figures that they yield.
+
+use std::fmt;
+
+use plantainpost_core::member::{MemberEvent, MemberSettings, MemberState, TargetInfo};
+
+use super::{Network, Sim};
+
+/// Longest time that a scenario waits for agreement, in milliseconds.
+const LIMIT_MS: u64 = 10 * 60 * 1_000;
+
+/// Figures of one run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Report {
+    /// Time until the awaited state, in milliseconds; `None` if not reached.
+    pub(crate) reached_ms: Option<u64>,
+    /// Mean time of several changes until the awaited state, in milliseconds.
+    pub(crate) mean_ms: u64,
+    /// Suspicions of members that were running and reachable, at all nodes.
+    pub(crate) false_suspicions: usize,
+    /// The same, counted once per suspicion raised by a node's own probe.
+    pub(crate) false_probes: u64,
+    /// Deaths of members that were running and reachable, at all nodes.
+    pub(crate) false_deaths: usize,
+    /// Mean bytes per second per node, sent and received together.
+    pub(crate) mean_rate: u64,
+    /// The same at the busiest node.
+    pub(crate) max_rate: u64,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let reached = match self.reached_ms {
+            Some(ms) => format!("{ms}"),
+            None => "never".to_string(),
+        };
+        write!(
+            f,
+            "{reached:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+            self.mean_ms,
+            self.false_probes,
+            self.false_suspicions,
+            self.false_deaths,
+            self.mean_rate,
+            self.max_rate
+        )
+    }
+}
+
+/// A run that is being measured.
+struct Measure {
+    start: plantainpost_core::time::Instant,
+    bytes: Vec<(u64, u64)>,
+    suspicions: u64,
+}
+
+impl Measure {
+    fn start(sim: &Sim) -> Self {
+        Measure {
+            start: sim.now,
+            bytes: sim.bytes(),
+            suspicions: suspicions(sim),
+        }
+    }
+
+    fn report(&self, sim: &Sim, reached_ms: Option<u64>) -> Report {
+        let rates = sim.rates(&self.bytes, self.start);
+        let both: Vec<u64> = rates
+            .iter()
+            .map(|(sent, received)| sent + received)
+            .collect();
+        let suspected = |e: &MemberEvent| matches!(e, MemberEvent::Suspected { .. });
+        let died = |e: &MemberEvent| matches!(e, MemberEvent::Died { .. });
+        Report {
+            reached_ms,
+            mean_ms: reached_ms.unwrap_or_default(),
+            false_suspicions: sim.count(self.start, |s| s.subject_up && suspected(&s.event)),
+            false_probes: suspicions(sim) - self.suspicions,
+            false_deaths: sim.count(self.start, |s| s.subject_up && died(&s.event)),
+            mean_rate: both.iter().sum::<u64>() / both.len().max(1) as u64,
+            max_rate: both.iter().copied().max().unwrap_or_default(),
+        }
+    }
+}
+
+fn suspicions(sim: &Sim) -> u64 {
+    let of = |i: usize| sim.nodes[i].member.counters().suspicions;
+    sim.up().map(of).sum()
+}
+
+/// Starts `n` nodes at once and waits until all agree.
+pub(crate) fn cold_start(n: usize, network: Network, seed: u64) -> (Sim, Report) {
+    let mut sim = Sim::new(seed, network, MemberSettings::default());
+    sim.start_fleet(n);
+    let measure = Measure::start(&sim);
+    let reached = sim.run_until(LIMIT_MS, Sim::settled);
+    let report = measure.report(&sim, reached);
+    sim.run_ms(30_000);
+    sim.seen.clear();
+    (sim, report)
+}
+
+/// Lets a settled fleet run.
+pub(crate) fn steady(sim: &mut Sim, seconds: u64) -> Report {
+    let measure = Measure::start(sim);
+    sim.run_ms(seconds * 1_000);
+    measure.report(sim, Some(seconds * 1_000))
+}
+
+/// Kills nodes at once; waits until all others have declared them dead.
+pub(crate) fn kill(sim: &mut Sim, victims: &[usize]) -> Report {
+    let measure = Measure::start(sim);
+    victims.iter().for_each(|&i| sim.kill(i));
+    let reached = sim.run_until(LIMIT_MS, |sim| dead(sim, victims));
+    measure.report(sim, reached)
+}
+
+fn dead(sim: &Sim, victims: &[usize]) -> bool {
+    let dead = |name: &str| sim.all_see(name, |r| r.is_some_and(|r| r.state.is_terminal()));
+    victims
+        .iter()
+        .all(|&i| dead(sim.nodes[i].member.local().name.as_str()))
+}
+
+/// Kills a node; waits until all others at least suspect it.
+pub(crate) fn detect(sim: &mut Sim, victim: usize) -> Report {
+    let measure = Measure::start(sim);
+    sim.kill(victim);
+    let name = sim.nodes[victim].member.local().name.clone();
+    let reached = sim.run_until(LIMIT_MS, |sim| {
+        sim.all_see(name.as_str(), |r| {
+            r.is_some_and(|r| r.state >= MemberState::Suspect)
+        })
+    });
+    measure.report(sim, reached)
+}
+
+/// Drains the targets of nodes one after the other; `reached_ms` is the longest time
+/// until all nodes know.
+pub(crate) fn drain(sim: &mut Sim, nodes: &[usize]) -> Report {
+    let measure = Measure::start(sim);
+    let mut times = Vec::new();
+    for &i in nodes {
+        let drained = sim.nodes[i].member.local().target.clone();
+        let drained = drained.map(|t| TargetInfo {
+            draining: true,
+            ..t
+        });
+        sim.act(i, |member, _, _| {
+            member.set_target(drained.clone());
+            Vec::new()
+        });
+        let name = sim.nodes[i].member.local().name.clone();
+        times.push(sim.run_until(LIMIT_MS, |sim| {
+            sim.all_see(name.as_str(), |r| r.is_some_and(|r| r.target == drained))
+        }));
+        sim.run_ms(2_000);
+    }
+    let reached = times.iter().copied().collect::<Option<Vec<u64>>>();
+    let mean = times.iter().flatten().sum::<u64>() / times.len().max(1) as u64;
+    Report {
+        mean_ms: mean,
+        ..measure.report(sim, reached.and_then(|t| t.into_iter().max()))
+    }
+}
+
+/// Restarts stopped nodes at once; waits until all agree.
+pub(crate) fn come_back(sim: &mut Sim, nodes: &[usize]) -> Report {
+    let measure = Measure::start(sim);
+    nodes.iter().for_each(|&i| sim.restart(i));
+    let reached = sim.run_until(LIMIT_MS, Sim::settled);
+    measure.report(sim, reached)
+}
+
+/// Cuts the nodes below `cut` off from the others; the figures are those from the
+/// reconnection to the agreement of all.
+pub(crate) fn partition(sim: &mut Sim, cut: usize, seconds: u64) -> Report {
+    sim.cut = Some(cut);
+    sim.run_ms(seconds * 1_000);
+    sim.cut = None;
+    let measure = Measure::start(sim);
+    let reached = sim.run_until(LIMIT_MS, Sim::settled);
+    measure.report(sim, reached)
+}
+
+/// Freezes a node; the figures are those from its resumption to the agreement of all.
+pub(crate) fn freeze(sim: &mut Sim, node: usize, seconds: u64) -> Report {
+    sim.freeze(node);
+    sim.run_ms(seconds * 1_000);
+    let measure = Measure::start(sim);
+    sim.resume(node);
+    let reached = sim.run_until(LIMIT_MS, Sim::settled);
+    sim.run_ms(20_000);
+    measure.report(sim, reached)
+}
+
+/// Replaces `count` nodes by others of the same name at new addresses, one every
+/// `every_ms`; `reached_ms` is the longest time until all know a replacement. Every
+/// other node leaves in order, the rest stop without notice.
+pub(crate) fn replace(sim: &mut Sim, count: usize, every_ms: u64) -> Report {
+    let measure = Measure::start(sim);
+    let mut times = Vec::new();
+    for turn in 0..count {
+        let old = sim.up().filter(|&i| i > 3).nth(turn % 5).expect("a node");
+        if turn % 2 == 0 {
+            sim.act(old, |member, now, rng| member.leave(now, rng));
+            sim.run_ms(1_000);
+            sim.act(old, |member, now, rng| member.depart(now, rng));
+        }
+        sim.kill(old);
+        let name = sim.nodes[old].member.local().name.clone();
+        let new = sim.start(name.as_str());
+        let ip = sim.nodes[new].member.local().ip;
+        let known = |sim: &Sim| sim.all_see(name.as_str(), |r| r.is_some_and(|r| r.ip == ip));
+        let took = sim.run_until(LIMIT_MS, known);
+        times.push(took);
+        sim.run_ms(every_ms.saturating_sub(took.unwrap_or(0)));
+    }
+    let longest = times.iter().copied().collect::<Option<Vec<u64>>>();
+    let mean = times.iter().flatten().sum::<u64>() / times.len().max(1) as u64;
+    Report {
+        mean_ms: mean,
+        ..measure.report(sim, longest.and_then(|t| t.into_iter().max()))
+    }
+}
