--- a/crates/core/tests/config/checkpoint.rs
+++ b/crates/core/tests/config/checkpoint.rs
@@ -1,1 +1,106 @@
-//! To come.
+//! When a node writes a checkpoint.
+
+use googletest::prelude::*;
+use plantainpost_core::{
+    config::{Batch, Intent, LogRecord, Position, Register},
+    time::Instant,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+
+fn batch(offset: u64, data: &str) -> Batch {
+    let data = data.to_owned();
+    Batch {
+        oldest: 0,
+        next: offset + 1,
+        records: vec![LogRecord { offset, data }],
+    }
+}
+
+/// A reader with one confirmation, and one checkpoint of it if asked.
+fn reader(with_checkpoint: bool) -> Result<Register> {
+    let mut reader = Register::new();
+    let plan = reader.plan(&Intent::Measure { permille: 1 }, "ama", 1)?;
+    let data = reader.confirm_record(&plan, "ama", 1).encode()?;
+    reader.apply(&batch(0, &data));
+    if with_checkpoint {
+        let data = reader.checkpoint_record("node").encode()?;
+        reader.apply(&batch(1, &data));
+    }
+    Ok(reader)
+}
+
+/// Returns whether a reader that was asked at the origin writes within a minute of the
+/// start, if the log keeps the offsets from `oldest` to `next`.
+fn writes(reader: &mut Register, start_s: u64, oldest: u64, next: u64) -> bool {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let position = Position { oldest, next };
+    (0..1).chain(start_s..start_s + 60).any(|s| {
+        let now = Instant::from_millis(s * 1_000);
+        reader.checkpoint_due(now, &position, 1, &mut rng)
+    })
+}
+
+/// Guards against a log without a usable checkpoint, and against checkpoints written
+/// without need or from a state that may be behind.
+#[gtest]
+fn aged_checkpoints_are_renewed() -> Result<()> {
+    let rows = [
+        ("none yet", reader(false)?, 0, 0, 1, true),
+        ("nothing confirmed", Register::new(), 0, 0, 0, false),
+        ("fresh", reader(true)?, 0, 1, 2, false),
+        ("trimmed", reader(true)?, 0, 2, 2, true),
+        ("old", reader(true)?, 600, 1, 2, true),
+        ("behind the log", reader(false)?, 0, 0, 2, false),
+        ("log returned older data", reader(true)?, 600, 0, 1, false),
+    ];
+    for (name, mut reader, start_s, oldest, next, expected) in rows {
+        let written = writes(&mut reader, start_s, oldest, next);
+        expect_eq!(written, expected, "{name}");
+    }
+    let mut long = reader(true)?;
+    (2..201).for_each(|offset| drop(long.apply(&batch(offset, ""))));
+    expect_true!(writes(&mut long, 0, 1, 201), "many records");
+    let mut gap = reader(false)?;
+    gap.apply(&Batch {
+        oldest: 5,
+        next: 5,
+        ..Batch::default()
+    });
+    expect_false!(writes(&mut gap, 0, 5, 5), "gap");
+    Ok(())
+}
+
+/// Guards against a fleet in which every node writes. A checkpoint of 60 KB that all
+/// nodes read may take a tenth of 21 KB/s for the 10 minutes of its age: 21 writers.
+#[gtest]
+fn a_checkpoint_seen_cancels_the_writers() -> Result<()> {
+    const MEMBERS: usize = 860;
+    for seed in 0..5 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut fleet: Vec<Register> =
+            (0..MEMBERS).map(|_| reader(false)).collect::<Result<_>>()?;
+        let data = fleet[0].checkpoint_record("node").encode()?;
+        let mut writers = 0;
+        let mut seen_at = None;
+        for s in 0..60 {
+            let now = Instant::from_millis(s * 1_000);
+            if seen_at == Some(s) {
+                fleet
+                    .iter_mut()
+                    .for_each(|reader| drop(reader.apply(&batch(1, &data))));
+            }
+            let next = fleet[0].read_to();
+            let position = Position { oldest: 0, next };
+            for reader in &mut fleet {
+                if reader.checkpoint_due(now, &position, MEMBERS, &mut rng) {
+                    writers += 1;
+                    // A record is known everywhere within 4 s.
+                    seen_at = seen_at.or(Some(s + 4));
+                }
+            }
+        }
+        println!("seed {seed}: {writers} writers of {MEMBERS}");
+        expect_that!(writers, all![ge(1), le(21)]);
+    }
+    Ok(())
+}
