--- a/crates/cli/commands.rs
+++ b/crates/cli/commands.rs
@@ -9,9 +9,9 @@
     admin::{Admin, AdminError},
     exit::Exit,
     flags::{Audit, Check, Command, Confirm, Explain, Plan, Run, Status},
-    intent::{Intent, IntentError},
+    intent::{self, IntentError},
     keys, logging,
-    node::{self, NodeError},
+    node::{self, RunError},
     render,
     settings::{self, Settings, SettingsError},
 };
@@ -29,7 +29,7 @@
     Admin { source: AdminError },
 
     #[snafu(transparent)]
-    Node { source: NodeError },
+    Run { source: RunError },
 
     #[snafu(display("{file}: can't read plan: {source}; check the file name"))]
     ReadPlan {
@@ -124,8 +124,10 @@
     let (settings, _) = Settings::load(&flags.settings)?;
     let (logger, _guard) = logging::build(&settings.output);
     slog::info!(logger, "starting"; "node" => &settings.node.name);
-    let summary = node::run_not_available(&settings, &logger)?;
-    Ok(Report::done(format!("{summary}\n")))
+    block_on(async {
+        let summary = node::run(&settings, logger).await?;
+        Ok(Report::done(format!("{summary}\n")))
+    })
 }
 
 fn check(flags: &Check) -> Result<Report> {
@@ -154,7 +156,7 @@
 
 async fn plan(flags: Plan) -> Result<Report> {
     let admin = Admin::new(flags.access())?;
-    let intent = Intent::from_flags(flags.intent)?;
+    let intent = intent::from_flags(flags.intent)?;
     let body = json!({ "author": flags.author, "intent": intent });
     let plan = admin.post("/v1/plan", &body).await?;
     let file = &flags.out;
--- a/crates/cli/flags.rs
+++ b/crates/cli/flags.rs
@@ -161,6 +161,7 @@
     Measure(Measure),
     Repeatable(Repeatable),
     Restore(Restore),
+    Override(Override),
 }
 
 /// Set the shares of a service's traffic by data centre or target.
@@ -243,3 +244,9 @@
     #[argh(positional, arg_name = "version")]
     pub(crate) version: u64,
 }
+
+/// State the configuration in force at this node anew, whatever lost records said. Use it
+/// only when the log has lost records that no node has read.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "override")]
+pub(crate) struct Override {}
--- a/crates/cli/intent.rs
+++ b/crates/cli/intent.rs
@@ -1,8 +1,11 @@
 //! Intents as operators state them.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::IpAddr,
+};
 
-use serde::Serialize;
+use plantainpost_core::config::{Intent, Leaving, ShareKey};
 use snafu::{OptionExt, Snafu, ensure};
 
 use crate::flags::{IntentFlags, Leave, Measure, Repeatable, Restore, Return, Share};
@@ -27,60 +30,34 @@
     },
 }
 
-/// Targets, hosts and data centres.
-#[derive(Debug, Serialize)]
-pub(crate) struct Places {
-    targets: Vec<String>,
-    hosts: Vec<String>,
-    data_centres: Vec<String>,
-}
-
-/// Intent as `POST /v1/plan` takes it.
-#[derive(Debug, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum Intent {
-    Share {
-        service: String,
-        data_centres: BTreeMap<String, u32>,
-        targets: BTreeMap<String, u32>,
-    },
-    Leave(Places),
-    Return(Places),
-    Measure {
-        permille: u16,
-    },
-    Repeatable {
-        service: String,
-        methods: Vec<String>,
-    },
-    Restore {
-        version: u64,
-    },
-}
-
-impl Intent {
-    /// Builds the intent that the flags state.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the flags name nothing or a value is not allowed.
-    pub(crate) fn from_flags(flags: IntentFlags) -> Result<Self, IntentError> {
-        match flags {
-            IntentFlags::Share(flags) => share(flags),
-            IntentFlags::Leave(Leave {
-                target,
-                host,
-                data_centre,
-            }) => places("leave", target, host, data_centre).map(Intent::Leave),
-            IntentFlags::Return(Return {
-                target,
-                host,
-                data_centre,
-            }) => places("return", target, host, data_centre).map(Intent::Return),
-            IntentFlags::Measure(flags) => measure(flags),
-            IntentFlags::Repeatable(flags) => Ok(repeatable(flags)),
-            IntentFlags::Restore(Restore { version }) => Ok(Intent::Restore { version }),
+/// Builds the intent that the flags state.
+///
+/// # Errors
+///
+/// Fails if the flags name nothing or a value is not allowed.
+pub(crate) fn from_flags(flags: IntentFlags) -> Result<Intent, IntentError> {
+    match flags {
+        IntentFlags::Share(flags) => share(flags),
+        IntentFlags::Leave(Leave {
+            target,
+            host,
+            data_centre,
+        }) => {
+            let leaving = places("leave", target, &host, data_centre)?;
+            Ok(Intent::Leave { leaving })
         }
+        IntentFlags::Return(Return {
+            target,
+            host,
+            data_centre,
+        }) => {
+            let leaving = places("return", target, &host, data_centre)?;
+            Ok(Intent::Return { leaving })
+        }
+        IntentFlags::Measure(flags) => measure(flags),
+        IntentFlags::Repeatable(flags) => Ok(repeatable(flags)),
+        IntentFlags::Restore(Restore { version }) => Ok(Intent::Restore { version }),
+        IntentFlags::Override(_) => Ok(Intent::Override { content: None }),
     }
 }
 
@@ -93,26 +70,32 @@
             flags: "--data-centre, --target"
         }
     );
+    let mut shares = weights(&flags.data_centre, ShareKey::DataCentre)?;
+    shares.extend(weights(&flags.target, ShareKey::Node)?);
     Ok(Intent::Share {
         service: flags.service.to_ascii_lowercase(),
-        data_centres: weights(&flags.data_centre)?,
-        targets: weights(&flags.target)?,
+        shares,
     })
 }
 
-fn weights(texts: &[String]) -> Result<BTreeMap<String, u32>, IntentError> {
+fn weights(
+    texts: &[String],
+    key: fn(String) -> ShareKey,
+) -> Result<BTreeMap<ShareKey, u32>, IntentError> {
     let mut weights = BTreeMap::new();
     for text in texts {
         let weight = text
             .split_once('=')
             .and_then(|(name, weight)| Some((name, weight.parse().ok()?)))
-            .filter(|(name, _)| !name.is_empty() && !weights.contains_key(*name));
-        let (name, weight) = weight.context(NotAllowedSnafu {
+            .filter(|(name, _)| !name.is_empty())
+            .map(|(name, weight)| (key(name.to_owned()), weight))
+            .filter(|(key, _)| !weights.contains_key(key));
+        let (key, weight) = weight.context(NotAllowedSnafu {
             intent: "share",
             text,
             allowed: "name=weight with a whole number, each name once",
         })?;
-        weights.insert(name.to_owned(), weight);
+        weights.insert(key, weight);
     }
     Ok(weights)
 }
@@ -120,17 +103,24 @@
 fn places(
     intent: &'static str,
     targets: Vec<String>,
-    hosts: Vec<String>,
+    hosts: &[String],
     data_centres: Vec<String>,
-) -> Result<Places, IntentError> {
+) -> Result<BTreeSet<Leaving>, IntentError> {
     let is_empty = targets.is_empty() && hosts.is_empty() && data_centres.is_empty();
     let flags = "--target, --host, --data-centre";
     ensure!(!is_empty, NothingSnafu { intent, flags });
-    Ok(Places {
-        targets,
-        hosts,
-        data_centres,
-    })
+    let mut places: BTreeSet<Leaving> = targets.into_iter().map(Leaving::Target).collect();
+    places.extend(data_centres.into_iter().map(Leaving::DataCentre));
+    for text in hosts {
+        let address: Option<IpAddr> = text.parse().ok();
+        let address = address.context(NotAllowedSnafu {
+            intent,
+            text,
+            allowed: "the IP number of a host",
+        })?;
+        places.insert(Leaving::Host(address));
+    }
+    Ok(places)
 }
 
 fn measure(flags: Measure) -> Result<Intent, IntentError> {
@@ -143,7 +133,9 @@
             allowed: "0 to 1000 permille"
         }
     );
-    Ok(Intent::Measure { permille })
+    Ok(Intent::Measure {
+        permille: permille.into(),
+    })
 }
 
 fn repeatable(flags: Repeatable) -> Intent {
--- a/crates/cli/keys.rs
+++ b/crates/cli/keys.rs
@@ -28,11 +28,11 @@
 /// Policies for choosing a target. The first is the default; the others are baselines
 /// for comparison.
 const POLICIES: &[&str] = &[
-    "predicted",
+    "predicted-completion",
     "random",
     "round-robin",
     "least-in-flight",
-    "reported-load",
+    "two-choices-reported",
 ];
 
 const EXAMPLE_HEAD: &str = "\
@@ -119,7 +119,7 @@
     key("limits", "stop_timeout", Kind::Time(1_000, 600_000), Absent::Default("130 s"),
         "Time for requests in flight to finish at a planned stop. Not less than max_timeout."),
 
-    key("balance", "policy", Kind::Choice(POLICIES), Absent::Default("predicted"),
+    key("balance", "policy", Kind::Choice(POLICIES), Absent::Default("predicted-completion"),
         "Policy for choosing a target. All but the default are baselines for comparison."),
 
     key("output", "format", Kind::Choice(&["text", "json"]), Absent::Default("text"),
--- a/crates/cli/main.rs
+++ b/crates/cli/main.rs
@@ -10,7 +10,6 @@
 mod logging;
 mod node;
 mod render;
-#[expect(dead_code, reason = "the node will read the settings")]
 mod settings;
 mod value;
 
--- a/crates/core/src/config/intent.rs
+++ b/crates/core/src/config/intent.rs
@@ -20,12 +20,12 @@
     /// Takes something out of service.
     Leave {
         /// What leaves.
-        leaving: Leaving,
+        leaving: BTreeSet<Leaving>,
     },
     /// Takes something back into service.
     Return {
         /// What returns, as it was given when it left.
-        leaving: Leaving,
+        leaving: BTreeSet<Leaving>,
     },
     /// States the share of a core that measuring may take.
     Measure {
@@ -74,10 +74,10 @@
                 });
             }
             Intent::Leave { leaving } => {
-                content.leaving.insert(leaving.clone());
+                content.leaving.extend(leaving.iter().cloned());
             }
             Intent::Return { leaving } => {
-                content.leaving.remove(leaving);
+                content.leaving.retain(|place| !leaving.contains(place));
             }
             Intent::Measure { permille } => content.measuring_permille = *permille,
             Intent::Restore { version } => content = earlier(*version)?,
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -69,7 +69,7 @@
 }
 
 fn read_delay_ms(node: &Node) -> u64 {
-    let members = node.members.borrow().members().count() as u64 + 1;
+    let members = node.members.borrow().members().count() as u64;
     let mean = (members * 1_000 / FLEET_READS_PER_SECOND).max(node.settings.log_read_every_ms);
     node.rng.borrow_mut().random_range(mean / 2..=mean * 3 / 2)
 }
@@ -141,7 +141,7 @@
 
 async fn write_checkpoint_if_due(node: &Rc<Node>, position: &Position) {
     let now = node.now();
-    let members = node.members.borrow().members().count() + 1;
+    let members = node.members.borrow().members().count();
     let record = {
         let mut register = node.register.borrow_mut();
         let mut rng = node.rng.borrow_mut();
--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -21,7 +21,7 @@
 
 /// What became of a confirmation.
 #[derive(Debug, Serialize)]
-#[serde(tag = "result", rename_all = "kebab-case")]
+#[serde(tag = "outcome", rename_all = "kebab-case")]
 pub(crate) enum ConfirmResult {
     /// The plan is in force.
     InForce { version: u64 },
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -80,23 +80,21 @@
 /// Returns all targets that usable members announce, this node's included.
 pub(crate) fn targets(node: &Node) -> Vec<FleetTarget> {
     let members = node.members.borrow();
-    let all = members.members().chain(std::iter::once(members.local()));
-    let mut targets: BTreeMap<NodeName, FleetTarget> = BTreeMap::new();
-    for record in all.filter(|record| is_usable(record)) {
+    let mut targets = Vec::new();
+    for record in members.members().filter(|record| is_usable(record)) {
         let Some(target) = &record.target else {
             continue;
         };
-        let target = FleetTarget {
+        targets.push(FleetTarget {
             service: target.service.clone(),
             node: record.name.clone(),
             data_centre: record.data_centre.clone(),
             ip: record.ip,
             slots: target.slots,
             draining: target.draining || record.state == MemberState::Leaving,
-        };
-        targets.insert(record.name.clone(), target);
+        });
     }
-    targets.into_values().collect()
+    targets
 }
 
 fn set_targets(node: &Node) {
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -23,10 +23,7 @@
 pub(crate) fn status(node: &Node) -> Value {
     let now = node.now();
     let members = node.members.borrow();
-    let mut list: Vec<Value> = std::iter::once(members.local())
-        .chain(members.members())
-        .map(member)
-        .collect();
+    let mut list: Vec<Value> = members.members().map(member).collect();
     list.sort_by_key(|m| m["name"].as_str().map(str::to_owned));
     let register = node.register.borrow();
     let guard = node.guard.borrow();
@@ -78,11 +75,7 @@
     let now = node.now();
     let record = {
         let members = node.members.borrow();
-        let local = members.local();
-        match local.name.as_str() == name {
-            true => member(local),
-            false => member(members.get(name)?),
-        }
+        member(members.get(name)?)
     };
     let targets = fleet::targets(node);
     let service = targets.iter().find(|t| t.node.as_str() == name);
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -150,8 +150,8 @@
      "`address` in [log] can't be `http://log`; allowed: host and port, such as 10.0.0.9:9000"),
     ("two names differ only in case", "name = stock-1", "name = Stock-1",
      "`name` in [node] can't be `Stock-1`; allowed: 1 to 63 of a-z, 0-9, '-' and '.'"),
-    ("an unknown policy falls back to the default", "policy = predicted", "policy = best",
-     "`policy` in [balance] can't be `best`; allowed: one of predicted, random, round-robin, least-in-flight, reported-load"),
+    ("an unknown policy falls back to the default", "policy = predicted-completion", "policy = best",
+     "`policy` in [balance] can't be `best`; allowed: one of predicted-completion, random, round-robin, least-in-flight, two-choices-reported"),
     ("a missing key is started with", "name = stock-1", "",
      "`name` in [node] is missing; allowed: 1 to 63 of a-z, 0-9, '-' and '.'"),
     ("a key file that can't be read is ignored", "key_file = fleet.key", "key_file = none",
@@ -423,8 +423,12 @@
         "a=1",
     ];
     dir.run(&[&args[..], &intent].concat());
-    let share = json!({ "service": "stock", "data_centres": { "pos": 3 }, "targets": { "a": 1 } });
-    let asked = json!({ "author": "ama", "intent": { "share": share } });
+    let share = json!({
+        "kind": "share",
+        "service": "stock",
+        "shares": { "data_centre:pos": 3, "node:a": 1 },
+    });
+    let asked = json!({ "author": "ama", "intent": share });
     expect_that!(body(&handle.join().expect("request")), eq(&asked));
     let saved = fs::read(dir.0.join("p.json")).expect("plan");
     expect_that!(
--- /dev/null
+++ b/tests/integration/configuration.rs
@@ -0,0 +1,185 @@
+//! Plans, confirmations and the log service under failure.
+
+use std::{thread, time::Duration};
+
+use googletest::prelude::*;
+use plantainpost_standin::{
+    load::{Kind, LoadSettings},
+    log::{Down, LogFaults},
+};
+use serde_json::Value;
+
+use crate::util::{Fleet, hosts};
+
+/// Time within which a confirmed configuration is in force everywhere.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(4);
+
+fn version(status: &Value) -> Option<u64> {
+    status["configuration"]["version"].as_u64()
+}
+
+/// Waits until all nodes have a version and returns the time that the last one took.
+fn wait_in_force(fleet: &Fleet, wanted: u64) -> Duration {
+    let start = std::time::Instant::now();
+    for i in 0..fleet.nodes.len() {
+        fleet.wait_status(i, "the version is in force", |status| {
+            version(status) == Some(wanted)
+        });
+    }
+    start.elapsed()
+}
+
+/// Guards against a plan that changes something before it is confirmed, against a
+/// confirmation that does not reach all nodes in time, and against a leaving target that
+/// gets new work.
+#[gtest]
+fn confirmed_plan_is_in_force_everywhere() {
+    let fleet = Fleet::start(&hosts("stock", 3));
+    let plan = fleet.plan(0, "leave.json", &["leave", "--target", "stock-1"]);
+    expect_true!(plan.status.success(), "{plan:?}");
+    let text = String::from_utf8_lossy(&plan.stdout).into_owned();
+    expect_that!(text, contains_substring("stock-1"));
+    expect_that!(version(&fleet.status(2)), none());
+    let confirm = fleet.confirm(2, "leave.json");
+    expect_true!(confirm.status.success(), "{confirm:?}");
+    let wanted = version(&fleet.status(2)).expect("the version is in force");
+    expect_that!(wait_in_force(&fleet, wanted), le(IN_FORCE_LIMIT));
+    let before = fleet.targets[1].started();
+    let settings = LoadSettings {
+        rate: 200.0,
+        duration_ms: 1_500,
+        kinds: vec![Kind::default()],
+        ..Default::default()
+    };
+    let report = fleet.load(&[0, 1, 2], settings).wait().expect("load runs");
+    let row = report.row("node").expect("there is a row");
+    expect_that!(row.correct, eq(row.sent));
+    expect_that!(fleet.targets[1].started(), eq(before));
+    // The group reverses its decision.
+    fleet.decide(1, &["return", "--target", "stock-1"]);
+    fleet.wait_status(0, "the target returns", |status| {
+        status["configuration"]["content"]["leaving"] == Value::Array(Vec::new())
+    });
+    let audit = fleet.cli(0, &["audit", "--json"]);
+    expect_true!(audit.status.success());
+}
+
+/// Guards against two conflicting decisions that are both told to be in force.
+#[gtest]
+fn racing_operators_get_one_winner() {
+    let fleet = Fleet::start(&hosts("stock", 2));
+    for round in 0..5 {
+        let (a, b) = (format!("a{round}.json"), format!("b{round}.json"));
+        let permille = (10 + round).to_string();
+        fleet.plan(0, &a, &["measure", &permille]);
+        let permille = (20 + round).to_string();
+        fleet.plan(1, &b, &["measure", &permille]);
+        let codes = thread::scope(|scope| {
+            let a = scope.spawn(|| fleet.confirm(0, &a).status.code());
+            let b = scope.spawn(|| fleet.confirm(1, &b).status.code());
+            [a.join().expect("no panic"), b.join().expect("no panic")]
+        });
+        // 0 is "in force", 3 is "void".
+        expect_that!(codes, unordered_elements_are![some(eq(0)), some(eq(3))]);
+        let first = fleet.status(0);
+        let wanted = version(&first).expect("a version is in force");
+        wait_in_force(&fleet, wanted);
+        let content = |status: &Value| status["configuration"]["content"].clone();
+        expect_that!(content(&first), eq(&content(&fleet.status(1))));
+    }
+}
+
+/// Faults of the log service while an operator confirms.
+struct LogRow {
+    name: &'static str,
+    faults: LogFaults,
+    /// Exit codes of `confirm` that are true to what happened.
+    codes: &'static [i32],
+}
+
+/// Guards against a confirmation that is reported wrongly, lost or reverted when the
+/// log service fails meanwhile.
+#[gtest]
+fn log_faults_keep_decisions_true() {
+    let rows = [
+        LogRow {
+            name: "down",
+            faults: LogFaults {
+                down: Down::Refuse,
+                ..Default::default()
+            },
+            codes: &[1],
+        },
+        LogRow {
+            name: "refusing",
+            faults: LogFaults {
+                refuse: true,
+                ..Default::default()
+            },
+            codes: &[1],
+        },
+        LogRow {
+            name: "losing answers",
+            faults: LogFaults {
+                lose_answers: true,
+                ..Default::default()
+            },
+            codes: &[0, 4],
+        },
+        LogRow {
+            name: "slow",
+            faults: LogFaults {
+                delay_ms: 700,
+                ..Default::default()
+            },
+            codes: &[0],
+        },
+    ];
+    for row in rows {
+        let fleet = Fleet::start(&hosts("stock", 2));
+        fleet.decide(0, &["measure", "7"]);
+        let held = version(&fleet.status(0)).expect("a version is in force");
+        wait_in_force(&fleet, held);
+        fleet.plan(0, "next.json", &["measure", "9"]);
+        fleet.log.set_faults(row.faults);
+        let confirm = fleet.confirm(0, "next.json");
+        let code = confirm.status.code().unwrap_or(-1);
+        expect_true!(row.codes.contains(&code), "{}: {confirm:?}", row.name);
+        for i in 0..2 {
+            expect_that!(version(&fleet.status(i)), some(ge(held)), "{}", row.name);
+        }
+        fleet.log.set_faults(LogFaults::default());
+        // Confirming again is safe, whatever happened to the first append.
+        let code = fleet.confirm(1, "next.json").status.code();
+        expect_that!(code, some(eq(0)), "{}", row.name);
+        let wanted = version(&fleet.status(1)).expect("a version is in force");
+        expect_that!(wanted, gt(held), "{}", row.name);
+        expect_that!(wait_in_force(&fleet, wanted), le(IN_FORCE_LIMIT));
+        let content = &fleet.status(0)["configuration"]["content"];
+        expect_that!(content["measuring_permille"].as_u64(), some(eq(9)));
+    }
+}
+
+/// Guards against a restarted node that serves without the configuration while the log
+/// service is down, and against one that reverts when the log starts again empty.
+#[gtest]
+fn restarted_node_takes_the_configuration_from_peers() {
+    let mut fleet = Fleet::start(&hosts("stock", 3));
+    fleet.decide(0, &["leave", "--target", "stock-1"]);
+    let held = version(&fleet.status(0)).expect("a version is in force");
+    wait_in_force(&fleet, held);
+    fleet.log.set_faults(LogFaults {
+        down: Down::Refuse,
+        ..Default::default()
+    });
+    fleet.nodes[2].replace();
+    fleet.wait_status(2, "the version comes from a peer", |status| {
+        version(status) == Some(held)
+    });
+    fleet.log.restart_empty();
+    fleet.log.set_faults(LogFaults::default());
+    thread::sleep(Duration::from_secs(3));
+    for i in 0..3 {
+        expect_that!(version(&fleet.status(i)), some(eq(held)));
+    }
+}
--- /dev/null
+++ b/tests/integration/requests.rs
@@ -0,0 +1,81 @@
+//! Requests through two nodes to a target.
+
+use googletest::prelude::*;
+use plantainpost_standin::load::LoadSettings;
+
+use crate::util::{Fleet, hosts, mix, request};
+
+/// Guards against answers that are cut, mixed up or come from a target of another
+/// service, with 1,000 requests of mixed size from up to 32 callers at once.
+#[gtest]
+fn every_caller_gets_its_whole_answer() {
+    let mut specs = hosts("stock", 3);
+    specs.extend(hosts("ledger", 2));
+    let fleet = Fleet::start(&specs);
+    let mut kinds = mix("stock");
+    kinds.extend(mix("ledger"));
+    let settings = LoadSettings {
+        rate: 250.0,
+        duration_ms: 4_000,
+        connections: 32,
+        kinds,
+        ..Default::default()
+    };
+    let report = fleet.load(&[0, 3], settings).wait().expect("load runs");
+    let row = report.row("node").expect("there is a row");
+    expect_that!(row.sent, ge(900));
+    expect_that!(row.wrong, eq(0));
+    expect_that!(row.cut, eq(0));
+    expect_that!(row.correct, eq(row.sent), "{row:#?}");
+    fleet.check(&[&report], Vec::new());
+}
+
+/// Guards against an outcome header that is missing or contradicts the status.
+#[gtest]
+fn outcomes_are_told() {
+    let fleet = Fleet::start(&hosts("stock", 1));
+    let callers = fleet.nodes[0].callers;
+    let rows = [
+        ("known service", "stock", "", "200", "answered"),
+        ("port in the host", "stock:8080", "", "200", "answered"),
+        ("upper case", "STOCK", "", "200", "answered"),
+        ("unknown service", "nobody", "", "503", "not-run"),
+        (
+            "deadline too short",
+            "stock",
+            "plantainpost-timeout-ms: 50\r\nx-work-us: 400000\r\n",
+            "504",
+            "unknown",
+        ),
+    ];
+    for (name, service, headers, status, outcome) in rows {
+        let answer = request(callers, "GET", service, headers);
+        let head = answer.split("\r\n\r\n").next().unwrap_or_default();
+        expect_that!(
+            head,
+            starts_with(format!("HTTP/1.1 {status} ").as_str()),
+            "{name}"
+        );
+        let line = format!("plantainpost-outcome: {outcome}");
+        expect_that!(head, contains_substring(line.as_str()), "{name}");
+        let retry_after = head.contains("retry-after: ");
+        expect_that!(retry_after, eq(outcome == "not-run"), "{name}");
+    }
+}
+
+/// Guards against a request that can't be explained afterwards.
+#[gtest]
+fn requests_are_explained() {
+    let fleet = Fleet::start(&hosts("stock", 2));
+    let answer = request(fleet.nodes[1].callers, "GET", "stock", "");
+    let id = answer
+        .lines()
+        .find_map(|line| line.strip_prefix("plantainpost-request-id: "))
+        .expect("the answer has a request id");
+    let output = fleet.cli(1, &["explain", "--request", id, "--json"]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    expect_that!(text, contains_substring("answered, status 200"));
+    let output = fleet.cli(1, &["explain", "--target", "stock-0", "--json"]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    expect_that!(text, contains_substring("in use"));
+}
--- /dev/null
+++ b/tests/integration/stop.rs
@@ -0,0 +1,71 @@
+//! Planned stops.
+
+use std::{thread, time::Duration};
+
+use googletest::prelude::*;
+use plantainpost_standin::{load::LoadSettings, process::Signal};
+
+use crate::util::{Fleet, PATIENCE, hosts, mix};
+
+/// Guards against requests that a planned stop cuts: each node of a fleet under load is
+/// stopped and started again in turn. Callers use a node that stays.
+#[gtest]
+fn rolling_replacement_cuts_no_request() {
+    let mut fleet = Fleet::start(&hosts("stock", 4));
+    let settings = LoadSettings {
+        rate: 150.0,
+        duration_ms: 12_000,
+        kinds: mix("stock"),
+        ..Default::default()
+    };
+    let load = fleet.load(&[0], settings);
+    for i in 1..4 {
+        let status = fleet.nodes[i].process.terminate(PATIENCE);
+        expect_true!(status.expect("the node stops").success());
+        let lines = fleet.nodes[i].process.lines();
+        let summary = lines.iter().find(|line| line.contains("stopped: "));
+        expect_that!(summary, some(contains_substring(" 0 cut")));
+        fleet.nodes[i].start_again();
+        thread::sleep(Duration::from_millis(1_500));
+    }
+    let report = load.wait().expect("load runs");
+    let row = report.row("node").expect("there is a row");
+    expect_that!(row.cut, eq(0));
+    expect_that!(row.correct, eq(row.sent), "{row:#?}");
+    fleet.check(&[&report], Vec::new());
+}
+
+/// Guards against a stop of the entry that cuts the requests of its callers, and against
+/// a second signal that does.
+#[gtest]
+fn stopping_entry_finishes_its_requests() {
+    let mut fleet = Fleet::start(&hosts("stock", 2));
+    let mut kinds = mix("stock");
+    for kind in &mut kinds {
+        kind.work_us = Some(300_000);
+    }
+    let settings = LoadSettings {
+        rate: 30.0,
+        duration_ms: 1_500,
+        kinds,
+        ..Default::default()
+    };
+    let load = fleet.load(&[0], settings);
+    thread::sleep(Duration::from_millis(1_000));
+    let node = &mut fleet.nodes[0];
+    node.process.signal(Signal::Term).expect("the node runs");
+    thread::sleep(Duration::from_millis(50));
+    node.process.signal(Signal::Term).expect("the node runs");
+    let status = node.process.wait_exit(PATIENCE).expect("the node stops");
+    expect_true!(status.success());
+    let lines = node.process.lines();
+    let summary = lines.iter().find(|line| line.contains("stopped: "));
+    expect_that!(summary, some(contains_substring(" 0 cut")));
+    let report = load.wait().expect("load runs");
+    let row = report.row("node").expect("there is a row");
+    // Connections after the stop are refused; no answer may be cut or wrong.
+    expect_that!(row.cut, eq(0));
+    expect_that!(row.wrong, eq(0));
+    expect_that!(row.correct, ge(20), "{row:#?}");
+    fleet.check(&[&report], Vec::new());
+}
--- /dev/null
+++ b/tests/integration/util.rs
@@ -0,0 +1,355 @@
+//! A fleet of real node processes with stand-ins for everything around them.
+
+use std::{
+    fs,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Command, Output},
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+
+use plantainpost_standin::{
+    history::{self, CheckSettings, Record, Summary},
+    load::{self, Kind, LoadSettings, Report, Route},
+    log::{self, LogHandle, LogSettings},
+    process::{self, Process, ProcessSettings, Signal},
+    target::{self, TargetHandle, TargetSettings},
+};
+use serde_json::Value;
+
+/// The binary under test.
+const BINARY: &str = env!("CARGO_BIN_EXE_plantainpost");
+
+/// Time in which a healthy fleet must come to any state that a test waits for. The
+/// machine is shared, so it is generous; tests state tighter bounds of their own.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+static NEXT_DIR: AtomicU32 = AtomicU32::new(0);
+
+/// First port and number of ports for nodes. They lie below the range that the system
+/// gives to outgoing connections, so that no connection of another test takes one
+/// between the check and its use.
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u32 = 20_000;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// Returns loopback addresses whose ports are free for TCP and UDP.
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    // Test processes that run at the same time start at different ports.
+    let start = std::process::id().wrapping_mul(211);
+    let next = || {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let offset = start.wrapping_add(number) % PORTS;
+        SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset as u16))
+    };
+    let is_free = |addr: &SocketAddr| {
+        TcpListener::bind(addr).is_ok() && std::net::UdpSocket::bind(addr).is_ok()
+    };
+    std::iter::repeat_with(next)
+        .filter(is_free)
+        .take(count)
+        .collect()
+}
+
+/// A directory that is removed on drop.
+struct TempDir(PathBuf);
+
+impl TempDir {
+    fn new() -> Self {
+        let number = NEXT_DIR.fetch_add(1, Ordering::Relaxed);
+        let name = format!("plantainpost-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir_all(&path).expect("a temporary directory can be made");
+        TempDir(path)
+    }
+}
+
+impl Drop for TempDir {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A node and the target beside it.
+pub(crate) struct Spec {
+    /// Name of the node and its target.
+    pub(crate) name: String,
+    /// Data centre of the host.
+    pub(crate) data_centre: String,
+    /// The target.
+    pub(crate) target: TargetSettings,
+}
+
+/// Returns `count` hosts of one service, spread over two data centres.
+pub(crate) fn hosts(service: &str, count: usize) -> Vec<Spec> {
+    (0..count)
+        .map(|i| Spec {
+            name: format!("{service}-{i}"),
+            data_centre: ["pos", "arima"][i % 2].to_owned(),
+            target: TargetSettings {
+                name: format!("{service}-{i}"),
+                service: service.to_owned(),
+                ..Default::default()
+            },
+        })
+        .collect()
+}
+
+/// A running node.
+pub(crate) struct Node {
+    /// Listener for callers.
+    pub(crate) callers: SocketAddr,
+    /// Listener for operators.
+    pub(crate) admin: SocketAddr,
+    /// TCP and UDP address for peers.
+    pub(crate) peers: SocketAddr,
+    /// The process.
+    pub(crate) process: Process,
+    settings: PathBuf,
+}
+
+impl Node {
+    /// Kills the process and starts it again with the same settings.
+    pub(crate) fn replace(&mut self) {
+        let _ = self.process.signal(Signal::Kill);
+        let _ = self.process.wait_exit(PATIENCE);
+        self.process = start_process(&self.settings);
+    }
+
+    /// Starts the process again after it has ended.
+    pub(crate) fn start_again(&mut self) {
+        self.process = start_process(&self.settings);
+    }
+}
+
+fn start_process(settings: &PathBuf) -> Process {
+    Process::start(&ProcessSettings {
+        program: BINARY.into(),
+        args: vec!["run".into(), settings.into()],
+        ..Default::default()
+    })
+    .expect("the binary starts")
+}
+
+/// A fleet of nodes.
+pub(crate) struct Fleet {
+    /// The nodes, in the order of their specs.
+    pub(crate) nodes: Vec<Node>,
+    /// The targets beside the nodes.
+    pub(crate) targets: Vec<TargetHandle>,
+    /// The log service.
+    pub(crate) log: LogHandle,
+    dir: TempDir,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until each node knows every target.
+    pub(crate) fn start(specs: &[Spec]) -> Self {
+        Self::start_with(specs, |_, _| ())
+    }
+
+    /// Starts a fleet whose addresses a test may change before the settings are
+    /// written: `edit` gets the index and the addresses of callers, admin, peers.
+    pub(crate) fn start_with(specs: &[Spec], edit: impl Fn(usize, &mut String)) -> Self {
+        let log = log::start(&LogSettings::default()).expect("the log service starts");
+        let dir = TempDir::new();
+        fs::write(dir.0.join("fleet.key"), [7; 32]).expect("the key can be written");
+        let addresses = free_addresses(specs.len() * 3);
+        let mut fleet = Fleet {
+            nodes: Vec::new(),
+            targets: Vec::new(),
+            log,
+            dir,
+        };
+        let contact = addresses[2];
+        for (i, spec) in specs.iter().enumerate() {
+            let addresses = &addresses[i * 3..i * 3 + 3];
+            fleet.start_node(spec, addresses, contact, |text| edit(i, text));
+        }
+        fleet.wait_ready();
+        fleet
+    }
+
+    fn start_node(
+        &mut self,
+        spec: &Spec,
+        addresses: &[SocketAddr],
+        contact: SocketAddr,
+        edit: impl Fn(&mut String),
+    ) {
+        let [callers, admin, peers] = [addresses[0], addresses[1], addresses[2]];
+        let contacts = match peers == contact {
+            true => String::new(),
+            false => format!("[peers]\ncontacts = {contact}\n"),
+        };
+        let mut text = format!(
+            "[node]\nname = {}\ndata_centre = {}\nregion = trinidad\nip = 127.0.0.1\n\
+             [listen]\ncallers = {callers}\nadmin = {admin}\npeer_tcp = {peers}\n\
+             peer_udp = {peers}\n{contacts}[log]\naddress = {}\n\
+             [security]\nkey_file = {}\n",
+            spec.name,
+            spec.data_centre,
+            self.log.address(),
+            self.dir.0.join("fleet.key").display(),
+        );
+        edit(&mut text);
+        let settings = self.dir.0.join(format!("{}.ini", spec.name));
+        fs::write(&settings, text).expect("settings can be written");
+        self.nodes.push(Node {
+            callers,
+            admin,
+            peers,
+            process: start_process(&settings),
+            settings,
+        });
+        let target = TargetSettings {
+            node: Some(admin),
+            ..spec.target.clone()
+        };
+        self.targets
+            .push(target::start(&target).expect("the target starts"));
+    }
+
+    /// Waits until each node knows every target and no target is leaving.
+    pub(crate) fn wait_ready(&self) {
+        let count = self.targets.len();
+        for i in 0..self.nodes.len() {
+            self.wait_status(i, "all targets", |status| {
+                let members = status["members"].as_array().expect("members is a list");
+                let ready = |m: &&Value| m["state"] == "alive" && m["leaving"] == false;
+                members.iter().filter(ready).count() == count
+            });
+        }
+    }
+
+    /// Returns the status of a node, or null while it does not answer.
+    pub(crate) fn status(&self, i: usize) -> Value {
+        let output = self.cli(i, &["status", "--json"]);
+        serde_json::from_slice(&output.stdout).unwrap_or(Value::Null)
+    }
+
+    /// Waits until the status of a node meets a condition.
+    pub(crate) fn wait_status(
+        &self,
+        i: usize,
+        what: &str,
+        condition: impl Fn(&Value) -> bool,
+    ) -> Value {
+        let mut status = Value::Null;
+        let met = process::wait_until(what, PATIENCE, || {
+            status = self.status(i);
+            !status.is_null() && condition(&status)
+        });
+        if met.is_err() {
+            for node in &self.nodes {
+                println!("{} printed: {:#?}", node.admin, node.process.lines());
+            }
+            panic!("{what} at node {i}, last status: {status:#}");
+        }
+        status
+    }
+
+    /// Runs a command of the binary against the admin listener of a node.
+    pub(crate) fn cli(&self, i: usize, args: &[&str]) -> Output {
+        let admin = self.nodes[i].admin.to_string();
+        let (command, rest) = args.split_first().expect("a command is given");
+        Command::new(BINARY)
+            .arg(command)
+            .args(["--admin", &admin])
+            .args(rest)
+            .current_dir(&self.dir.0)
+            .output()
+            .expect("the binary starts")
+    }
+
+    /// States an intent at a node and saves its plan under a name.
+    pub(crate) fn plan(&self, i: usize, file: &str, intent: &[&str]) -> Output {
+        let args = ["plan", "--author", "ama", "--out", file];
+        self.cli(i, &[&args, intent].concat())
+    }
+
+    /// Confirms a saved plan at a node.
+    pub(crate) fn confirm(&self, i: usize, file: &str) -> Output {
+        self.cli(i, &["confirm", "--author", "kofi", file])
+    }
+
+    /// Plans and confirms an intent, which must come into force.
+    pub(crate) fn decide(&self, i: usize, intent: &[&str]) {
+        let file = format!("decide-{i}.json");
+        let plan = self.plan(i, &file, intent);
+        assert!(plan.status.success(), "plan: {plan:?}");
+        let confirm = self.confirm(i, &file);
+        assert!(confirm.status.success(), "confirm: {confirm:?}");
+    }
+
+    /// Starts load on some nodes, spread evenly.
+    pub(crate) fn load(&self, entries: &[usize], settings: LoadSettings) -> load::LoadHandle {
+        let route = |i: &usize| Route::new("node", self.nodes[*i].callers);
+        let settings = LoadSettings {
+            routes: entries.iter().map(route).collect(),
+            ..settings
+        };
+        load::start(&settings).expect("the load tool starts")
+    }
+
+    /// Stops the targets and checks their histories together with those of callers.
+    pub(crate) fn check(self, reports: &[&Report], more: Vec<Record>) -> Summary {
+        let mut records = more;
+        for report in reports {
+            records.extend(report.records.iter().cloned());
+        }
+        for target in self.targets {
+            records.extend(target.drain(Duration::from_secs(5)));
+        }
+        history::check(&records, &CheckSettings::default())
+            .unwrap_or_else(|violation| panic!("{violation}"))
+    }
+}
+
+/// A mix of look-ups, swaps that must not run twice, and photos.
+pub(crate) fn mix(service: &str) -> Vec<Kind> {
+    let kind = |method: &str, body, answer, weight| Kind {
+        service: service.to_owned(),
+        method: method.to_owned(),
+        body_bytes: body,
+        answer_bytes: answer,
+        weight,
+        ..Default::default()
+    };
+    vec![
+        kind("GET", 0, None, 60),
+        kind("GET", 0, Some(50_000), 10),
+        kind("POST", 200, None, 20),
+        kind("POST", 100_000, Some(2_000), 8),
+        Kind {
+            answer_chunked: true,
+            ..kind("GET", 0, Some(300_000), 2)
+        },
+    ]
+}
+
+/// Sends bytes to an address and returns what comes back until the peer closes the
+/// connection or is silent for a second.
+pub(crate) fn send_raw(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut io = TcpStream::connect(addr).expect("the listener accepts");
+    io.set_read_timeout(Some(Duration::from_secs(1)))
+        .expect("a timeout can be set");
+    // The peer may close before it has read everything.
+    let _ = io.write_all(bytes);
+    let mut received = Vec::new();
+    let mut buf = [0; 4096];
+    while let Ok(count @ 1..) = io.read(&mut buf) {
+        received.extend_from_slice(&buf[..count]);
+    }
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+/// Sends one request without a body and returns the answer.
+pub(crate) fn request(addr: SocketAddr, method: &str, service: &str, headers: &str) -> String {
+    let text =
+        format!("{method} / HTTP/1.1\r\nhost: {service}\r\nconnection: close\r\n{headers}\r\n");
+    send_raw(addr, text.as_bytes())
+}
--- a/tests/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Integration tests that start the real binary.
