--- /dev/null
+++ b/crates/core/tests/admission_pairs.rs
@@ -0,0 +1,91 @@
+//! Pairs of faults at every stage of a request, against the model of the guard's
+//! promises.
+
+mod admission_model;
+
+use admission_model::{Event, Model};
+
+/// Guards against two faults in a row, at any stage of a request, that together break
+/// a promise which each alone keeps.
+#[test]
+fn pairs_of_faults() {
+    let key = 0;
+    let faults = [
+        Event::Wait { millis: 1_000 },
+        Event::Wait { millis: 2_200 },
+        Event::Announce {
+            port: 1,
+            slots: 0,
+            ttl_ms: 60_000,
+            leaving: true,
+        },
+        Event::Announce {
+            port: 1,
+            slots: 1,
+            ttl_ms: 10,
+            leaving: false,
+        },
+        Event::Announce {
+            port: 2,
+            slots: 2,
+            ttl_ms: 60_000,
+            leaving: false,
+        },
+        Event::Withdraw,
+        Event::Drain(true),
+        Event::Offer { key, early_ms: 0 },
+        Event::Offer { key, early_ms: 900 },
+        Event::Dispatch { key },
+        Event::Finish {
+            key,
+            end: 0,
+            millis: 5,
+        },
+        Event::Finish {
+            key,
+            end: 2,
+            millis: 5,
+        },
+        Event::Finish {
+            key,
+            end: 4,
+            millis: 5,
+        },
+        Event::Cancel { key },
+        Event::Fence { key, early_ms: 0 },
+        Event::Fence { key, early_ms: 900 },
+        Event::Expire,
+    ];
+    let offer = |key| Event::Offer { key, early_ms: 0 };
+    let stages: [&[Event]; 6] = [
+        &[],
+        &[offer(key)],
+        &[offer(1), offer(key)],
+        &[offer(key), Event::Dispatch { key }],
+        &[
+            offer(key),
+            Event::Dispatch { key },
+            Event::Finish {
+                key,
+                end: 0,
+                millis: 5,
+            },
+        ],
+        &[Event::Fence { key, early_ms: 0 }],
+    ];
+    for stage in stages {
+        for first in faults {
+            for second in faults {
+                let mut model = Model::new();
+                model.announce(1, 1, 60_000, false);
+                for event in stage.iter().copied().chain([first, second]) {
+                    model.apply(event);
+                }
+                // A late copy of the request comes after every pair.
+                model.apply(offer(key));
+                model.apply(Event::Dispatch { key });
+                model.settle();
+            }
+        }
+    }
+}
