End a sampling of the service time when the target only fails

Cause: a sampling at low concurrency ended only with completed requests. A target that began to answer only errors during one kept the low limit: 0.25 of the capacity answered, for errors from 160, 180, 200, 220 and 240 ms on (new test errors_end_a_sampling).

Change: failed and cancelled requests at low concurrency count towards the end of a sampling, and a sampling that gave too little is not repeated before the usual interval. An empty PLANTAINPOST_TOKEN counts as absent in settings, as it does for commands.

--- a/crates/cli/settings.rs
+++ b/crates/cli/settings.rs
@@ -290,7 +290,8 @@
     }
 
     fn token_from_environment(&self) -> Result<Option<Secret>, SettingsError> {
-        let Some(token) = std::env::var_os(TOKEN_VARIABLE) else {
+        let token = std::env::var_os(TOKEN_VARIABLE).filter(|token| !token.is_empty());
+        let Some(token) = token else {
             return Ok(None);
         };
         let token = token.into_encoded_bytes();
--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -139,6 +139,7 @@
     /// The first refusal after a quiet time tells the level that was one too high.
     /// Refusals that go on lower the limit by a factor.
     pub(super) fn on_refusal(&mut self, now: Instant, started: Instant, level: u32) -> Change {
+        self.on_failure(level);
         if started < self.changed {
             return Change::None;
         }
@@ -152,8 +153,16 @@
     }
 
     /// Learns that a request was cancelled after `micros` at the target.
-    pub(super) fn on_cancel(&mut self, micros: u64) {
+    pub(super) fn on_cancel(&mut self, level: u32, micros: u64) {
         self.service_time.add_cancelled(micros);
+        self.on_failure(level);
+    }
+
+    /// Learns that a request ended with an error or without an answer.
+    pub(super) fn on_failure(&mut self, level: u32) {
+        if level <= self.low() {
+            self.comparison.skip();
+        }
     }
 
     /// Learns the service time of a completed request.
--- a/crates/core/src/admission/service_time.rs
+++ b/crates/core/src/admission/service_time.rs
@@ -101,7 +101,8 @@
 /// Result of a comparison.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Verdict {
-    /// The service time at high concurrency is about that at low concurrency.
+    /// The service time at high concurrency is about that at low concurrency, or nothing
+    /// is known of the latter.
     Copes,
     /// It is neither.
     Unclear,
@@ -130,7 +131,8 @@
     wanted: u32,
     /// Number and sum of the samples at high concurrency.
     window: (u32, f64),
-    /// Samples at high concurrency since the base was last sampled.
+    /// Samples at high concurrency since the base was last sampled; samples at low
+    /// concurrency reduce it. A sampling is due from `base_interval` on.
     since_base: u32,
     /// The last comparison exceeded the ratio, and the base was sampled afresh.
     is_suspect: bool,
@@ -144,7 +146,7 @@
             base: RunningMean::default(),
             wanted: 0,
             window: (0, 0.0),
-            since_base: 0,
+            since_base: cfg.base_interval,
             is_suspect: false,
         }
     }
@@ -159,6 +161,14 @@
         self.window = (0, 0.0);
     }
 
+    /// Counts a request at low concurrency that ended without a service time.
+    ///
+    /// A sampling ends even if the target completes nothing; otherwise the low limit
+    /// would last as long as the target's errors.
+    pub(super) fn skip(&mut self) {
+        self.wanted = self.wanted.saturating_sub(1);
+    }
+
     /// Adds a sample and returns the verdict if it completes a comparison.
     pub(super) fn add(&mut self, level: Level, micros: u64) -> Option<Verdict> {
         match level {
@@ -198,10 +208,16 @@
     }
 
     fn compare(&mut self, high: f64) -> Verdict {
-        if !self.has_base() || self.since_base >= self.cfg.base_interval {
+        if self.since_base >= self.cfg.base_interval {
             self.sample_base(self.cfg.base_samples);
             return Verdict::Unclear;
         }
+        if !self.has_base() {
+            // The sampling gave too little. Sampling again at once would cost the
+            // target's work for as long as its requests fail.
+            self.is_suspect = false;
+            return Verdict::Copes;
+        }
         let ratio = high / self.base.value.max(1.0);
         let was_suspect = std::mem::replace(&mut self.is_suspect, ratio >= self.cfg.misled_ratio);
         match (was_suspect, self.is_suspect) {
--- a/crates/core/src/admission/steps.rs
+++ b/crates/core/src/admission/steps.rs
@@ -122,7 +122,8 @@
             State::Admitted => self.release(now, key, State::Fenced, record.deadline),
             State::Started => {
                 if record.generation == self.generation {
-                    self.limit.on_cancel(now.micros_since(record.started));
+                    let elapsed = now.micros_since(record.started);
+                    self.limit.on_cancel(record.level, elapsed);
                 }
                 self.release(now, key, State::Finished, record.deadline);
             }
@@ -171,7 +172,10 @@
                 },
             ),
             Finish::TargetRefused => self.limit.on_refusal(now, record.started, record.level),
-            _ => Change::None,
+            _ => {
+                self.limit.on_failure(record.level);
+                Change::None
+            }
         };
         self.counters.limit_lowered += u64::from(change == Change::Lowered);
         self.counters.limit_raised += u64::from(change == Change::Raised);
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -20,7 +20,7 @@
 pub struct Offer<'a> {
     /// Attempt on offer.
     pub key: RequestKey,
-    /// Service that the entry expects behind this guard.
+    /// Service that the entry expects behind this guard, in lower case.
     pub service: &'a str,
     /// Instant on the guard's clock after which the request must not be started.
     pub deadline: Instant,
--- a/crates/core/tests/admission_goodput.rs
+++ b/crates/core/tests/admission_goodput.rs
@@ -37,6 +37,8 @@
     /// In-flight requests above which the target answers 503 at once.
     refuses_above: u32,
     refuses_until: Instant,
+    /// The target answers every request with an error from this instant on.
+    errors_from: Instant,
 }
 
 const LOAD: Load = Load {
@@ -46,6 +48,7 @@
     real_slots: SLOTS,
     refuses_above: u32::MAX,
     refuses_until: Instant::MAX,
+    errors_from: Instant::MAX,
 };
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -195,7 +198,7 @@
         } else {
             self.outcome.in_time += 1;
             let finish = Finish::Completed {
-                server_error: false,
+                server_error: self.now >= self.load.errors_from,
             };
             self.guard.finish(self.now, key(id), finish, service_time)
         };
@@ -307,3 +310,20 @@
     expect_that!(outcome.target_refused, gt(0));
     expect_that!(outcome.limit, eq(SLOTS));
 }
+
+/// Guards against a sampling of the service time at low concurrency that never ends,
+/// because the target answers only errors from its middle on.
+#[gtest]
+fn errors_end_a_sampling() {
+    // The first sampling lies between 100 and 300 ms.
+    for millis in (100..300).step_by(20) {
+        let errors_from = Instant::from_millis(millis);
+        let load = Load {
+            service: Service::Fixed,
+            errors_from,
+            ..LOAD
+        };
+        let (answered, _) = measure(load, 1);
+        expect_that!(answered, ge(0.95), "errors from {millis} ms");
+    }
+}
