--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,12 +1,12 @@
 //! Client of the log service over HTTP/1.1.
 
-use std::{future::Future, time::Duration};
+use std::{future::Future, io, time::Duration};
 
 use actix_rt::time::timeout;
 use awc::{
     Client, ClientRequest, Connector, SendClientRequest,
-    error::{PayloadError, SendRequestError},
-    http::StatusCode,
+    error::{ConnectError, PayloadError, SendRequestError},
+    http::{StatusCode, header::CONTENT_LENGTH},
 };
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use plantainpost_core::config::{Batch, LogRecord};
@@ -28,7 +28,7 @@
     pub connect_timeout_ms: u64,
     /// Time for a whole append.
     pub append_timeout_ms: u64,
-    /// Time for a whole read.
+    /// Time for one exchange of a read. A read whose answer is too long takes several.
     pub read_timeout_ms: u64,
     /// Longest answer that is read. A record of the longest size that readers accept,
     /// with every character escaped, fits.
@@ -167,6 +167,13 @@
                 return Err(status_failure(resp.status()));
             }
             let body = resp.body().limit(limit).await.map_err(body_failure)?;
+            // The body stream of a cut answer ends like that of a complete one.
+            let announced = resp.headers().get(CONTENT_LENGTH);
+            if announced
+                .is_some_and(|length| length.as_bytes() != body.len().to_string().as_bytes())
+            {
+                return Err(Failure::Broken("the answer was cut".to_owned()));
+            }
             serde_json::from_slice(&body).map_err(|error| Failure::Broken(error.to_string()))
         };
         within(timeout_ms, answer).await
@@ -216,11 +223,26 @@
     }
 }
 
+/// Only failures of opening the connection are certain. The client library reports
+/// a connection that ended without an answer as a connect error too.
 fn send_failure(error: SendRequestError) -> Failure {
     let reason = error.to_string();
-    match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => Failure::Refused(reason),
-        _ => Failure::Broken(reason),
+    let is_unsent = match &error {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(error) => match error {
+            ConnectError::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+            ConnectError::Timeout
+            | ConnectError::Resolver(_)
+            | ConnectError::NoRecords
+            | ConnectError::Unresolved => true,
+            _ => false,
+        },
+        _ => false,
+    };
+    if is_unsent {
+        Failure::Refused(reason)
+    } else {
+        Failure::Broken(reason)
     }
 }
 
