--- a/crates/core/examples/membership.rs
+++ b/crates/core/examples/membership/main.rs
@@ -3,10 +3,9 @@
 //!
 //! Usage: `membership [members] [seed] [scenario…]`; without scenarios all are run.
 
-#[path = "../tests/member_sim/mod.rs"]
-mod member_sim;
+mod sim;
 
-use member_sim::{
+use sim::{
     Network, Sim,
     scenario::{self, Report},
 };
--- a/crates/core/tests/member_sim/mod.rs
+++ b/crates/core/examples/membership/sim/mod.rs
@@ -2,21 +2,24 @@
 //!
 //! Used by the tests of the membership protocol and by the example `membership`.
 
+mod hosts;
 pub(crate) mod scenario;
 
+pub(crate) use hosts::{addr, record};
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap},
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     ops::RangeInclusive,
     rc::Rc,
 };
 
 use plantainpost_core::{
-    ids::{DataCentre, Incarnation, NodeName, Region, ServiceName},
+    ids::{Incarnation, NodeName},
     member::{
         Action, MAX_MESSAGE_BYTES, MemberEvent, MemberRecord, MemberSettings, MemberState,
-        Membership, Message, TargetInfo,
+        Membership, Message,
     },
     time::{Instant, MICROS_PER_SECOND},
 };
@@ -95,34 +98,6 @@
     by_name: BTreeMap<String, usize>,
 }
 
-/// Returns the address of the `i`th host.
-pub(crate) fn addr(i: usize) -> SocketAddr {
-    let [.., a, b, c] = (i as u32 + 1).to_be_bytes();
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, a, b, c)), 7_100)
-}
-
-/// Returns a record of a node at the `i`th host, as long as in a real fleet.
-pub(crate) fn record(name: &str, i: usize, incarnation: u64) -> MemberRecord {
-    let addr = addr(i);
-    MemberRecord {
-        name: NodeName::from(name),
-        incarnation: Incarnation(incarnation),
-        revision: 0,
-        state: MemberState::Alive,
-        ip: addr.ip(),
-        tcp_port: 7_101,
-        udp_port: addr.port(),
-        data_centre: DataCentre::from(["pos", "arima", "chaguanas", "sando"][i % 4]),
-        region: Region::from(["trinidad", "ashanti"][i % 2]),
-        target: Some(TargetInfo {
-            service: ServiceName::from(format!("service-{}.example", i % 49).as_str()),
-            slots: 12,
-            draining: false,
-        }),
-        config_version: 100_000,
-    }
-}
-
 impl Sim {
     pub(crate) fn new(seed: u64, network: Network, settings: MemberSettings) -> Self {
         Sim {
--- /dev/null
+++ b/crates/core/tests/member/fixture.rs
@@ -0,0 +1,68 @@
+//! One member and hand-made datagrams.
+
+use std::net::SocketAddr;
+
+use plantainpost_core::{
+    member::{Action, MemberEvent, MemberRecord, MemberSettings, Membership, Message},
+    time::Instant,
+};
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::sim::{addr, record};
+
+pub(crate) const LIFE: u64 = 1_000_000;
+
+pub(crate) fn at(ms: u64) -> Instant {
+    Instant::from_millis(60_000 + ms)
+}
+
+pub(crate) fn rng() -> StdRng {
+    StdRng::seed_from_u64(7)
+}
+
+/// Returns a member named `local` at host 0.
+pub(crate) fn member() -> Membership {
+    let local = record("local", 0, LIFE);
+    Membership::new(MemberSettings::default(), local, &[addr(9)], at(0))
+}
+
+pub(crate) fn gossip(records: &[MemberRecord]) -> Message {
+    let records = records.to_vec();
+    Message::Records { seq: 0, records }
+}
+
+pub(crate) fn tell(member: &mut Membership, ms: u64, records: &[MemberRecord]) -> Vec<Action> {
+    member.receive(at(ms), addr(9), &gossip(records), &mut rng())
+}
+
+pub(crate) fn peer() -> MemberRecord {
+    record("peer", 1, LIFE)
+}
+
+pub(crate) fn with(change: impl FnOnce(&mut MemberRecord)) -> MemberRecord {
+    let mut record = peer();
+    change(&mut record);
+    record
+}
+
+pub(crate) fn sent(actions: &[Action]) -> Vec<(SocketAddr, Message)> {
+    let sent = actions.iter().filter_map(|action| match action {
+        Action::Send { to, message } => Some((*to, message.clone())),
+        Action::Event(_) => None,
+    });
+    sent.collect()
+}
+
+pub(crate) fn events(actions: &[Action]) -> Vec<MemberEvent> {
+    let events = actions.iter().filter_map(|action| match action {
+        Action::Send { .. } => None,
+        Action::Event(event) => Some(event.clone()),
+    });
+    events.collect()
+}
+
+pub(crate) fn snapshot(member: &Membership) -> Vec<MemberRecord> {
+    let mut records: Vec<MemberRecord> = member.members().cloned().collect();
+    records.sort_by(|a, b| a.name.cmp(&b.name));
+    records
+}
--- a/crates/core/tests/member_fleet.rs
+++ b/crates/core/tests/member/fleet.rs
@@ -4,15 +4,13 @@
 //! follow from the settings: a member is probed at least once per round of `n`
 //! periods, has 5 s to refute, and what one node knows reaches all within 3 s.
 
-mod member_sim;
-
 use std::time::Instant;
 
-use googletest::prelude::*;
-use member_sim::{
+use crate::sim::{
     Network, Sim,
     scenario::{self, Report},
 };
+use googletest::prelude::*;
 
 /// Control traffic allowed per node, sent and received together.
 const MAX_BYTES_PER_SECOND: u64 = 21_000;
--- /dev/null
+++ b/crates/core/tests/member/messages.rs
@@ -0,0 +1,254 @@
+//! Messages: what is dropped, what fits, and that their order does not matter.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use googletest::prelude::*;
+use plantainpost_core::{
+    ids::{NodeName, ServiceName},
+    member::{
+        BUCKETS, Counters, MAX_MESSAGE_BYTES, MemberRecord, MemberSettings, MemberState,
+        Membership, Message,
+    },
+};
+use proptest::prelude::*;
+
+use crate::fixture::{LIFE, at, gossip, member, peer, rng, sent, snapshot, tell, with};
+use crate::sim::{addr, record};
+
+/// A message that must change nothing, and the counter that it must raise.
+struct Nonsense {
+    name: &'static str,
+    message: Message,
+    counter: fn(&Counters) -> u64,
+}
+
+fn nonsense() -> Vec<Nonsense> {
+    let row = |name, record: MemberRecord, counter| Nonsense {
+        name,
+        message: gossip(&[record]),
+        counter,
+    };
+    let other = |change: fn(&mut MemberRecord)| {
+        let mut record = record("other", 2, LIFE);
+        change(&mut record);
+        record
+    };
+    let ip = |a, b, c, d| IpAddr::V4(Ipv4Addr::new(a, b, c, d));
+    let mut rows = vec![
+        row("replayed", peer(), |c| c.stale_records),
+        row("late", with(|r| r.incarnation.0 -= 1), |c| c.stale_records),
+        row("own record", record("local", 0, LIFE), |c| c.self_records),
+        row("own earlier life", record("local", 5, LIFE - 1), |c| {
+            c.self_records
+        }),
+        row(
+            "unspecified",
+            other(|r| r.ip = Ipv4Addr::UNSPECIFIED.into()),
+            |c| c.bad_addresses,
+        ),
+        row("no udp port", other(|r| r.udp_port = 0), |c| {
+            c.bad_addresses
+        }),
+        row("no tcp port", other(|r| r.tcp_port = 0), |c| {
+            c.bad_addresses
+        }),
+        row(
+            "clock far ahead",
+            other(|r| r.incarnation.0 = u64::MAX),
+            |c| c.bad_incarnations,
+        ),
+        row(
+            "known, clock far ahead",
+            with(|r| r.incarnation.0 = 1 << 60),
+            |c| c.bad_incarnations,
+        ),
+        row("own, clock far ahead", record("local", 0, u64::MAX), |c| {
+            c.bad_incarnations
+        }),
+        row(
+            "death on hearsay",
+            with(|r| r.state = MemberState::Dead),
+            |c| c.unconfirmed_deaths,
+        ),
+    ];
+    let mut long = other(|_| {});
+    long.name = NodeName::from("x".repeat(950).as_str());
+    rows.push(row("oversized", long, |c| c.oversized));
+    let mut multicast = other(|_| {});
+    multicast.ip = ip(224, 0, 0, 1);
+    rows.push(row("multicast", multicast, |c| c.bad_addresses));
+    let unmatched: fn(&Counters) -> u64 = |c| c.unmatched;
+    let records = vec![other(|_| {})];
+    let message = Message::Records {
+        seq: 77,
+        records: records.clone(),
+    };
+    rows.push(Nonsense {
+        name: "unasked answer",
+        message,
+        counter: unmatched,
+    });
+    let from = NodeName::from("peer");
+    let message = Message::Ack {
+        seq: 77,
+        from,
+        read_to: 9,
+        records: records.clone(),
+    };
+    rows.push(Nonsense {
+        name: "unasked ack",
+        message,
+        counter: unmatched,
+    });
+    let digest = [0; BUCKETS];
+    let message = Message::Sync {
+        seq: 77,
+        answer: true,
+        digest,
+        records,
+    };
+    rows.push(Nonsense {
+        name: "unasked digest",
+        message,
+        counter: unmatched,
+    });
+    rows
+}
+
+/// Guards against nonsense, late and replayed datagrams that change the table.
+#[gtest]
+fn nonsense_is_counted_and_dropped() -> Result<()> {
+    for row in nonsense() {
+        let mut member = member();
+        tell(&mut member, 0, &[peer()]);
+        let (before, generation) = (snapshot(&member), member.generation());
+        for copy in 1..=2 {
+            let actions = member.receive(at(copy), addr(9), &row.message, &mut rng());
+            let name = || row.name.to_string();
+            verify_that!(actions, is_empty()).with_failure_message(name)?;
+            verify_that!(snapshot(&member), eq(&before)).with_failure_message(name)?;
+            verify_that!(member.generation(), eq(generation)).with_failure_message(name)?;
+            verify_that!((row.counter)(member.counters()), eq(copy)).with_failure_message(name)?;
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a table without bound.
+#[gtest]
+fn a_flood_of_unknown_members_is_bounded() {
+    let mut member = member();
+    for i in 1..=5_000 {
+        tell(&mut member, 0, &[record(&format!("flood-{i}"), i, LIFE)]);
+    }
+    expect_that!(member.members().count(), eq(4_097));
+    expect_that!(member.counters().table_full, eq(904));
+    let dead = |r: &MemberRecord| MemberRecord {
+        state: MemberState::Left,
+        ..r.clone()
+    };
+    let left = dead(member.get("flood-8").expect("a member"));
+    tell(&mut member, 1, &[left]);
+    tell(&mut member, 2, &[record("late", 6_000, LIFE)]);
+    expect_that!(member.get("late"), some(anything()));
+    expect_that!(member.get("flood-8"), none());
+}
+
+/// Guards against a probe that another node's answer satisfies: the host may belong
+/// to another node by now.
+#[gtest]
+fn an_answer_must_come_from_the_probed_member() {
+    for (from, unmatched) in [("peer", 0), ("stranger", 1)] {
+        let mut member = member();
+        tell(&mut member, 0, &[peer()]);
+        let pings = sent(&member.tick(at(0), &mut rng()));
+        let seq = pings.iter().find_map(|(_, m)| match m {
+            Message::Ping {
+                seq, to: Some(_), ..
+            } => Some(*seq),
+            _ => None,
+        });
+        let seq = seq.expect("a ping");
+        let ack = Message::Ack {
+            seq,
+            from: NodeName::from(from),
+            read_to: 0,
+            records: vec![],
+        };
+        member.receive(at(1), addr(1), &ack, &mut rng());
+        expect_that!(member.counters().unmatched, eq(unmatched));
+        member.receive(at(2), addr(1), &ack, &mut rng());
+        expect_that!(member.counters().unmatched, eq(unmatched + 1));
+    }
+}
+
+/// Guards against messages above the size limit, and against types that postcard
+/// can't carry, when names are long and the table is full.
+#[gtest]
+fn every_message_fits_and_survives_its_encoding() {
+    for len in [1, 60, 400, 820, 3_000] {
+        let mut local = record("local", 0, LIFE);
+        let service = ServiceName::from("s".repeat(len).as_str());
+        local.target.as_mut().expect("a target").service = service;
+        let mut member = Membership::new(MemberSettings::default(), local, &[addr(9)], at(0));
+        let peers: Vec<MemberRecord> = (1..300)
+            .map(|i| record(&format!("p{i}"), i, LIFE))
+            .collect();
+        let mut actions = tell(&mut member, 0, &peers);
+        let digest = [1; BUCKETS];
+        let sync = Message::Sync {
+            seq: 3,
+            answer: false,
+            digest,
+            records: vec![],
+        };
+        actions.extend(member.receive(at(1), addr(2), &sync, &mut rng()));
+        for ms in (0..3_000).step_by(100) {
+            actions.extend(member.tick(at(ms), &mut rng()));
+        }
+        actions.extend(member.leave(at(3_000), &mut rng()));
+        for (_, message) in sent(&actions) {
+            let buf = postcard::to_stdvec(&message).expect("an encoding");
+            expect_that!(buf.len(), le(MAX_MESSAGE_BYTES));
+            expect_that!(buf.len(), eq(message.encoded_len()));
+            expect_that!(postcard::from_bytes::<Message>(&buf), ok(eq(&message)));
+        }
+    }
+}
+
+prop_compose! {
+    fn any_record()(
+        name in 0..3usize,
+        life in 0..3u64,
+        revision in 0..3u32,
+        state in 0..4usize,
+        config_version in 0..3u64,
+    ) -> MemberRecord {
+        use MemberState::{Alive, Leaving, Left, Suspect};
+        MemberRecord {
+            revision,
+            state: [Alive, Leaving, Suspect, Left][state],
+            config_version,
+            ..record(&format!("p{name}"), 1 + name, LIFE + life)
+        }
+    }
+}
+
+proptest! {
+    /// Guards against tables that depend on the order or number of deliveries.
+    /// Deaths are left out: on hearsay they cause a probe instead.
+    #[test]
+    fn the_order_of_deliveries_does_not_matter(
+        records in prop::collection::vec(any_record(), 1..12),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let (mut first, mut second) = (member(), member());
+        tell(&mut first, 0, &records);
+        let mut shuffled = records.clone();
+        shuffled.reverse();
+        shuffled.rotate_left(order.index(records.len()));
+        tell(&mut second, 0, &shuffled);
+        tell(&mut second, 1, &records);
+        prop_assert_eq!(snapshot(&first), snapshot(&second));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/member/rules.rs
@@ -0,0 +1,331 @@
+//! Rules of the membership protocol at single members.
+
+use googletest::prelude::*;
+use plantainpost_core::{
+    ids::{Incarnation, NodeName},
+    member::{MemberEvent, MemberRecord, MemberSettings, MemberState, Message},
+};
+
+use crate::fixture::{LIFE, at, events, member, peer, rng, sent, tell, with};
+use crate::sim::{Network, Sim, addr, record};
+
+/// Guards against wrong or missing events, and against states that are taken back.
+#[gtest]
+fn a_step_of_a_record_gives_its_events() -> Result<()> {
+    use MemberState::{Alive, Dead, Leaving, Left, Suspect};
+    type Row = (
+        &'static str,
+        MemberRecord,
+        MemberRecord,
+        &'static [&'static str],
+        MemberState,
+    );
+    let state = |state, life| with(|r| (r.state, r.incarnation.0) = (state, life));
+    let drained = || {
+        with(|r| {
+            r.revision = 1;
+            r.target.as_mut().expect("a target").draining = true;
+        })
+    };
+    let moved = |state| {
+        with(|r| {
+            (r.state, r.ip) = (state, addr(5).ip());
+            r.incarnation.0 += 1;
+        })
+    };
+    let next = LIFE + 1;
+    let rows: [Row; 13] = [
+        (
+            "suspected",
+            state(Alive, LIFE),
+            state(Suspect, LIFE),
+            &["Suspected"],
+            Suspect,
+        ),
+        (
+            "refuted",
+            state(Suspect, LIFE),
+            state(Alive, next),
+            &["Refuted"],
+            Alive,
+        ),
+        (
+            "not refuted",
+            state(Suspect, LIFE),
+            state(Alive, LIFE),
+            &[],
+            Suspect,
+        ),
+        (
+            "died",
+            state(Suspect, LIFE),
+            state(Dead, LIFE),
+            &["Died"],
+            Dead,
+        ),
+        (
+            "leaving",
+            state(Alive, LIFE),
+            state(Leaving, LIFE),
+            &["Leaving"],
+            Leaving,
+        ),
+        (
+            "left",
+            state(Leaving, LIFE),
+            state(Left, LIFE),
+            &["Left"],
+            Left,
+        ),
+        (
+            "came back",
+            state(Left, LIFE),
+            state(Alive, next),
+            &["Joined"],
+            Alive,
+        ),
+        (
+            "still left",
+            state(Left, LIFE),
+            state(Alive, LIFE),
+            &[],
+            Left,
+        ),
+        (
+            "drained",
+            state(Alive, LIFE),
+            drained(),
+            &["TargetChanged"],
+            Alive,
+        ),
+        (
+            "drained while suspected",
+            state(Suspect, LIFE),
+            drained(),
+            &["TargetChanged"],
+            Suspect,
+        ),
+        (
+            "replaced host",
+            state(Alive, LIFE),
+            moved(Alive),
+            &["Joined"],
+            Alive,
+        ),
+        (
+            "replaced dead host",
+            state(Left, LIFE),
+            moved(Alive),
+            &["Joined"],
+            Alive,
+        ),
+        (
+            "old host of the name",
+            moved(Alive),
+            state(Alive, LIFE),
+            &[],
+            Alive,
+        ),
+    ];
+    for (name, first, second, expected, state) in rows {
+        let mut member = member();
+        tell(&mut member, 0, std::slice::from_ref(&first));
+        let events = events(&tell(&mut member, 1, std::slice::from_ref(&second)));
+        let names: Vec<String> = events.iter().map(|e| format!("{e:?}")).collect();
+        let names: Vec<&str> = names.iter().filter_map(|n| n.split(' ').next()).collect();
+        let row = || name.to_string();
+        verify_that!(names, eq(expected)).with_failure_message(row)?;
+        let known = member.get("peer").expect("a member").clone();
+        verify_that!(known.state, eq(state)).with_failure_message(row)?;
+        let newer = first.incarnation.max(second.incarnation);
+        verify_that!(known.incarnation, eq(newer)).with_failure_message(row)?;
+        let draining = second.target != first.target;
+        verify_that!(known.target.map(|t| t.draining), eq(Some(draining)))
+            .with_failure_message(row)?;
+    }
+    Ok(())
+}
+
+/// Guards against a node that accepts its own death, and against a race of
+/// incarnations between an old host and the one that replaced it.
+#[gtest]
+fn a_node_refutes_what_is_wrong_about_itself() -> Result<()> {
+    use MemberState::{Alive, Dead, Suspect};
+    type Row = (&'static str, usize, u64, MemberState, u64);
+    let rows: [Row; 7] = [
+        ("suspected", 0, LIFE, Suspect, LIFE + 1),
+        ("dead", 0, LIFE, Dead, LIFE + 1),
+        (
+            "earlier life, clock set back",
+            0,
+            LIFE + 50,
+            Alive,
+            LIFE + 51,
+        ),
+        (
+            "earlier life elsewhere is dead",
+            5,
+            LIFE + 50,
+            Dead,
+            LIFE + 51,
+        ),
+        ("replaced by a live host", 5, LIFE + 50, Alive, LIFE),
+        ("replaced by a suspected host", 5, LIFE + 50, Suspect, LIFE),
+        ("same life elsewhere", 5, LIFE, Alive, LIFE + 1),
+    ];
+    for (name, host, life, state, expected) in rows {
+        let mut member = member();
+        let said = MemberRecord {
+            state,
+            ..record("local", host, life)
+        };
+        tell(&mut member, 0, &[peer(), said.clone(), said]);
+        let local = member.local();
+        let row = || name.to_string();
+        verify_that!(local.state, eq(Alive)).with_failure_message(row)?;
+        verify_that!(local.incarnation, eq(Incarnation(expected))).with_failure_message(row)?;
+        let refuted = u64::from(expected > LIFE);
+        verify_that!(member.counters().refutations, eq(refuted)).with_failure_message(row)?;
+        let pushed = sent(&member.tick(at(100), &mut rng()));
+        let own = |(_, m): &(_, Message)| m.records().iter().any(|r| r.name == member.local().name);
+        verify_that!(pushed.iter().any(own), eq(true)).with_failure_message(row)?;
+    }
+    Ok(())
+}
+
+/// Guards against a stop that peers learn of late, and against a stopped node that
+/// still answers.
+#[gtest]
+fn a_leaving_node_tells_several_peers_at_once() {
+    let mut member = member();
+    let peers: Vec<MemberRecord> = (1..20).map(|i| record(&format!("p{i}"), i, LIFE)).collect();
+    tell(&mut member, 0, &peers);
+    let told = sent(&member.leave(at(1), &mut rng()));
+    expect_that!(told.len(), ge(4));
+    for (_, message) in &told {
+        let own = &message.records()[0];
+        expect_that!(own.state, eq(MemberState::Leaving));
+        expect_that!(own.target.as_ref().map(|t| t.draining), some(eq(true)));
+    }
+    let target = record("local", 0, LIFE).target;
+    member.set_target(target);
+    expect_that!(
+        member.local().target.as_ref().map(|t| t.draining),
+        some(eq(true))
+    );
+    expect_that!(member.leave(at(2), &mut rng()), is_empty());
+    expect_that!(sent(&member.depart(at(3), &mut rng())).len(), ge(4));
+    expect_that!(member.tick(at(100), &mut rng()), is_empty());
+    expect_that!(
+        tell(&mut member, 101, &[record("new", 50, LIFE)]),
+        is_empty()
+    );
+}
+
+/// Guards against a configuration version that is missed or taken back.
+#[gtest]
+fn a_peer_that_has_read_further_is_reported() {
+    let mut member = member();
+    member.set_config(100_001, 40);
+    member.set_config(90_000, 30);
+    expect_that!(member.local().config_version, eq(100_001));
+    for (read_to, ahead) in [(39, false), (40, false), (41, true)] {
+        let from = NodeName::from("peer");
+        let ping = Message::Ping {
+            seq: 5,
+            from,
+            to: None,
+            read_to,
+            records: vec![peer()],
+        };
+        let actions = member.receive(at(1), addr(1), &ping, &mut rng());
+        let name = NodeName::from("peer");
+        let event = MemberEvent::PeerAhead { name, read_to };
+        expect_that!(events(&actions).contains(&event), eq(ahead));
+        let acks = sent(&actions);
+        expect_that!(acks.len(), eq(1));
+        let acked = matches!(
+            &acks[0].1,
+            Message::Ack {
+                seq: 5,
+                read_to: 40,
+                ..
+            }
+        );
+        expect_that!(acked, eq(true));
+    }
+}
+
+/// Guards against deadlines that run while this process is paused.
+#[gtest]
+fn a_pause_extends_open_deadlines() {
+    let mut member = member();
+    tell(&mut member, 0, &[with(|r| r.state = MemberState::Suspect)]);
+    let rows = [
+        (0..2_000, MemberState::Suspect),
+        (62_000..64_000, MemberState::Suspect),
+        (64_000..66_000, MemberState::Dead),
+    ];
+    for (time, expected) in rows {
+        time.step_by(100).for_each(|ms| {
+            member.tick(at(ms), &mut rng());
+        });
+        expect_that!(member.get("peer").expect("a member").state, eq(expected));
+    }
+    expect_that!(member.counters().pauses, eq(1));
+}
+
+/// Guards against dead members that are never tried again or never forgotten.
+#[gtest]
+fn dead_members_are_tried_and_forgotten() {
+    let mut member = member();
+    tell(&mut member, 0, &[with(|r| r.state = MemberState::Suspect)]);
+    tell(&mut member, 1, &[with(|r| r.state = MemberState::Dead)]);
+    let hour = 3_600 * 1_000;
+    let (mut tries, mut rng) = (0, rng());
+    for ms in (0..6 * hour - 1_000).step_by(500) {
+        let pings = sent(&member.tick(at(ms), &mut rng));
+        tries += pings.iter().filter(|(to, _)| *to == addr(1)).count();
+    }
+    expect_that!(tries, all!(ge(60), le(6 * 360 * 2)));
+    expect_that!(member.get("peer"), some(anything()));
+    member.tick(at(6 * hour + 60_000), &mut rng);
+    expect_that!(member.get("peer"), none());
+}
+
+/// Guards against a leaving member that is reported as failed.
+#[gtest]
+fn a_leaving_member_that_stops_has_left() {
+    let mut member = member();
+    tell(&mut member, 0, &[with(|r| r.state = MemberState::Leaving)]);
+    let mut seen = Vec::new();
+    for ms in (0..9_000).step_by(100) {
+        seen.extend(events(&member.tick(at(ms), &mut rng())));
+    }
+    let name = NodeName::from("peer");
+    expect_that!(seen.contains(&MemberEvent::Left { name }), eq(true));
+}
+
+/// Guards against a name that stays with the old host's address when that host, frozen
+/// meanwhile, returns.
+#[gtest]
+fn an_old_host_does_not_take_its_name_back() {
+    let mut sim = Sim::new(91, Network::default(), MemberSettings::default());
+    sim.start_fleet(8);
+    sim.run_ms(10_000);
+    sim.freeze(6);
+    sim.run_ms(15_000);
+    let new = sim.start("node-0006.fleet");
+    sim.run_ms(15_000);
+    sim.resume(6);
+    sim.run_ms(60_000);
+    let ip = addr(new).ip();
+    for i in sim.up().filter(|&i| i != 6) {
+        let known = sim.nodes[i]
+            .member
+            .get("node-0006.fleet")
+            .expect("a member");
+        expect_that!(known.ip, eq(ip));
+        expect_that!(known.state, eq(MemberState::Alive));
+    }
+}
