Membership: a failed probe counts against the probed life only

Cause: a probe that was open while its member was replaced or refuted failed later and raised a suspicion of the new life.

Change: a probe remembers the incarnation. The example measures processor time and memory.

The new test fails without the check.

--- a/crates/core/examples/membership/main.rs
+++ b/crates/core/examples/membership/main.rs
@@ -2,7 +2,9 @@
 //! table.
 //!
 //! Usage: `membership [members] [seed] [scenario…]`; without scenarios all are run.
+//! The scenario `cost` prints processor time per message and memory per member.
 
+mod cost;
 mod sim;
 
 use sim::{
@@ -18,6 +20,9 @@
     let args: Vec<String> = std::env::args().skip(1).collect();
     let number = |at: usize, default| args.get(at).and_then(|a| a.parse().ok()).unwrap_or(default);
     let (members, seed) = (number(0, 860) as usize, number(1, 1));
+    if args.get(2).is_some_and(|a| a == "cost") {
+        return cost::print(members);
+    }
     println!(
         "{:<26} {:>5} {:>5} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
         "scenario",
--- a/crates/core/src/member/probe.rs
+++ b/crates/core/src/member/probe.rs
@@ -5,7 +5,10 @@
 use rand::{Rng, RngExt, seq::SliceRandom};
 
 use super::MemberRecord;
-use crate::{ids::NodeName, time::Instant};
+use crate::{
+    ids::{Incarnation, NodeName},
+    time::Instant,
+};
 
 /// Probes on hearsay that wait to be sent. Above this the rest is left to the
 /// regular probes.
@@ -17,8 +20,10 @@
 /// Who is probed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Subject {
-    /// A member; it is suspected if no one gets an answer from it.
-    Member(NodeName),
+    /// A member in one life; it is suspected if no one gets an answer from it. A
+    /// higher incarnation that appears meanwhile is not: a replaced host would be
+    /// suspected because its predecessor does not answer.
+    Member(NodeName, Incarnation),
     /// A dead member that may be back.
     Dead(NodeName),
     /// An address from the settings.
@@ -83,7 +88,7 @@
         let matches = |p: &Probe| {
             p.seq == seq
                 && match &p.subject {
-                    Subject::Member(name) | Subject::Dead(name) => name == from,
+                    Subject::Member(name, _) | Subject::Dead(name) => name == from,
                     Subject::Contact => true,
                 }
         };
@@ -95,7 +100,7 @@
     pub(super) fn take_indirect(&mut self, now: Instant) -> Vec<(u32, NodeName)> {
         let mut due = Vec::new();
         for probe in &mut self.open {
-            let Subject::Member(name) = &probe.subject else {
+            let Subject::Member(name, _) = &probe.subject else {
                 continue;
             };
             if probe.indirect_at.is_some_and(|t| t <= now) {
@@ -115,7 +120,7 @@
     /// Returns whether the member is being probed.
     pub(super) fn is_open(&self, name: &NodeName) -> bool {
         let same =
-            |p: &Probe| matches!(&p.subject, Subject::Member(n) | Subject::Dead(n) if n == name);
+            |p: &Probe| matches!(&p.subject, Subject::Member(n, _) | Subject::Dead(n) if n == name);
         self.open.iter().any(same)
     }
 
--- a/crates/core/src/member/tick.rs
+++ b/crates/core/src/member/tick.rs
@@ -7,7 +7,7 @@
 use super::compose::{Packer, Step, cost, pack};
 use super::probe::{Check, Probe, Subject};
 use super::{Action, MemberRecord, MemberState, Membership, Message};
-use crate::ids::NodeName;
+use crate::ids::{Incarnation, NodeName};
 use crate::time::{Instant, MICROS_PER_MILLI};
 
 /// Time between two searches for dead members to forget.
@@ -96,12 +96,12 @@
     /// Suspects the members that no one got an answer from.
     fn fail_probes(&mut self, step: &mut Step<'_>) {
         for probe in self.probes.take_failed(step.now) {
-            let Subject::Member(name) = &probe.subject else {
+            let Subject::Member(name, incarnation) = &probe.subject else {
                 continue;
             };
             self.counters.failed_probes += 1;
             self.notice_isolation(&probe);
-            self.suspect(step, name);
+            self.suspect(step, name, *incarnation);
         }
     }
 
@@ -115,11 +115,12 @@
         }
     }
 
-    fn suspect(&mut self, step: &mut Step<'_>, name: &NodeName) {
+    fn suspect(&mut self, step: &mut Step<'_>, name: &NodeName, incarnation: Incarnation) {
         let Some(entry) = self.table.get(name.as_str()) else {
             return;
         };
-        if entry.record.state >= MemberState::Suspect {
+        let later_life = entry.record.incarnation > incarnation;
+        if later_life || entry.record.state >= MemberState::Suspect {
             return;
         }
         let record = MemberRecord {
@@ -269,7 +270,7 @@
         let name = record.name.clone();
         let subject = match record.state.is_terminal() {
             true => Subject::Dead(name),
-            false => Subject::Member(name),
+            false => Subject::Member(name, record.incarnation),
         };
         self.counters.probes += 1;
         self.send_probe(step, subject, record.udp_addr(), claims);
@@ -293,7 +294,7 @@
     ) {
         let seq = self.next_seq(step.rng);
         let name = match &subject {
-            Subject::Member(name) | Subject::Dead(name) => Some(name),
+            Subject::Member(name, _) | Subject::Dead(name) => Some(name),
             Subject::Contact => None,
         };
         let ping = self.ping(seq, name);
--- a/crates/core/tests/member/rules.rs
+++ b/crates/core/tests/member/rules.rs
@@ -275,6 +275,24 @@
     expect_that!(member.counters().pauses, eq(1));
 }
 
+/// Guards against a new host that is suspected because the one it replaced did not
+/// answer a probe.
+#[gtest]
+fn a_failed_probe_counts_against_the_probed_life() {
+    for (replaced, expected) in [(false, MemberState::Suspect), (true, MemberState::Alive)] {
+        let mut member = member();
+        tell(&mut member, 0, &[peer()]);
+        member.tick(at(0), &mut rng());
+        if replaced {
+            tell(&mut member, 500, &[with(|r| r.incarnation.0 += 1)]);
+        }
+        (100..=1_000).step_by(100).for_each(|ms| {
+            member.tick(at(ms), &mut rng());
+        });
+        expect_that!(member.get("peer").expect("a member").state, eq(expected));
+    }
+}
+
 /// Guards against dead members that are never tried again or never forgotten.
 #[gtest]
 fn dead_members_are_tried_and_forgotten() {
