Count the risk of a refusal in the score

With one target of four slow at 80 % load the other three are above their capacity, and their queues fill. A score without the risk prefers a full queue to a slow target, and the refused requests spend the retry budget and fail.

--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -11,6 +11,12 @@
 /// so that its noise would send all of them to the same target.
 const NORMAL_SERVICE: f64 = 2.0;
 
+/// Requests per slot at which a guard refuses: one in service and two in the queue.
+const FULL: f64 = 3.0;
+
+/// Requests per slot from which a refusal becomes likely.
+const NEARLY_FULL: f64 = 2.4;
+
 /// Constants of the score.
 #[derive(Clone, Copy, Debug)]
 pub struct ScoreSettings {
@@ -25,6 +31,8 @@
     pub failure_penalty_us: u32,
     /// Time in which the memory of failures falls to 1/e.
     pub failure_memory_us: u64,
+    /// Penalty of a target whose queue is full.
+    pub refusal_penalty_us: u32,
     /// Length of the slow start of a target that is new or has returned.
     pub cold_us: u64,
     /// Penalty at the beginning of the slow start.
@@ -39,6 +47,7 @@
             assumed_service_us: 10_000,
             failure_penalty_us: 1_000_000,
             failure_memory_us: 5_000_000,
+            refusal_penalty_us: 300_000,
             cold_us: 2_000_000,
             cold_penalty_us: 50_000,
         }
@@ -56,6 +65,8 @@
     pub distance_us: f64,
     /// Penalty for recent failures.
     pub failure_us: f64,
+    /// Penalty for a queue that is about to be full.
+    pub refusal_us: f64,
     /// Penalty of the slow start.
     pub cold_us: f64,
 }
@@ -64,18 +75,21 @@
     /// Predicts the completion time at a candidate.
     pub fn new(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> Self {
         let service_us = service_us(now, candidate, cfg);
+        let load = load_per_slot(now, candidate, cfg);
         Score {
-            queue_us: load_per_slot(now, candidate, cfg) * service_us,
+            queue_us: load * service_us,
             service_us,
             distance_us: f64::from(candidate.distance_us),
             failure_us: failure_us(now, candidate, cfg),
+            refusal_us: refusal_us(load, cfg),
             cold_us: cold_us(now, candidate, cfg),
         }
     }
 
     /// Returns the sum of the parts.
     pub fn total_us(&self) -> f64 {
-        self.queue_us + self.service_us + self.distance_us + self.failure_us + self.cold_us
+        let waits_us = self.queue_us + self.service_us + self.distance_us;
+        waits_us + self.failure_us + self.refusal_us + self.cold_us
     }
 }
 
@@ -131,6 +145,12 @@
     failures * f64::from(cfg.failure_penalty_us)
 }
 
+/// A refused request costs a retry, or fails once the retry budget is spent.
+fn refusal_us(load_per_slot: f64, cfg: &ScoreSettings) -> f64 {
+    let part = (load_per_slot - NEARLY_FULL) / (FULL - NEARLY_FULL);
+    f64::from(cfg.refusal_penalty_us) * part.clamp(0.0, 1.0)
+}
+
 fn cold_us(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> f64 {
     let age_us = now.micros_since(candidate.estimate.cold_since);
     let left_us = cfg.cold_us.saturating_sub(age_us);
