--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -3,9 +3,6 @@
 use super::Candidate;
 use crate::time::Instant;
 
-/// Service time that is inferred from the age of the oldest own request, as a share.
-const OVERDUE_SHARE: f64 = 0.5;
-
 /// Recent service time up to which a target counts as normal, as a multiple of the
 /// usual one. The recent figure is an average of few answers and known to all entries,
 /// so that its noise would send all of them to the same target.
@@ -119,7 +116,7 @@
 fn overdue_us(now: Instant, candidate: &Candidate<'_>) -> f64 {
     let oldest = candidate.estimate.oldest_sent();
     let out_us = oldest.map_or(0, |sent| now.micros_since(sent));
-    out_us.saturating_sub(candidate.distance_us.into()) as f64 * OVERDUE_SHARE
+    out_us.saturating_sub(candidate.distance_us.into()) as f64
 }
 
 /// Own requests count in full; those of others as of the last sample, by its age.
