--- a/crates/core/tests/config/world.rs
+++ b/crates/core/tests/config/world.rs
@@ -231,7 +231,7 @@
             shares: BTreeMap::from([(ShareKey::DataCentre("pos".to_owned()), n)]),
         },
         2 => Intent::Leave {
-            leaving: Leaving::Target(name),
+            leaving: [Leaving::Target(name)].into(),
         },
         _ => Intent::Restore {
             version: u64::from(n / 4),
