--- a/crates/core/tests/config/plan.rs
+++ b/crates/core/tests/config/plan.rs
@@ -37,9 +37,9 @@
 
 const SHARES: &str = r#"{"kind":"share","service":"stock","shares":{"data_centre:pos":20,"node:n1":70,"node:n2":0}}"#;
 const METHODS: &str = r#"{"kind":"repeatable","service":"stock","methods":["PUT"]}"#;
-const LEAVE: &str = r#"{"kind":"leave","leaving":{"target":"n1"}}"#;
-const LEAVE_HOST: &str = r#"{"kind":"leave","leaving":{"host":"10.0.0.1"}}"#;
-const LEAVE_ARIMA: &str = r#"{"kind":"leave","leaving":{"data_centre":"arima"}}"#;
+const LEAVE: &str = r#"{"kind":"leave","leaving": [{"target":"n1"}]}"#;
+const LEAVE_HOST: &str = r#"{"kind":"leave","leaving": [{"host":"10.0.0.1"}]}"#;
+const LEAVE_ARIMA: &str = r#"{"kind":"leave","leaving": [{"data_centre":"arima"}]}"#;
 
 macro_rules! rows {
     ($($intent:expr => $expected:expr;)*) => { [$(($intent, $expected)),*] };
@@ -59,7 +59,7 @@
         r#"{"kind":"repeatable","service":"stock","methods":["POST"]}"# =>
             "service stock: POST becomes repeatable; service stock: PUT is no longer repeatable";
         LEAVE_ARIMA => "data centre arima leaves";
-        r#"{"kind":"return","leaving":{"target":"n1"}}"# => "target n1 returns";
+        r#"{"kind":"return","leaving": [{"target":"n1"}]}"# => "target n1 returns";
         r#"{"kind":"measure","permille":0}"# => "measuring share: 5 to 0 permille";
         r#"{"kind":"restore","version":1}"# => "target n1 returns";
         r#"{"kind":"restore","version":0}"# =>
@@ -67,7 +67,7 @@
         r#"{"kind":"override"}"# => "overrides the version in force and lost records";
         r#"{"kind":"restore","version":7}"# => "version 7 is not among the recent versions";
         LEAVE => "the intent changes nothing";
-        r#"{"kind":"return","leaving":{"target":"n7"}}"# => "the intent changes nothing";
+        r#"{"kind":"return","leaving": [{"target":"n7"}]}"# => "the intent changes nothing";
         r#"{"kind":"measure","permille":1001}"# => "measuring share 1001 is above 1000 permille";
         r#"{"kind":"share","service":"stock","shares":{"node:n1":1001}}"# =>
             "share 1001 of node:n1 for service stock is above 1000";
@@ -103,8 +103,8 @@
         r#"{"kind":"sharing"}"#,
         r#"{"kind":"measure","permille":-1}"#,
         r#"{"kind":"share","service":"stock","shares":{"n1":1}}"#,
-        r#"{"kind":"leave","leaving":{"host":"arima"}}"#,
-        r#"{"kind":"leave","leaving":{"target":"n1"},"until":1}"#,
+        r#"{"kind":"leave","leaving": [{"host":"arima"}]}"#,
+        r#"{"kind":"leave","leaving": [{"target":"n1"}],"until":1}"#,
     ];
     for text in rows {
         expect_true!(serde_json::from_str::<Intent>(text).is_err(), "{text}");
