--- a/crates/core/src/balance/predicted.rs
+++ b/crates/core/src/balance/predicted.rs
@@ -7,8 +7,9 @@
 /// Candidates sampled in the nearest data centre.
 const SAMPLED_NEAR: usize = 2;
 
-/// Candidates sampled elsewhere.
-const SAMPLED_FAR: usize = 1;
+/// Candidates sampled elsewhere. One was too few where each data centre has one target:
+/// a sample of two often holds the slow target and a full one.
+const SAMPLED_FAR: usize = 2;
 
 /// Samples a few candidates and takes the one with the least predicted completion
 /// time.
