standin: service times with a resolution below 1 ms

The timers of the runtime round up to the next ms, so a target with no work took more than 1 ms, and more than the 0.68 ms that a node may add could not be told apart from rounding. A timer thread of the process now wakes the requests.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod proxy;
 mod server;
 pub mod target;
+mod timer;
--- a/crates/standin/src/target/http.rs
+++ b/crates/standin/src/target/http.rs
@@ -1,12 +1,15 @@
 //! The HTTP side of a target.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use actix_http::{
     Method, Request, Response, StatusCode,
     header::{HeaderName, HeaderValue},
 };
-use actix_rt::time::sleep;
 use bytes::Bytes;
 use futures_util::{FutureExt, future::LocalBoxFuture};
 
@@ -19,6 +22,7 @@
     http::{header, json, lines, text},
     pattern::{body_for, echo, sha256_hex},
     server::{Ending, Framing, Handler, Reply},
+    timer::sleep_until,
 };
 
 /// Largest answer body that a request may ask for.
@@ -72,11 +76,9 @@
         {
             // The semaphore is never closed, so the permit is always given.
             let _slot = self.0.slots.acquire().await;
-            sleep(Duration::from_micros(decision.work_us)).await;
-        }
-        if decision.late_ms > 0 {
-            sleep(Duration::from_millis(decision.late_ms)).await;
+            sleep_for(decision.work_us).await;
         }
+        sleep_for(decision.late_ms.saturating_mul(1000)).await;
         let mut reply = self.echo(req, body, StatusCode::OK);
         apply(&decision, &mut reply);
         reply
@@ -129,6 +131,10 @@
     }
 }
 
+async fn sleep_for(us: u64) {
+    sleep_until(Instant::now() + Duration::from_micros(us)).await;
+}
+
 fn closed() -> Reply {
     let head = Response::with_body(StatusCode::OK, ());
     Reply {
