standin: frozen children and free ports without races

A child that is being started has a copy of every open socket until it runs its program, so a port returned by free_addresses could still be taken; both now exclude each other, and ports come from below the range of ephemeral ports.

The binary listens for signals before it prints its addresses, because SIGTERM sent at once would have ended it without draining.

--- a/crates/standin/src/bin/plantainpost-standin/main.rs
+++ b/crates/standin/src/bin/plantainpost-standin/main.rs
@@ -5,7 +5,10 @@
 
 use std::{process::ExitCode, time::Duration};
 
-use actix_rt::signal::unix::{SignalKind, signal};
+use actix_rt::{
+    System, SystemRunner,
+    signal::unix::{Signal, SignalKind, signal},
+};
 use plantainpost_standin::{error::Error, history, load, log, target};
 
 use args::{Args, Command};
@@ -35,17 +38,19 @@
 type Done = Result<ExitCode, Box<dyn std::error::Error>>;
 
 fn run_log(args: &args::Log) -> Done {
+    let stop = Stop::listen()?;
     let handle = log::start(&args.settings())?;
     println!(
         "log listening on {} control {}",
         handle.address(),
         handle.control()
     );
-    wait_for_stop()?;
+    stop.wait();
     Ok(ExitCode::SUCCESS)
 }
 
 fn run_target(args: &args::Target) -> Done {
+    let stop = Stop::listen()?;
     let handle = target::start(&args.settings())?;
     println!(
         "target {} listening on {} control {}",
@@ -53,7 +58,7 @@
         handle.address(),
         handle.control()
     );
-    wait_for_stop()?;
+    stop.wait();
     let started = handle.started();
     handle.drain(DRAIN_LIMIT);
     println!("target stopped, {started} requests started before the signal");
@@ -88,19 +93,42 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT.
-fn wait_for_stop() -> Result<(), Error> {
-    actix_rt::System::new()
-        .block_on(async {
-            let mut term = signal(SignalKind::terminate())?;
-            let mut int = signal(SignalKind::interrupt())?;
-            let stop = std::pin::pin!(term.recv());
-            let interrupt = std::pin::pin!(int.recv());
-            futures_util::future::select(stop, interrupt).await;
-            Ok(())
-        })
-        .map_err(|source| Error::Process {
-            name: "signal handler".to_owned(),
-            source,
-        })
+/// Waits for SIGTERM or SIGINT. It listens before the addresses are printed, because a
+/// script may send the signal as soon as it has read them.
+struct Stop {
+    system: SystemRunner,
+    term: Signal,
+    int: Signal,
+}
+
+impl Stop {
+    fn listen() -> Result<Self, Error> {
+        let system = System::new();
+        let listen = |kind| {
+            system
+                .block_on(async move { signal(kind) })
+                .map_err(|source| Error::Process {
+                    name: "signal handler".to_owned(),
+                    source,
+                })
+        };
+        let (term, int) = (
+            listen(SignalKind::terminate())?,
+            listen(SignalKind::interrupt())?,
+        );
+        Ok(Self { system, term, int })
+    }
+
+    fn wait(self) {
+        let Self {
+            system,
+            mut term,
+            mut int,
+        } = self;
+        system.block_on(async move {
+            let term = std::pin::pin!(term.recv());
+            let int = std::pin::pin!(int.recv());
+            futures_util::future::select(term, int).await;
+        });
+    }
 }
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -4,18 +4,22 @@
     collections::BTreeMap,
     ffi::OsString,
     io::{BufRead, BufReader, Read},
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    ops::Range,
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
-    sync::{Arc, Condvar, Mutex, MutexGuard},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard, OnceLock,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
 
-use rustix::process::{Pid, kill_process};
+use rustix::process::{Pid, WaitId, WaitIdOptions, kill_process, waitid};
 use snafu::ResultExt;
 
-use crate::error::{Error, ListenSnafu, ProcessSnafu, Result, ThreadSnafu, TimeoutSnafu};
+use crate::error::{ProcessSnafu, Result, SettingSnafu, ThreadSnafu, TimeoutSnafu};
 
 /// Pause between two looks at a condition.
 const POLL_PAUSE: Duration = Duration::from_millis(5);
@@ -97,14 +101,17 @@
     /// Fails when the program or a thread cannot be started.
     pub fn start(settings: &ProcessSettings) -> Result<Self> {
         let name = settings.program.display().to_string();
-        let mut child = Command::new(&settings.program)
+        let mut command = Command::new(&settings.program);
+        command
             .args(&settings.args)
             .envs(&settings.envs)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
-            .spawn()
-            .context(ProcessSnafu { name: &name })?;
+            .stderr(Stdio::piped());
+        let mut child = {
+            let _lock = lock_sockets();
+            command.spawn().context(ProcessSnafu { name: &name })?
+        };
         let output = Arc::new(Output::default());
         let streams = (child.stdout.take(), child.stderr.take());
         // Owns the child from here on, so that it is killed when a thread cannot be started.
@@ -165,7 +172,8 @@
             }
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                let what = format!("a line with {text:?} of {}", self.name);
+                let last = lines.last().map_or("none", String::as_str);
+                let what = format!("a line with {text:?} of {}; last line: {last}", self.name);
                 return TimeoutSnafu { what }.fail();
             }
             lines = match self.output.grown.wait_timeout(lines, left) {
@@ -175,14 +183,22 @@
         }
     }
 
-    /// Sends a signal.
+    /// Sends a signal. With [`Signal::Stop`] it returns when the process is frozen or has
+    /// ended: the kernel lets other threads of a process run until one of them has taken
+    /// the signal, which takes some ms on a busy host.
     ///
     /// # Errors
     ///
     /// Fails when the process ended already and its status was read.
     pub fn signal(&self, signal: Signal) -> Result<()> {
-        kill_process(Pid::from_child(&self.child), signal.into())
-            .map_err(std::io::Error::from)
+        let id = Pid::from_child(&self.child);
+        let mut sent = kill_process(id, signal.into());
+        if signal == Signal::Stop {
+            // `NOWAIT` leaves the status to `wait_exit`.
+            let states = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
+            sent = sent.and_then(|()| waitid(WaitId::Pid(id), states).map(|_| ()));
+        }
+        sent.map_err(std::io::Error::from)
             .context(ProcessSnafu { name: &self.name })
     }
 
@@ -246,32 +262,49 @@
     Ok(())
 }
 
+/// Ports that [`free_addresses`] chooses from. They are below the range from which Linux
+/// takes ports for connections and for listeners on port 0 (from 32,768 on by default).
+const FREE_PORTS: Range<u16> = 10_000..32_000;
+
+/// Keeps the sockets that [`free_addresses`] opens from being copied into a child.
+///
+/// A child has a copy of every open socket until it runs its program, so a port would still
+/// be taken after its socket was closed here. `Command::spawn` returns when the program runs.
+fn lock_sockets() -> MutexGuard<'static, ()> {
+    static SOCKETS: Mutex<()> = Mutex::new(());
+    SOCKETS.lock().unwrap_or_else(|err| err.into_inner())
+}
+
+/// The port after the one that was chosen last in this process.
+fn next_port() -> u16 {
+    static NEXT: OnceLock<AtomicU32> = OnceLock::new();
+    let next = NEXT.get_or_init(|| AtomicU32::new(u32::from(rand::random::<u16>())));
+    let number = next.fetch_add(1, Ordering::Relaxed);
+    FREE_PORTS.start + (number % u32::from(FREE_PORTS.end - FREE_PORTS.start)) as u16
+}
+
 /// Loopback addresses with ports that are free for TCP and UDP now.
 ///
-/// All ports are held until the last one is chosen, so they differ. Another process may
-/// take a port before it is used.
+/// A process does not choose a port twice before it has gone through the whole range, and
+/// starts at a random place in it. Another process may take a port before it is used, and
+/// so may a child that this process starts at the same time in another way than with
+/// [`Process::start`].
 ///
 /// # Errors
 ///
 /// Fails when too few ports are free.
 pub fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
-    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let mut held = Vec::new();
-    // A TCP port may be taken for UDP, so there are more attempts than ports.
-    for _ in 0..count * 4 + 16 {
-        if held.len() == count {
-            break;
+    let _lock = lock_sockets();
+    let mut free = Vec::new();
+    for _ in FREE_PORTS {
+        if free.len() == count {
+            return Ok(free);
         }
-        let tcp = TcpListener::bind(any).context(ListenSnafu { address: any })?;
-        let address = tcp.local_addr().context(ListenSnafu { address: any })?;
-        if let Ok(udp) = std::net::UdpSocket::bind(address) {
-            held.push((address, tcp, udp));
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, next_port()));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            free.push(address);
         }
     }
-    if held.len() < count {
-        return Err(Error::Timeout {
-            what: format!("{count} free ports"),
-        });
-    }
-    Ok(held.into_iter().map(|(address, ..)| address).collect())
+    let reason = format!("there are no {count} free ports");
+    SettingSnafu { reason }.fail()
 }
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -41,7 +41,9 @@
     log.signal(Signal::Stop)?;
     let frozen = std::thread::spawn(move || call(address, "POST /streams/config", "a"));
     std::thread::sleep(Duration::from_millis(100));
-    verify_that!(frozen.is_finished(), eq(false))?;
+    if frozen.is_finished() {
+        return fail!("finished early: {:?}", frozen.join());
+    }
     log.signal(Signal::Cont)?;
     verify_that!(
         frozen.join().expect("the thread does not panic")?.0,
@@ -64,6 +66,21 @@
     verify_that!(call(address, "GET /streams/config", "").is_err(), eq(true))
 }
 
+/// Guards against free ports that are still held when they are returned: a child that is
+/// being started has a copy of every open socket until it runs its program.
+#[gtest]
+fn free_addresses_are_free_while_children_start() -> Result<()> {
+    let starter = std::thread::spawn(|| (0..100).all(|_| start(&["--help"]).is_ok()));
+    let mut taken = 0;
+    while !starter.is_finished() {
+        for address in free_addresses(2)? {
+            taken += u32::from(std::net::TcpListener::bind(address).is_err());
+        }
+    }
+    verify_that!(starter.join().expect("the thread does not panic"), eq(true))?;
+    verify_that!(taken, eq(0))
+}
+
 /// Guards against waits without an end.
 #[gtest]
 fn waits_end_at_their_limit() -> Result<()> {
