standin: a stopping target withdraws after its last renewal

A renewal could be sent after the withdrawal, and the node would then have kept the target until its lease expired. The renewals now end first. Request bodies are limited to 64 MiB.

--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -33,6 +33,9 @@
 /// Length of the queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1024;
 
+/// Longest request body, so that a faulty sender cannot use up the memory.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
 /// What the main listener does with connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Gate {
@@ -284,7 +287,7 @@
     write(framed, reply).await
 }
 
-/// Reads a whole request body; `None` when it was cut.
+/// Reads a whole request body; `None` when it was cut or is too long.
 async fn read_body(framed: &mut Framed<TcpStream, Codec>) -> Option<Bytes> {
     let mut body = BytesMut::new();
     if framed.codec_ref().message_type() == MessageType::None {
@@ -292,7 +295,9 @@
     }
     loop {
         match framed.next().await {
-            Some(Ok(Message::Chunk(Some(part)))) => body.extend_from_slice(&part),
+            Some(Ok(Message::Chunk(Some(part)))) if body.len() < MAX_BODY_BYTES => {
+                body.extend_from_slice(&part);
+            }
             Some(Ok(Message::Chunk(None))) => return Some(body.freeze()),
             _ => return None,
         }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -15,7 +15,7 @@
     time::{Duration, Instant},
 };
 
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 
 use crate::{
     error::Result,
@@ -104,7 +104,8 @@
     let served = Arc::clone(&shared);
     let thread = Thread::start("standin-target", move |stopped| async move {
         let (handler, control_handler) = http::handlers(Arc::clone(&served));
-        actix_rt::spawn(announce::renew(Arc::clone(&served)));
+        let (stop_renewing, renewing) = oneshot::channel();
+        let renewer = actix_rt::spawn(announce::renew(Arc::clone(&served), renewing));
         let gate = Arc::new(watch::Sender::new(Gate::Open));
         server::run(
             main,
@@ -115,6 +116,9 @@
             stopped,
         )
         .await;
+        drop(stop_renewing);
+        // A renewal that is being sent must not arrive after the withdrawal.
+        drop(renewer.await);
         announce::withdraw(&served).await;
     })?;
     Ok(TargetHandle {
