standin: load tool checks the service of the target

An answer from a target of another service has the caller's nonce and checksum, so it counted as correct. Answers with bytes that do not belong to the request break the rule AnswerOfAnother also when they were not cut. Tests cover arrivals that do not wait, the bound on connections, repeatability, and the comparison of two routes.

--- a/crates/standin/src/history/check.rs
+++ b/crates/standin/src/history/check.rs
@@ -26,7 +26,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Rule {
-    /// An answer contains something that belongs to another nonce.
+    /// An answer carries another nonce, or bytes that do not belong to the request.
     AnswerOfAnother,
     /// An answer that ended cleanly is not whole.
     AnswerNotWhole,
@@ -211,7 +211,7 @@
             let detail = format!("the answer to {nonce} carries the nonce {answer_nonce:?}");
             return Err((Rule::AnswerOfAnother, detail));
         }
-        if *foreign && *cut {
+        if *foreign {
             let detail = format!("the answer to {nonce} has bytes that are not its own");
             return Err((Rule::AnswerOfAnother, detail));
         }
--- a/crates/standin/src/load/exchange.rs
+++ b/crates/standin/src/load/exchange.rs
@@ -154,6 +154,7 @@
     // The other outcomes are told by a node, whose answer carries no body of a target.
     let served = matches!(outcome, Outcome::Answered | Outcome::Direct);
     let own_head = answer_nonce.as_deref() == Some(nonce)
+        && text(headers, "x-service").as_ref() == Some(&kind.service)
         && text(headers, "x-body-sha256").as_deref() == Some(&digest);
     Answer {
         outcome,
--- a/crates/standin/src/load/kind.rs
+++ b/crates/standin/src/load/kind.rs
@@ -3,6 +3,9 @@
 use std::str::FromStr;
 
 use actix_http::Method;
+use snafu::OptionExt;
+
+use crate::error::{Error, Result, SettingSnafu};
 
 /// One kind of request in the mix.
 ///
@@ -57,7 +60,7 @@
         Method::from_bytes(self.method.as_bytes()).is_ok() && self.path.starts_with('/')
     }
 
-    fn set(&mut self, name: &str, value: &str) -> Result<(), String> {
+    fn set(&mut self, name: &str, value: &str) -> Result<()> {
         match name {
             "service" => self.service = value.to_owned(),
             "method" => self.method = value.to_owned(),
@@ -68,29 +71,32 @@
             "work-us" => self.work_us = Some(number(value)?),
             "repeatable" => self.repeatable = number(value)?,
             "weight" => self.weight = number(value)?,
-            _ => return Err(format!("unknown name {name}")),
+            _ => {
+                let reason = format!("unknown name {name} in a kind");
+                return SettingSnafu { reason }.fail();
+            }
         }
         Ok(())
     }
 }
 
 impl FromStr for Kind {
-    type Err = String;
+    type Err = Error;
 
-    fn from_str(text: &str) -> Result<Self, String> {
+    fn from_str(text: &str) -> Result<Self> {
         let mut kind = Self::default();
         for pair in text.split(',') {
-            let (name, value) = pair
-                .split_once('=')
-                .ok_or_else(|| format!("expected NAME=VALUE, not {pair}"))?;
+            let (name, value) = pair.split_once('=').with_context(|| SettingSnafu {
+                reason: format!("expected NAME=VALUE, not {pair}"),
+            })?;
             kind.set(name, value)?;
         }
         Ok(kind)
     }
 }
 
-fn number<T: FromStr>(value: &str) -> Result<T, String> {
-    value
-        .parse()
-        .map_err(|_| format!("the value {value} has the wrong form"))
+fn number<T: FromStr>(value: &str) -> Result<T> {
+    value.parse().ok().with_context(|| SettingSnafu {
+        reason: format!("the value {value} has the wrong form"),
+    })
 }
--- a/crates/standin/tests/history.rs
+++ b/crates/standin/tests/history.rs
@@ -117,6 +117,16 @@
                 flawed(4, "a", [true, false, true], "a"),
             ],
         ),
+        (
+            Rule::AnswerOfAnother,
+            3,
+            vec![
+                sent(1, "a", true),
+                started(2, "a", "t1"),
+                ended(3, "a", true),
+                flawed(4, "a", [false, false, true], "a"),
+            ],
+        ),
         (
             Rule::AnswerNotWhole,
             3,
--- /dev/null
+++ b/crates/standin/tests/load.rs
@@ -0,0 +1,198 @@
+//! The load tool: arrivals, connections, mixes and the comparison of two routes.
+
+use googletest::prelude::*;
+use plantainpost_standin::{
+    history::{Outcome, Record},
+    load::{self, Kind, LoadSettings, Report, Route},
+    proxy::{Proxy, ProxyFaults},
+    target::{self, ServiceTime, TargetHandle, TargetSettings},
+};
+
+fn start() -> Result<TargetHandle> {
+    Ok(target::start(&TargetSettings {
+        service_time: ServiceTime::Fixed(100),
+        ..Default::default()
+    })?)
+}
+
+fn run(settings: &LoadSettings) -> Result<Report> {
+    Ok(load::start(settings)?.wait()?)
+}
+
+/// The nonces, services and methods sent, in order.
+fn sent(report: &Report) -> Vec<(String, String, String)> {
+    let requests = report.records.iter().filter_map(|record| match record {
+        Record::Sent {
+            nonce,
+            service,
+            method,
+            ..
+        } => Some((nonce.clone(), service.clone(), method.clone())),
+        _ => None,
+    });
+    requests.collect()
+}
+
+/// Guards against a closed loop, which hides the latency of a slow system: all requests have
+/// to be sent in time, and those that wait have to count their waiting.
+#[gtest]
+fn arrivals_do_not_wait_for_answers() -> Result<()> {
+    let target = start()?;
+    let proxy = Proxy::start(target.address())?;
+    // 2 connections serve 20 requests per second, and 100 arrive.
+    let report = run(&LoadSettings {
+        routes: vec![Route::new("slow", proxy.address())],
+        connections: 2,
+        kinds: vec![Kind {
+            work_us: Some(100_000),
+            ..Default::default()
+        }],
+        duration_ms: 400,
+        ..Default::default()
+    })?;
+    let row = &report.rows[0];
+    verify_that!(row.sent, gt(20))?;
+    verify_that!(row.correct, eq(row.sent))?;
+    verify_that!(proxy.connections(), eq(2))?;
+    // The last request waits for all others, which take 50 ms each, less the 400 ms in which
+    // requests arrive.
+    verify_that!(row.max, gt(row.sent * 50_000 - 400_000))
+}
+
+/// Guards against runs that cannot be repeated.
+#[gtest]
+fn the_same_seed_sends_the_same_requests() -> Result<()> {
+    let target = start()?;
+    let run = |seed| {
+        run(&LoadSettings {
+            routes: vec![Route::new("direct", target.address())],
+            seed,
+            duration_ms: 300,
+            kinds: vec![
+                "method=GET,weight=3".parse()?,
+                "method=POST,body=10".parse()?,
+            ],
+            ..Default::default()
+        })
+    };
+    let first = sent(&run(1)?);
+    verify_that!(first.len(), gt(10))?;
+    verify_that!(sent(&run(1)?), eq(&first))?;
+    verify_that!(sent(&run(2)?), not(eq(&first)))?;
+    let posts = first.iter().filter(|(.., method)| method == "POST").count();
+    verify_that!(posts, all![gt(0), lt(first.len() / 2)])
+}
+
+/// Guards against a comparison that subtracts the wrong rows or mixes routes up.
+#[gtest]
+fn two_labels_are_compared() -> Result<()> {
+    let target = start()?;
+    let proxy = Proxy::start(target.address())?;
+    proxy.set_faults(ProxyFaults {
+        delay_ms: 50,
+        ..Default::default()
+    });
+    let report = run(&LoadSettings {
+        routes: vec![
+            Route::new("direct", target.address()),
+            Route::new("delayed", proxy.address()),
+            Route::new("direct", target.address()),
+        ],
+        duration_ms: 500,
+        ..Default::default()
+    })?;
+    let [direct, delayed] = &report.rows[..] else {
+        return fail!("two labels make two rows");
+    };
+    verify_that!(direct.sent, ge(delayed.sent))?;
+    verify_that!(delayed.p50, ge(100_000))?;
+    let difference = report.difference.as_ref().expect("two rows are compared");
+    verify_that!(difference.p50, eq(delayed.p50 as i64 - direct.p50 as i64))?;
+    verify_that!(report.to_string(), contains_substring("difference"))
+}
+
+/// Guards against answers of another service that count as correct, requests that vanish
+/// when nobody listens, and limits that are ignored.
+#[gtest]
+fn failures_are_counted() -> Result<()> {
+    let target = start()?;
+    let direct = vec![Route::new("direct", target.address())];
+    let other = Kind {
+        service: "credit".to_owned(),
+        ..Default::default()
+    };
+    let settings = LoadSettings {
+        routes: direct.clone(),
+        duration_ms: 200,
+        kinds: vec![other],
+        ..Default::default()
+    };
+    let row = run(&settings)?.rows.remove(0);
+    verify_that!((row.correct, row.wrong), eq((0, row.sent)))?;
+
+    let row = run(&LoadSettings {
+        max_open: 0,
+        ..settings.clone()
+    })?
+    .rows
+    .remove(0);
+    verify_that!(row.sent, eq(0))?;
+    verify_that!(row.skipped, gt(0))?;
+    verify_that!(row.correct_share, eq(0.0))?;
+
+    target.stop();
+    let report = run(&settings)?;
+    let failed = report.rows[0].outcomes.get(Outcome::Failed.as_str());
+    verify_that!(failed, some(eq(&report.rows[0].sent)))
+}
+
+/// Guards against settings without meaning that start a run.
+#[gtest]
+fn settings_without_meaning_are_refused() -> Result<()> {
+    let good = LoadSettings {
+        routes: vec![Route::new("direct", "127.0.0.1:1".parse()?)],
+        ..Default::default()
+    };
+    let kind = |text: &str| text.parse::<Kind>();
+    let rows = [
+        LoadSettings {
+            routes: Vec::new(),
+            ..good.clone()
+        },
+        LoadSettings {
+            rate: 0.0,
+            ..good.clone()
+        },
+        LoadSettings {
+            rate: f64::NAN,
+            ..good.clone()
+        },
+        LoadSettings {
+            kinds: Vec::new(),
+            ..good.clone()
+        },
+        LoadSettings {
+            kinds: vec![kind("weight=0")?],
+            ..good.clone()
+        },
+        LoadSettings {
+            kinds: vec![kind("method=GE T")?],
+            ..good.clone()
+        },
+        LoadSettings {
+            kinds: vec![kind("path=x")?],
+            ..good.clone()
+        },
+    ];
+    for settings in rows {
+        expect_that!(
+            load::start(&settings)?.wait().is_err(),
+            eq(true),
+            "{settings:?}"
+        );
+    }
+    for text in ["method", "colour=red", "body=-1", "chunked=maybe"] {
+        expect_that!(kind(text).is_err(), eq(true), "{text}");
+    }
+    Ok(())
+}
