--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -26,8 +26,9 @@
 /// Probes sent in one tick.
 const MAX_PER_TICK: usize = 8;
 
-/// Refusals of the budget between two entries of the audit trail.
-const REFUSALS_PER_ENTRY: u64 = 1_000;
+/// Refusals of the budget between two entries of the audit trail. The few refusals in
+/// the first second of a node, when nothing may be spent, make no entry.
+const REFUSALS_PER_ENTRY: u64 = 100;
 
 struct Sent {
     to: NodeName,
@@ -72,7 +73,7 @@
     drop(budget);
     if !allowed {
         node.metrics.count("measure.refused");
-        if refused % REFUSALS_PER_ENTRY == 1 {
+        if refused.is_multiple_of(REFUSALS_PER_ENTRY) {
             audit::note(node, AuditEvent::BudgetReached { refused });
         }
     } else {
