--- /dev/null
+++ b/crates/standin/src/bin/plantainpost-bench/soak.rs
@@ -0,0 +1,153 @@
+//! Load on a fleet while nodes and the log service fail.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use plantainpost_standin::{
+    fleet::{Fleet, FleetSettings, Host},
+    history::{self, CheckSettings},
+    load::{self, Kind, LoadSettings, Route},
+    log::{Down, LogFaults},
+    process::Signal,
+    target::TargetSettings,
+    usage::Usage,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::{Done, args::Soak};
+
+const READY: Duration = Duration::from_secs(30);
+
+/// Nodes that no fault meets: callers use them, and their memory is compared.
+const ENTRIES: usize = 2;
+
+/// Time between two faults.
+const FAULT_PAUSE: Duration = Duration::from_secs(6);
+
+/// Time until the fleet is warm, after which memory is compared.
+const WARM_UP: Duration = Duration::from_secs(60);
+
+fn hosts(count: usize) -> Vec<Host> {
+    let host = |i: usize| Host {
+        name: format!("host-{i:02}"),
+        data_centre: ["pos", "arima", "chaguanas"][i % 3].to_owned(),
+        target: TargetSettings {
+            service: ["stock", "ledger"][i / 3 % 2].to_owned(),
+            ..Default::default()
+        },
+    };
+    (0..count).map(host).collect()
+}
+
+fn kinds() -> Vec<Kind> {
+    let kind = |service: &str, method: &str, body_bytes, weight| Kind {
+        service: service.to_owned(),
+        method: method.to_owned(),
+        body_bytes,
+        weight,
+        ..Default::default()
+    };
+    vec![
+        kind("stock", "GET", 0, 60),
+        kind("ledger", "POST", 300, 30),
+        kind("stock", "POST", 200_000, 5),
+        Kind {
+            answer_bytes: Some(200_000),
+            answer_chunked: true,
+            ..kind("ledger", "GET", 0, 5)
+        },
+    ]
+}
+
+/// Runs the soak.
+pub(crate) fn run(args: &Soak) -> Done {
+    let settings = FleetSettings {
+        binary: args.binary()?,
+        hosts: hosts(args.nodes),
+        ..Default::default()
+    };
+    let mut fleet = Fleet::start(&settings, READY)?;
+    let entries = &fleet.nodes[..ENTRIES];
+    let load_settings = LoadSettings {
+        routes: entries
+            .iter()
+            .map(|n| Route::new("node", n.callers))
+            .collect(),
+        rate: args.rate,
+        duration_ms: args.seconds * 1_000,
+        timeout_ms: 2_000,
+        seed: args.seed,
+        kinds: kinds(),
+        ..Default::default()
+    };
+    let load = load::start(&load_settings)?;
+    let end = Instant::now() + Duration::from_secs(args.seconds);
+    let warm_at = Instant::now() + WARM_UP.min(Duration::from_secs(args.seconds / 2));
+    let mut warm = None;
+    let mut rng = StdRng::seed_from_u64(args.seed);
+    let mut faults = 0;
+    while Instant::now() + FAULT_PAUSE < end {
+        if warm.is_none() && Instant::now() >= warm_at {
+            warm = Some(usage(&fleet));
+        }
+        disturb(&mut fleet, &mut rng)?;
+        faults += 1;
+        thread::sleep(FAULT_PAUSE);
+    }
+    fleet.log.set_faults(LogFaults::default());
+    let report = load.wait()?;
+    let last = usage(&fleet);
+    println!("{report}");
+    println!("faults: {faults}");
+    for (warm, last) in warm.iter().flatten().zip(&last) {
+        println!("entry: warm {warm:?}, end {last:?}");
+    }
+    let mut records = report.records;
+    for target in fleet.targets {
+        records.extend(target.drain(Duration::from_secs(5)));
+    }
+    let summary = history::check(&records, &CheckSettings::default())?;
+    println!("history clean: {summary:?}");
+    Ok(())
+}
+
+fn usage(fleet: &Fleet) -> Vec<Usage> {
+    let entries = fleet.nodes[..ENTRIES].iter();
+    entries.map(|n| Usage::of(n.process.id())).collect()
+}
+
+/// Brings about one fault: a node is replaced, killed or frozen, or the log service is
+/// down, slow or loses answers until the next fault of this kind.
+fn disturb(fleet: &mut Fleet, rng: &mut StdRng) -> Done {
+    let victim = rng.random_range(ENTRIES..fleet.nodes.len());
+    match rng.random_range(0..6) {
+        0 => {
+            let status = fleet.nodes[victim]
+                .process
+                .terminate(Duration::from_secs(20))?;
+            if !status.success() {
+                return Err(format!("node {victim} stopped with {status}").into());
+            }
+            fleet.restart(victim)?;
+        }
+        1 => fleet.restart(victim)?,
+        2 => {
+            fleet.nodes[victim].process.signal(Signal::Stop)?;
+            thread::sleep(Duration::from_millis(rng.random_range(200..4_000)));
+            fleet.nodes[victim].process.signal(Signal::Cont)?;
+        }
+        3 => fleet.log.set_faults(LogFaults {
+            down: Down::Refuse,
+            ..Default::default()
+        }),
+        4 => fleet.log.set_faults(LogFaults {
+            lose_answers: true,
+            delay_ms: 300,
+            ..Default::default()
+        }),
+        _ => fleet.log.set_faults(LogFaults::default()),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/bin/plantainpost-bench/stats.rs
@@ -0,0 +1,21 @@
+//! Small statistics.
+
+/// Returns the median of some values.
+pub(crate) fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    match values.len() {
+        0 => f64::NAN,
+        count if count % 2 == 1 => values[count / 2],
+        count => (values[count / 2 - 1] + values[count / 2]) / 2.0,
+    }
+}
+
+/// Returns the largest of some values.
+pub(crate) fn max(values: impl Iterator<Item = f64>) -> f64 {
+    values.fold(0.0, f64::max)
+}
+
+/// Returns the mean of some values.
+pub(crate) fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod clock;
 pub mod error;
+pub mod fleet;
 pub mod history;
 mod http;
 pub mod load;
@@ -19,3 +20,4 @@
 mod server;
 pub mod target;
 mod timer;
+pub mod usage;
