--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -112,7 +112,7 @@
     let recent_us = f64::from(sample.service_time_us);
     let excess_us = (recent_us - usual_us * NORMAL_SERVICE).max(0.0);
     let aged_us = usual_us + excess_us * remaining(age_us, cfg.service_memory_us);
-    aged_us.max(overdue_us)
+    aged_us + (overdue_us - usual_us).max(0.0)
 }
 
 /// An own request that has been out for long shows a slow target before any answer
