Spread probes evenly over the measuring window

With a share of 0.5 % the 100 probes of a second were spent in its first part, and the rest of the second had no evidence. The budget now gives the even interval, and the balancer wants no probe before its turn. The process sets the interval with the share.

--- a/crates/core/examples/compare/model.rs
+++ b/crates/core/examples/compare/model.rs
@@ -171,6 +171,10 @@
             model.entries[index]
                 .measuring
                 .set_share_permille(Instant::default(), share);
+            let interval_us = model.entries[index].measuring.interval_us(PROBE_COST_US);
+            model.entries[index]
+                .balancer
+                .set_probe_interval(interval_us.unwrap_or(0));
             model.after(index as u64 * TICK_US / ENTRIES as u64, move |m| {
                 m.tick(index)
             });
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -22,6 +22,10 @@
 /// Events kept until they are taken; the oldest are dropped first.
 const MAX_EVENTS: usize = 1_024;
 
+/// Time for which probes that were not wanted in their turn may be wanted later. It
+/// covers the timer that asks for probes.
+const PROBE_CATCH_UP_US: u64 = 10_000;
+
 /// Weight of the newest outcome in the failure average.
 const FAILURE_SMOOTHING: f64 = 0.2;
 
@@ -65,6 +69,10 @@
     /// Holds each target of `services`. At most half of the subset of a service is
     /// not in use.
     nodes: HashMap<NodeName, NodeState>,
+    /// Time between wanted probes; zero for no bound.
+    probe_interval_us: u64,
+    /// When the next probe may be wanted.
+    next_probe: Instant,
     /// At most `MAX_EVENTS`.
     events: VecDeque<BalanceEvent>,
 }
@@ -77,6 +85,8 @@
             policy,
             services: HashMap::default(),
             nodes: HashMap::default(),
+            probe_interval_us: 0,
+            next_probe: Instant::default(),
             events: VecDeque::new(),
         }
     }
@@ -201,11 +211,21 @@
         }
     }
 
+    /// Spreads wanted probes over time; see [`crate::measure::Budget::interval_us`].
+    ///
+    /// Without it the probes of a second are spent at once when the share is small.
+    pub fn set_probe_interval(&mut self, interval_us: u64) {
+        self.probe_interval_us = interval_us;
+    }
+
     /// Returns the node whose load is most worth measuring, if any.
     ///
     /// Only targets in use of services with recent traffic count. A node is not
     /// returned again until it replies or `probe_age_us` passes.
     pub fn wants_probe(&mut self, now: Instant, rng: &mut dyn Rng) -> Option<NodeName> {
+        if now < self.next_probe {
+            return None;
+        }
         let due: Vec<(Option<Instant>, &NodeName)> = self
             .services
             .values()
@@ -224,6 +244,11 @@
             .filter(|(newest, _)| *newest == oldest)
             .choose(rng)?;
         let node = (*node).clone();
+        let since = now.saturating_sub_micros(PROBE_CATCH_UP_US);
+        self.next_probe = self
+            .next_probe
+            .max(since)
+            .saturating_add_micros(self.probe_interval_us);
         if let Some(state) = self.nodes.get_mut(&node) {
             state.probe_wanted = Some(now);
         }
--- a/crates/core/src/measure/mod.rs
+++ b/crates/core/src/measure/mod.rs
@@ -81,6 +81,14 @@
         allowed
     }
 
+    /// Returns the time between spendings of `cost_us` that spreads the share evenly, or
+    /// `None` if the share allows none of them.
+    pub fn interval_us(&self, cost_us: u64) -> Option<u64> {
+        let limit_us = u64::from(self.share_permille) * MICROS_PER_PERMILLE;
+        let times = limit_us.checked_div(cost_us.max(1))?;
+        (times > 0).then(|| WINDOW_US.div_ceil(times))
+    }
+
     /// Returns the sum spent in the window that ends at `now`.
     pub fn spent_us(&self, now: Instant) -> u64 {
         self.records
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -8,6 +8,7 @@
     },
     ids::{DataCentre, NodeName},
     load::LoadSample,
+    measure::{Budget, PROBE_COST_US},
     time::Instant,
 };
 use rand::{SeedableRng, rngs::StdRng};
@@ -456,3 +457,27 @@
     let idle = LATER.saturating_add_millis(60_000);
     expect_that!(balancer.wants_probe(idle, &mut rng), none());
 }
+
+/// Guards against probes that are all wanted at the beginning of a second, which leaves
+/// the rest of it without evidence when the measuring share is small.
+#[gtest]
+fn probes_are_spread_over_time() {
+    let mut budget = Budget::new();
+    budget.set_share_permille(Instant::default(), 5);
+    let interval_us = budget.interval_us(PROBE_COST_US);
+    assert_that!(interval_us, some(eq(PROBE_COST_US * 200)));
+    let mut balancer = four_targets(PRODUCT);
+    balancer.set_probe_interval(PROBE_COST_US * 200);
+    let mut rng = rng();
+    balancer
+        .choose(LATER, SERVICE, &[], &mut rng)
+        .expect("a target");
+    let mut wanted = [0_u64; 4];
+    for step_ms in 0..1_000 {
+        let now = LATER.saturating_add_millis(step_ms);
+        while balancer.wants_probe(now, &mut rng).is_some() {
+            wanted[(step_ms / 250) as usize] += 1;
+        }
+    }
+    expect_that!(wanted, each(all!(ge(24), le(27))));
+}
