--- a/crates/core/tests/config/plan.rs
+++ b/crates/core/tests/config/plan.rs
@@ -138,10 +138,8 @@
     };
     expect_eq!(confirm(&mut register, &loser)?, expected);
     expect_eq!(confirm(&mut register, &loser)?, Verdict::Duplicate);
-    expect_eq!(
-        register.decision(winner.id).or_fail()?.verdict,
-        Verdict::InForce
-    );
+    let decision = register.decision(winner.id).or_fail()?;
+    expect_eq!(decision.verdict, Verdict::InForce);
     expect_eq!(register.decision(loser.id).or_fail()?.offset, 2);
     Ok(())
 }
@@ -151,7 +149,9 @@
 fn restore_returns_each_recent_content() -> Result<()> {
     let methods_off = r#"{"kind":"repeatable","service":"stock","methods":[]}"#;
     let measure = r#"{"kind":"measure","permille":9}"#;
-    let intents = [
+    let mut register = Register::new();
+    let mut contents: Vec<Content> = Vec::new();
+    for intent in [
         METHODS,
         LEAVE,
         methods_off,
@@ -159,19 +159,14 @@
         LEAVE_HOST,
         SHARES,
         METHODS,
-    ];
-    let mut register = Register::new();
-    let mut contents: Vec<Content> = Vec::new();
-    for intent in intents {
+    ] {
         let plan = plan(&register, intent)?;
         confirm(&mut register, &plan)?;
         contents.push(register.content().clone());
     }
     for (version, content) in contents.iter().enumerate().take(6) {
-        let restored = plan(
-            &register,
-            &format!(r#"{{"kind":"restore","version":{version}}}"#),
-        )?;
+        let intent = format!(r#"{{"kind":"restore","version":{version}}}"#);
+        let restored = plan(&register, &intent)?;
         expect_eq!(&restored.content, content, "version {version}");
     }
     Ok(())
@@ -195,11 +190,8 @@
     for (node, host, data_centre, weight, leaving) in rows {
         let host: IpAddr = host.parse()?;
         expect_eq!(content.weight("stock", node, data_centre), weight, "{node}");
-        expect_eq!(
-            content.is_leaving(node, host, data_centre),
-            leaving,
-            "{node} {host}"
-        );
+        let is_leaving = content.is_leaving(node, host, data_centre);
+        expect_eq!(is_leaving, leaving, "{node} {host}");
     }
     expect_eq!(content.weight("photos", "n1", "pos"), 100);
     expect_true!(content.is_repeatable("stock", "PUT"));
--- a/crates/core/tests/config/replay.rs
+++ b/crates/core/tests/config/replay.rs
@@ -205,10 +205,7 @@
     let confirm = reader.confirm_record(&plan, "ama", 1).encode()?;
     let checkpoint = reader.checkpoint_record("node").encode()?;
     let long = "x".repeat(300);
-    let both = format!(
-        "{confirm}
-{checkpoint}"
-    );
+    let both = [&*confirm, &*checkpoint].join("\n");
     let rows = rows! {
         "{" => "[";
         "{\"c" => "{\"d";
--- a/crates/platform/tests/http_log.rs
+++ b/crates/platform/tests/http_log.rs
@@ -154,16 +154,10 @@
         let seen = server.seen.lock().expect("no test panics there");
         expect_eq!(seen.len(), 1, "{name}");
         // On a kept connection that the server has just closed, it would be unknown.
-        expect_that!(
-            seen[0].to_lowercase(),
-            contains_substring("connection: close"),
-            "{name}"
-        );
-        expect_that!(
-            seen[0],
-            starts_with("POST /streams/config HTTP/1.1\r\n"),
-            "{name}"
-        );
+        let closes = seen[0].to_lowercase().contains("connection: close");
+        expect_true!(closes, "{name}");
+        let request = "POST /streams/config HTTP/1.1\r\n";
+        expect_that!(seen[0], starts_with(request), "{name}");
         expect_that!(seen[0], ends_with("\r\n\r\n{\"a\":1}"), "{name}");
     }
     Ok(())
@@ -183,10 +177,8 @@
     expect_eq!(outcome(refused.append("../x?y", "x").await), "unavailable");
     // A connection that is reset once it is open may have carried the append.
     let address = serve(vec![Reset])?.address;
-    expect_eq!(
-        outcome(log(&address).append("config", "x").await),
-        "unknown"
-    );
+    let reset = log(&address).append("config", "x").await;
+    expect_eq!(outcome(reset), "unknown");
     Ok(())
 }
 
@@ -229,29 +221,20 @@
     let batch = |oldest: u64| ok(&format!(r#"{{"oldest":{oldest},"next":9,"records":[]}}"#));
     let empty = r#"LogRecord { offset: 2, data: "" }"#;
     let passed = format!("Batch {{ oldest: 0, next: 9, records: [{empty}] }}");
-    let rows = [
-        (
-            "fewer records",
-            vec![big(), batch(0)],
-            "Batch { oldest: 0, next: 9, records: [] }",
-        ),
-        ("one record", vec![big(), big(), big(), batch(0)], &passed),
-        (
-            "trimmed meanwhile",
-            vec![big(), big(), big(), batch(8)],
-            "Batch { oldest: 8, next: 9, records: [] }",
-        ),
-        ("all records", vec![big()], "unavailable"),
-    ];
+    let none = "Batch { oldest: 0, next: 9, records: [] }";
+    let trimmed = "Batch { oldest: 8, next: 9, records: [] }";
+    let rows = rows! {
+        "fewer records", vec![big(), batch(0)] => none;
+        "one record", vec![big(), big(), big(), batch(0)] => &passed;
+        "trimmed meanwhile", vec![big(), big(), big(), batch(8)] => trimmed;
+        "all records", vec![big()] => "unavailable";
+    };
     for (name, replies, expected) in rows {
         let server = serve(replies)?;
         let result = log(&server.address).read("config", 2, 4).await;
         expect_eq!(outcome(result), expected, "{name}");
-        expect_that!(
-            server.seen.lock().expect("no test panics there").len(),
-            le(11),
-            "{name}"
-        );
+        let seen = server.seen.lock().expect("no test panics there");
+        expect_that!(seen.len(), le(11), "{name}");
     }
     Ok(())
 }
