--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -72,6 +72,13 @@
     if let Some(result) = decided(node, plan) {
         return Ok(result);
     }
+    if node.register.borrow().has_gap() && plan.overrides.is_none() {
+        let reason = "records of the log are missing at this node; confirm at another node, \
+                      or plan an override";
+        return Ok(ConfirmResult::Unavailable {
+            reason: reason.to_owned(),
+        });
+    }
     let record = {
         let register = node.register.borrow();
         register.confirm_record(plan, author, clock::unix_ms())
