--- a/crates/standin/src/bin/plantainpost-bench/capacity.rs
+++ b/crates/standin/src/bin/plantainpost-bench/capacity.rs
@@ -82,7 +82,7 @@
     };
     println!(
         "nodes; join s; per node mean/max: core %, resident KiB, UDP bytes/s sent, \
-         datagrams/s sent; in force ms p50/max; log reads/s"
+         datagrams/s sent; in force ms p50/max"
     );
     for count in sizes {
         measure(args, count)?;
