Use the target's report without a sample; measure herding

A target without a load sample counted as idle although it had reported its load. The model now also prints how 50 entries spread that choose at once without answers.

--- a/crates/core/examples/compare.rs
+++ b/crates/core/examples/compare.rs
@@ -5,7 +5,10 @@
 
 use std::{env, thread};
 
-use model::{COLD, FAILURE, LATE, Model, SLOW, STUCK, Topology};
+use plantainpost_core::time::Instant;
+use rand::{SeedableRng, rngs::StdRng};
+
+use model::{COLD, FAILURE, LATE, Model, NODES, SERVICE, SLOW, STUCK, Topology};
 
 #[path = "compare/model.rs"]
 mod model;
@@ -42,6 +45,8 @@
 const SHARE_PERMILLE: u32 = 20;
 /// Seeds that run at the same time.
 const THREADS: usize = 3;
+/// Entries that choose at once.
+const HERD_ENTRIES: usize = 50;
 
 fn main() {
     let args: Vec<String> = env::args().collect();
@@ -162,4 +167,39 @@
             println!("| {} | {title} | {ratio:.2} |", topology.0);
         }
     }
+    println!("\n| topology | policy | most loaded / mean, 1 request each | 10 requests each |");
+    println!("| --- | --- | --- | --- |");
+    for topology in TOPOLOGIES {
+        for policy in POLICIES {
+            let herd = |seed| {
+                [
+                    herd(topology, policy, 1, seed),
+                    herd(topology, policy, 10, seed),
+                ]
+            };
+            let [one, ten] = medians(seeds, herd);
+            println!("| {} | {policy} | {one:.2} | {ten:.2} |", topology.0);
+        }
+    }
+}
+
+/// Returns the requests of the most loaded target against the mean, when all entries
+/// send `batch` requests at the same instant without any answer.
+fn herd(topology: Topology, policy: &str, batch: usize, seed: u64) -> f64 {
+    let now = Instant::from_millis(60_000);
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut counts = vec![0_usize; topology.1];
+    for index in 0..HERD_ENTRIES {
+        let mut balancer = model::entry(topology, index, policy).balancer;
+        for _ in 0..batch {
+            let node = balancer
+                .choose(now, SERVICE, &[], &mut rng)
+                .expect("a target");
+            balancer.on_sent(now, node.as_str());
+            let target = NODES.iter().position(|name| *name == node.as_str());
+            counts[target.expect("the target is known")] += 1;
+        }
+    }
+    let most = counts.into_iter().max().unwrap_or(0);
+    most as f64 * topology.1 as f64 / (batch * HERD_ENTRIES) as f64
 }
--- a/crates/core/examples/compare/model.rs
+++ b/crates/core/examples/compare/model.rs
@@ -12,7 +12,7 @@
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-const NODES: [&str; 6] = ["0", "1", "2", "3", "4", "5"];
+pub(super) const NODES: [&str; 6] = ["0", "1", "2", "3", "4", "5"];
 /// Title, targets, data centres, one-way distance between data centres.
 pub(super) type Topology = (&'static str, usize, usize, u64);
 pub(super) const SLOW: u32 = 1;
@@ -20,7 +20,7 @@
 pub(super) const STUCK: u32 = 4;
 pub(super) const LATE: u32 = 8;
 pub(super) const COLD: u32 = 16;
-const SERVICE: &str = "service";
+pub(super) const SERVICE: &str = "service";
 const ENTRIES: usize = 12;
 const SLOTS: u32 = 12;
 /// Mean of the exponential service time.
@@ -45,8 +45,8 @@
     sent: u64,
 }
 
-struct Entry {
-    balancer: Balancer,
+pub(super) struct Entry {
+    pub(super) balancer: Balancer,
     retries: Budgets,
     measuring: Budget,
 }
@@ -112,7 +112,7 @@
     (-mean_us * (1.0 - rng.random::<f64>()).ln()) as u64 + 1
 }
 
-fn entry(topology: Topology, index: usize, policy: &str) -> Entry {
+pub(super) fn entry(topology: Topology, index: usize, policy: &str) -> Entry {
     let cfg = BalancerSettings {
         entry: NodeName::from(format!("entry-{index}").as_str()),
         data_centre: DataCentre::from(NODES[index % topology.2]),
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -123,12 +123,20 @@
     out_us.saturating_sub(candidate.distance_us.into()) as f64
 }
 
-/// Own requests count in full; those of others as of the last sample, by its age.
+/// Own requests count in full; those of others as of the last sample, by its age. The
+/// target's own report counts only without a sample, because it lags or misleads.
 fn load_per_slot(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> f64 {
     let estimate = candidate.estimate;
     let own = f64::from(estimate.own_in_flight());
     let (others, slots) = match estimate.sample {
-        None => (0.0, estimate.announced_slots),
+        None => {
+            let left = |at| remaining(now.micros_since(at), cfg.load_memory_us);
+            let others = estimate.report.map_or(0.0, |report| {
+                let others = report.in_flight.saturating_sub(estimate.own_in_flight());
+                f64::from(others) * left(report.at)
+            });
+            (others, estimate.announced_slots)
+        }
         Some((at, sample)) => {
             let seen = sample.in_flight.saturating_add(sample.queued);
             let others = seen.saturating_sub(estimate.own_at_sample);
