Break ties between equal scores at random

Sampling two of two candidates returns them in order, and the first of two equal scores won. Entries without evidence then all chose the same local target. The same fault made the baseline of two choices look worse than it is.

--- a/crates/core/src/balance/baseline.rs
+++ b/crates/core/src/balance/baseline.rs
@@ -1,6 +1,9 @@
 //! Simple policies, as a baseline for comparisons.
 
-use rand::{Rng, RngExt, seq::IteratorRandom};
+use rand::{
+    Rng, RngExt,
+    seq::{IteratorRandom, SliceRandom},
+};
 
 use super::{Candidate, Choice, Policy};
 
@@ -85,8 +88,9 @@
     }
 
     fn choose(&mut self, req: &Choice<'_>, rng: &mut dyn Rng) -> Option<usize> {
-        let indices = 0..req.candidates.len();
-        indices.sample(rng, 2).into_iter().min_by(|a, b| {
+        let mut sampled = (0..req.candidates.len()).sample(rng, 2);
+        sampled.shuffle(rng);
+        sampled.into_iter().min_by(|a, b| {
             let load = |index: &usize| reported_load(&req.candidates[*index]);
             load(a).total_cmp(&load(b))
         })
--- a/crates/core/src/balance/predicted.rs
+++ b/crates/core/src/balance/predicted.rs
@@ -1,6 +1,9 @@
 //! The policy of the product: least predicted completion time in a small sample.
 
-use rand::{Rng, seq::IteratorRandom};
+use rand::{
+    Rng,
+    seq::{IteratorRandom, SliceRandom},
+};
 
 use super::{Choice, Policy, Score, ScoreSettings, baseline::draw_by_weight};
 
@@ -66,6 +69,9 @@
         } else {
             self.sample_by_distance(req, rng);
         }
+        // Sampling keeps the order of a short list; equal scores must not always go to
+        // its first candidate.
+        self.sampled.shuffle(rng);
         let cost_us = |index: &usize| {
             let score = Score::new(req.now, &req.candidates[*index], &self.cfg);
             score.total_us() - if shared { score.distance_us } else { 0.0 }
