--- /dev/null
+++ b/crates/core/tests/balance/standing.rs
@@ -0,0 +1,116 @@
+//! Tests of setting targets aside.
+
+use googletest::prelude::*;
+use plantainpost_core::{
+    balance::{AnswerEvidence, Balancer, Change, Outcome, TargetView, Use},
+    ids::NodeName,
+    time::Instant,
+};
+
+use super::{
+    LATER, NODES, PRODUCT, SERVICE, answer, counts, entry, four_targets, rng, usage, view,
+};
+
+/// Guards against a failing target that keeps its traffic, that returns at full load,
+/// or whose return is not recorded for the audit trail.
+#[gtest]
+fn failing_target_is_set_aside_and_returns_by_trials() {
+    for failure in [Outcome::ServerError, Outcome::Failed] {
+        let mut balancer = four_targets(PRODUCT);
+        for _ in 0..3 {
+            expect_that!(usage(&balancer, LATER, "n0"), eq(Use::InUse));
+            answer(&mut balancer, LATER, "n0", failure);
+        }
+        let changes = |balancer: &mut Balancer| -> Vec<Change> {
+            balancer
+                .take_events()
+                .into_iter()
+                .map(|event| event.change)
+                .collect()
+        };
+        let set_aside = changes(&mut balancer);
+        let Some(Change::SetAside { until, .. }) = set_aside.first().copied() else {
+            panic!("the target was not set aside");
+        };
+        expect_that!(counts(&mut balancer, LATER, 200)[0], eq(0));
+        // One trial at a time: the second request goes elsewhere.
+        let mut rng = rng();
+        for _ in 0..3 {
+            let trial = balancer.choose(until, SERVICE, &[], &mut rng);
+            expect_that!(trial, ok(eq(&NodeName::from("n0"))));
+            balancer.on_sent(until, "n0");
+            expect_that!(counts(&mut balancer, until, 200)[0], eq(0));
+            let outcome = Outcome::Answered;
+            let evidence = AnswerEvidence {
+                outcome,
+                latency_us: 0,
+                load: None,
+            };
+            balancer.on_answer(until, "n0", &evidence);
+        }
+        expect_that!(changes(&mut balancer), eq(&vec![Change::Returned]));
+        expect_that!(usage(&balancer, until, "n0"), eq(Use::InUse));
+    }
+}
+
+/// Guards against a target that fails each trial and yet is tried at the same pace.
+#[gtest]
+fn time_aside_grows_up_to_a_limit() {
+    let mut balancer = four_targets(PRODUCT);
+    (0..3).for_each(|_| answer(&mut balancer, LATER, "n0", Outcome::ServerError));
+    let mut aside_ms = Vec::new();
+    for _ in 0..8 {
+        let events = balancer.take_events();
+        let Some(Change::SetAside { until, .. }) = events.first().map(|event| event.change) else {
+            panic!("the target was not set aside");
+        };
+        aside_ms.push(until.micros_since(events[0].at) / 1_000);
+        answer(&mut balancer, until, "n0", Outcome::Failed);
+    }
+    let expected = vec![1_000, 2_000, 4_000, 8_000, 16_000, 30_000, 30_000, 30_000];
+    expect_that!(aside_ms, eq(&expected));
+}
+
+/// Guards against outcomes that say nothing about a target's health but set it aside.
+#[gtest]
+fn refusals_and_cancellations_set_nothing_aside() {
+    for outcome in [Outcome::Refused, Outcome::Cancelled, Outcome::Answered] {
+        let mut balancer = four_targets(PRODUCT);
+        (0..100).for_each(|_| answer(&mut balancer, LATER, "n0", outcome));
+        expect_that!(balancer.take_events().len(), eq(0), "{outcome:?}");
+    }
+}
+
+/// Guards against an outage that sets aside more than half of the targets, also after
+/// other targets left.
+#[gtest]
+fn at_most_half_are_set_aside() {
+    for count in 1..=4 {
+        let mut balancer = entry("entry", "pos", PRODUCT);
+        let views: Vec<TargetView<'_>> = NODES[..count].iter().map(|node| view(node)).collect();
+        balancer.set_targets(Instant::default(), SERVICE, &views);
+        let aside = |balancer: &Balancer| {
+            let all = balancer.explain(LATER, SERVICE);
+            all.iter().filter(|e| e.usage != Use::InUse).count()
+        };
+        for node in NODES.repeat(5) {
+            answer(&mut balancer, LATER, node, Outcome::Failed);
+        }
+        expect_that!(aside(&balancer), eq(count / 2));
+        for left in (1..count).rev() {
+            balancer.set_targets(LATER, SERVICE, &views[..left]);
+            expect_that!(aside(&balancer), le(left / 2), "{left} of {count} left");
+        }
+    }
+}
+
+/// Guards against an error that returns fast and makes its target look good.
+#[gtest]
+fn fast_errors_make_a_target_look_worse() {
+    let mut balancer = four_targets(PRODUCT);
+    let total = |balancer: &Balancer| balancer.explain(LATER, SERVICE)[0].score.total_us();
+    let before = total(&balancer);
+    answer(&mut balancer, LATER, "n0", Outcome::ServerError);
+    expect_that!(total(&balancer), gt(before));
+    expect_that!(counts(&mut balancer, LATER, 200)[0], eq(0));
+}
