--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -205,22 +205,6 @@
     }
 }
 
-/// Guards against a guard's draining mark that is ignored until membership repeats it,
-/// or that excludes a target for good after it stayed.
-#[gtest]
-fn draining_sample_excludes_a_target_for_a_while() {
-    let mut balancer = four_targets(PRODUCT);
-    let draining = LoadSample {
-        draining: true,
-        ..sample(1, 0)
-    };
-    balancer.on_probe(LATER, "n0", 200, draining);
-    expect_that!(counts(&mut balancer, LATER, 200)[0], eq(0));
-    expect_that!(usage(&balancer, LATER, "n0"), eq(Use::Draining));
-    let later = LATER.saturating_add_millis(6_000);
-    expect_that!(usage(&balancer, later, "n0"), eq(Use::InUse));
-}
-
 /// Guards against estimates that are lost when other targets change.
 #[gtest]
 fn staying_targets_keep_their_estimates() {
@@ -311,7 +295,7 @@
         });
         balancer.set_targets(Instant::default(), SERVICE, &local);
         let counts = counts(&mut balancer, LATER, 400);
-        expect_that!(counts[..2].to_vec(), each(ge(100)), "{policy}");
+        expect_that!(counts[0].min(counts[1]), ge(100), "{policy}");
     }
 }
 
--- a/crates/core/tests/balance/standing.rs
+++ b/crates/core/tests/balance/standing.rs
@@ -1,14 +1,15 @@
-//! Tests of setting targets aside.
+//! Tests of setting targets aside and of leaving targets.
 
 use googletest::prelude::*;
 use plantainpost_core::{
     balance::{AnswerEvidence, Balancer, Change, Outcome, TargetView, Use},
     ids::NodeName,
+    load::LoadSample,
     time::Instant,
 };
 
 use super::{
-    LATER, NODES, PRODUCT, SERVICE, answer, counts, entry, four_targets, rng, usage, view,
+    LATER, NODES, PRODUCT, SERVICE, answer, counts, entry, four_targets, rng, sample, usage, view,
 };
 
 /// Guards against a failing target that keeps its traffic, that returns at full load,
@@ -114,3 +115,19 @@
     expect_that!(total(&balancer), gt(before));
     expect_that!(counts(&mut balancer, LATER, 200)[0], eq(0));
 }
+
+/// Guards against a guard's draining mark that is ignored until membership repeats it,
+/// or that excludes a target for good after it stayed.
+#[gtest]
+fn draining_sample_excludes_a_target_for_a_while() {
+    let mut balancer = four_targets(PRODUCT);
+    let draining = LoadSample {
+        draining: true,
+        ..sample(1, 0)
+    };
+    balancer.on_probe(LATER, "n0", 200, draining);
+    expect_that!(counts(&mut balancer, LATER, 200)[0], eq(0));
+    expect_that!(usage(&balancer, LATER, "n0"), eq(Use::Draining));
+    let later = LATER.saturating_add_millis(6_000);
+    expect_that!(usage(&balancer, later, "n0"), eq(Use::InUse));
+}
