Cover the full record of the measuring budget with a burst

Without moving the last record the test still passed, because spendings at an even pace hide the early expiry. A burst one second after the record is full shows it. The herding test now states the measured figure of the case that it leaves out.

--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -85,8 +85,10 @@
         Budgets::default()
     }
 
-    /// Records that a caller's request was taken; call it once per request, not per
-    /// attempt.
+    /// Records that a caller's request was taken.
+    ///
+    /// Call it once per request, not per attempt, and only for services that have
+    /// targets: names that callers make up would use up the accounts.
     pub fn on_request(&mut self, now: Instant, service: &str) {
         if let Some(account) = self.accounts.get_mut(service) {
             account.on_request(now);
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -302,8 +302,8 @@
 /// Guards against entries that all choose the same target at once: the stated target is
 /// at most 1.3 of the mean, here as a mean over seeds.
 ///
-/// One request each from 50 entries to two local targets is left out: without knowledge
-/// of each other the entries miss 1.3 (docs/choosing.md has the figure).
+/// One request each from 16 or 17 entries to two local targets misses 1.3 and is left
+/// out: the mean over 300 seeds is 1.32, because the entries know nothing of each other.
 #[gtest]
 fn entries_do_not_herd() {
     const NAMES: [&str; 6] = ["n0", "n1", "n2", "n3", "n4", "n5"];
--- a/crates/core/tests/measure.rs
+++ b/crates/core/tests/measure.rs
@@ -70,13 +70,18 @@
     const SHARE_PERMILLE: u32 = 10;
     const COST_US: u64 = 1;
     const GAP_US: u64 = 50;
+    // A second after the record is full: whatever was spent since then still counts.
+    const BURST_STEP: u64 = 24_110;
     let mut budget = Budget::new();
     budget.set_share_permille(Instant::default(), SHARE_PERMILLE);
     let mut spendings: Vec<u64> = Vec::new();
     for step in 0..100_000 {
         let now = WINDOW_US + step * GAP_US;
-        if budget.try_spend(Instant::from_micros(now), COST_US) {
-            spendings.push(now);
+        let attempts = if step == BURST_STEP { 10_000 } else { 1 };
+        for _ in 0..attempts {
+            if budget.try_spend(Instant::from_micros(now), COST_US) {
+                spendings.push(now);
+            }
         }
     }
     let limit = u64::from(SHARE_PERMILLE) * 1_000 / COST_US;
