--- a/crates/core/src/retry/account.rs
+++ b/crates/core/src/retry/account.rs
@@ -43,13 +43,13 @@
 }
 
 impl Account {
-    pub(super) fn on_request(&mut self, _now: Instant) {
+    pub(super) fn on_request(&mut self) {
         self.unpaid_requests += 1;
         let hedge_parts = self.hedge_parts + HEDGE_EARNED_BY_REQUEST;
         self.hedge_parts = hedge_parts.min(MAX_SAVED_HEDGES * PARTS);
     }
 
-    pub(super) fn on_success(&mut self, _now: Instant, latency_us: u64) {
+    pub(super) fn on_success(&mut self, latency_us: u64) {
         self.latencies.add(latency_us);
         if self.unpaid_requests > 0 {
             self.unpaid_requests -= 1;
@@ -63,7 +63,7 @@
     }
 
     /// Hedges never use the floor, because a hedge only shortens a wait.
-    pub(super) fn take_hedge(&mut self, _now: Instant) -> bool {
+    pub(super) fn take_hedge(&mut self) -> bool {
         let allowed = self.hedge_parts >= PARTS && self.take_saved();
         if allowed {
             self.hedge_parts -= PARTS;
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -89,19 +89,19 @@
     ///
     /// Call it once per request, not per attempt, and only for services that have
     /// targets: names that callers make up would use up the accounts.
-    pub fn on_request(&mut self, now: Instant, service: &str) {
+    pub fn on_request(&mut self, _now: Instant, service: &str) {
         if let Some(account) = self.accounts.get_mut(service) {
-            account.on_request(now);
+            account.on_request();
         } else if self.accounts.len() < MAX_SERVICES {
             let account = self.accounts.entry(ServiceName::from(service)).or_default();
-            account.on_request(now);
+            account.on_request();
         }
     }
 
     /// Records a successful request and how long its successful attempt took.
-    pub fn on_success(&mut self, now: Instant, service: &str, latency_us: u64) {
+    pub fn on_success(&mut self, _now: Instant, service: &str, latency_us: u64) {
         if let Some(account) = self.accounts.get_mut(service) {
-            account.on_success(now, latency_us);
+            account.on_success(latency_us);
         }
     }
 
@@ -139,10 +139,10 @@
     }
 
     /// Charges the budget for one hedge and returns whether it may be sent.
-    pub fn try_hedge(&mut self, now: Instant, service: &str) -> bool {
+    pub fn try_hedge(&mut self, _now: Instant, service: &str) -> bool {
         self.accounts
             .get_mut(service)
-            .is_some_and(|account| account.take_hedge(now))
+            .is_some_and(Account::take_hedge)
     }
 }
 
