Membership: refuse indirect probes of unusable addresses

Cause: a request to probe an unspecified address or port zero was carried out.

Change: it is counted as refused. The example measures how long a new configuration version takes until all members know it of all.

--- a/crates/core/examples/membership/main.rs
+++ b/crates/core/examples/membership/main.rs
@@ -71,6 +71,7 @@
         sim.run_ms(60_000);
         scenario::come_back(sim, &lost)
     }),
+    ("new-version", |sim, _| scenario::new_version(sim)),
     ("frozen-30s", |sim, _| scenario::freeze(sim, 9, 30)),
     ("replace-130", |sim, _| scenario::replace(sim, 130, 5_000)),
     ("cut-60s", |sim, _| {
--- a/crates/core/examples/membership/sim/scenario.rs
+++ b/crates/core/examples/membership/sim/scenario.rs
@@ -170,6 +170,23 @@
     }
 }
 
+/// Puts a new configuration version in force at all nodes at once; waits until all
+/// know it of all.
+pub(crate) fn new_version(sim: &mut Sim) -> Report {
+    let measure = Measure::start(sim);
+    let version = 200_000;
+    for i in 0..sim.nodes.len() {
+        sim.nodes[i].member.set_config(version, version);
+    }
+    let reached = sim.run_until(LIMIT_MS, |sim| {
+        sim.up().all(|i| {
+            let mut members = sim.nodes[i].member.members();
+            members.all(|r| r.config_version == version)
+        })
+    });
+    measure.report(sim, reached)
+}
+
 /// Restarts stopped nodes at once; waits until all agree.
 pub(crate) fn come_back(sim: &mut Sim, nodes: &[usize]) -> Report {
     let measure = Measure::start(sim);
--- a/crates/core/src/member/receive.rs
+++ b/crates/core/src/member/receive.rs
@@ -146,7 +146,9 @@
             request_seq,
             fails_at: step.now.saturating_add_millis(self.settings.period_ms),
         };
-        if addr == self.local.udp_addr() || !self.probes.open_relay(relay) {
+        let unusable = addr.port() == 0 || addr.ip().is_unspecified();
+        let own = addr == self.local.udp_addr();
+        if unusable || own || !self.probes.open_relay(relay) {
             self.counters.refused += 1;
             return;
         }
--- a/crates/core/tests/member/fleet.rs
+++ b/crates/core/tests/member/fleet.rs
@@ -215,3 +215,18 @@
     };
     check(&[row(12, rough(), 81), row(60, lossy(), 82)])
 }
+
+/// Guards against configuration versions of members that are never learned: they are
+/// not changes that are told to others, and travel only with unchanged records. The
+/// bound is the longest time that a scenario waits, because the design gives none.
+#[gtest]
+fn configuration_versions_become_known() -> Result<()> {
+    check(&[Row {
+        name: "new version",
+        n: 10,
+        network: rough(),
+        seed: 101,
+        run: scenario::new_version,
+        max_ms: 600_000,
+    }])
+}
--- a/crates/core/tests/member/messages.rs
+++ b/crates/core/tests/member/messages.rs
@@ -1,6 +1,6 @@
 //! Messages: what is dropped, what fits, and that their order does not matter.
 
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use googletest::prelude::*;
 use plantainpost_core::{
@@ -100,6 +100,20 @@
         message,
         counter: unmatched,
     });
+    for port in [0, addr(0).port()] {
+        let addr = SocketAddr::new(addr(0).ip(), port);
+        rows.push(Nonsense {
+            name: "indirect probe of an unusable or the own address",
+            message: Message::PingReq {
+                seq: 5,
+                from: NodeName::from("peer"),
+                to: NodeName::from("other"),
+                addr,
+                records: vec![],
+            },
+            counter: |c| c.refused,
+        });
+    }
     let digest = [0; BUCKETS];
     let message = Message::Sync {
         seq: 77,
