Plans name the targets that stay in service

A plan for a leaving target listed only the measuring share as what stays, so an operator could not read from it what the change leaves alone.

--- a/crates/core/src/config/describe.rs
+++ b/crates/core/src/config/describe.rs
@@ -7,6 +7,9 @@
     plan::KnownTarget,
 };
 
+/// Targets that a line of a plan names; of more it gives the number.
+const MAX_NAMED: usize = 8;
+
 /// Returns one line per change from `old` to `new`.
 pub(super) fn changes(old: &Content, new: &Content) -> Vec<String> {
     let mut lines = Vec::new();
@@ -60,6 +63,46 @@
     lines
 }
 
+/// Returns one line per service with known targets that take traffic before and after
+/// the change from `old` to `new`.
+pub(super) fn staying_targets(
+    old: &Content,
+    new: &Content,
+    targets: &[KnownTarget<'_>],
+) -> Vec<String> {
+    let mut services: BTreeMap<&str, (usize, Vec<&str>)> = BTreeMap::new();
+    for target in targets.iter().filter(|target| takes_traffic(old, target)) {
+        let (before, staying) = services.entry(target.service).or_default();
+        *before += 1;
+        if takes_traffic(new, target) {
+            staying.push(target.node);
+        }
+    }
+    services
+        .iter()
+        .filter(|(_, (_, staying))| !staying.is_empty())
+        .map(|(service, (before, staying))| match staying.len() {
+            count if count == *before => {
+                format!("service {service}: all {count} targets stay in service")
+            }
+            count if count <= MAX_NAMED => {
+                format!(
+                    "service {service}: in service as before: {}",
+                    staying.join(", ")
+                )
+            }
+            count => {
+                format!("service {service}: {count} of {before} targets stay in service")
+            }
+        })
+        .collect()
+}
+
+fn takes_traffic(content: &Content, target: &KnownTarget<'_>) -> bool {
+    content.weight(target.service, target.node, target.data_centre) > 0
+        && !content.is_leaving(target.node, target.host_ip, target.data_centre)
+}
+
 /// Returns one line per service that the change from `old` to `new` leaves without
 /// a target.
 ///
--- a/crates/core/src/config/register.rs
+++ b/crates/core/src/config/register.rs
@@ -171,12 +171,14 @@
                 "overrides the version in force and lost records".to_owned(),
             );
         }
+        let mut stays = describe::stays(old, &content);
+        stays.extend(describe::staying_targets(old, &content, targets));
         let plan = Plan {
             id: Uuid::new_v4(),
             base: self.version(),
             overrides: is_override.then(|| self.read_from()),
             changes,
-            stays: describe::stays(old, &content),
+            stays,
             warnings: describe::warnings(old, &content, targets),
             content,
             author: author.to_owned(),
--- a/crates/core/tests/config/plan.rs
+++ b/crates/core/tests/config/plan.rs
@@ -230,3 +230,29 @@
     expect_true!(register.plan_for(&intent, "ama", 1_000, &[n1, n2]).is_ok());
     Ok(())
 }
+
+/// Guards against a plan that does not say which targets go on taking traffic.
+#[gtest]
+fn plans_name_the_targets_that_stay() -> Result<()> {
+    let register = Register::new();
+    let target = |service, node| KnownTarget {
+        service,
+        node,
+        host_ip: IpAddr::from([10, 0, 0, 1]),
+        data_centre: "pos",
+    };
+    let targets = [
+        target("stock", "n1"),
+        target("stock", "n2"),
+        target("ledger", "n3"),
+    ];
+    let intent: Intent = serde_json::from_str(LEAVE)?;
+    let plan = register.plan_for(&intent, "ama", 1_000, &targets)?;
+    let expected = [
+        "measuring share: 5 permille",
+        "service ledger: all 1 targets stay in service",
+        "service stock: in service as before: n2",
+    ];
+    expect_that!(plan.stays, container_eq(expected.map(str::to_owned)));
+    Ok(())
+}
