--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,8 @@
 mod bad_input;
 mod configuration;
 mod faults;
+mod links;
 mod requests;
+mod rows;
 mod stop;
 mod util;
--- a/tests/integration/util.rs
+++ b/tests/integration/util.rs
@@ -114,9 +114,14 @@
 impl Node {
     /// Kills the process and starts it again with the same settings.
     pub(crate) fn replace(&mut self) {
+        self.kill();
+        self.process = start_process(&self.settings);
+    }
+
+    /// Kills the process.
+    pub(crate) fn kill(&mut self) {
         let _ = self.process.signal(Signal::Kill);
         let _ = self.process.wait_exit(PATIENCE);
-        self.process = start_process(&self.settings);
     }
 
     /// Starts the process again after it has ended.
