Tests: faults meet all links and targets, and requests in flight

Cause: a row that disturbed one host met at most a few requests, because the entry sets that host aside after the first failure.

Change: requests take 15 ms of work, link faults apply to every link and target faults to every target.

--- a/tests/integration/faults.rs
+++ b/tests/integration/faults.rs
@@ -13,7 +13,7 @@
 const LEAVE_MS: u64 = 6_000;
 
 fn fail(fail: Fail) -> Fault {
-    Fault::Target(TargetFaults {
+    Fault::Targets(TargetFaults {
         fail,
         fail_permille: 500,
         ..Default::default()
@@ -28,7 +28,7 @@
 }
 
 fn close_idle() -> Fault {
-    Fault::Target(TargetFaults {
+    Fault::Targets(TargetFaults {
         close_idle: true,
         ..Default::default()
     })
--- a/tests/integration/links.rs
+++ b/tests/integration/links.rs
@@ -65,7 +65,10 @@
             "cut in a long body, down",
             [step(SHORT_MS, [cut_down(200_000)])],
         ),
-        row("new connections refused", [step(LONG_MS, [refuse()])]),
+        row(
+            "new connections refused",
+            [step(LONG_MS, [refuse(), Fault::Cut])],
+        ),
     ];
     expect_that!(run_rows(&rows), is_empty());
 }
@@ -75,7 +78,7 @@
 #[gtest]
 fn promises_hold_when_bytes_are_late() {
     let closes = || {
-        Fault::Target(TargetFaults {
+        Fault::Targets(TargetFaults {
             fail: Fail::CloseAfterWork,
             fail_permille: 500,
             ..Default::default()
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests that start the real binary.
 
+mod answers;
 mod bad_input;
 mod configuration;
 mod faults;
--- a/tests/integration/rows.rs
+++ b/tests/integration/rows.rs
@@ -13,7 +13,7 @@
 
 use plantainpost_standin::{
     history::{self, CheckSettings},
-    load::{LoadSettings, Report},
+    load::{Kind, LoadSettings, Report},
     log::{Down, LogFaults},
     process::Signal,
     proxy::{Proxy, ProxyFaults, Relay, RelayFaults, RelaySettings},
@@ -35,6 +35,12 @@
 /// Deadline of the requests, in milliseconds.
 const TIMEOUT_MS: u64 = 1_500;
 
+/// Time that a target works on a request, in microseconds.
+const WORK_US: u64 = 15_000;
+
+/// Longest load of a row unless its faults last longer, in milliseconds.
+const LONGEST_MS: u64 = 10_000;
+
 /// Variable with the number of seeds that each row runs with.
 const SEEDS: &str = "PLANTAINPOST_SEEDS";
 
@@ -52,13 +58,15 @@
     FreezeEntry,
     /// The target has these faults.
     Target(TargetFaults),
+    /// All targets have these faults, so that none can be avoided.
+    Targets(TargetFaults),
     /// The target is leaving until the end.
     Leave,
     /// The log service accepts no connections.
     LogDown,
-    /// Connections to the guard have these faults.
+    /// Connections to all guards have these faults.
     Connections(ProxyFaults),
-    /// All open connections to the guard are cut at the beginning.
+    /// All open connections to all guards are cut at the beginning.
     Cut,
     /// Datagrams between all nodes have these faults.
     Datagrams(RelayFaults),
@@ -159,13 +167,14 @@
             Fault::FreezeGuard => signal(fleet, i, Signal::Stop),
             Fault::FreezeEntry => signal(fleet, 0, Signal::Stop),
             Fault::Target(faults) => fleet.targets[i].set_faults(faults.clone()),
+            Fault::Targets(faults) => self.set_targets(faults),
             Fault::Leave => fleet.targets[i].set_leaving(true),
             Fault::LogDown => fleet.log.set_faults(LogFaults {
                 down: Down::Refuse,
                 ..Default::default()
             }),
-            Fault::Connections(faults) => self.links[i].tcp.set_faults(faults.clone()),
-            Fault::Cut => self.links[i].tcp.cut(),
+            Fault::Connections(faults) => self.set_proxies(faults),
+            Fault::Cut => self.links.iter().for_each(|link| link.tcp.cut()),
             Fault::Datagrams(faults) => self.set_relays(faults),
         }
     }
@@ -178,14 +187,27 @@
             Fault::FreezeGuard => signal(fleet, i, Signal::Cont),
             Fault::FreezeEntry => signal(fleet, 0, Signal::Cont),
             Fault::Target(_) => fleet.targets[i].set_faults(TargetFaults::default()),
+            Fault::Targets(_) => self.set_targets(&TargetFaults::default()),
             Fault::Leave => fleet.targets[i].set_leaving(false),
             Fault::LogDown => fleet.log.set_faults(LogFaults::default()),
-            Fault::Connections(_) => self.links[i].tcp.set_faults(ProxyFaults::default()),
+            Fault::Connections(_) => self.set_proxies(&ProxyFaults::default()),
             Fault::Cut => (),
             Fault::Datagrams(_) => self.set_relays(&RelayFaults::default()),
         }
     }
 
+    fn set_targets(&self, faults: &TargetFaults) {
+        for target in &self.fleet.targets {
+            target.set_faults(faults.clone());
+        }
+    }
+
+    fn set_proxies(&self, faults: &ProxyFaults) {
+        for link in &self.links {
+            link.tcp.set_faults(faults.clone());
+        }
+    }
+
     fn set_relays(&self, faults: &RelayFaults) {
         for link in &self.links {
             link.udp.set_faults(faults.clone());
@@ -289,10 +311,10 @@
     let held: u64 = row.steps.iter().map(|step| step.hold_ms).sum();
     let settings = LoadSettings {
         rate: 120.0,
-        duration_ms: (held + 2_500).max(6_000),
+        duration_ms: (3 * held + 1_500).clamp(6_000, LONGEST_MS.max(held + 2_500)),
         timeout_ms: TIMEOUT_MS,
         seed,
-        kinds: mix("stock"),
+        kinds: kinds(),
         ..Default::default()
     };
     let load = world.fleet.load(&[0, 2], settings);
@@ -306,6 +328,16 @@
     served.map(|figures| println!("{}, seed {seed}: {figures}", row.name))
 }
 
+/// The usual mix, with enough work that a fault meets requests in flight.
+fn kinds() -> Vec<Kind> {
+    let kinds = mix("stock").into_iter();
+    let work = |kind| Kind {
+        work_us: Some(WORK_US),
+        ..kind
+    };
+    kinds.map(work).collect()
+}
+
 /// Most requests must be answered: a fleet that refuses everything keeps its promises,
 /// too. Returns the figures in short.
 fn expect_served(report: &Report) -> Result<String, String> {
