Tell 'unknown' when any attempt of a request may have run

Cause: after a retry or a hedge of an idempotent request the entry told the outcome of the last attempt only.

Ruled out: a wrong answer of Fence and a wrong refusal of the guard; the single request in answers.rs uses neither.

Change: the run keeps the reason of the first unknown attempt, and a final 'not run' becomes 'unknown'.

Before: answers.rs fails with outcome not-run; 2 of 51 rows fail with NotRunStarted. After: answers.rs passes.

--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -57,6 +57,9 @@
     tried: Vec<NodeName>,
     /// When to send a hedge, while none was sent.
     hedge_at: Option<Instant>,
+    /// Why the outcome of an ended attempt is unknown. A later attempt that was not run
+    /// says nothing about that one.
+    unknown: Option<&'static str>,
     traces: Vec<AttemptTrace>,
 }
 
@@ -68,6 +71,7 @@
             running: FuturesUnordered::new(),
             tried: Vec::new(),
             hedge_at: hedge_at(node, call),
+            unknown: None,
             traces: Vec::new(),
         }
     }
@@ -90,13 +94,24 @@
                 return AttemptEnd::Unknown("no-attempt");
             };
             self.record(&attempt, &end);
+            if let AttemptEnd::Unknown(reason) = end {
+                self.unknown.get_or_insert(reason);
+            }
             let is_last = self.running.is_empty();
             if matches!(end, AttemptEnd::Response(_)) || (is_last && !self.retry(&end)) {
-                return end;
+                return self.outcome_of_all(end);
             }
         }
     }
 
+    /// Turns the end of the last attempt into the end of the request.
+    fn outcome_of_all(&self, last: AttemptEnd) -> AttemptEnd {
+        match (last, self.unknown) {
+            (AttemptEnd::NotRun(_), Some(reason)) => AttemptEnd::Unknown(reason),
+            (last, _) => last,
+        }
+    }
+
     fn start(&mut self, cause: Cause) -> Result<(), &'static str> {
         let now = self.node.now();
         let chosen = self.node.balancer.borrow_mut().choose(
