Tests: scripted entries and guards speak the protocol between nodes

They show what no stand-in around real nodes can show on purpose: frames about another request, duplicates, late requests to a draining or frozen guard, cut bodies in both directions, and each answer to Fence.

--- /dev/null
+++ b/tests/integration/peer.rs
@@ -0,0 +1,148 @@
+//! Scripted peers: a test speaks the protocol between nodes itself.
+
+use std::{future::Future, net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_rt::{
+    System,
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+use plantainpost_core::{
+    admission::RequestKey,
+    ids::{Incarnation, NodeName, RequestId, ServiceName},
+    time::Instant,
+};
+use plantainpost_wire::{
+    auth::{FleetKeys, Key},
+    frame::{self, FrameError, FrameReader, FrameWriter},
+    handshake::{self, Identity},
+    message::{BodyLength, PeerMessage, RequestHead},
+};
+
+use crate::util::{FLEET_KEY, PATIENCE};
+
+/// Runs a script to its end.
+pub(crate) fn script<F: Future>(future: F) -> F::Output {
+    System::new().block_on(future)
+}
+
+/// Clock of scripted peers: microseconds since the first use.
+pub(crate) fn now() -> Instant {
+    use std::{sync::LazyLock, time};
+    static ORIGIN: LazyLock<time::Instant> = LazyLock::new(time::Instant::now);
+    Instant::from_micros(ORIGIN.elapsed().as_micros() as u64)
+}
+
+fn keys() -> FleetKeys {
+    FleetKeys::new(Key::new(&FLEET_KEY).expect("the key is long enough"), None)
+}
+
+fn identity(name: &str) -> Identity {
+    Identity {
+        node: NodeName::from(name),
+        incarnation: Incarnation(1),
+    }
+}
+
+/// A connection between a scripted peer and a node.
+pub(crate) struct Peer {
+    pub(crate) rx: FrameReader,
+    pub(crate) tx: FrameWriter,
+}
+
+impl Peer {
+    /// Opens a connection as an entry.
+    pub(crate) async fn open(addr: SocketAddr) -> Self {
+        let io = TcpStream::connect(addr).await.expect("the node accepts");
+        let (mut rx, mut tx) = frame::split(io);
+        handshake::open(&mut rx, &mut tx, &identity("script"), &keys(), &now)
+            .await
+            .expect("the handshake succeeds");
+        Peer { rx, tx }
+    }
+
+    /// Accepts a connection as the guard with this name.
+    pub(crate) async fn accept(listener: &TcpListener, name: &str) -> Self {
+        let accepted = timeout(PATIENCE, listener.accept()).await;
+        let (io, _) = accepted.expect("a node connects").expect("it is accepted");
+        let (mut rx, mut tx) = frame::split(io);
+        handshake::accept(&mut rx, &mut tx, &identity(name), &keys(), &now)
+            .await
+            .expect("the handshake succeeds");
+        Peer { rx, tx }
+    }
+
+    /// Sends a message.
+    pub(crate) async fn send(&mut self, msg: PeerMessage) {
+        self.tx.write(&msg).await.expect("the message is sent");
+    }
+
+    /// Waits for the next message or the end of the connection.
+    pub(crate) async fn next(&mut self) -> Result<PeerMessage, FrameError> {
+        let read = timeout(PATIENCE, self.rx.read()).await;
+        read.expect("the node sends something or closes the connection")
+    }
+
+    /// Waits for a request.
+    pub(crate) async fn request(&mut self) -> RequestHead {
+        match self.next().await {
+            Ok(PeerMessage::Request(head)) => head,
+            other => panic!("expected a request, not {other:?}"),
+        }
+    }
+
+    /// Reads the body of an answer to its end.
+    pub(crate) async fn read_body(&mut self) {
+        loop {
+            match self.next().await {
+                Ok(PeerMessage::Body(_)) => (),
+                Ok(PeerMessage::BodyEnd { .. }) => return,
+                other => panic!("expected a body, not {other:?}"),
+            }
+        }
+    }
+
+    /// Reports whether the node closes the connection within a second without a word.
+    pub(crate) async fn is_closed(&mut self) -> bool {
+        let read = timeout(Duration::from_secs(1), self.rx.read()).await;
+        matches!(read, Ok(Err(FrameError::Closed | FrameError::Io { .. })))
+    }
+}
+
+/// Returns the key of the first attempt of a request.
+pub(crate) fn key(id: u128) -> RequestKey {
+    RequestKey {
+        id: RequestId(id),
+        attempt: 0,
+    }
+}
+
+/// Returns the head of a non-idempotent request for the service `stock`, with 5 s left.
+pub(crate) fn post(key: RequestKey, nonce: &str, headers: &[(&str, &str)]) -> RequestHead {
+    let header = |(name, value): &(&str, &str)| ((*name).to_owned(), value.to_string().into());
+    let nonce = [("host", "stock"), ("x-nonce", nonce)];
+    RequestHead {
+        key,
+        incarnation: Incarnation(0),
+        service: ServiceName::from("stock"),
+        method: "POST".to_owned(),
+        path: "/".to_owned(),
+        headers: nonce.iter().chain(headers).map(header).collect(),
+        deadline: now().saturating_add_millis(5_000),
+        idempotent: false,
+        hedged: false,
+        body: BodyLength::None,
+    }
+}
+
+/// A message of a name for people.
+pub(crate) fn short(msg: &Result<PeerMessage, FrameError>) -> Rc<str> {
+    match msg {
+        Ok(PeerMessage::Refused { reason, .. }) => format!("refused {}", reason.as_str()),
+        Ok(PeerMessage::Response(head)) => format!("response {}", head.status),
+        Ok(PeerMessage::FenceResult { state, .. }) => format!("fence {state:?}"),
+        Ok(PeerMessage::Failed { started, .. }) => format!("failed, started {started}"),
+        other => format!("{other:?}"),
+    }
+    .into()
+}
--- /dev/null
+++ b/tests/integration/scripted_entry.rs
@@ -0,0 +1,177 @@
+//! A scripted entry against a real guard: what a guard refuses, and what it never runs.
+
+use std::{future::Future, pin::Pin, thread, time::Duration};
+
+use googletest::prelude::*;
+use plantainpost_standin::{history::Record, process::Signal};
+use plantainpost_wire::message::{BodyLength, PeerMessage};
+
+use crate::{
+    peer::{Peer, key, now, post, script, short},
+    util::{Fleet, hosts},
+};
+
+/// Sends a request on a new connection and returns the guard's first word on it.
+async fn ask(fleet: &Fleet, id: u128, nonce: &str, headers: &[(&str, &str)]) -> String {
+    let mut peer = Peer::open(fleet.nodes[0].peers).await;
+    let head = post(key(id), nonce, headers);
+    peer.send(PeerMessage::Request(head)).await;
+    short(&peer.next().await).to_string()
+}
+
+async fn fence(fleet: &Fleet, id: u128) -> String {
+    let mut peer = Peer::open(fleet.nodes[0].peers).await;
+    let deadline = now().saturating_add_millis(5_000);
+    let key = key(id);
+    peer.send(PeerMessage::Fence { key, deadline }).await;
+    short(&peer.next().await).to_string()
+}
+
+/// Guards against a second run of a request that arrives twice: at once, after its end,
+/// and after its fence.
+#[gtest]
+fn duplicate_is_refused() {
+    let fleet = Fleet::start(&hosts("stock", 1));
+    script(async {
+        let work = [("x-work-us", "300000")];
+        let mut first = Peer::open(fleet.nodes[0].peers).await;
+        let head = post(key(1), "twice", &work);
+        first.send(PeerMessage::Request(head)).await;
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        expect_that!(
+            ask(&fleet, 1, "twice", &work).await,
+            eq("refused duplicate")
+        );
+        expect_that!(fence(&fleet, 1).await, eq("fence Started"));
+        expect_that!(&*short(&first.next().await), eq("response 200"));
+        expect_that!(
+            ask(&fleet, 1, "twice", &work).await,
+            eq("refused duplicate")
+        );
+        expect_that!(fence(&fleet, 1).await, eq("fence Finished"));
+        expect_that!(fleet.targets[0].executions("twice"), eq(1));
+        expect_that!(fence(&fleet, 2).await, eq("fence Fenced"));
+        expect_that!(ask(&fleet, 2, "late", &work).await, eq("refused fenced"));
+        expect_that!(fleet.targets[0].executions("late"), eq(0));
+    });
+}
+
+type Drain = fn(&mut Fleet);
+
+/// Guards against new work for a leaving target from an entry that does not know of it,
+/// such as one with an old configuration or one that was frozen.
+#[gtest]
+fn draining_guard_refuses_new_work() {
+    let rows: [(&str, Drain); 4] = [
+        ("announcement", |fleet| fleet.targets[0].set_leaving(true)),
+        ("configuration", |fleet| {
+            fleet.decide(1, &["leave", "--target", "stock-0"]);
+        }),
+        ("data centre", |fleet| {
+            fleet.decide(1, &["leave", "--data-centre", "pos"]);
+        }),
+        ("planned stop", |fleet| {
+            let process = &fleet.nodes[0].process;
+            process.signal(Signal::Term).expect("the node runs");
+        }),
+    ];
+    for (name, drain) in rows {
+        let mut fleet = Fleet::start(&hosts("stock", 2));
+        script(async {
+            // The connection is open before, because a stopping node may close soon.
+            let mut peer = Peer::open(fleet.nodes[0].peers).await;
+            peer.send(PeerMessage::Request(post(key(1), "before", &[])))
+                .await;
+            expect_that!(&*short(&peer.next().await), eq("response 200"), "{name}");
+            peer.read_body().await;
+            drain(&mut fleet);
+            actix_rt::time::sleep(Duration::from_millis(500)).await;
+            peer.send(PeerMessage::Request(post(key(2), "after", &[])))
+                .await;
+            let word = short(&peer.next().await);
+            expect_that!(&*word, eq("refused draining"), "{name}");
+            expect_that!(fleet.targets[0].executions("after"), eq(0), "{name}");
+        });
+    }
+}
+
+type Break = for<'a> fn(&'a mut Peer) -> Pin<Box<dyn Future<Output = ()> + 'a>>;
+
+/// Guards against a cut request body that the target takes for a whole one.
+#[gtest]
+fn cut_request_body_is_never_ended_cleanly() {
+    let chunked = BodyLength::Chunked;
+    let sized = BodyLength::Sized(100_000);
+    let rows: [(&str, BodyLength, Break); 5] = [
+        ("chunked, closed", chunked, |_| Box::pin(async {})),
+        ("sized, closed", sized, |_| Box::pin(async {})),
+        ("chunked, wrong length", chunked, |peer| {
+            Box::pin(end(peer, 7))
+        }),
+        ("sized, too short", sized, |peer| Box::pin(end(peer, 4))),
+        ("chunked, another request", chunked, |peer| {
+            Box::pin(async {
+                let head = post(key(77), "inside", &[]);
+                peer.send(PeerMessage::Request(head)).await;
+            })
+        }),
+    ];
+    let fleet = Fleet::start(&hosts("stock", 1));
+    for (number, (name, body, cut)) in rows.into_iter().enumerate() {
+        let nonce = format!("cut-{number}");
+        script(async {
+            let mut peer = Peer::open(fleet.nodes[0].peers).await;
+            let head = post(key(10 + number as u128), &nonce, &[]);
+            peer.send(PeerMessage::Request(
+                plantainpost_wire::message::RequestHead { body, ..head },
+            ))
+            .await;
+            peer.send(PeerMessage::Body(b"part"[..].into())).await;
+            let word = peer.next().await;
+            expect_true!(
+                matches!(word, Ok(PeerMessage::Continue { .. })),
+                "{name}: {word:?}"
+            );
+            cut(&mut peer).await;
+        });
+        thread::sleep(Duration::from_millis(300));
+        let history = fleet.targets[0].history();
+        let ended = |record: &Record| match record {
+            Record::Ended {
+                nonce: other, ok, ..
+            } if *other == nonce => Some(*ok),
+            _ => None,
+        };
+        let ended: Vec<bool> = history.iter().filter_map(ended).collect();
+        expect_that!(ended, elements_are![eq(&false)], "{name}");
+        expect_that!(fleet.targets[0].executions("inside"), eq(0), "{name}");
+    }
+}
+
+async fn end(peer: &mut Peer, length: u64) {
+    peer.send(PeerMessage::BodyEnd { length, load: None }).await;
+}
+
+/// Guards against a request that is started after its deadline, when it waited in the
+/// socket buffer of a frozen guard, and against one that is lost though it had time left.
+#[gtest]
+fn frozen_guard_starts_no_expired_request() {
+    let fleet = Fleet::start(&hosts("stock", 1));
+    let rows = [("expired", 500, 0), ("in time", 10_000, 1)];
+    for (number, (nonce, timeout_ms, runs)) in rows.into_iter().enumerate() {
+        script(async {
+            let mut peer = Peer::open(fleet.nodes[0].peers).await;
+            let process = &fleet.nodes[0].process;
+            process.signal(Signal::Stop).expect("the node runs");
+            let mut head = post(key(20 + number as u128), nonce, &[]);
+            head.deadline = now().saturating_add_millis(timeout_ms);
+            peer.send(PeerMessage::Request(head)).await;
+            actix_rt::time::sleep(Duration::from_millis(1_200)).await;
+            process.signal(Signal::Cont).expect("the node runs");
+            let word = short(&peer.next().await);
+            let wanted = ["refused deadline", "response 200"][runs as usize];
+            expect_that!(&*word, eq(wanted), "{nonce}");
+        });
+        expect_that!(fleet.targets[0].executions(nonce), eq(runs), "{nonce}");
+    }
+}
--- /dev/null
+++ b/tests/integration/scripted_guard.rs
@@ -0,0 +1,331 @@
+//! A real entry against a scripted guard: what an entry believes, and which connections
+//! it uses again.
+
+use std::{future::Future, net::SocketAddr, pin::Pin, sync::Mutex, thread, time::Duration};
+
+use actix_rt::net::TcpListener;
+use googletest::prelude::*;
+use plantainpost_core::{
+    admission::{FenceState, RefuseReason, RequestKey},
+    ids::RequestId,
+    load::LoadSample,
+};
+use plantainpost_standin::proxy::{Relay, RelaySettings};
+use plantainpost_wire::message::{BodyLength, FailReason, PeerMessage, ResponseHead};
+
+use crate::{
+    peer::{Peer, script},
+    util::{Fleet, hosts, outcome, request_by},
+};
+
+/// A fleet of an entry and of a node whose place as a guard a script takes.
+struct Stage {
+    fleet: Fleet,
+    /// Address at which the script is the guard `stock-0`.
+    listen: SocketAddr,
+    _relay: Relay,
+}
+
+impl Stage {
+    fn start() -> Self {
+        let mut specs = hosts("desk", 1);
+        specs.extend(hosts("stock", 1));
+        let place = Mutex::new(None);
+        let fleet = Fleet::start_with(&specs, |i, text| {
+            if i == 1 {
+                *text = text.replace("\nip = 127.0.0.1", "\nip = 127.0.0.2");
+                let port = text
+                    .lines()
+                    .find_map(|line| line.strip_prefix("peer_tcp = "));
+                let server: SocketAddr = port.and_then(|p| p.parse().ok()).expect("an address");
+                let listen = SocketAddr::from(([127, 0, 0, 2], server.port()));
+                let settings = RelaySettings {
+                    listen,
+                    server,
+                    ..Default::default()
+                };
+                let relay = Relay::start(&settings).expect("the relay starts");
+                *place.lock().expect("no panic") = Some((listen, relay));
+            }
+        });
+        let place = place.into_inner().expect("no panic");
+        let (listen, _relay) = place.expect("the guard was started");
+        Stage {
+            fleet,
+            listen,
+            _relay,
+        }
+    }
+
+    /// Sends a non-idempotent request in a thread.
+    fn post(&self, timeout_ms: u64) -> thread::JoinHandle<String> {
+        let callers = self.fleet.nodes[0].callers;
+        thread::spawn(move || request_by(callers, ("POST", "stock"), ("n", timeout_ms), ""))
+    }
+}
+
+fn other(key: RequestKey) -> RequestKey {
+    RequestKey {
+        id: RequestId(key.id.0 ^ 1),
+        ..key
+    }
+}
+
+fn later(key: RequestKey) -> RequestKey {
+    RequestKey {
+        attempt: key.attempt + 1,
+        ..key
+    }
+}
+
+fn response(key: RequestKey, body: BodyLength) -> PeerMessage {
+    PeerMessage::Response(ResponseHead {
+        key,
+        status: 200,
+        headers: Vec::new(),
+        body,
+        load: LoadSample::default(),
+    })
+}
+
+fn refused(key: RequestKey, reason: RefuseReason) -> PeerMessage {
+    let load = LoadSample::default();
+    PeerMessage::Refused { key, reason, load }
+}
+
+fn failed(key: RequestKey, started: bool) -> PeerMessage {
+    PeerMessage::Failed {
+        key,
+        started,
+        reason: FailReason::Connect,
+        load: LoadSample::default(),
+    }
+}
+
+fn body(text: &'static str) -> PeerMessage {
+    PeerMessage::Body(text.as_bytes().into())
+}
+
+fn end(length: u64) -> PeerMessage {
+    PeerMessage::BodyEnd { length, load: None }
+}
+
+/// What a scripted guard answers to a request.
+type Answer = fn(RequestKey) -> Vec<PeerMessage>;
+
+/// Guards against an outcome or an answer taken from a frame about another request, and
+/// against the use of a connection after an exchange that did not end cleanly. The
+/// connection must be closed, so that nothing late on it meets another request.
+#[gtest]
+fn only_frames_about_the_request_are_believed() {
+    let rows: [(&str, Answer, &str, bool); 12] = [
+        (
+            "answer",
+            |k| vec![response(k, BodyLength::Sized(4)), body("part"), end(4)],
+            "answered",
+            false,
+        ),
+        (
+            "answer of another",
+            |k| {
+                vec![
+                    response(other(k), BodyLength::Sized(4)),
+                    body("part"),
+                    end(4),
+                ]
+            },
+            "unknown",
+            true,
+        ),
+        (
+            "answer of another attempt",
+            |k| {
+                vec![
+                    response(later(k), BodyLength::Sized(4)),
+                    body("part"),
+                    end(4),
+                ]
+            },
+            "unknown",
+            true,
+        ),
+        (
+            "refusal",
+            |k| vec![refused(k, RefuseReason::NoTarget)],
+            "not-run",
+            false,
+        ),
+        (
+            "refusal of another",
+            |k| vec![refused(other(k), RefuseReason::NoTarget)],
+            "unknown",
+            true,
+        ),
+        (
+            "refusal of a duplicate",
+            |k| vec![refused(k, RefuseReason::Duplicate)],
+            "unknown",
+            false,
+        ),
+        (
+            "refusal without a fence",
+            |k| vec![refused(k, RefuseReason::TableFull)],
+            "unknown",
+            false,
+        ),
+        (
+            "failure before the start",
+            |k| vec![failed(k, false)],
+            "not-run",
+            true,
+        ),
+        (
+            "failure after the start",
+            |k| vec![failed(k, true)],
+            "unknown",
+            true,
+        ),
+        (
+            "failure of another",
+            |k| vec![failed(other(k), false)],
+            "unknown",
+            true,
+        ),
+        (
+            "fence of the request",
+            |key| {
+                vec![PeerMessage::FenceResult {
+                    key,
+                    state: FenceState::Fenced,
+                }]
+            },
+            "unknown",
+            true,
+        ),
+        ("nothing until the deadline", |_| vec![], "unknown", true),
+    ];
+    let stage = Stage::start();
+    script(async {
+        let listener = TcpListener::bind(stage.listen).await.expect("a listener");
+        for (name, answer, wanted, closes) in rows {
+            let caller = stage.post(400);
+            let mut peer = Peer::accept(&listener, "stock-0").await;
+            let key = peer.request().await.key;
+            for msg in answer(key) {
+                peer.send(msg).await;
+            }
+            let text = caller.join().expect("no panic");
+            expect_that!(outcome(&text), eq(wanted), "{name}: {text}");
+            expect_that!(peer.is_closed().await, eq(closes), "{name}");
+            drop(peer);
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
+
+/// Guards against a part of an answer that a caller takes for the whole.
+#[gtest]
+fn cut_answer_is_never_ended_cleanly() {
+    let sized = BodyLength::Sized(8);
+    let chunked = BodyLength::Chunked;
+    let rows: [(&str, BodyLength, Vec<PeerMessage>); 7] = [
+        ("sized, closed", sized, vec![body("part")]),
+        ("chunked, closed", chunked, vec![body("part")]),
+        ("sized, too short", sized, vec![body("part"), end(4)]),
+        ("sized, wrong end", sized, vec![body("part"), end(8)]),
+        ("chunked, wrong end", chunked, vec![body("part"), end(5)]),
+        (
+            "chunked, another message",
+            chunked,
+            vec![body("part"), failed(crate::peer::key(1), true), end(4)],
+        ),
+        (
+            "sized, too long",
+            sized,
+            vec![body("part"), body("too long"), end(12)],
+        ),
+    ];
+    let stage = Stage::start();
+    script(async {
+        let listener = TcpListener::bind(stage.listen).await.expect("a listener");
+        for (name, length, rest) in rows {
+            let caller = stage.post(2_000);
+            let mut peer = Peer::accept(&listener, "stock-0").await;
+            let key = peer.request().await.key;
+            peer.send(response(key, length)).await;
+            for msg in rest {
+                peer.send(msg).await;
+            }
+            drop(peer);
+            let text = caller.join().expect("no panic");
+            // The head may be lost together with the rest.
+            let received = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+            let whole = match length {
+                BodyLength::Chunked => received.ends_with("0\r\n\r\n"),
+                _ => received.len() >= 8,
+            };
+            expect_that!(whole, eq(false), "{name}: {text}");
+        }
+    });
+}
+
+type Reply = for<'a> fn(&'a TcpListener, RequestKey) -> Pin<Box<dyn Future<Output = ()> + 'a>>;
+
+/// Guards against a wrong outcome of a request whose connection is lost: only a fence of
+/// the same guard and the same request means "not run".
+#[gtest]
+fn lost_connection_is_not_run_only_after_a_fence() {
+    async fn fenced(listener: &TcpListener, key: RequestKey, state: FenceState) {
+        let mut peer = Peer::accept(listener, "stock-0").await;
+        let asked = peer.next().await;
+        assert!(matches!(asked, Ok(PeerMessage::Fence { .. })), "{asked:?}");
+        peer.send(PeerMessage::FenceResult { key, state }).await;
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+    }
+    let rows: [(&str, Reply, &str); 7] = [
+        (
+            "fenced",
+            |l, k| Box::pin(fenced(l, k, FenceState::Fenced)),
+            "not-run",
+        ),
+        (
+            "started",
+            |l, k| Box::pin(fenced(l, k, FenceState::Started)),
+            "unknown",
+        ),
+        (
+            "finished",
+            |l, k| Box::pin(fenced(l, k, FenceState::Finished)),
+            "unknown",
+        ),
+        (
+            "expired",
+            |l, k| Box::pin(fenced(l, k, FenceState::Expired)),
+            "unknown",
+        ),
+        (
+            "another is fenced",
+            |l, k| Box::pin(fenced(l, other(k), FenceState::Fenced)),
+            "unknown",
+        ),
+        (
+            "another guard",
+            |l, _| Box::pin(async { drop(Peer::accept(l, "other").await) }),
+            "unknown",
+        ),
+        ("no answer", |_, _| Box::pin(async {}), "unknown"),
+    ];
+    let stage = Stage::start();
+    script(async {
+        let listener = TcpListener::bind(stage.listen).await.expect("a listener");
+        for (name, reply, wanted) in rows {
+            let caller = stage.post(2_000);
+            let mut peer = Peer::accept(&listener, "stock-0").await;
+            let key = peer.request().await.key;
+            drop(peer);
+            reply(&listener, key).await;
+            let text = caller.join().expect("no panic");
+            expect_that!(outcome(&text), eq(wanted), "{name}: {text}");
+        }
+    });
+}
--- a/tests/integration/util.rs
+++ b/tests/integration/util.rs
@@ -26,6 +26,9 @@
 /// machine is shared, so it is generous; tests state tighter bounds of their own.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Key of all fleets.
+pub(crate) const FLEET_KEY: [u8; 32] = [7; 32];
+
 static NEXT_DIR: AtomicU32 = AtomicU32::new(0);
 
 /// First port and number of ports for nodes. They lie below the range that the system
@@ -161,7 +164,7 @@
     pub(crate) fn start_with(specs: &[Spec], edit: impl Fn(usize, &mut String)) -> Self {
         let log = log::start(&LogSettings::default()).expect("the log service starts");
         let dir = TempDir::new();
-        fs::write(dir.0.join("fleet.key"), [7; 32]).expect("the key can be written");
+        fs::write(dir.0.join("fleet.key"), FLEET_KEY).expect("the key can be written");
         let addresses = free_addresses(specs.len() * 3);
         let mut fleet = Fleet {
             nodes: Vec::new(),
