Tests: single requests under failure, uploads, and the memory of a node

Uploads of 20 MB, sized and chunked, must survive a planned stop of the entry and of the guard, and a caller's cut must never look like an end.

--- a/tests/integration/answers.rs
+++ b/tests/integration/answers.rs
@@ -9,8 +9,9 @@
 };
 
 use crate::{
+    call::{outcome, request_by, request_bytes},
     rows::Link,
-    util::{Fleet, hosts, outcome, request_by},
+    util::{Fleet, hosts},
 };
 
 /// Guards against "not run" for a request of which an earlier attempt may have run: the
@@ -46,3 +47,80 @@
     }
     expect_that!(met, ge(1), "no attempt reached the target");
 }
+
+/// Guards against a second run of a non-idempotent request and against an outcome other
+/// than "unknown" when every target fails after it took the request.
+#[gtest]
+fn non_idempotent_request_runs_once() {
+    let rows = [
+        ("closes", Fail::Close),
+        ("closes after the work", Fail::CloseAfterWork),
+        ("never answers", Fail::Never),
+        ("unframed answer", Fail::Unframed),
+        ("unframed answer without a word", Fail::UnframedSilent),
+    ];
+    let fleet = Fleet::start(&hosts("stock", 3));
+    for (number, (name, fail)) in rows.into_iter().enumerate() {
+        for target in &fleet.targets {
+            target.set_faults(TargetFaults {
+                fail,
+                ..Default::default()
+            });
+        }
+        for round in 0..5 {
+            let nonce = format!("once-{number}-{round}");
+            let callers = fleet.nodes[0].callers;
+            let answer = request_by(callers, ("POST", "stock"), (&nonce, 400), "");
+            let runs: u64 = fleet.targets.iter().map(|t| t.executions(&nonce)).sum();
+            expect_that!(runs, le(1), "{name}");
+            let told = if runs == 1 { "unknown" } else { "not-run" };
+            expect_that!(outcome(&answer), eq(told), "{name}: {answer}");
+        }
+    }
+}
+
+/// Guards against a part of an answer that a caller takes for the whole, when the target
+/// cuts it or the connection between the nodes is cut.
+#[gtest]
+fn cut_answer_is_never_ended_cleanly() {
+    let links: RefCell<Vec<Link>> = RefCell::default();
+    let fleet = Fleet::start_with(&hosts("stock", 1), |i, text| {
+        links.borrow_mut().push(Link::start(text, i as u64));
+    });
+    let target = |fail| TargetFaults {
+        fail,
+        ..Default::default()
+    };
+    let after = |bytes| ProxyFaults {
+        cut_after_down: Some(bytes),
+        ..Default::default()
+    };
+    let (no_target, no_link) = (TargetFaults::default(), ProxyFaults::default());
+    let rows = [
+        (
+            "target, after the head",
+            target(Fail::CutAfterHead),
+            no_link.clone(),
+        ),
+        ("target, in the body", target(Fail::CutInBody), no_link),
+        ("connection, early", no_target.clone(), after(1_000)),
+        ("connection, late", no_target, after(180_000)),
+    ];
+    for (name, target, link) in rows {
+        fleet.targets[0].set_faults(target);
+        links.borrow()[0].tcp.set_faults(link);
+        for headers in ["", "x-answer-chunked: 1\r\n"] {
+            links.borrow()[0].tcp.cut();
+            let headers = format!("x-answer-bytes: 200000\r\n{headers}");
+            let callers = fleet.nodes[0].callers;
+            let answer = request_bytes(callers, ("POST", "stock"), ("cut", 3_000), &headers);
+            let head = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+            let body = head.map_or(&answer[..0], |at| &answer[at + 4..]);
+            let whole = match headers.contains("chunked") {
+                true => body.ends_with(b"0\r\n\r\n"),
+                false => body.len() >= 200_000,
+            };
+            expect_that!(whole, eq(false), "{name}, {headers}: {} bytes", body.len());
+        }
+    }
+}
--- a/tests/integration/bad_input.rs
+++ b/tests/integration/bad_input.rs
@@ -5,7 +5,10 @@
 use googletest::prelude::*;
 use plantainpost_standin::process;
 
-use crate::util::{Fleet, PATIENCE, hosts, request, send_raw};
+use crate::{
+    call::{request, send_raw},
+    util::{Fleet, PATIENCE, hosts},
+};
 
 /// Guards against callers that stop the process or get no clear error.
 #[gtest]
--- /dev/null
+++ b/tests/integration/call.rs
@@ -0,0 +1,76 @@
+//! Single requests over plain sockets, and what their answers tell.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+/// Sends bytes to an address and returns what comes back until the peer closes the
+/// connection or is silent for a second.
+pub(crate) fn send_raw(addr: SocketAddr, bytes: &[u8]) -> String {
+    let received = send_raw_for(addr, bytes, Duration::from_secs(1));
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+/// Like [`send_raw`] with another bound on the silence; returns bytes.
+pub(crate) fn send_raw_for(addr: SocketAddr, bytes: &[u8], silence: Duration) -> Vec<u8> {
+    let mut io = TcpStream::connect(addr).expect("the listener accepts");
+    io.set_read_timeout(Some(silence))
+        .expect("a timeout can be set");
+    // The peer may close before it has read everything.
+    let _ = io.write_all(bytes);
+    let mut received = Vec::new();
+    let mut buf = [0; 4096];
+    while let Ok(count @ 1..) = io.read(&mut buf) {
+        received.extend_from_slice(&buf[..count]);
+    }
+    received
+}
+
+/// Sends one request without a body and returns the answer.
+pub(crate) fn request(addr: SocketAddr, method: &str, service: &str, headers: &str) -> String {
+    let text =
+        format!("{method} / HTTP/1.1\r\nhost: {service}\r\nconnection: close\r\n{headers}\r\n");
+    send_raw(addr, text.as_bytes())
+}
+
+/// Sends one request without a body and a deadline in milliseconds, and returns the
+/// answer. The target knows the request by its nonce.
+pub(crate) fn request_by(
+    addr: SocketAddr,
+    (method, service): (&str, &str),
+    (nonce, timeout_ms): (&str, u64),
+    headers: &str,
+) -> String {
+    let received = request_bytes(addr, (method, service), (nonce, timeout_ms), headers);
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+/// Like [`request_by`], for answers that are no text.
+pub(crate) fn request_bytes(
+    addr: SocketAddr,
+    (method, service): (&str, &str),
+    (nonce, timeout_ms): (&str, u64),
+    headers: &str,
+) -> Vec<u8> {
+    let text = format!(
+        "{method} / HTTP/1.1\r\nhost: {service}\r\nconnection: close\r\nx-nonce: {nonce}\r\n\
+         plantainpost-timeout-ms: {timeout_ms}\r\n{headers}\r\n"
+    );
+    send_raw_for(
+        addr,
+        text.as_bytes(),
+        Duration::from_millis(timeout_ms) + GRACE,
+    )
+}
+
+/// Time that an answer may take beyond the deadline of its request.
+pub(crate) const GRACE: Duration = Duration::from_secs(3);
+
+/// Returns the outcome that an answer tells, or nothing.
+pub(crate) fn outcome(answer: &str) -> &str {
+    let mut lines = answer.lines();
+    let line = lines.find_map(|line| line.strip_prefix("plantainpost-outcome: "));
+    line.unwrap_or_default()
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod bad_input;
+mod call;
 mod configuration;
 mod faults;
 mod links;
@@ -11,4 +12,5 @@
 mod scripted_entry;
 mod scripted_guard;
 mod stop;
+mod uploads;
 mod util;
--- a/tests/integration/requests.rs
+++ b/tests/integration/requests.rs
@@ -3,7 +3,10 @@
 use googletest::prelude::*;
 use plantainpost_standin::load::LoadSettings;
 
-use crate::util::{Fleet, hosts, mix, request};
+use crate::{
+    call::request,
+    util::{Fleet, hosts, mix},
+};
 
 /// Guards against answers that are cut, mixed up or come from a target of another
 /// service, with 1,000 requests of mixed size from up to 32 callers at once.
--- a/tests/integration/scripted_guard.rs
+++ b/tests/integration/scripted_guard.rs
@@ -14,8 +14,9 @@
 use plantainpost_wire::message::{BodyLength, FailReason, PeerMessage, ResponseHead};
 
 use crate::{
+    call::{outcome, request_by},
     peer::{Peer, script},
-    util::{Fleet, hosts, outcome, request_by},
+    util::{Fleet, hosts},
 };
 
 /// A fleet of an entry and of a node whose place as a guard a script takes.
--- /dev/null
+++ b/tests/integration/uploads.rs
@@ -0,0 +1,200 @@
+//! Long bodies: planned stops in their middle, callers that cut them, and their memory.
+
+use std::{
+    fs,
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use plantainpost_standin::{history::Record, pattern, process::Signal};
+
+use crate::{
+    call::{GRACE, outcome},
+    util::{Fleet, PATIENCE, Spec, hosts},
+};
+
+/// Length of a photo.
+const PHOTO: usize = 20_000_000;
+
+/// Pieces in which a caller sends a photo.
+const PIECE: usize = 100_000;
+
+/// An upload by a caller that sends at its own pace.
+#[derive(Clone)]
+struct Upload {
+    nonce: String,
+    chunked: bool,
+    /// Pause after each piece.
+    pause: Duration,
+    /// Bytes after which the caller closes the connection.
+    cut_after: usize,
+}
+
+impl Upload {
+    fn new(nonce: impl Into<String>, chunked: bool) -> Self {
+        Upload {
+            nonce: nonce.into(),
+            chunked,
+            pause: Duration::ZERO,
+            cut_after: usize::MAX,
+        }
+    }
+
+    fn head(&self) -> String {
+        let framing = match self.chunked {
+            true => "transfer-encoding: chunked".to_owned(),
+            false => format!("content-length: {PHOTO}"),
+        };
+        format!(
+            "POST / HTTP/1.1\r\nhost: stock\r\nconnection: close\r\nx-nonce: {}\r\n\
+             plantainpost-timeout-ms: 60000\r\n{framing}\r\n\r\n",
+            self.nonce
+        )
+    }
+
+    /// Sends the upload and returns the answer.
+    fn send(&self, addr: SocketAddr) -> std::io::Result<String> {
+        let mut io = TcpStream::connect(addr)?;
+        io.set_read_timeout(Some(PATIENCE + GRACE))?;
+        io.write_all(self.head().as_bytes())?;
+        let photo = pattern::body_for(&self.nonce, PHOTO);
+        let mut sent = 0;
+        for piece in photo.chunks(PIECE) {
+            if sent >= self.cut_after {
+                return Ok(String::new());
+            }
+            if self.chunked {
+                write!(io, "{:x}\r\n", piece.len())?;
+            }
+            io.write_all(piece)?;
+            if self.chunked {
+                io.write_all(b"\r\n")?;
+            }
+            sent += piece.len();
+            thread::sleep(self.pause);
+        }
+        if self.chunked {
+            io.write_all(b"0\r\n\r\n")?;
+        }
+        let mut answer = String::new();
+        io.read_to_string(&mut answer)?;
+        Ok(answer)
+    }
+}
+
+/// Reports whether an answer says that the target received the whole photo.
+fn is_whole(nonce: &str, answer: &str) -> bool {
+    let digest = pattern::sha256_hex(&pattern::body_for(nonce, PHOTO));
+    outcome(answer) == "answered" && answer.contains(&format!("x-body-sha256: {digest}"))
+}
+
+/// An entry of its own and hosts of the service, whose announcements outlast the time that
+/// a target spends on the digest of a photo.
+fn photo_hosts(count: usize) -> Vec<Spec> {
+    let mut specs = hosts("desk", 1);
+    specs.extend(hosts("stock", count));
+    for spec in &mut specs {
+        spec.target.ttl_ms = 30_000;
+    }
+    specs
+}
+
+/// Guards against a planned stop of the entry or the guard that cuts an upload.
+#[gtest]
+fn stop_finishes_uploads() {
+    for (name, stopped) in [("entry", 0), ("guard", 1)] {
+        let mut fleet = Fleet::start(&photo_hosts(1));
+        let addr = fleet.nodes[0].callers;
+        let uploads = [false, true].map(|chunked| Upload {
+            pause: Duration::from_millis(15),
+            ..Upload::new(format!("{name}-{chunked}"), chunked)
+        });
+        let senders = uploads
+            .clone()
+            .map(|upload| thread::spawn(move || upload.send(addr)));
+        thread::sleep(Duration::from_millis(700));
+        expect_that!(fleet.targets[1].in_flight(), eq(2), "{name}");
+        let node = &mut fleet.nodes[stopped];
+        node.process.signal(Signal::Term).expect("the node runs");
+        for (upload, sender) in uploads.iter().zip(senders) {
+            let answer = sender.join().expect("no panic");
+            let answer = answer.unwrap_or_else(|err| err.to_string());
+            expect_true!(
+                is_whole(&upload.nonce, &answer),
+                "{}: {answer}",
+                upload.nonce
+            );
+        }
+        let status = node.process.wait_exit(PATIENCE).expect("the node stops");
+        expect_true!(status.success());
+        let lines = node.process.lines();
+        let summary = lines.iter().find(|line| line.contains("stopped: "));
+        expect_that!(summary, some(contains_substring(" 0 cut")), "{name}");
+    }
+}
+
+/// Guards against a part of an upload that the target takes for the whole.
+#[gtest]
+fn cut_upload_is_never_ended_cleanly() {
+    let fleet = Fleet::start(&photo_hosts(1));
+    for chunked in [false, true] {
+        for cut_after in [PIECE, PHOTO / 2, PHOTO - PIECE] {
+            let nonce = format!("cut-{chunked}-{cut_after}");
+            let upload = Upload {
+                cut_after,
+                ..Upload::new(&nonce, chunked)
+            };
+            upload
+                .send(fleet.nodes[0].callers)
+                .expect("the entry accepts");
+            thread::sleep(Duration::from_millis(500));
+            let whole = |record: &Record| matches!(record, Record::Ended { nonce: n, ok: true, .. } if *n == nonce);
+            let history = fleet.targets[1].history();
+            expect_that!(history.iter().any(whole), eq(false), "{nonce}");
+            expect_that!(fleet.targets[1].executions(&nonce), eq(1), "{nonce}");
+            expect_that!(fleet.targets[1].in_flight(), eq(0), "{nonce}");
+        }
+    }
+}
+
+/// Returns a figure of a process in bytes, such as `VmRSS` or `VmHWM`.
+fn memory(id: u32, name: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kib.expect("the figure is there") * 1_024
+}
+
+/// Guards against nodes that keep whole bodies: ten uploads of 20 MB at once must not
+/// take 64 MB.
+#[gtest]
+fn memory_is_bounded_during_uploads() {
+    let fleet = Fleet::start(&photo_hosts(1));
+    let addr = fleet.nodes[0].callers;
+    let first = Upload::new("first", false).send(addr).expect("an answer");
+    expect_true!(is_whole("first", &first), "{first}");
+    let ids = [0, 1].map(|i| fleet.nodes[i].process.id());
+    let before = ids.map(|id| memory(id, "VmRSS:"));
+    let send = |number: usize| {
+        let upload = Upload::new(format!("photo-{number}"), number.is_multiple_of(2));
+        thread::spawn(move || (upload.nonce.clone(), upload.send(addr)))
+    };
+    let senders: Vec<_> = (0..10).map(send).collect();
+    for sender in senders {
+        let (nonce, answer) = sender.join().expect("no panic");
+        let answer = answer.unwrap_or_else(|err| err.to_string());
+        expect_true!(is_whole(&nonce, &answer), "{nonce}: {answer}");
+    }
+    for (i, id) in ids.into_iter().enumerate() {
+        let growth = memory(id, "VmHWM:").saturating_sub(before[i]);
+        println!(
+            "node {i}: {} KiB before, {} KiB growth",
+            before[i] / 1_024,
+            growth / 1_024
+        );
+        expect_that!(growth, lt(64 * 1024 * 1024), "node {i}");
+    }
+}
