--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,10 +2,15 @@
 
 mod answers;
 mod bad_input;
+mod call;
 mod configuration;
 mod faults;
 mod links;
+mod peer;
 mod requests;
 mod rows;
+mod scripted_entry;
+mod scripted_guard;
 mod stop;
+mod uploads;
 mod util;
