--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod rows;
 mod scripted_entry;
 mod scripted_guard;
+mod scripted_stop;
 mod stop;
 mod uploads;
 mod util;
--- /dev/null
+++ b/tests/integration/scripted_stop.rs
@@ -0,0 +1,83 @@
+//! A planned stop of a guard whose entry reads slowly.
+
+use std::time::Duration;
+
+use actix_rt::time::{sleep, timeout};
+use googletest::prelude::*;
+use plantainpost_standin::process::Signal;
+use plantainpost_wire::message::PeerMessage;
+
+use crate::{
+    peer::{Peer, key, now, post, script, short},
+    util::{Fleet, PATIENCE, hosts},
+};
+
+/// Step between the lengths of answers. The guard holds at most 64 KiB outside of the
+/// socket, so several of the lengths end there.
+const STEP: usize = 8 * 1024;
+
+/// Asks for an answer of `length` bytes and does not read it.
+async fn ask(fleet: &Fleet, id: u128, length: usize) -> Peer {
+    let mut peer = Peer::open(fleet.nodes[0].peers).await;
+    let length = length.to_string();
+    let mut head = post(key(id), "slow", &[("x-answer-bytes", &length)]);
+    head.deadline = now().saturating_add_millis(30_000);
+    peer.send(PeerMessage::Request(head)).await;
+    peer
+}
+
+/// Reads what there is and returns the bytes of body and whether the end was there.
+async fn read(peer: &mut Peer) -> (usize, bool) {
+    let mut received = 0;
+    loop {
+        match timeout(Duration::from_millis(500), peer.rx.read()).await {
+            Ok(Ok(PeerMessage::Response(_))) => (),
+            Ok(Ok(PeerMessage::Body(piece))) => received += piece.len(),
+            Ok(Ok(PeerMessage::BodyEnd { .. })) => return (received, true),
+            Ok(other) => {
+                println!("after {received} bytes: {}", short(&other));
+                return (received, false);
+            }
+            Err(_) => return (received, false),
+        }
+    }
+}
+
+/// Returns the bytes of an answer that the sockets hold when nobody reads them.
+async fn capacity(fleet: &Fleet) -> usize {
+    let mut peer = ask(fleet, 1, 20_000_000).await;
+    sleep(Duration::from_secs(1)).await;
+    let process = &fleet.nodes[0].process;
+    process.signal(Signal::Stop).expect("the node runs");
+    let (held, _) = read(&mut peer).await;
+    process.signal(Signal::Cont).expect("the node runs");
+    held
+}
+
+/// Guards against a planned stop that loses the last piece of an answer: the target has
+/// finished, but the entry reads so slowly that the piece waits for room in the socket.
+#[gtest]
+fn stop_sends_the_last_piece() {
+    let mut fleet = Fleet::start(&hosts("stock", 1));
+    script(async {
+        let held = capacity(&fleet).await;
+        let mut peers = Vec::new();
+        for i in 0..10 {
+            let length = held + i * STEP;
+            peers.push((length, ask(&fleet, 10 + i as u128, length).await));
+        }
+        sleep(Duration::from_secs(1)).await;
+        let process = &fleet.nodes[0].process;
+        process.signal(Signal::Term).expect("the node runs");
+        sleep(Duration::from_secs(2)).await;
+        // The longest ones are read first. What the guard still counts as in flight then
+        // ends, and only the last pieces of the others are left.
+        for (length, peer) in peers.iter_mut().rev() {
+            expect_that!(read(peer).await, eq((*length, true)), "{held} held");
+            sleep(Duration::from_millis(200)).await;
+        }
+    });
+    let node = &mut fleet.nodes[0];
+    let status = node.process.wait_exit(PATIENCE).expect("the node stops");
+    expect_true!(status.success());
+}
--- a/tests/integration/stop.rs
+++ b/tests/integration/stop.rs
@@ -1,6 +1,11 @@
 //! Planned stops.
 
-use std::{thread, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread,
+    time::Duration,
+};
 
 use googletest::prelude::*;
 use plantainpost_standin::{load::LoadSettings, process::Signal};
@@ -69,3 +74,46 @@
     expect_that!(row.correct, ge(20), "{row:#?}");
     fleet.check(&[&report], Vec::new());
 }
+
+/// Length of a long answer.
+const ANSWER: usize = 20_000_000;
+
+/// Guards against a planned stop that cuts the rest of an answer to a caller that reads
+/// slowly, after the target has finished it.
+#[gtest]
+fn stop_finishes_answers_to_slow_callers() {
+    for (name, stopped) in [("entry", 0), ("guard", 1)] {
+        let mut specs = hosts("desk", 1);
+        specs.extend(hosts("stock", 1));
+        let mut fleet = Fleet::start(&specs);
+        let mut io = TcpStream::connect(fleet.nodes[0].callers).expect("the entry accepts");
+        let head = format!(
+            "GET / HTTP/1.1\r\nhost: stock\r\nconnection: close\r\nx-nonce: slow\r\n\
+             x-answer-bytes: {ANSWER}\r\nplantainpost-timeout-ms: 30000\r\n\r\n"
+        );
+        io.write_all(head.as_bytes()).expect("the request is sent");
+        let mut received = 0;
+        let mut buf = vec![0; 200_000];
+        let mut stopping = false;
+        loop {
+            let count = io.read(&mut buf).unwrap_or_default();
+            received += count;
+            if count == 0 {
+                break;
+            }
+            thread::sleep(Duration::from_millis(25));
+            if received > 1_000_000 && !stopping {
+                stopping = true;
+                let process = &fleet.nodes[stopped].process;
+                process.signal(Signal::Term).expect("the node runs");
+            }
+        }
+        expect_that!(received, gt(ANSWER), "{name}");
+        let node = &mut fleet.nodes[stopped];
+        let status = node.process.wait_exit(PATIENCE).expect("the node stops");
+        expect_true!(status.success());
+        let lines = node.process.lines();
+        let summary = lines.iter().find(|line| line.contains("stopped: "));
+        expect_that!(summary, some(contains_substring(" 0 cut")), "{name}");
+    }
+}
