Wait for the end of exchanges, not of slots, when a node stops

Cause: the guard frees the slot of a request when the target has ended its answer, but up to 64 KiB of it may still wait for room in the socket.

Ruled out: bytes lost in the socket, as answers that fit into it arrived whole after the end of the process.

Change: each exchange about a request holds a share of a counter until its last byte is in the socket; the stop waits for these.

Before: scripted_stop.rs loses the last piece of 3 of 10 answers. After: all 10 are whole.

--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -98,7 +98,10 @@
 
 async fn answer(node: &Rc<Node>, conn: &mut Conn, msg: PeerMessage) -> Exchange {
     match msg {
-        PeerMessage::Request(head) => request::serve(node, conn, head).await,
+        PeerMessage::Request(head) => {
+            let _exchange = Rc::clone(&node.exchanges);
+            request::serve(node, conn, head).await
+        }
         PeerMessage::Fence { key, deadline } => {
             let deadline = conn.peer.shift.to_local(deadline);
             let state = node.guard.borrow_mut().fence(node.now(), key, deadline);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -44,6 +44,10 @@
     pub(crate) keys: FleetKeys,
     pub(crate) rng: RefCell<StdRng>,
     pub(crate) guard: RefCell<Guard>,
+    /// Cloned by each exchange about a request between an entry and this guard. It lasts
+    /// longer than the slot of the request, because the last bytes of an answer may wait
+    /// for an entry that reads slowly.
+    pub(crate) exchanges: Rc<()>,
     /// Holds exactly the requests that the guard has queued.
     pub(crate) waiters: RefCell<Waiters>,
     pub(crate) balancer: RefCell<Balancer>,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -217,6 +217,7 @@
         clock,
         rng: RefCell::new(rand::make_rng()),
         guard: RefCell::new(Guard::new(guard_settings)),
+        exchanges: Rc::default(),
         waiters: RefCell::default(),
         balancer: RefCell::new(Balancer::new(balancer_settings, policy)),
         retries: RefCell::new(Budgets::new()),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -113,11 +113,11 @@
     gossip::perform(node, actions).await;
 }
 
-/// Returns the requests that hold a slot or wait for one here, and the connections
+/// Returns the requests whose exchange with an entry has not ended, and the connections
 /// of callers that are not closed yet.
 fn in_flight(node: &Node, callers: &Rc<Cell<usize>>) -> usize {
-    let guard = node.guard.borrow();
-    guard.in_flight() as usize + guard.queued() + callers.get()
+    let exchanges = Rc::strong_count(&node.exchanges) - 1;
+    exchanges + callers.get()
 }
 
 async fn wait_until_idle(
