--- a/tests/integration/answers.rs
+++ b/tests/integration/answers.rs
@@ -1,6 +1,6 @@
 //! What callers are told about single requests whose target or guard fails.
 
-use std::{cell::RefCell, time::Duration};
+use std::{cell::RefCell, thread, time::Duration};
 
 use googletest::prelude::*;
 use plantainpost_standin::{
@@ -43,7 +43,7 @@
             met += 1;
             expect_that!(outcome(&answer), eq("unknown"), "{answer}");
         }
-        std::thread::sleep(Duration::from_millis(50));
+        thread::sleep(Duration::from_millis(50));
     }
     expect_that!(met, ge(1), "no attempt reached the target");
 }
@@ -124,3 +124,30 @@
         }
     }
 }
+
+/// Guards against a wrong outcome when the guard is killed with a request at its target,
+/// and with one in its queue: neither may be told as not run, because a guard without
+/// its records can't fence.
+#[gtest]
+fn killed_guard_makes_the_outcome_unknown() {
+    let mut specs = hosts("desk", 1);
+    specs.extend(hosts("stock", 1));
+    specs[1].target.slots = 1;
+    let mut fleet = Fleet::start(&specs);
+    let callers = fleet.nodes[0].callers;
+    let post = |nonce: &'static str| {
+        let work = "x-work-us: 3000000\r\n";
+        thread::spawn(move || request_by(callers, ("POST", "stock"), (nonce, 8_000), work))
+    };
+    let first = post("started");
+    thread::sleep(Duration::from_millis(300));
+    let second = post("queued");
+    thread::sleep(Duration::from_millis(300));
+    expect_that!(fleet.targets[1].executions("started"), eq(1));
+    fleet.nodes[1].replace();
+    for (name, runs, answer) in [("started", 1, first), ("queued", 0, second)] {
+        let answer = answer.join().expect("no panic");
+        expect_that!(outcome(&answer), eq("unknown"), "{name}: {answer}");
+        expect_that!(fleet.targets[1].executions(name), eq(runs), "{name}");
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod call;
 mod configuration;
+mod cut_off;
 mod faults;
 mod links;
 mod peer;
--- a/tests/integration/peer.rs
+++ b/tests/integration/peer.rs
@@ -63,10 +63,23 @@
 
     /// Accepts a connection as the guard with this name.
     pub(crate) async fn accept(listener: &TcpListener, name: &str) -> Self {
+        Self::accept_as(listener, identity(name)).await
+    }
+
+    /// Accepts a connection as the guard with this name after a restart.
+    pub(crate) async fn accept_restarted(listener: &TcpListener, name: &str) -> Self {
+        let identity = Identity {
+            incarnation: Incarnation(2),
+            ..identity(name)
+        };
+        Self::accept_as(listener, identity).await
+    }
+
+    async fn accept_as(listener: &TcpListener, identity: Identity) -> Self {
         let accepted = timeout(PATIENCE, listener.accept()).await;
         let (io, _) = accepted.expect("a node connects").expect("it is accepted");
         let (mut rx, mut tx) = frame::split(io);
-        handshake::accept(&mut rx, &mut tx, &identity(name), &keys(), &now)
+        handshake::accept(&mut rx, &mut tx, &identity, &keys(), &now)
             .await
             .expect("the handshake succeeds");
         Peer { rx, tx }
--- a/tests/integration/scripted_guard.rs
+++ b/tests/integration/scripted_guard.rs
@@ -278,14 +278,21 @@
 /// the same guard and the same request means "not run".
 #[gtest]
 fn lost_connection_is_not_run_only_after_a_fence() {
+    async fn answer(mut peer: Peer, key: RequestKey, state: FenceState) {
+        // An entry that does not trust the guard closes the connection without asking.
+        if let Ok(PeerMessage::Fence { .. }) = peer.next().await {
+            peer.send(PeerMessage::FenceResult { key, state }).await;
+            actix_rt::time::sleep(Duration::from_millis(200)).await;
+        }
+    }
     async fn fenced(listener: &TcpListener, key: RequestKey, state: FenceState) {
-        let mut peer = Peer::accept(listener, "stock-0").await;
-        let asked = peer.next().await;
-        assert!(matches!(asked, Ok(PeerMessage::Fence { .. })), "{asked:?}");
-        peer.send(PeerMessage::FenceResult { key, state }).await;
-        actix_rt::time::sleep(Duration::from_millis(200)).await;
+        answer(Peer::accept(listener, "stock-0").await, key, state).await;
+    }
+    async fn restarted(listener: &TcpListener, key: RequestKey) {
+        let peer = Peer::accept_restarted(listener, "stock-0").await;
+        answer(peer, key, FenceState::Fenced).await;
     }
-    let rows: [(&str, Reply, &str); 7] = [
+    let rows: [(&str, Reply, &str); 8] = [
         (
             "fenced",
             |l, k| Box::pin(fenced(l, k, FenceState::Fenced)),
@@ -311,6 +318,7 @@
             |l, k| Box::pin(fenced(l, other(k), FenceState::Fenced)),
             "unknown",
         ),
+        ("restarted", |l, k| Box::pin(restarted(l, k)), "unknown"),
         (
             "another guard",
             |l, _| Box::pin(async { drop(Peer::accept(l, "other").await) }),
