--- a/crates/standin/src/bin/plantainpost-bench/args.rs
+++ b/crates/standin/src/bin/plantainpost-bench/args.rs
@@ -17,6 +17,7 @@
 pub(crate) enum Command {
     Latency(Latency),
     Capacity(Capacity),
+    Connections(Connections),
     Policies(Policies),
     Soak(Soak),
 }
@@ -69,6 +70,23 @@
     pub(crate) confirmations: u64,
 }
 
+/// Memory and descriptors of a node per open connection of a caller.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "connections")]
+pub(crate) struct Connections {
+    /// binary of the node (default: beside this program)
+    #[argh(option)]
+    binary: Option<PathBuf>,
+
+    /// connections opened in each step (default 200)
+    #[argh(option, default = "200")]
+    pub(crate) per_step: usize,
+
+    /// number of steps (default 4)
+    #[argh(option, default = "4")]
+    pub(crate) steps: usize,
+}
+
 /// Latency and goodput of the policies under disturbances, at the sizes of the users.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "policies")]
@@ -147,4 +165,4 @@
     };
 }
 
-with_binary!(Latency, Capacity, Policies, Soak);
+with_binary!(Latency, Capacity, Connections, Policies, Soak);
--- a/crates/standin/src/bin/plantainpost-bench/main.rs
+++ b/crates/standin/src/bin/plantainpost-bench/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod capacity;
+mod connections;
 mod latency;
 mod policies;
 mod soak;
@@ -19,6 +20,7 @@
     let done = match args.command {
         Command::Latency(args) => latency::run(&args),
         Command::Capacity(args) => capacity::run(&args),
+        Command::Connections(args) => connections::run(&args),
         Command::Policies(args) => policies::run(&args),
         Command::Soak(args) => soak::run(&args),
     };
