--- a/crates/standin/src/bin/plantainpost-bench/args.rs
+++ b/crates/standin/src/bin/plantainpost-bench/args.rs
@@ -19,6 +19,7 @@
     Capacity(Capacity),
     Connections(Connections),
     Policies(Policies),
+    Probes(Probes),
     Soak(Soak),
 }
 
@@ -120,6 +121,19 @@
     pub(crate) runs: u64,
 }
 
+/// Processor time of a node per load probe that it answers.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "probes")]
+pub(crate) struct Probes {
+    /// binary of the node (default: beside this program)
+    #[argh(option)]
+    binary: Option<PathBuf>,
+
+    /// number of probes (default 20000)
+    #[argh(option, default = "20_000")]
+    pub(crate) count: u64,
+}
+
 /// Load on a fleet while its nodes are replaced, frozen and killed and the log service
 /// fails; checks the histories and the growth of memory and descriptors.
 #[derive(FromArgs, Debug)]
@@ -165,4 +179,4 @@
     };
 }
 
-with_binary!(Latency, Capacity, Connections, Policies, Soak);
+with_binary!(Latency, Capacity, Connections, Policies, Probes, Soak);
--- a/crates/standin/src/bin/plantainpost-bench/main.rs
+++ b/crates/standin/src/bin/plantainpost-bench/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod latency;
 mod policies;
+mod probes;
 mod soak;
 mod stats;
 
@@ -22,6 +23,7 @@
         Command::Capacity(args) => capacity::run(&args),
         Command::Connections(args) => connections::run(&args),
         Command::Policies(args) => policies::run(&args),
+        Command::Probes(args) => probes::run(&args),
         Command::Soak(args) => soak::run(&args),
     };
     match done {
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -28,6 +28,9 @@
 const FIRST_PORT: u16 = 10_000;
 const PORTS: u32 = 20_000;
 
+/// Key of the fleet.
+pub const KEY: [u8; 32] = [7; 32];
+
 /// Addresses of other nodes that each node contacts first.
 const CONTACTS: usize = 3;
 
@@ -159,7 +162,7 @@
             dir: TempDir::new()?,
         };
         let key = fleet.dir.0.join("fleet.key");
-        fs::write(&key, [7; 32]).context(FileSnafu {
+        fs::write(&key, KEY).context(FileSnafu {
             path: key.display().to_string(),
         })?;
         let addresses = free_addresses(settings.hosts.len() * 3);
