--- a/crates/cli/keys.rs
+++ b/crates/cli/keys.rs
@@ -124,6 +124,8 @@
 
     key("output", "format", Kind::Choice(&["text", "json"]), Absent::Default("text"),
         "Format of log lines on standard error."),
+    key("output", "statsd", Kind::Address, Absent::Optional("127.0.0.1:8125"),
+        "StatsD server that gets all metrics over UDP."),
     key("output", "level", Kind::Choice(&["critical", "error", "warning", "info", "debug", "trace"]),
         Absent::Default("info"),
         "Least severity of log lines."),
--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -51,6 +51,7 @@
         keys: Some(FleetKeys::new(key(&security.key)?, second)),
         admin_token: token,
         policy: settings.policy.clone(),
+        statsd: settings.output.statsd,
         limits: limits(settings),
         ..Default::default()
     })
--- a/crates/cli/settings.rs
+++ b/crates/cli/settings.rs
@@ -153,6 +153,7 @@
 pub(crate) struct Output {
     pub(crate) format: String,
     pub(crate) level: String,
+    pub(crate) statsd: Option<SocketAddr>,
 }
 
 impl Settings {
@@ -238,10 +239,19 @@
             output: Output {
                 format: self.text("output", "format"),
                 level: self.text("output", "level"),
+                statsd: self.statsd(),
             },
         })
     }
 
+    fn statsd(&self) -> Option<SocketAddr> {
+        let value = self.values.get("output", "statsd")?;
+        match value {
+            Value::Address(address) => Some(*address),
+            value => unreachable!("output.statsd is {value:?}"),
+        }
+    }
+
     fn limits(&self) -> Limits {
         Limits {
             header: self.size("limits", "header"),
--- a/crates/core/src/config/content.rs
+++ b/crates/core/src/config/content.rs
@@ -16,7 +16,10 @@
 pub const MAX_SHARE: u32 = 1_000;
 
 /// Measuring share before the operators have confirmed one, in permille of a core.
-pub const DEFAULT_MEASURING_PERMILLE: u32 = 5;
+///
+/// It is zero, because measuring may take only what was confirmed, and a node that has not
+/// read the configuration yet does not know what that is.
+pub const DEFAULT_MEASURING_PERMILLE: u32 = 0;
 
 /// Largest measuring share: a whole core.
 pub const MAX_MEASURING_PERMILLE: u32 = 1_000;
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -127,7 +127,7 @@
     };
     node.members
         .borrow_mut()
-        .set_config(version.unwrap_or(0), read_to);
+        .set_config(version.map_or(0, |v| v + 1), read_to);
     if version_changed {
         node.metrics.count("config.version_changed");
         audit::note(node, AuditEvent::InForce { version });
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -12,7 +12,8 @@
         "data_centre": record.data_centre,
         "ip": record.ip,
         "incarnation": record.incarnation.0,
-        "config_version": record.config_version,
+        // Members tell the version plus one, and zero without a version.
+        "config_version": record.config_version.checked_sub(1),
         "service": record.target.as_ref().map(|t| t.service.as_str()),
         "slots": record.target.as_ref().map(|t| t.slots),
         "leaving": record.target.as_ref().map(|t| t.draining),
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -195,7 +195,12 @@
     }
     let length = head.headers.get(header::CONTENT_LENGTH)?;
     let length = length.to_str().ok()?.trim().parse().ok()?;
-    Some(BodyLength::Sized(length))
+    Some(match length {
+        // The caller's side of the entry never polls an empty body, so its end must come
+        // with the head.
+        0 => BodyLength::None,
+        length => BodyLength::Sized(length),
+    })
 }
 
 impl TargetBody {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -226,7 +226,12 @@
 /// Only failures of opening the connection are certain. The client library reports
 /// a connection that ended without an answer as a connect error too.
 fn send_failure(error: SendRequestError) -> Failure {
-    let reason = error.to_string();
+    let reason = match &error {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            "the connection ended without an answer".to_owned()
+        }
+        error => error.to_string(),
+    };
     let is_unsent = match &error {
         SendRequestError::Url(_) => true,
         SendRequestError::Connect(error) => match error {
--- a/tests/integration/call.rs
+++ b/tests/integration/call.rs
@@ -103,3 +103,9 @@
     assert!(answer.starts_with("HTTP/1.1 2"), "{answer}");
     listener
 }
+
+/// Asks an admin listener for a path and returns the answer.
+pub(crate) fn request_path(addr: SocketAddr, path: &str) -> String {
+    let text = format!("GET {path} HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n");
+    send_raw(addr, text.as_bytes())
+}
