--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -53,7 +53,6 @@
         policy: settings.policy.clone(),
         statsd: settings.output.statsd,
         limits: limits(settings),
-        ..Default::default()
     })
 }
 
