--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod links;
 mod peer;
+mod races;
 mod requests;
 mod rows;
 mod scripted_entry;
