--- a/tests/integration/configuration.rs
+++ b/tests/integration/configuration.rs
@@ -1,15 +1,16 @@
 //! Plans, confirmations and the log service under failure.
 
-use std::{thread, time::Duration};
+use std::{net::TcpStream, thread, time::Duration};
 
 use googletest::prelude::*;
 use plantainpost_standin::{
     load::{Kind, LoadSettings},
     log::{Down, LogFaults},
+    process::wait_until,
 };
 use serde_json::Value;
 
-use crate::util::{Fleet, hosts};
+use crate::util::{Fleet, PATIENCE, hosts};
 
 /// Time within which a confirmed configuration is in force everywhere.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(4);
@@ -141,7 +142,15 @@
         let held = version(&fleet.status(0)).expect("a version is in force");
         wait_in_force(&fleet, held);
         fleet.plan(0, "next.json", &["measure", "9"]);
+        let refuses = row.faults.down == Down::Refuse;
         fleet.log.set_faults(row.faults);
+        if refuses {
+            // Until the listener is closed, a connection may still be accepted and then
+            // reset, and an append on it has an unknown outcome.
+            let address = fleet.log.address();
+            let closed = || TcpStream::connect(address).is_err();
+            wait_until("the log refuses", PATIENCE, closed).expect("it does");
+        }
         let confirm = fleet.confirm(0, "next.json");
         let code = confirm.status.code().unwrap_or(-1);
         expect_true!(row.codes.contains(&code), "{}: {confirm:?}", row.name);
