--- a/tests/integration/scripted_stop.rs
+++ b/tests/integration/scripted_stop.rs
@@ -14,7 +14,14 @@
 
 /// Step between the lengths of answers. The guard holds at most 64 KiB outside of the
 /// socket, so several of the lengths end there.
-const STEP: usize = 8 * 1024;
+const STEP: usize = 4 * 1024;
+
+/// Answers at the same time. Sockets hold up to 200 kB more or less than the first one,
+/// so the lengths cover 288 KiB.
+const ANSWERS: usize = 72;
+
+/// Answers that are shorter than what the first socket held.
+const SHORTER: usize = 44;
 
 /// Asks for an answer of `length` bytes and does not read it.
 async fn ask(fleet: &Fleet, id: u128, length: usize) -> Peer {
@@ -58,12 +65,14 @@
 /// finished, but the entry reads so slowly that the piece waits for room in the socket.
 #[gtest]
 fn stop_sends_the_last_piece() {
-    let mut fleet = Fleet::start(&hosts("stock", 1));
+    let mut specs = hosts("stock", 1);
+    specs[0].target.slots = 2 * ANSWERS as u32;
+    let mut fleet = Fleet::start(&specs);
     script(async {
         let held = capacity(&fleet).await;
         let mut peers = Vec::new();
-        for i in 0..10 {
-            let length = held + i * STEP;
+        for i in 0..ANSWERS {
+            let length = held + i * STEP - SHORTER * STEP;
             peers.push((length, ask(&fleet, 10 + i as u128, length).await));
         }
         sleep(Duration::from_secs(1)).await;
@@ -74,7 +83,7 @@
         // ends, and only the last pieces of the others are left.
         for (length, peer) in peers.iter_mut().rev() {
             expect_that!(read(peer).await, eq((*length, true)), "{held} held");
-            sleep(Duration::from_millis(200)).await;
+            sleep(Duration::from_millis(100)).await;
         }
     });
     let node = &mut fleet.nodes[0];
