--- a/tests/integration/requests.rs
+++ b/tests/integration/requests.rs
@@ -1,11 +1,13 @@
 //! Requests through two nodes to a target.
 
+use std::{io::Write, net::TcpStream, time::Duration};
+
 use googletest::prelude::*;
-use plantainpost_standin::load::LoadSettings;
+use plantainpost_standin::{load::LoadSettings, process};
 
 use crate::{
     call::{request, request_path},
-    util::{Fleet, hosts, mix},
+    util::{Fleet, PATIENCE, hosts, mix},
 };
 
 /// Guards against answers that are cut, mixed up or come from a target of another
@@ -99,3 +101,23 @@
     let counted = &metrics["latencies"]["entry.total_us"]["count"];
     expect_that!(counted.as_u64(), some(eq(20)));
 }
+
+/// Guards against a target that goes on working for a caller who has gone.
+#[gtest]
+fn closed_connection_cancels_the_request() {
+    let fleet = Fleet::start(&hosts("stock", 2));
+    let in_flight = || {
+        let targets = fleet.targets.iter();
+        targets.map(|target| target.in_flight()).sum::<u32>()
+    };
+    let mut io = TcpStream::connect(fleet.nodes[0].callers).expect("the node accepts");
+    let text = "GET / HTTP/1.1\r\nhost: stock\r\nx-nonce: gone\r\nx-work-us: 8000000\r\n\r\n";
+    io.write_all(text.as_bytes()).expect("the request is sent");
+    let started = process::wait_until("the request is at a target", PATIENCE, || in_flight() == 1);
+    expect_true!(started.is_ok());
+    drop(io);
+    // The work takes 8 s, so an end before that is a cancellation.
+    let limit = Duration::from_secs(2);
+    let ended = process::wait_until("the request is cancelled", limit, || in_flight() == 0);
+    expect_true!(ended.is_ok());
+}
