--- /dev/null
+++ b/tests/integration/audit.rs
@@ -0,0 +1,46 @@
+//! The audit trail while the log service does not answer.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use plantainpost_standin::log::LogFaults;
+
+use crate::{
+    call::send_raw,
+    util::{Fleet, hosts},
+};
+
+/// Entries that may wait at a node.
+const MAX_WAITING: u64 = 1_024;
+
+/// Time in which at least one append is tried and given up: entries wait up to 10 s for
+/// their append, which is given up after 2 s.
+const WATCH: Duration = Duration::from_secs(13);
+
+/// Guards against a node whose memory grows while the log service accepts appends and never
+/// answers: entries of an append that was given up must find room or be dropped.
+#[gtest]
+fn waiting_entries_are_bounded() {
+    let fleet = Fleet::start(&hosts("stock", 1));
+    fleet.log.set_faults(LogFaults {
+        delay_ms: 60_000,
+        ..Default::default()
+    });
+    let admin = fleet.nodes[0].admin;
+    let body = r#"{"author":"ama","intent":{"kind":"measure","permille":9}}"#;
+    let plan = format!(
+        "POST /v1/plan HTTP/1.1\r\nhost: node\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let end = Instant::now() + WATCH;
+    let mut most = 0;
+    while Instant::now() < end {
+        for _ in 0..100 {
+            send_raw(admin, plan.as_bytes());
+        }
+        let waiting = fleet.status(0)["audit_waiting"].as_u64();
+        most = most.max(waiting.unwrap_or(0));
+    }
+    expect_that!(most, gt(MAX_WAITING / 2), "the queue fills");
+    expect_that!(most, le(MAX_WAITING));
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests that start the real binary.
 
 mod answers;
+mod audit;
 mod bad_input;
 mod call;
 mod configuration;
