--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -61,10 +61,7 @@
             }
         }
         let at = node.now().saturating_add_millis(read_delay_ms(&node));
-        tokio::select! {
-            () = node.clock.sleep_until(at) => (),
-            () = node.read_config.notified() => (),
-        }
+        node.clock.sleep_until(at).await;
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -70,8 +70,6 @@
     pub(crate) applied: Applied,
     /// Services that the balancer was told of.
     pub(crate) known_services: RefCell<Vec<ServiceName>>,
-    /// Wakes the reader of the configuration log.
-    pub(crate) read_config: Notify,
     /// Wakes everybody who waits for a decision on a confirmation.
     pub(crate) config_changed: Notify,
     pub(crate) stop: Stop,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -236,7 +236,6 @@
         ahead: Default::default(),
         applied: Default::default(),
         known_services: RefCell::default(),
-        read_config: Default::default(),
         config_changed: Default::default(),
         stop: Stop::default(),
         identity,
