--- a/crates/cli/keys.rs
+++ b/crates/cli/keys.rs
@@ -74,6 +74,9 @@
     key("node", "ip", Kind::HostIp, Absent::Required("10.0.0.7"),
         "IP number at which other nodes reach this host."),
 
+    key("node", "service", Kind::Name, Absent::Optional("stock"),
+        "Service of the target on this host, told to the targets of requests that begin here."),
+
     key("listen", "callers", Kind::Address, Absent::Default("0.0.0.0:8080"),
         "Requests of callers, HTTP/1.1."),
     key("listen", "admin", Kind::Address, Absent::Default("127.0.0.1:8081"),
@@ -82,17 +85,21 @@
         "Requests of other nodes."),
     key("listen", "peer_udp", Kind::Address, Absent::Default("0.0.0.0:8082"),
         "Membership and probes of other nodes."),
+    key("listen", "control", Kind::Addresses, Absent::Default(""),
+        "Announcements of the target and readiness checks in the form of the platform."),
 
     key("peers", "contacts", Kind::Addresses, Absent::Default(""),
         "UDP addresses of nodes to contact first. Only the first node of a fleet has none."),
 
     key("log", "address", Kind::HostPort, Absent::Required("10.0.0.9:9000"),
         "Address of the log service, HTTP/1.1."),
+    key("log", "interface", Kind::Choice(&["streams", "topics"]), Absent::Default("streams"),
+        "streams: the log service with the product's own streams. topics: the platform's store, on which operators publish routes."),
     key("log", "poll", Kind::Time(100, 60_000), Absent::Default("1 s"),
         "Least mean time between two reads of the log by this node. Large fleets read more rarely."),
 
-    key("security", "key_file", Kind::Path, Absent::Required("fleet.key"),
-        "File with the fleet key, at least 32 bytes."),
+    key("security", "key_file", Kind::Path, Absent::Optional("fleet.key"),
+        "File with the fleet key, at least 32 bytes; otherwise PLANTAINPOST_KEY is used, which must then be set."),
     key("security", "second_key_file", Kind::Path, Absent::Optional("next-fleet.key"),
         "File with a second fleet key that is accepted while keys are changed."),
     key("security", "token_file", Kind::Path, Absent::Optional("admin.token"),
@@ -119,11 +126,21 @@
     key("limits", "stop_timeout", Kind::Time(1_000, 600_000), Absent::Default("130 s"),
         "Time for requests in flight to finish at a planned stop. Not less than max_timeout."),
 
+    key("platform", "announce_every", Kind::Time(100, 60_000), Absent::Default("1500 ms"),
+        "Time between two announcements of a target."),
+    key("platform", "grace", Kind::Time(1_000, 600_000), Absent::Optional("6 s"),
+        "Time after which a node that was told to stop is killed. Without it stop_timeout alone counts."),
+
+    key("retry", "earned", Kind::Count(0, 100), Absent::Default("10"),
+        "Extra requests that 100 successful requests of a service earn at one node."),
+    key("retry", "fleet_slack", Kind::Count(0, 1_000_000), Absent::Optional("50"),
+        "Extra requests that all nodes together may send beyond those that were earned."),
+
     key("balance", "policy", Kind::Choice(POLICIES), Absent::Default("predicted-completion"),
         "Policy for choosing a target. All but the default are baselines for comparison."),
 
     key("output", "format", Kind::Choice(&["text", "json"]), Absent::Default("text"),
-        "Format of log lines on standard error."),
+        "Format of log lines on standard output."),
     key("output", "statsd", Kind::Address, Absent::Optional("127.0.0.1:8125"),
         "StatsD server that gets all metrics over UDP."),
     key("output", "level", Kind::Choice(&["critical", "error", "warning", "info", "debug", "trace"]),
--- a/crates/cli/logging.rs
+++ b/crates/cli/logging.rs
@@ -1,4 +1,4 @@
-//! Log lines on standard error.
+//! Log lines on standard output.
 
 use std::{io, str::FromStr};
 
@@ -8,19 +8,19 @@
 use crate::settings::Output;
 
 /// Records that may wait for the writer. Further ones are dropped and counted, so that
-/// a blocked standard error doesn't stop the node.
+/// a blocked reader doesn't stop the node.
 const MAX_WAITING: usize = 4_096;
 
 /// Builds the logger. Dropping the guard writes what still waits.
 pub(crate) fn build(output: &Output) -> (Logger, AsyncGuard) {
     let level = Level::from_str(&output.level).unwrap_or(Level::Info);
     if output.format == "json" {
-        let drain = slog_json::Json::new(io::stderr())
+        let drain = slog_json::Json::new(io::stdout())
             .add_default_keys()
             .build();
         start(drain.fuse(), level)
     } else {
-        let decorator = slog_term::TermDecorator::new().stderr().build();
+        let decorator = slog_term::TermDecorator::new().stdout().build();
         let drain = slog_term::FullFormat::new(decorator).build();
         start(drain.fuse(), level)
     }
--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -1,9 +1,17 @@
 //! Start of the node with the settings of its file.
 
-use std::time::Duration;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use plantainpost_core::ids::{DataCentre, NodeName};
-use plantainpost_node::{Limits, NodeError, NodeSettings, Summary};
+use plantainpost_core::{
+    ids::{DataCentre, NodeName, ServiceName},
+    retry::BudgetSettings,
+};
+use plantainpost_node::{
+    Limits, NodeError, NodeSettings, Routing, Summary,
+    border::{Borders, Platform},
+    settings::FleetBudget,
+};
+use plantainpost_platform::{ControlCodec, HEADERS, HttpLog, HttpLogSettings, Store};
 use plantainpost_wire::auth::{FleetKeys, Key, KeyError};
 use slog::Logger;
 use snafu::Snafu;
@@ -18,6 +26,9 @@
 
     #[snafu(display("run: {source}; see key_file in [security]"), context(false))]
     Key { source: KeyError },
+
+    #[snafu(display("run: {address} is no IP number and port; see address in [log]"))]
+    StoreAddress { address: String },
 }
 
 /// Runs a node until a planned stop has ended.
@@ -26,8 +37,42 @@
 ///
 /// Fails if a key can't be used or the node does not start.
 pub(crate) async fn run(settings: &Settings, logger: Logger) -> Result<Summary, RunError> {
+    let borders = borders(settings)?;
     let settings = node_settings(settings)?;
-    Ok(plantainpost_node::run(settings, logger).await?)
+    Ok(plantainpost_node::run(settings, borders, logger).await?)
+}
+
+/// Part of the grace time after which requests in flight are cut at a stop, in percent. The
+/// rest is for the end of the process.
+const STOP_PERCENT_OF_GRACE: u64 = 90;
+
+/// Part of the grace time during which a stopping node still takes requests, in percent: the
+/// platform needs two missed readiness checks, 1 s apart, to send callers elsewhere.
+const LINGER_PERCENT_OF_GRACE: u64 = 45;
+
+fn borders(settings: &Settings) -> Result<Borders, RunError> {
+    let address = settings.log.address.clone();
+    let platform = match settings.log.is_platform {
+        true => {
+            let addr: Result<SocketAddr, _> = address.parse();
+            let addr = addr.map_err(|_| RunError::StoreAddress {
+                address: address.clone(),
+            })?;
+            Some(Platform {
+                store: Rc::new(Store::new(addr)),
+                control: Rc::new(ControlCodec),
+            })
+        }
+        false => None,
+    };
+    let log = HttpLogSettings {
+        address,
+        ..Default::default()
+    };
+    Ok(Borders {
+        log: Rc::new(HttpLog::new(log)),
+        platform,
+    })
 }
 
 fn node_settings(settings: &Settings) -> Result<NodeSettings, KeyError> {
@@ -36,7 +81,22 @@
     let second = security.second_key.as_ref().map(key).transpose()?;
     let token = security.token.as_ref();
     let token = token.map(|token| String::from_utf8_lossy(token.expose()).into_owned());
+    let is_platform = settings.log.is_platform;
+    let service = settings.node.service.as_deref().map(ServiceName::from);
     Ok(NodeSettings {
+        service,
+        routing: match is_platform {
+            true => Routing::ByTable,
+            false => Routing::ByName,
+        },
+        headers: match is_platform {
+            true => HEADERS,
+            false => Default::default(),
+        },
+        announce_every_ms: millis(settings.platform.announce_every),
+        retries: retries(settings),
+        fleet_budget: settings.retry.fleet_slack.map(|slack| FleetBudget { slack }),
+        listen_control: settings.listen.control.clone(),
         name: NodeName::from(settings.node.name.as_str()),
         data_centre: DataCentre::from(settings.node.data_centre.as_str()),
         region: settings.node.region.clone(),
@@ -68,11 +128,33 @@
         connect_timeout_ms: millis(limits.connect_timeout),
         head_timeout_ms: millis(limits.head_timeout),
         idle_timeout_ms: millis(limits.idle_timeout),
-        stop_timeout_ms: millis(limits.stop_timeout),
+        stop_timeout_ms: match settings.platform.grace {
+            Some(grace) => millis(grace) * STOP_PERCENT_OF_GRACE / 100,
+            None => millis(limits.stop_timeout),
+        },
+        stop_linger_ms: match settings.platform.grace {
+            Some(grace) => millis(grace) * LINGER_PERCENT_OF_GRACE / 100,
+            None => Limits::default().stop_linger_ms,
+        },
         ..Default::default()
     }
 }
 
+fn retries(settings: &Settings) -> BudgetSettings {
+    let is_fleet_bounded = settings.retry.fleet_slack.is_some();
+    let default = BudgetSettings::default();
+    BudgetSettings {
+        earned_percent: settings.retry.earned,
+        saved_percent: match is_fleet_bounded {
+            // The share of the fleet's slack is known when the members are.
+            true => 0,
+            false => default.saved_percent,
+        },
+        has_floor: !is_fleet_bounded,
+        hedges: !is_fleet_bounded,
+    }
+}
+
 fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
--- a/crates/cli/settings.rs
+++ b/crates/cli/settings.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use snafu::{ResultExt, Snafu, ensure};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 use crate::{
     ini_file::{IniError, Values},
@@ -17,6 +17,9 @@
 /// Environment variable with the bearer token.
 pub(crate) const TOKEN_VARIABLE: &str = "PLANTAINPOST_TOKEN";
 
+/// Environment variable with the fleet key.
+pub(crate) const KEY_VARIABLE: &str = "PLANTAINPOST_KEY";
+
 /// Least length of a fleet key in bytes, that of the HMAC's digest.
 const MIN_KEY_BYTES: usize = 32;
 
@@ -53,6 +56,11 @@
     ))]
     NoToken { place: String, address: SocketAddr },
 
+    #[snafu(display(
+        "{place}: a fleet key is needed; set key_file in [security] or {KEY_VARIABLE}"
+    ))]
+    NoKey { place: String },
+
     #[snafu(display("{place}: `{key}` in [limits] is {value}; allowed: {allowed}"))]
     Contradiction {
         place: String,
@@ -89,6 +97,8 @@
     pub(crate) log: Log,
     pub(crate) security: Security,
     pub(crate) limits: Limits,
+    pub(crate) platform: Platform,
+    pub(crate) retry: Retry,
     /// Name of the policy for choosing a target.
     pub(crate) policy: String,
     pub(crate) output: Output,
@@ -101,6 +111,7 @@
     pub(crate) data_centre: String,
     pub(crate) region: String,
     pub(crate) ip: IpAddr,
+    pub(crate) service: Option<String>,
 }
 
 /// Addresses of the listeners.
@@ -110,6 +121,7 @@
     pub(crate) admin: SocketAddr,
     pub(crate) peer_tcp: SocketAddr,
     pub(crate) peer_udp: SocketAddr,
+    pub(crate) control: Vec<SocketAddr>,
 }
 
 /// The log service.
@@ -117,10 +129,27 @@
 pub(crate) struct Log {
     /// Host and port.
     pub(crate) address: String,
+    /// Whether it is the platform's store.
+    pub(crate) is_platform: bool,
     /// Least mean time between two reads.
     pub(crate) poll: Duration,
 }
 
+/// The platform.
+#[derive(Clone, Debug)]
+pub(crate) struct Platform {
+    pub(crate) announce_every: Duration,
+    pub(crate) grace: Option<Duration>,
+}
+
+/// Budgets of extra requests.
+#[derive(Clone, Debug)]
+pub(crate) struct Retry {
+    /// Percent of successful requests.
+    pub(crate) earned: u64,
+    pub(crate) fleet_slack: Option<u64>,
+}
+
 /// Keys and token.
 #[derive(Clone, Debug)]
 pub(crate) struct Security {
@@ -148,7 +177,7 @@
     pub(crate) stop_timeout: Duration,
 }
 
-/// Log lines on standard error.
+/// Log lines on standard output.
 #[derive(Clone, Debug)]
 pub(crate) struct Output {
     pub(crate) format: String,
@@ -221,20 +250,37 @@
                 data_centre: self.text("node", "data_centre"),
                 region: self.text("node", "region"),
                 ip: self.ip("node", "ip"),
+                service: self.optional_text("node", "service"),
             },
             listen: Listen {
                 callers: self.address("listen", "callers"),
                 admin: self.address("listen", "admin"),
                 peer_tcp: self.address("listen", "peer_tcp"),
                 peer_udp: self.address("listen", "peer_udp"),
+                control: self.addresses("listen", "control"),
             },
             contacts: self.addresses("peers", "contacts"),
             log: Log {
                 address: self.text("log", "address"),
+                is_platform: self.text("log", "interface") == "topics",
                 poll: self.time("log", "poll"),
             },
             security: self.security()?,
             limits: self.limits(),
+            platform: Platform {
+                announce_every: self.time("platform", "announce_every"),
+                grace: match self.values.get("platform", "grace") {
+                    Some(Value::Time(grace)) => Some(*grace),
+                    _ => None,
+                },
+            },
+            retry: Retry {
+                earned: self.count("retry", "earned"),
+                fleet_slack: match self.values.get("retry", "fleet_slack") {
+                    Some(Value::Count(slack)) => Some(*slack),
+                    _ => None,
+                },
+            },
             policy: self.text("balance", "policy"),
             output: Output {
                 format: self.text("output", "format"),
@@ -244,6 +290,13 @@
         })
     }
 
+    fn optional_text(&self, section: &'static str, name: &'static str) -> Option<String> {
+        match self.values.get(section, name) {
+            Some(Value::Text(text)) => Some(text.clone()),
+            _ => None,
+        }
+    }
+
     fn statsd(&self) -> Option<SocketAddr> {
         let value = self.values.get("output", "statsd")?;
         match value {
@@ -271,10 +324,14 @@
         let key = self.secret("key_file", "key", MIN_KEY_BYTES)?;
         let token = match self.secret("token_file", "token", MIN_TOKEN_BYTES)? {
             Some(token) => Some(token),
-            None => self.token_from_environment()?,
+            None => from_environment(TOKEN_VARIABLE, "token", MIN_TOKEN_BYTES)?,
+        };
+        let key = match key {
+            Some(key) => Some(key),
+            None => from_environment(KEY_VARIABLE, "key", MIN_KEY_BYTES)?,
         };
         Ok(Security {
-            key: key.expect("the key file is required"),
+            key: key.context(NoKeySnafu { place: self.file })?,
             second_key: self.secret("second_key_file", "second key", MIN_KEY_BYTES)?,
             token,
         })
@@ -299,15 +356,6 @@
         accept_secret(place, what, content, min).map(Some)
     }
 
-    fn token_from_environment(&self) -> Result<Option<Secret>, SettingsError> {
-        let token = std::env::var_os(TOKEN_VARIABLE).filter(|token| !token.is_empty());
-        let Some(token) = token else {
-            return Ok(None);
-        };
-        let token = token.into_encoded_bytes();
-        accept_secret(TOKEN_VARIABLE.to_owned(), "token", token, MIN_TOKEN_BYTES).map(Some)
-    }
-
     /// Checks rules between several settings.
     fn check(&self, settings: &Settings) -> Result<(), SettingsError> {
         let admin = settings.listen.admin;
@@ -361,6 +409,20 @@
     }
 }
 
+/// Reads a secret from an environment variable, if it is set.
+fn from_environment(
+    variable: &'static str,
+    what: &'static str,
+    min: usize,
+) -> Result<Option<Secret>, SettingsError> {
+    let secret = std::env::var_os(variable).filter(|secret| !secret.is_empty());
+    let Some(secret) = secret else {
+        return Ok(None);
+    };
+    let secret = secret.into_encoded_bytes();
+    accept_secret(variable.to_owned(), what, secret, min).map(Some)
+}
+
 /// Strips the line end and checks the length.
 fn accept_secret(
     place: String,
--- a/crates/core/examples/compare/model.rs
+++ b/crates/core/examples/compare/model.rs
@@ -67,7 +67,7 @@
             queued: self.queue.len() as u32,
             slots: SLOTS,
             service_time_us: self.service_us as u32,
-            draining: false,
+            ..Default::default()
         }
     }
 
@@ -325,6 +325,9 @@
             idempotent: true,
             answer_started: false,
             attempts: req.tried.len() as u32,
+            reached: req.tried.len() as u32,
+            last_reached: true,
+            max_reached: plantainpost_core::retry::MAX_RETRIES + 1,
             deadline: Instant::from_micros(req.arrived + DEADLINE_US),
         };
         let counted = req.arrived >= WARM_US;
--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -7,6 +7,7 @@
     queue::Queue,
     records::{Records, State},
     steps::Place,
+    target::Newest,
 };
 use crate::{load::LoadSample, time::Instant};
 
@@ -47,11 +48,14 @@
     pub(super) cfg: GuardSettings,
     /// May have lapsed; [`AnnouncedTarget::is_live`] tells.
     pub(super) target: Option<AnnouncedTarget>,
+    pub(super) newest: Newest,
     /// Rises whenever the announcement ends or the target is replaced.
     pub(super) generation: u64,
     /// Set by configuration or a planned stop.
     pub(super) draining: bool,
     pub(super) limit: Limit,
+    /// What the target last told of the pace of its host, and when.
+    pub(super) pace: Option<(Instant, u32)>,
     /// Holds exactly the keys of the records in state `Queued`.
     pub(super) queue: Queue,
     pub(super) records: Records,
@@ -70,9 +74,11 @@
     pub fn new(cfg: GuardSettings) -> Self {
         Guard {
             target: None,
+            newest: Newest::default(),
             generation: 0,
             draining: false,
             limit: Limit::new(cfg.limit, 0),
+            pace: None,
             queue: Queue::default(),
             records: Records::new(cfg.max_records),
             in_flight: 0,
@@ -86,6 +92,9 @@
     /// Takes over an announcement or its renewal.
     pub fn announce(&mut self, now: Instant, announcement: Announcement<'_>) -> Announced {
         self.end_lapsed(now);
+        if !self.newest.note(&announcement.life) {
+            return Announced::Late;
+        }
         let target = AnnouncedTarget::new(&announcement);
         let effect = match &self.target {
             None => Announced::New,
@@ -105,6 +114,19 @@
         effect
     }
 
+    /// Notes that the target with this id leaves: it still answers the requests that it
+    /// has, and gets no others. Returns whether it is the announced one.
+    pub fn leave(&mut self, id: &str) -> bool {
+        let is_newest = self.newest.note_left(id);
+        match &mut self.target {
+            Some(target) if *target.id == *id => {
+                target.leaving = true;
+                true
+            }
+            _ => is_newest,
+        }
+    }
+
     /// Ends the announcement. Queued requests are refused.
     pub fn withdraw(&mut self, now: Instant) {
         if self.target.take().is_none() {
@@ -279,6 +301,12 @@
         .min()
     }
 
+    /// Notes how long work takes at the target's host, in percent of the usual time, as the
+    /// target has just told.
+    pub fn note_pace(&mut self, now: Instant, pace_percent: u32) {
+        self.pace = Some((now, pace_percent));
+    }
+
     /// Returns the load for peers.
     pub fn load(&self, now: Instant) -> LoadSample {
         let is_live = self.target(now).is_some();
@@ -288,6 +316,7 @@
             queued: self.queued() as u32,
             slots: if is_live { self.limit.slots() } else { 0 },
             service_time_us: service_time_us.try_into().unwrap_or(u32::MAX),
+            pace_percent: self.pace.map_or(0, |(_, pace_percent)| pace_percent),
             draining: self.is_draining() || !is_live,
         }
     }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -27,6 +27,6 @@
     guard::{Guard, GuardSettings},
     limit::LimitSettings,
     service_time::CompareSettings,
-    target::{Announced, AnnouncedTarget, Announcement},
+    target::{Announced, AnnouncedTarget, Announcement, Life},
     types::{Admission, Dispatch, FenceState, Finish, Offer, RefuseReason, RequestKey, Wakeup},
 };
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -59,11 +59,13 @@
     Duplicate,
     /// The record table has no room for a fence.
     TableFull,
+    /// The target itself refused the request and said that it did not run it.
+    TargetRefused,
 }
 
 impl RefuseReason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [RefuseReason; 8] = [
+    pub const ALL: [RefuseReason; 9] = [
         RefuseReason::Overloaded,
         RefuseReason::Deadline,
         RefuseReason::Draining,
@@ -72,6 +74,7 @@
         RefuseReason::Fenced,
         RefuseReason::Duplicate,
         RefuseReason::TableFull,
+        RefuseReason::TargetRefused,
     ];
 
     /// Returns whether the refusal states that the request was not run and never
@@ -91,6 +94,7 @@
             RefuseReason::Fenced => "fenced",
             RefuseReason::Duplicate => "duplicate",
             RefuseReason::TableFull => "table-full",
+            RefuseReason::TargetRefused => "target-refused",
         }
     }
 }
--- a/crates/core/src/config/register.rs
+++ b/crates/core/src/config/register.rs
@@ -1,5 +1,7 @@
 //! The configuration of one reader.
 
+use std::rc::Rc;
+
 use rand::Rng;
 use uuid::Uuid;
 
@@ -13,7 +15,7 @@
     scan::{Found, Scan},
     state::{Decision, State, VersionInfo},
 };
-use crate::{config::content::ContentError, time::Instant};
+use crate::{config::content::ContentError, routing::RouteTable, time::Instant};
 
 /// What a batch did.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -79,6 +81,19 @@
         self.state.content()
     }
 
+    /// Returns the routes in force.
+    pub fn routes(&self) -> Option<&Rc<RouteTable>> {
+        self.state.routes()
+    }
+
+    /// Takes over routes that the operator has published on the store, and reports whether
+    /// they came into force. Writing them there is their confirmation.
+    ///
+    /// `read_to` is the offset after their record.
+    pub fn publish(&mut self, read_to: u64, table: RouteTable) -> bool {
+        self.state.publish(read_to, table)
+    }
+
     /// Returns the version in force, or `None` before the first confirmation.
     pub fn version(&self) -> Option<u64> {
         self.state.version()
@@ -264,6 +279,7 @@
     /// This happens when the log lost its records and started again.
     fn contradicts(&self, state: &State) -> bool {
         state.version() < self.version()
+            || state.routes_version() < self.state.routes_version()
             || (state.version() == self.version() && state.content() != self.content())
     }
 
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -1,6 +1,6 @@
 //! State of a reader and the rule by which a record changes it.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, rc::Rc};
 
 use serde::{Deserialize, Serialize};
 use snafu::{Snafu, ensure};
@@ -11,6 +11,7 @@
     delta::Delta,
     record::{Confirm, MAX_SUMMARY_BYTES},
 };
+use crate::routing::RouteTable;
 
 /// Decisions that a state remembers. They serve answers to operators; that an id is
 /// in force at most once follows from its base alone.
@@ -104,6 +105,10 @@
     last_confirmation: Option<u64>,
     /// Highest `complete_to` of the checkpoints read.
     checkpoint: Option<u64>,
+    /// Routes that the operator has published; their version never decreases. `None` where
+    /// services are addressed by name.
+    #[serde(default)]
+    routes: Option<Rc<RouteTable>>,
 }
 
 /// Why a state is refused.
@@ -137,6 +142,28 @@
         &self.content
     }
 
+    /// Returns the routes in force.
+    pub fn routes(&self) -> Option<&Rc<RouteTable>> {
+        self.routes.as_ref()
+    }
+
+    /// Takes over published routes that were read up to `read_to`.
+    ///
+    /// An older version than the one in force changes nothing else.
+    pub(super) fn publish(&mut self, read_to: u64, table: RouteTable) -> bool {
+        self.read_to = self.read_to.max(read_to);
+        if self.routes_version() >= Some(table.version()) {
+            return false;
+        }
+        self.routes = Some(Rc::new(table));
+        true
+    }
+
+    /// Returns the version of the routes in force.
+    pub(super) fn routes_version(&self) -> Option<u64> {
+        self.routes.as_ref().map(|table| table.version())
+    }
+
     /// Returns the highest `complete_to` of the checkpoints read.
     pub fn checkpoint(&self) -> Option<u64> {
         self.checkpoint
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod measure;
 pub mod member;
 pub mod retry;
+pub mod routing;
 pub mod time;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -16,6 +16,9 @@
     pub slots: u32,
     /// Recent time from dispatch to the end of the answer, in microseconds.
     pub service_time_us: u32,
+    /// How long work takes at the target's host at the moment, in percent of the usual time;
+    /// zero if the target does not say.
+    pub pace_percent: u32,
     /// Set once the target is leaving; the guard then refuses new requests.
     pub draining: bool,
 }
--- a/crates/core/src/retry/account.rs
+++ b/crates/core/src/retry/account.rs
@@ -1,12 +1,9 @@
 //! The account of one service.
 
-use super::latency::Latencies;
+use super::{BudgetSettings, latency::Latencies};
 use crate::time::{Instant, MICROS_PER_MILLI};
 
-/// Largest number of extra requests that an account saves.
-///
-/// Savings let a few requests be retried at once when a target fails; they also
-/// bound the burst that an outage can cause.
+/// Extra requests that an account saves by default.
 pub const MAX_SAVED_EXTRAS: u64 = 10;
 
 /// An account that holds less than one extra request allows one in this interval.
@@ -18,9 +15,6 @@
 /// Parts into which an extra request is divided in the account.
 const PARTS: u64 = 100;
 
-/// Parts earned by a successful request: 10 % of a request.
-const EARNED_BY_SUCCESS: u64 = 10;
-
 /// Parts of the hedge allowance earned by any request: 5 % of a request.
 const HEDGE_EARNED_BY_REQUEST: u64 = 5;
 
@@ -34,7 +28,7 @@
     /// Requests that have not earned yet. A success earns only with a request, so
     /// that the bound holds even if successes were reported twice.
     unpaid_requests: u64,
-    /// At most `MAX_SAVED_EXTRAS * PARTS`.
+    /// At most [`BudgetSettings::saved_percent`] when it was earned.
     extra_parts: u64,
     /// At most `MAX_SAVED_HEDGES * PARTS`.
     hedge_parts: u64,
@@ -49,22 +43,22 @@
         self.hedge_parts = hedge_parts.min(MAX_SAVED_HEDGES * PARTS);
     }
 
-    pub(super) fn on_success(&mut self, latency_us: u64) {
+    pub(super) fn on_success(&mut self, latency_us: u64, cfg: &BudgetSettings) {
         self.latencies.add(latency_us);
         if self.unpaid_requests > 0 {
             self.unpaid_requests -= 1;
-            let extra_parts = self.extra_parts + EARNED_BY_SUCCESS;
-            self.extra_parts = extra_parts.min(MAX_SAVED_EXTRAS * PARTS);
+            let extra_parts = self.extra_parts + cfg.earned_percent;
+            self.extra_parts = extra_parts.min(cfg.saved_percent);
         }
     }
 
-    pub(super) fn take_retry(&mut self, now: Instant) -> bool {
-        self.take_saved() || self.take_floor(now)
+    pub(super) fn take_retry(&mut self, now: Instant, cfg: &BudgetSettings) -> bool {
+        self.take_saved(cfg) || (cfg.has_floor && self.take_floor(now))
     }
 
     /// Hedges never use the floor, because a hedge only shortens a wait.
-    pub(super) fn take_hedge(&mut self) -> bool {
-        let allowed = self.hedge_parts >= PARTS && self.take_saved();
+    pub(super) fn take_hedge(&mut self, cfg: &BudgetSettings) -> bool {
+        let allowed = self.hedge_parts >= PARTS && self.take_saved(cfg);
         if allowed {
             self.hedge_parts -= PARTS;
         }
@@ -75,7 +69,8 @@
         self.latencies.p95_us()
     }
 
-    fn take_saved(&mut self) -> bool {
+    fn take_saved(&mut self, cfg: &BudgetSettings) -> bool {
+        self.extra_parts = self.extra_parts.min(cfg.saved_percent);
         let allowed = self.extra_parts >= PARTS;
         if allowed {
             self.extra_parts -= PARTS;
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -17,6 +17,12 @@
 /// Largest number of retries of one request.
 pub const MAX_RETRIES: u32 = 2;
 
+/// Largest number of attempts of one request, those that reached no target included.
+///
+/// Each costs a round trip between nodes; with all guards full, more of them only delay the
+/// refusal.
+pub const MAX_ATTEMPTS: u32 = 5;
+
 /// Largest number of services with an account.
 ///
 /// Service names come from callers, so the table must not grow with them. A service
@@ -45,6 +51,13 @@
     pub answer_started: bool,
     /// Attempts made so far, including the first.
     pub attempts: u32,
+    /// Attempts that reached a target, whether it ran the request or not.
+    pub reached: u32,
+    /// Whether the last attempt is one of them. An attempt that a guard refused put no load
+    /// on a target, so that repeating it is free.
+    pub last_reached: bool,
+    /// Largest number of targets that the request may reach.
+    pub max_reached: u32,
     /// Deadline of the request.
     pub deadline: Instant,
 }
@@ -76,15 +89,56 @@
 /// Retry and hedge accounts of all services at one entry.
 #[derive(Debug, Default)]
 pub struct Budgets {
+    cfg: BudgetSettings,
     accounts: HashMap<ServiceName, Account>,
 }
 
+/// Settings of the accounts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetSettings {
+    /// Extra requests that a successful request earns, in percent.
+    pub earned_percent: u64,
+    /// Extra requests that an account saves, in percent of one. Savings let a few requests
+    /// be retried at once when a target fails; they also bound the burst that an outage can
+    /// cause.
+    pub saved_percent: u64,
+    /// Whether an account that holds less than one extra request allows one in
+    /// [`FLOOR_INTERVAL_MS`].
+    pub has_floor: bool,
+    /// Whether slow requests are sent a second time before the first has ended.
+    pub hedges: bool,
+}
+
+impl Default for BudgetSettings {
+    fn default() -> Self {
+        BudgetSettings {
+            earned_percent: 10,
+            saved_percent: MAX_SAVED_EXTRAS * 100,
+            has_floor: true,
+            hedges: true,
+        }
+    }
+}
+
 impl Budgets {
     /// Creates the accounts, all empty.
     pub fn new() -> Self {
         Budgets::default()
     }
 
+    /// Creates the accounts with other settings.
+    pub fn with_settings(cfg: BudgetSettings) -> Self {
+        Budgets {
+            cfg,
+            ..Default::default()
+        }
+    }
+
+    /// Changes the savings of all accounts, for the fleet has grown or shrunk.
+    pub fn set_saved_percent(&mut self, saved_percent: u64) {
+        self.cfg.saved_percent = saved_percent;
+    }
+
     /// Records that a caller's request was taken.
     ///
     /// Call it once per request, not per attempt, and only for services that have
@@ -101,7 +155,7 @@
     /// Records a successful request and how long its successful attempt took.
     pub fn on_success(&mut self, _now: Instant, service: &str, latency_us: u64) {
         if let Some(account) = self.accounts.get_mut(service) {
-            account.on_success(latency_us);
+            account.on_success(latency_us, &self.cfg);
         }
     }
 
@@ -110,8 +164,12 @@
         if let Some(refusal) = refusal(now, query) {
             return refusal;
         }
+        if !query.last_reached {
+            return RetryDecision::Retry;
+        }
+        let cfg = self.cfg;
         let account = self.accounts.get_mut(query.service);
-        if account.is_some_and(|account| account.take_retry(now)) {
+        if account.is_some_and(|account| account.take_retry(now, &cfg)) {
             RetryDecision::Retry
         } else {
             RetryDecision::BudgetSpent
@@ -130,7 +188,7 @@
         hedged: bool,
         deadline: Instant,
     ) -> Option<Instant> {
-        if !idempotent || hedged {
+        if !idempotent || hedged || !self.cfg.hedges {
             return None;
         }
         let p95_us = self.accounts.get_mut(service)?.p95_us()?;
@@ -148,7 +206,7 @@
     pub fn try_hedge(&mut self, _now: Instant, service: &str) -> bool {
         self.accounts
             .get_mut(service)
-            .is_some_and(Account::take_hedge)
+            .is_some_and(|account| account.take_hedge(&self.cfg))
     }
 }
 
@@ -159,7 +217,7 @@
         Some(RetryDecision::AnswerStarted)
     } else if unknown && !query.idempotent {
         Some(RetryDecision::NotRepeatable)
-    } else if query.attempts > MAX_RETRIES {
+    } else if query.reached >= query.max_reached || query.attempts >= MAX_ATTEMPTS {
         Some(RetryDecision::AttemptsSpent)
     } else if now >= query.deadline {
         Some(RetryDecision::DeadlinePassed)
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -9,7 +9,7 @@
 use googletest::prelude::*;
 use plantainpost_core::{
     admission::{
-        Admission, Announcement, Dispatch, FenceState, Finish, Guard, GuardSettings, Offer,
+        Admission, Announcement, Life, Dispatch, FenceState, Finish, Guard, GuardSettings, Offer,
         RefuseReason, RequestKey, Wakeup,
     },
     ids::RequestId,
@@ -75,6 +75,7 @@
 
     fn announce(&mut self, port: &str, slots: &str, expires: &str, leaving: bool) -> String {
         let announcement = Announcement {
+            life: Life::default(),
             service: "Stock",
             address: SocketAddr::from(([127, 0, 0, 1], port.parse().expect("port"))),
             slots: slots.parse().expect("slots"),
--- a/crates/core/tests/admission_goodput.rs
+++ b/crates/core/tests/admission_goodput.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use plantainpost_core::{
     admission::{
-        Admission, Announcement, Dispatch, Finish, Guard, GuardSettings, Offer, RequestKey, Wakeup,
+        Admission, Announcement, Life, Dispatch, Finish, Guard, GuardSettings, Offer, RequestKey, Wakeup,
     },
     collections::HashMap,
     ids::RequestId,
@@ -105,6 +105,7 @@
         self.guard.announce(
             self.now,
             Announcement {
+                life: Life::default(),
                 service: "stock",
                 address: SocketAddr::from(([127, 0, 0, 1], 1)),
                 slots: SLOTS,
--- a/crates/core/tests/admission_model/mod.rs
+++ b/crates/core/tests/admission_model/mod.rs
@@ -4,7 +4,7 @@
 
 use plantainpost_core::{
     admission::{
-        Admission, Announcement, Dispatch, FenceState, Finish, Guard, GuardSettings, Offer,
+        Admission, Announcement, Life, Dispatch, FenceState, Finish, Guard, GuardSettings, Offer,
         RefuseReason, RequestKey, Wakeup,
     },
     ids::RequestId,
@@ -253,6 +253,7 @@
 
     pub(crate) fn announce(&mut self, port: u16, slots: u32, ttl_ms: u64, leaving: bool) {
         let announcement = Announcement {
+            life: Life::default(),
             service: "stock",
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             slots,
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -67,7 +67,7 @@
         queued,
         slots: 12,
         service_time_us: 10_000,
-        draining: false,
+        ..Default::default()
     }
 }
 
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -4,7 +4,7 @@
 use plantainpost_core::{
     retry::{
         AttemptOutcome::{self, NotRun, Unknown},
-        Budgets, FLOOR_INTERVAL_MS, MAX_SAVED_EXTRAS,
+        Budgets, FLOOR_INTERVAL_MS, MAX_RETRIES, MAX_SAVED_EXTRAS,
         RetryDecision::{
             self, AnswerStarted, AttemptsSpent, BudgetSpent, DeadlinePassed, NotRepeatable, Retry,
         },
@@ -24,6 +24,9 @@
         idempotent,
         answer_started: false,
         attempts,
+        reached: attempts,
+        last_reached: true,
+        max_reached: MAX_RETRIES + 1,
         deadline: DEADLINE,
     }
 }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -8,7 +8,7 @@
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use plantainpost_core::{
-    admission::{Announced, Announcement},
+    admission::{Announced, Announcement, Life},
     config::{Intent, KnownTarget, Plan},
     ids::RequestId,
 };
@@ -85,7 +85,7 @@
     a.len() == b.len() && differences == 0
 }
 
-async fn read_body(req: &mut Request) -> Option<BytesMut> {
+pub(crate) async fn read_body(req: &mut Request) -> Option<BytesMut> {
     let mut payload = req.take_payload();
     let mut buf = BytesMut::new();
     while let Some(piece) = payload.next().await {
@@ -169,6 +169,7 @@
     }
     let now = node.now();
     let announcement = Announcement {
+        life: Life::default(),
         service: &request.service,
         address: request.address,
         slots: request.slots,
@@ -191,7 +192,7 @@
     respond(StatusCode::OK, &json!({ "node": node.name() }))
 }
 
-fn after_announcement(node: &Rc<Node>) {
+pub(crate) fn after_announcement(node: &Rc<Node>) {
     let wakeups = node.guard.borrow_mut().expire(node.now());
     node.wake(wakeups);
     fleet::refresh(node);
--- a/crates/node/src/audit.rs
+++ b/crates/node/src/audit.rs
@@ -138,7 +138,7 @@
         let at: Instant = node.now().saturating_add_millis(delay);
         tokio::select! {
             () = node.clock.sleep_until(at) => (),
-            () = node.stop.wait() => return,
+            () = node.stop.wait_closing() => return,
         }
         while node.audit.len() > 0 {
             if !write_some(&node).await {
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -7,7 +7,6 @@
     config::{Applied, Position, State, Verdict},
     ids::NodeName,
 };
-use plantainpost_platform::LogError;
 use plantainpost_wire::message::PeerMessage;
 use rand::RngExt;
 use slog::{info, warn};
@@ -15,6 +14,7 @@
 use crate::{
     audit::{self, AuditEvent},
     fleet, gossip,
+    log::LogError,
     node::Node,
 };
 
@@ -117,7 +117,7 @@
     after_change(node, applied.version_changed, applied.advanced).await;
 }
 
-async fn after_change(node: &Rc<Node>, version_changed: bool, advanced: bool) {
+pub(crate) async fn after_change(node: &Rc<Node>, version_changed: bool, advanced: bool) {
     let (version, read_to) = {
         let register = node.register.borrow();
         (register.version(), register.read_to())
@@ -178,7 +178,12 @@
     let (before, adopted, after) = {
         let mut register = node.register.borrow_mut();
         let before = register.version();
+        let routes = register.routes().cloned();
         let adopted = register.adopt(state);
+        if let Some(table) = register.routes().filter(|table| Some(*table) != routes.as_ref()) {
+            info!(node.logger, "routes in force"; "version" => table.version(),
+                "routes" => table.len(), "read_to" => register.read_to(), "source" => "peer");
+        }
         (before, adopted, register.version())
     };
     if adopted {
--- a/crates/node/src/confirm.rs
+++ b/crates/node/src/confirm.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 
 use plantainpost_core::config::{Decision, Plan, Verdict, VerifyError};
-use plantainpost_platform::LogError;
 use serde::Serialize;
 
 use crate::{
     audit::{self, AuditEvent},
     clock, config_sync,
+    log::LogError,
     node::Node,
 };
 
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -1,16 +1,14 @@
 //! Answers to callers.
 
-use actix_http::{
-    Response, ResponseBuilder, StatusCode,
-    body::{BodyStream, BoxBody, MessageBody, SizedStream},
-    header,
-};
+use actix_http::StatusCode;
 use bytes::Bytes;
-use futures_util::Stream;
-use plantainpost_core::ids::RequestId;
-use plantainpost_wire::message::{BodyLength, ResponseHead};
+use plantainpost_wire::message::{BodyLength, Header, ResponseHead};
 
-use crate::{entry::call::BadRequest, headers};
+use crate::{
+    entry::call::{BadRequest, Call},
+    entry::conn::{Gone, Reply, ReplyHead},
+    headers::{self, HeaderNames},
+};
 
 /// Seconds after which a caller may send a refused request again.
 const RETRY_AFTER_S: &str = "1";
@@ -37,65 +35,114 @@
     }
 }
 
-fn start(status: StatusCode, outcome: Outcome, id: Option<RequestId>) -> ResponseBuilder {
-    let mut builder = Response::build(status);
-    builder.insert_header((headers::OUTCOME, headers::value(outcome.as_str())));
-    if let Some(id) = id {
-        builder.insert_header((headers::REQUEST_ID, headers::value(&id.to_string())));
-    }
-    builder
+/// An answer that the node makes itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct OwnAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) outcome: Outcome,
+    pub(crate) reason: &'static str,
+    /// Seconds after which the caller may try again.
+    pub(crate) retry_after_s: Option<&'static str>,
+    /// Whether the rest of the connection can't be used.
+    pub(crate) close: bool,
 }
 
-fn with_reason(mut builder: ResponseBuilder, reason: &str) -> Response<BoxBody> {
-    builder.insert_header((headers::REASON, headers::value(reason)));
-    builder.insert_header((header::CONTENT_TYPE, "text/plain; charset=utf-8"));
-    builder
-        .finish()
-        .set_body(BoxBody::new(format!("{reason}\n")))
-}
+impl OwnAnswer {
+    /// Tells the caller that its request is not valid.
+    ///
+    /// The outcome is unknown when a target had begun to receive the request.
+    pub(crate) fn bad_request(reason: BadRequest, outcome: Outcome) -> Self {
+        let status = match reason {
+            BadRequest::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            BadRequest::NoRoute => StatusCode::NOT_FOUND,
+            BadRequest::NoConfiguration => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::BAD_REQUEST,
+        };
+        let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
+        OwnAnswer {
+            status,
+            outcome,
+            reason: reason.as_str(),
+            retry_after_s: is_unavailable.then_some(RETRY_AFTER_S),
+            close: matches!(reason, BadRequest::TooLong | BadRequest::Incomplete),
+        }
+    }
 
-/// Tells the caller that its request is not valid.
-///
-/// The outcome is unknown when a target had begun to receive the request.
-pub(crate) fn bad_request(reason: BadRequest, outcome: Outcome) -> Response<BoxBody> {
-    let status = match reason {
-        BadRequest::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
-        BadRequest::Head => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-        _ => StatusCode::BAD_REQUEST,
-    };
-    with_reason(start(status, outcome, None), reason.as_str())
-}
+    /// Tells the caller that its request was not run.
+    pub(crate) fn not_run(reason: &'static str) -> Self {
+        OwnAnswer {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            outcome: Outcome::NotRun,
+            reason,
+            retry_after_s: Some(RETRY_AFTER_S),
+            close: false,
+        }
+    }
+
+    /// Tells the caller that its request may have run.
+    pub(crate) fn unknown(reason: &'static str, past_deadline: bool) -> Self {
+        OwnAnswer {
+            status: match past_deadline {
+                true => StatusCode::GATEWAY_TIMEOUT,
+                false => StatusCode::BAD_GATEWAY,
+            },
+            outcome: Outcome::Unknown,
+            reason,
+            retry_after_s: None,
+            close: false,
+        }
+    }
 
-/// Tells the caller that its request was not run.
-pub(crate) fn not_run(id: RequestId, reason: &str) -> Response<BoxBody> {
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    let mut builder = start(status, Outcome::NotRun, Some(id));
-    builder.insert_header((header::RETRY_AFTER, RETRY_AFTER_S));
-    with_reason(builder, reason)
+    /// Sends the answer.
+    pub(crate) async fn send(
+        self,
+        names: &HeaderNames,
+        public_id: &Bytes,
+        reply: Reply,
+    ) -> Result<(), Gone> {
+        let mut list = vec![
+            headers::header(headers::OUTCOME, self.outcome.as_str()),
+            headers::header(names.request_id, public_id.clone()),
+            headers::header(headers::REASON, self.reason),
+            headers::header("content-type", "text/plain; charset=utf-8"),
+        ];
+        if let Some(seconds) = self.retry_after_s {
+            list.push(headers::header("retry-after", seconds));
+        }
+        let body = Bytes::from(format!("{}\n", self.reason));
+        let head = ReplyHead {
+            status: self.status.as_u16(),
+            headers: list,
+            length: BodyLength::Sized(body.len() as u64),
+            close: self.close,
+        };
+        reply.head(head).await?;
+        reply.data(body).await?;
+        reply.end().await
+    }
 }
 
-/// Tells the caller that its request may have run.
-pub(crate) fn unknown(id: RequestId, reason: &str, past_deadline: bool) -> Response<BoxBody> {
-    let status = match past_deadline {
-        true => StatusCode::GATEWAY_TIMEOUT,
-        false => StatusCode::BAD_GATEWAY,
-    };
-    with_reason(start(status, Outcome::Unknown, Some(id)), reason)
+/// Returns the headers of an answer to bytes that are no request.
+pub(crate) fn refusal_headers(reason: &'static str) -> Vec<Header> {
+    vec![
+        headers::header(headers::OUTCOME, Outcome::NotRun.as_str()),
+        headers::header(headers::REASON, reason),
+    ]
 }
 
-/// Passes the answer of a target on.
-pub(crate) fn answered<S, E>(id: RequestId, head: &ResponseHead, body: S) -> Response<BoxBody>
-where
-    S: Stream<Item = Result<Bytes, E>> + 'static,
-    E: Into<Box<dyn std::error::Error>> + 'static,
-{
-    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut res = start(status, Outcome::Answered, Some(id)).finish();
-    headers::extend(res.headers_mut(), &head.headers);
-    let body = match head.body {
-        BodyLength::None => BoxBody::new(()),
-        BodyLength::Sized(length) => SizedStream::new(length, body).boxed(),
-        BodyLength::Chunked => BodyStream::new(body).boxed(),
-    };
-    res.set_body(body)
+/// Returns the head of a target's answer for the caller.
+pub(crate) fn answered(names: &HeaderNames, call: &Call, head: ResponseHead) -> ReplyHead {
+    let mut list = head.headers;
+    list.retain(headers::is_valid);
+    if !names.callers_choose_id {
+        let outcome = Outcome::Answered.as_str();
+        list.push(headers::header(headers::OUTCOME, outcome));
+        list.push(headers::header(names.request_id, call.public_id.clone()));
+    }
+    ReplyHead {
+        status: head.status,
+        headers: list,
+        length: head.body,
+        close: false,
+    }
 }
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use plantainpost_core::{
-    admission::{FenceState, RequestKey},
+    admission::{FenceState, RefuseReason, RequestKey},
     balance,
     ids::{Incarnation, NodeName},
     load::LoadSample,
@@ -17,12 +17,13 @@
 use crate::{
     entry::{
         answer::Outcome,
-        body::Answer,
+        body::{Answer, AnswerCut},
         call::{BadRequest, Call, Upload},
         flight::Flight,
     },
+    guard,
     node::Node,
-    peers::PeerConn,
+    peers::{ConnectError, PeerConn},
 };
 
 /// Time after the deadline during which the guard may still say that the request
@@ -67,8 +68,12 @@
 pub(crate) enum AttemptEnd {
     /// The head of the answer is here.
     Response(Box<Answer>),
-    /// The request was not run by this guard and won't be.
-    NotRun(&'static str),
+    /// The request was not run and won't be.
+    NotRun {
+        reason: &'static str,
+        /// Whether it reached the target, which refused it.
+        reached: bool,
+    },
     /// The request may have run.
     Unknown(&'static str),
     /// The caller did not send its whole request. It may have run.
@@ -80,16 +85,24 @@
     pub(crate) fn outcome(&self) -> Outcome {
         match self {
             AttemptEnd::Response(_) => Outcome::Answered,
-            AttemptEnd::NotRun(_) => Outcome::NotRun,
+            AttemptEnd::NotRun { .. } => Outcome::NotRun,
             AttemptEnd::Unknown(_) | AttemptEnd::BadRequest(_) => Outcome::Unknown,
         }
     }
 
+    /// Reports whether the target has received the request.
+    pub(crate) fn has_reached_target(&self) -> bool {
+        match self {
+            AttemptEnd::NotRun { reached, .. } => *reached,
+            AttemptEnd::Response(_) | AttemptEnd::Unknown(_) | AttemptEnd::BadRequest(_) => true,
+        }
+    }
+
     /// Returns the result and its reason for people.
     pub(crate) fn describe(&self) -> String {
         match self {
             AttemptEnd::Response(answer) => format!("answered, status {}", answer.head.status),
-            AttemptEnd::NotRun(reason) => format!("not run: {reason}"),
+            AttemptEnd::NotRun { reason, .. } => format!("not run: {reason}"),
             AttemptEnd::Unknown(reason) => format!("unknown: {reason}"),
             AttemptEnd::BadRequest(reason) => format!("bad request: {}", reason.as_str()),
         }
@@ -100,8 +113,7 @@
 enum Reply {
     Response(ResponseHead),
     Refused {
-        not_run: bool,
-        reason: &'static str,
+        refusal: RefuseReason,
         load: LoadSample,
     },
     Failed {
@@ -117,15 +129,14 @@
     let mut flight = Flight::start(node, &attempt.peer);
     let Some(addr) = address(node, &attempt.peer) else {
         flight.report(balance::Outcome::Failed, None);
-        return AttemptEnd::NotRun("no-target");
+        return not_reached("no-target");
     };
-    let conn = node.peers.acquire(&attempt.peer, addr, call.deadline);
-    let mut conn = match conn.await {
+    let mut conn = match connect(node, call, &attempt.peer, addr).await {
         Ok(conn) => conn,
         Err(_) => {
             node.metrics.count("entry.connect_error");
             flight.report(balance::Outcome::Failed, None);
-            return AttemptEnd::NotRun("connect");
+            return not_reached("connect");
         }
     };
     let key = RequestKey {
@@ -135,7 +146,7 @@
     let limit = call.deadline.saturating_add_millis(REFUSAL_GRACE_MS);
     let reply = exchange(call, attempt, key, &mut conn);
     match node.clock.before(limit, reply).await {
-        Some(Ok(reply)) => finish(node, call, attempt, conn, flight, reply),
+        Some(Ok(reply)) => finish(node, call, attempt, conn, flight, reply).await,
         Some(Err(_)) => {
             node.metrics.count("entry.connection_lost");
             flight.report(balance::Outcome::Failed, None);
@@ -150,7 +161,28 @@
     }
 }
 
-fn finish(
+/// Says that the request was not run and put no load on a target.
+fn not_reached(reason: &'static str) -> AttemptEnd {
+    AttemptEnd::NotRun {
+        reason,
+        reached: false,
+    }
+}
+
+async fn connect(
+    node: &Rc<Node>,
+    call: &Call,
+    peer: &NodeName,
+    addr: SocketAddr,
+) -> Result<PeerConn, ConnectError> {
+    if *peer != *node.name() {
+        return node.peers.acquire(peer, addr, call.deadline).await;
+    }
+    let idle = node.peers.take_idle(peer, addr);
+    Ok(idle.unwrap_or_else(|| guard::open_local(node, addr)))
+}
+
+async fn finish(
     node: &Rc<Node>,
     call: &Rc<Call>,
     attempt: &Attempt,
@@ -159,26 +191,37 @@
     reply: Reply,
 ) -> AttemptEnd {
     match reply {
-        Reply::Response(head) => AttemptEnd::Response(Box::new(Answer {
-            node: Rc::clone(node),
-            peer: attempt.peer.clone(),
-            head,
-            conn,
-            flight,
-            reusable: call.is_buffered(),
-        })),
-        Reply::Refused {
-            not_run,
-            reason,
-            load,
-        } => {
+        Reply::Response(head) => {
+            let mut answer = Answer {
+                node: Rc::clone(node),
+                peer: attempt.peer.clone(),
+                head,
+                conn,
+                flight,
+                reusable: call.is_buffered(),
+                gathered: Vec::new(),
+                received: 0,
+                end: None,
+            };
+            match answer.gather(call).await {
+                Ok(()) => AttemptEnd::Response(Box::new(answer)),
+                Err(AnswerCut) => {
+                    answer.fail();
+                    AttemptEnd::Unknown("answer-cut")
+                }
+            }
+        }
+        Reply::Refused { refusal, load } => {
             flight.report(balance::Outcome::Refused, Some(load));
             if call.is_buffered() {
                 node.peers.release(&attempt.peer, conn);
             }
-            match not_run {
-                true => AttemptEnd::NotRun(reason),
-                false => AttemptEnd::Unknown(reason),
+            match refusal.is_not_run() {
+                true => AttemptEnd::NotRun {
+                    reason: refusal.as_str(),
+                    reached: refusal == RefuseReason::TargetRefused,
+                },
+                false => AttemptEnd::Unknown(refusal.as_str()),
             }
         }
         Reply::Failed {
@@ -189,7 +232,7 @@
             flight.report(balance::Outcome::Failed, Some(load));
             match started {
                 true => AttemptEnd::Unknown(reason),
-                false => AttemptEnd::NotRun(reason),
+                false => not_reached(reason),
             }
         }
         Reply::BadRequest(reason) => AttemptEnd::BadRequest(reason),
@@ -268,8 +311,7 @@
         PeerMessage::Continue { key } if key == wanted => None,
         PeerMessage::Response(head) if head.key == wanted => Some(Reply::Response(head)),
         PeerMessage::Refused { key, reason, load } if key == wanted => Some(Reply::Refused {
-            not_run: reason.is_not_run(),
-            reason: reason.as_str(),
+            refusal: reason,
             load,
         }),
         PeerMessage::Failed {
@@ -301,12 +343,13 @@
     RequestHead {
         key,
         incarnation,
-        service: call.service.clone(),
-        method: call.method.as_str().to_owned(),
+        service: call.rule.service.clone(),
+        method: call.method.clone(),
         path: call.path.clone(),
         headers: call.headers.clone(),
         deadline: call.deadline,
-        idempotent: call.idempotent,
+        idempotent: call.rule.idempotent,
+        priority: call.rule.priority,
         hedged: call.hedged || attempt.cause == Cause::Hedge,
         body: call.length,
     }
@@ -349,7 +392,7 @@
             state: FenceState::Fenced,
         }) if asked == key => {
             node.metrics.count("entry.fenced");
-            AttemptEnd::NotRun("connection-lost")
+            not_reached("connection-lost")
         }
         _ => AttemptEnd::Unknown("connection-lost"),
     }
--- a/crates/node/src/entry/body.rs
+++ b/crates/node/src/entry/body.rs
@@ -2,26 +2,28 @@
 
 use std::rc::Rc;
 
-use actix_http::{Response, body::BoxBody};
 use bytes::Bytes;
-use futures_util::{Stream, stream};
 use plantainpost_core::{balance::Outcome, ids::NodeName, load::LoadSample};
 use plantainpost_wire::message::{BodyLength, PeerMessage, ResponseHead};
 use snafu::Snafu;
 
 use crate::{
     entry::{answer, call::Call, flight::Flight},
+    entry::conn::{Gone, Reply},
     node::Node,
     peers::PeerConn,
 };
 
-/// The answer was cut. The caller's connection is closed before the end of the
-/// body, so that the caller can't take the part for the whole.
+/// Bytes of an answer that are gathered before its head is passed on. An answer that is cut
+/// before that was not seen by the caller, so that an idempotent request can be repeated.
+const GATHER_BYTES: u64 = 64 * 1024;
+
+/// The answer was cut.
 #[derive(Debug, Snafu)]
 #[snafu(display("the answer of the target was cut"))]
 pub(crate) struct AnswerCut;
 
-/// Head of an answer, and the connection on which its body follows.
+/// An answer, and the connection on which the rest of its body follows.
 pub(crate) struct Answer {
     pub(crate) node: Rc<Node>,
     pub(crate) peer: NodeName,
@@ -31,102 +33,102 @@
     /// Whether the connection may be used again after a complete answer. It may
     /// not while part of the request is unsent.
     pub(crate) reusable: bool,
+    /// Pieces of the body that were received and not passed on.
+    pub(crate) gathered: Vec<Bytes>,
+    /// Bytes of the body that were received.
+    pub(crate) received: u64,
+    /// Load of the target at the end of the answer, once the body is complete.
+    pub(crate) end: Option<LoadSample>,
 }
 
 impl Answer {
-    /// Passes the answer on to the caller.
-    pub(crate) fn into_response(self, call: &Rc<Call>) -> Response<BoxBody> {
-        let (id, length) = (call.id, self.head.body);
-        let head = self.head.clone();
-        if length == BodyLength::None {
-            self.complete(call, head.load);
-            return answer::answered(id, &head, stream::empty::<Result<Bytes, AnswerCut>>());
+    /// Reads the beginning of the body, or all of a short one.
+    pub(crate) async fn gather(&mut self, call: &Call) -> Result<(), AnswerCut> {
+        if self.head.body == BodyLength::None {
+            self.end = Some(self.head.load);
         }
-        answer::answered(id, &head, self.into_stream(Rc::clone(call)))
-    }
-
-    fn into_stream(self, call: Rc<Call>) -> impl Stream<Item = Result<Bytes, AnswerCut>> {
-        let reading = Reading {
-            answer: self,
-            call,
-            received: 0,
-        };
-        stream::unfold(Some(reading), |reading| async {
-            let mut reading = reading?;
-            match reading.next().await {
-                Part::Piece(piece) => Some((Ok(piece), Some(reading))),
-                Part::End(load) => {
-                    let Reading { answer, call, .. } = reading;
-                    answer.complete(&call, load);
-                    None
-                }
-                Part::Cut => {
-                    reading.fail();
-                    Some((Err(AnswerCut), None))
-                }
+        while self.end.is_none() && self.received < GATHER_BYTES {
+            if let Some(piece) = self.next(call).await? {
+                self.gathered.push(piece);
             }
-        })
+        }
+        Ok(())
     }
 
-    fn complete(mut self, call: &Call, load: LoadSample) {
-        let outcome = match self.head.status {
-            500.. => Outcome::ServerError,
-            _ => Outcome::Answered,
-        };
-        let micros = self.flight.micros();
-        self.flight.report(outcome, Some(load));
-        let now = self.node.now();
-        if outcome == Outcome::Answered {
-            let mut retries = self.node.retries.borrow_mut();
-            retries.on_success(now, call.service.as_str(), micros);
+    /// Passes the answer on to the caller.
+    ///
+    /// A cut answer ends without its end, so that the caller can't take the part for the
+    /// whole.
+    pub(crate) async fn pass_on(mut self, call: &Call, reply: Reply) -> Result<(), Gone> {
+        let mut head = self.head.clone();
+        if self.end.is_some() && head.body == BodyLength::Chunked {
+            head.body = BodyLength::Sized(self.received);
         }
-        let total = now.micros_since(call.received);
-        self.node.metrics.latency("entry.total_us", total);
-        if self.reusable {
-            self.node.peers.release(&self.peer, self.conn);
+        let names = &self.node.settings.headers;
+        reply.head(answer::answered(names, call, head)).await?;
+        for piece in std::mem::take(&mut self.gathered) {
+            reply.data(piece).await?;
         }
+        while self.end.is_none() {
+            match self.next(call).await {
+                Ok(Some(piece)) => reply.data(piece).await?,
+                Ok(None) => (),
+                Err(AnswerCut) => {
+                    self.node.metrics.count("entry.answer_cut");
+                    self.fail();
+                    return Ok(());
+                }
+            }
+        }
+        self.complete(call);
+        reply.end().await
     }
-}
-
-enum Part {
-    Piece(Bytes),
-    End(LoadSample),
-    Cut,
-}
-
-struct Reading {
-    answer: Answer,
-    call: Rc<Call>,
-    /// Bytes of the body that were passed on.
-    received: u64,
-}
 
-impl Reading {
-    async fn next(&mut self) -> Part {
-        let clock = self.answer.node.clock;
-        let frame = self.answer.conn.rx.read();
-        match clock.before(self.call.deadline, frame).await {
+    /// Reads a piece of the body, or its end.
+    async fn next(&mut self, call: &Call) -> Result<Option<Bytes>, AnswerCut> {
+        let clock = self.node.clock;
+        match clock.before(call.deadline, self.conn.rx.read()).await {
             Some(Ok(PeerMessage::Body(piece))) => {
                 self.received += piece.len() as u64;
-                Part::Piece(piece)
+                Ok(Some(piece))
             }
             Some(Ok(PeerMessage::BodyEnd { length, load })) if self.is_whole(length) => {
-                Part::End(load.unwrap_or(self.answer.head.load))
+                self.end = Some(load.unwrap_or(self.head.load));
+                Ok(None)
             }
-            _ => Part::Cut,
+            _ => Err(AnswerCut),
         }
     }
 
     fn is_whole(&self, length: u64) -> bool {
-        let stated = match self.answer.head.body {
+        let stated = match self.head.body {
             BodyLength::Sized(stated) => stated,
             BodyLength::None | BodyLength::Chunked => length,
         };
         length == self.received && stated == length
     }
 
-    fn fail(mut self) {
-        self.answer.node.metrics.count("entry.answer_cut");
-        self.answer.flight.report(Outcome::Failed, None);
+    fn complete(mut self, call: &Call) {
+        let outcome = match self.head.status {
+            500.. => Outcome::ServerError,
+            _ => Outcome::Answered,
+        };
+        let micros = self.flight.micros();
+        self.flight.report(outcome, self.end);
+        let now = self.node.now();
+        if outcome == Outcome::Answered {
+            let mut retries = self.node.retries.borrow_mut();
+            retries.on_success(now, call.rule.service.as_str(), micros);
+        }
+        let total = now.micros_since(call.received);
+        self.node.metrics.latency("entry.total_us", total);
+        if self.reusable {
+            self.node.peers.release(&self.peer, self.conn);
+        }
+    }
+
+    /// Reports that no whole answer came.
+    pub(crate) fn fail(&mut self) {
+        self.flight.report(Outcome::Failed, None);
     }
 }
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -5,62 +5,93 @@
     rc::Rc,
 };
 
-use actix_http::{
-    HttpMessage, Method, Payload, Request,
-    header::{self, HeaderMap},
-};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
 use plantainpost_core::{
     ids::{RequestId, ServiceName},
+    retry,
+    routing::Route,
     time::Instant,
 };
+use plantainpost_http1::{self as http1, Framing, RequestHead};
 use plantainpost_wire::message::{BodyLength, Header, MAX_BODY_PIECE};
 use uuid::Uuid;
 
-use crate::{headers, node::Node};
+use crate::{
+    entry::conn::{BodyError, RequestBody},
+    headers,
+    node::Node,
+    settings::Routing,
+};
 
 /// Why a request of a caller is not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BadRequest {
-    /// The head is longer than the settings allow.
-    Head,
     /// The `Host` header is missing or not valid.
     Host,
     /// The timeout header is not a number from 1.
     Timeout,
-    /// The content length is not a number.
-    Length,
-    /// The body is longer than the settings allow.
+    /// The body is longer than allowed.
     TooLong,
     /// The caller closed the connection before the end of the body.
     Incomplete,
+    /// No route takes the request.
+    NoRoute,
+    /// No routes are known yet.
+    NoConfiguration,
 }
 
 impl BadRequest {
     /// Returns the word for the reason header.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
-            BadRequest::Head => "head-too-long",
             BadRequest::Host => "bad-host",
             BadRequest::Timeout => "bad-timeout",
-            BadRequest::Length => "bad-length",
             BadRequest::TooLong => "body-too-long",
             BadRequest::Incomplete => "body-incomplete",
+            BadRequest::NoRoute => "no-route",
+            BadRequest::NoConfiguration => "no-configuration",
         }
     }
 }
 
+impl From<BodyError> for BadRequest {
+    fn from(e: BodyError) -> Self {
+        match e {
+            BodyError::Incomplete => BadRequest::Incomplete,
+            BodyError::TooLong => BadRequest::TooLong,
+        }
+    }
+}
+
+/// How a request is treated.
+#[derive(Clone, Debug)]
+pub(crate) struct Rule {
+    pub(crate) service: ServiceName,
+    /// Whether it may run more than once.
+    pub(crate) idempotent: bool,
+    /// Largest number of targets that it may reach.
+    pub(crate) max_reached: u32,
+    /// Longest time until the final answer, in milliseconds.
+    pub(crate) timeout_ms: u64,
+    /// Rank; 0 is the most urgent.
+    pub(crate) priority: u32,
+    /// Route that gave the rule, if there are routes.
+    pub(crate) route: Option<Rc<Route>>,
+    /// Version of the routes.
+    pub(crate) version: u64,
+}
+
 /// A request of a caller, ready to be sent to a guard.
 pub(crate) struct Call {
     pub(crate) id: RequestId,
-    pub(crate) service: ServiceName,
-    pub(crate) method: Method,
+    /// Id for callers, targets and logs.
+    pub(crate) public_id: Bytes,
+    pub(crate) rule: Rule,
+    pub(crate) method: String,
     pub(crate) path: String,
     pub(crate) headers: Vec<Header>,
     pub(crate) received: Instant,
     pub(crate) deadline: Instant,
-    pub(crate) idempotent: bool,
     pub(crate) hedged: bool,
     pub(crate) length: BodyLength,
     /// First bytes of the body, at most [`MAX_BODY_PIECE`]. They are kept until a
@@ -87,37 +118,34 @@
     pub(crate) fn upload_started(&self) -> bool {
         self.upload_started.get()
     }
+
+    /// Returns the id as text for logs.
+    pub(crate) fn public_id(&self) -> std::borrow::Cow<'_, str> {
+        String::from_utf8_lossy(&self.public_id)
+    }
 }
 
 /// Rest of a body that is too long to be kept.
 pub(crate) struct Upload {
-    payload: Payload,
-    /// Bytes that were read from the payload but not sent.
+    body: RequestBody,
+    /// Bytes that were read from the body but not sent.
     pending: BytesMut,
     /// Bytes handed out so far, `first` included.
     length: u64,
-    /// Length that the caller stated.
-    stated: Option<u64>,
-    /// Longest allowed body.
-    limit: u64,
 }
 
 impl Upload {
     /// Returns the next piece, or `None` at the end of a complete body.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, BadRequest> {
         while self.pending.is_empty() {
-            match self.payload.next().await {
-                Some(Ok(bytes)) => self.pending.extend_from_slice(&bytes),
-                Some(Err(_)) => return Err(BadRequest::Incomplete),
-                None => return self.finish(),
+            match self.body.next().await? {
+                Some(bytes) => self.pending.extend_from_slice(&bytes),
+                None => return Ok(None),
             }
         }
         let count = self.pending.len().min(MAX_BODY_PIECE);
         let piece = self.pending.split_to(count).freeze();
         self.length += count as u64;
-        if self.length > self.limit {
-            return Err(BadRequest::TooLong);
-        }
         Ok(Some(piece))
     }
 
@@ -126,87 +154,127 @@
         self.length
     }
 
-    fn finish(&self) -> Result<Option<Bytes>, BadRequest> {
-        match self.stated {
-            Some(stated) if stated != self.length => Err(BadRequest::Incomplete),
-            _ => Ok(None),
+    /// Reads until the end of the body or [`MAX_BODY_PIECE`] bytes, and reports whether
+    /// the body has ended.
+    async fn first_bytes(&mut self) -> Result<(Bytes, bool), BadRequest> {
+        let mut first = BytesMut::new();
+        while first.len() < MAX_BODY_PIECE {
+            let Some(piece) = self.body.next().await? else {
+                self.length = first.len() as u64;
+                return Ok((first.freeze(), true));
+            };
+            let fits = (MAX_BODY_PIECE - first.len()).min(piece.len());
+            first.extend_from_slice(&piece[..fits]);
+            self.pending.extend_from_slice(&piece[fits..]);
         }
+        self.length = first.len() as u64;
+        Ok((first.freeze(), false))
+    }
+}
+
+/// Returns the id of a request for callers and targets.
+pub(crate) fn public_id(node: &Node, id: RequestId, head: &RequestHead) -> Bytes {
+    let names = &node.settings.headers;
+    let chosen = http1::value(&head.headers, names.request_id).filter(|_| names.callers_choose_id);
+    match chosen {
+        Some(chosen) => Bytes::copy_from_slice(chosen),
+        None => Bytes::from(id.to_string()),
+    }
+}
+
+/// Makes the id of a request.
+pub(crate) fn new_id() -> RequestId {
+    RequestId(Uuid::new_v4().as_u128())
+}
+
+/// Decides how a request is treated, from its head alone.
+pub(crate) fn rule(node: &Node, head: &RequestHead) -> Result<Rule, BadRequest> {
+    let host = host(head).ok_or(BadRequest::Host)?;
+    match node.settings.routing {
+        Routing::ByName => Ok(rule_by_name(node, ServiceName::from(&*host), &head.method)),
+        Routing::ByTable => rule_by_table(node, &host, &head.path),
     }
 }
 
-/// Reads the head and the first bytes of the body of a request.
-pub(crate) async fn receive(node: &Rc<Node>, mut req: Request) -> Result<Call, BadRequest> {
-    let received = node.now();
-    if head_bytes(&req) > node.settings.limits.header_bytes {
-        return Err(BadRequest::Head);
+fn rule_by_name(node: &Node, service: ServiceName, method: &str) -> Rule {
+    let register = node.register.borrow();
+    let repeatable = register
+        .content()
+        .is_repeatable(service.as_str(), method);
+    Rule {
+        idempotent: matches!(method, "GET" | "HEAD" | "OPTIONS") || repeatable,
+        service,
+        max_reached: retry::MAX_RETRIES + 1,
+        timeout_ms: node.settings.limits.max_timeout_ms,
+        priority: 0,
+        route: None,
+        version: register.version().unwrap_or_default(),
     }
-    let service = service(&req).ok_or(BadRequest::Host)?;
-    let deadline = deadline(node, req.headers(), received)?;
-    let stated = content_length(req.headers())?;
-    let limit = node.settings.limits.body_bytes;
-    if stated.is_some_and(|length| length > limit) {
+}
+
+fn rule_by_table(node: &Node, host: &str, path: &str) -> Result<Rule, BadRequest> {
+    let register = node.register.borrow();
+    let table = register.routes().ok_or(BadRequest::NoConfiguration)?;
+    let route = table.find(host, path).ok_or(BadRequest::NoRoute)?;
+    Ok(Rule {
+        service: route.draw(&mut *node.rng.borrow_mut()).clone(),
+        idempotent: route.is_idempotent(),
+        max_reached: route.attempts,
+        timeout_ms: route.timeout_ms,
+        priority: route.priority,
+        route: Some(Rc::clone(route)),
+        version: table.version(),
+    })
+}
+
+/// Reads the first bytes of the body of a request.
+pub(crate) async fn receive(
+    node: &Rc<Node>,
+    id: RequestId,
+    public_id: Bytes,
+    rule: Rule,
+    received: Instant,
+    head: RequestHead,
+    body: RequestBody,
+) -> Result<Call, BadRequest> {
+    let deadline = deadline(node, &head, &rule, received)?;
+    let stated = match head.framing {
+        Framing::Sized(length) => Some(length),
+        _ => None,
+    };
+    if stated.is_some_and(|length| length > node.caller_limits().body_bytes) {
         return Err(BadRequest::TooLong);
     }
     let mut upload = Upload {
-        payload: req.take_payload(),
+        body,
         pending: BytesMut::new(),
         length: 0,
-        stated,
-        limit,
     };
-    let (first, ended) = first_bytes(&mut upload).await?;
-    let method = req.method().clone();
-    let idempotent = is_idempotent(node, &service, &method);
+    let (first, ended) = upload.first_bytes().await?;
+    let names = &node.settings.headers;
+    let mut list = names.of_request(&head.headers);
+    list.push(headers::header(names.request_id, public_id.clone()));
+    if let (Some(name), Some(service)) = (names.origin_service, &node.settings.service) {
+        let service = Bytes::copy_from_slice(service.as_str().as_bytes());
+        list.push(headers::header(name, service));
+    }
     Ok(Call {
-        id: RequestId(Uuid::new_v4().as_u128()),
-        service,
-        path: path(&req),
-        headers: headers::end_to_end(req.headers()),
+        id,
+        public_id,
+        rule,
+        headers: list,
         received,
         deadline,
-        idempotent,
-        hedged: req.headers().contains_key(headers::HEDGED),
+        hedged: http1::value(&head.headers, headers::HEDGED).is_some(),
         length: body_length(stated, first.len(), ended),
+        method: head.method,
+        path: head.path,
         first,
         rest: RefCell::new((!ended).then_some(upload)),
         upload_started: Cell::new(false),
-        method,
     })
 }
 
-/// Reads until the end of the body or [`MAX_BODY_PIECE`] bytes.
-async fn first_bytes(upload: &mut Upload) -> Result<(Bytes, bool), BadRequest> {
-    if upload.stated == Some(0) {
-        return Ok((Bytes::new(), true));
-    }
-    let mut buf = BytesMut::new();
-    while buf.len() < MAX_BODY_PIECE {
-        match upload.next().await? {
-            Some(piece) if buf.len() + piece.len() <= MAX_BODY_PIECE => {
-                buf.extend_from_slice(&piece);
-            }
-            Some(piece) => {
-                let fits = MAX_BODY_PIECE - buf.len();
-                buf.extend_from_slice(&piece[..fits]);
-                upload.length -= (piece.len() - fits) as u64;
-                let later = upload.pending.split();
-                upload.pending.extend_from_slice(&piece[fits..]);
-                upload.pending.unsplit(later);
-            }
-            None => return Ok((buf.freeze(), true)),
-        }
-    }
-    Ok((buf.freeze(), upload.stated == Some(upload.length)))
-}
-
-/// Returns about the length of the head as it was received.
-fn head_bytes(req: &Request) -> usize {
-    let headers = req.headers().iter();
-    let lines = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
-    let target = req.uri().path_and_query().map_or(1, |p| p.as_str().len());
-    target + lines.sum::<usize>()
-}
-
 fn body_length(stated: Option<u64>, first: usize, ended: bool) -> BodyLength {
     match stated {
         Some(length) => BodyLength::Sized(length),
@@ -216,52 +284,34 @@
     }
 }
 
-/// Returns the service that the caller asks for: the host name without the port.
-fn service(req: &Request) -> Option<ServiceName> {
-    let host = match req.headers().get(header::HOST) {
-        Some(host) => host.to_str().ok()?,
-        None => req.uri().host()?,
-    };
+/// Returns the host name that the caller asks for, in lower case and without the port.
+fn host(head: &RequestHead) -> Option<String> {
+    let host = http1::text(&head.headers, "host")?;
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let valid = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_');
     if name.is_empty() || name.len() > 253 || !name.chars().all(valid) {
         return None;
     }
-    Some(ServiceName::from(name.to_ascii_lowercase().as_str()))
+    Some(name.to_ascii_lowercase())
 }
 
-fn deadline(node: &Node, map: &HeaderMap, now: Instant) -> Result<Instant, BadRequest> {
+fn deadline(
+    node: &Node,
+    head: &RequestHead,
+    rule: &Rule,
+    received: Instant,
+) -> Result<Instant, BadRequest> {
     let limits = &node.settings.limits;
-    let millis = match map.get(headers::TIMEOUT_MS) {
+    let names = &node.settings.headers;
+    let millis = match http1::text(&head.headers, names.timeout_ms) {
         None => limits.default_timeout_ms,
-        Some(value) => value
-            .to_str()
+        // A caller that chose the id may also pass on a deadline that has just passed.
+        Some(text) => text
+            .parse::<u64>()
             .ok()
-            .and_then(|v| v.trim().parse::<u64>().ok())
-            .filter(|millis| *millis > 0)
+            .filter(|millis| *millis > 0 || names.callers_choose_id)
             .ok_or(BadRequest::Timeout)?,
     };
-    Ok(now.saturating_add_millis(millis.min(limits.max_timeout_ms)))
-}
-
-fn content_length(map: &HeaderMap) -> Result<Option<u64>, BadRequest> {
-    let Some(value) = map.get(header::CONTENT_LENGTH) else {
-        return Ok(None);
-    };
-    let length = value.to_str().ok().and_then(|v| v.trim().parse().ok());
-    length.map(Some).ok_or(BadRequest::Length)
-}
-
-fn path(req: &Request) -> String {
-    let path = req.uri().path_and_query();
-    path.map_or_else(|| "/".to_owned(), |p| p.as_str().to_owned())
-}
-
-fn is_idempotent(node: &Node, service: &ServiceName, method: &Method) -> bool {
-    matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
-        || node
-            .register
-            .borrow()
-            .content()
-            .is_repeatable(service.as_str(), method.as_str())
+    let millis = millis.min(limits.max_timeout_ms).min(rule.timeout_ms);
+    Ok(received.saturating_add_millis(millis))
 }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -4,41 +4,91 @@
 mod attempt;
 mod body;
 mod call;
+pub(crate) mod conn;
 mod flight;
 
 use std::rc::Rc;
 
-use actix_http::{Request, Response, body::BoxBody};
+use actix_http::StatusCode;
+use actix_rt::task::JoinHandle;
+use bytes::Bytes;
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use plantainpost_core::{
-    ids::NodeName,
+    ids::{NodeName, RequestId},
     retry::{AttemptOutcome, RetryDecision, RetryQuery},
     time::Instant,
 };
+use plantainpost_http1::RequestHead;
 
 use self::{
-    answer::Outcome,
+    answer::{Outcome, OwnAnswer},
     attempt::{Attempt, AttemptEnd, Cause},
-    call::Call,
+    call::{BadRequest, Call},
+    conn::{Gone, Incoming, Reply, RequestBody},
 };
+use slog::info;
+
 use crate::{
     node::Node,
     trace::{AttemptTrace, RequestTrace},
 };
 
-/// Answers one request of a caller.
-pub(crate) async fn handle(node: Rc<Node>, req: Request) -> Response<BoxBody> {
+/// Starts the task that answers one request of a caller.
+pub(crate) fn handle(node: Rc<Node>, incoming: Incoming) -> JoinHandle<()> {
+    actix_rt::spawn(answer_request(node, incoming))
+}
+
+async fn answer_request(node: Rc<Node>, incoming: Incoming) {
     node.metrics.count("entry.request");
-    let call = match call::receive(&node, req).await {
-        Ok(call) => Rc::new(call),
-        Err(reason) => {
+    let Incoming {
+        head,
+        body,
+        received,
+        reply,
+    } = incoming;
+    let id = call::new_id();
+    let public_id = call::public_id(&node, id, &head);
+    let call = receive(&node, id, &public_id, received, head, body).await;
+    let sent = match call {
+        Ok(call) => {
+            let call = Rc::new(call);
+            let mut run = Run::new(&node, &call);
+            let end = run.complete().await;
+            run.finish(end, reply).await
+        }
+        Err(answer) => {
             node.metrics.count("entry.bad_request");
-            return answer::bad_request(reason, Outcome::NotRun);
+            info!(node.logger, "request refused"; "request" => %String::from_utf8_lossy(&public_id),
+                "status" => answer.status.as_u16(), "reason" => answer.reason);
+            answer.send(&node.settings.headers, &public_id, reply).await
         }
     };
-    let mut run = Run::new(&node, &call);
-    let end = run.complete().await;
-    run.finish(end)
+    if sent.is_err() {
+        node.metrics.count("entry.caller_gone");
+    }
+}
+
+/// Takes a request up to the point at which it can be sent to a guard.
+async fn receive(
+    node: &Rc<Node>,
+    id: RequestId,
+    public_id: &Bytes,
+    received: Instant,
+    head: RequestHead,
+    body: RequestBody,
+) -> Result<Call, OwnAnswer> {
+    let refused = |reason| OwnAnswer::bad_request(reason, Outcome::NotRun);
+    let rule = call::rule(node, &head).map_err(refused)?;
+    let body_until = received.saturating_add_millis(rule.timeout_ms);
+    let call = call::receive(node, id, public_id.clone(), rule, received, head, body);
+    match node.clock.before(body_until, call).await {
+        Some(call) => call.map_err(refused),
+        None => Err(OwnAnswer {
+            status: StatusCode::REQUEST_TIMEOUT,
+            close: true,
+            ..refused(BadRequest::Incomplete)
+        }),
+    }
 }
 
 type AttemptFuture = LocalBoxFuture<'static, (Attempt, AttemptEnd)>;
@@ -56,6 +106,8 @@
     /// Why the outcome of an ended attempt is unknown. A later attempt that was not run
     /// says nothing about that one.
     unknown: Option<&'static str>,
+    /// Attempts that reached a target.
+    reached: u32,
     traces: Vec<AttemptTrace>,
 }
 
@@ -68,6 +120,7 @@
             tried: Vec::new(),
             hedge: HedgePlan::of(node, call),
             unknown: None,
+            reached: 0,
             traces: Vec::new(),
         }
     }
@@ -75,7 +128,10 @@
     /// Runs attempts until one gives the answer or no further one is allowed.
     async fn complete(&mut self) -> AttemptEnd {
         if let Err(reason) = self.start(Cause::First) {
-            return AttemptEnd::NotRun(reason);
+            return AttemptEnd::NotRun {
+                reason,
+                reached: false,
+            };
         }
         loop {
             let hedge = wait_for_hedge(self.node, self.hedge);
@@ -93,6 +149,7 @@
             if let AttemptEnd::Unknown(reason) = end {
                 self.unknown.get_or_insert(reason);
             }
+            self.reached += u32::from(end.has_reached_target());
             let is_last = self.running.is_empty();
             if matches!(end, AttemptEnd::Response(_)) || (is_last && !self.retry(&end)) {
                 return self.outcome_of_all(end);
@@ -103,7 +160,7 @@
     /// Turns the end of the last attempt into the end of the request.
     fn outcome_of_all(&self, last: AttemptEnd) -> AttemptEnd {
         match (last, self.unknown) {
-            (AttemptEnd::NotRun(_), Some(reason)) => AttemptEnd::Unknown(reason),
+            (AttemptEnd::NotRun { .. }, Some(reason)) => AttemptEnd::Unknown(reason),
             (last, _) => last,
         }
     }
@@ -112,14 +169,14 @@
         let now = self.node.now();
         let chosen = self.node.balancer.borrow_mut().choose(
             now,
-            self.call.service.as_str(),
+            self.call.rule.service.as_str(),
             &self.tried,
             &mut *self.node.rng.borrow_mut(),
         );
         let peer = chosen.map_err(|_| "no-target")?;
         if cause == Cause::First {
             // Only services with targets get an account: callers can make up names.
-            let service = self.call.service.as_str();
+            let service = self.call.rule.service.as_str();
             self.node.retries.borrow_mut().on_request(now, service);
         }
         let attempt = Attempt {
@@ -146,7 +203,7 @@
         let balancer = self.node.balancer.borrow();
         let slow = tried.is_some_and(|peer| balancer.is_slow(now, peer.as_str()));
         drop(balancer);
-        let service = self.call.service.as_str();
+        let service = self.call.rule.service.as_str();
         if !slow && now < plan.overdue_at {
             let look_us = self.node.retries.borrow_mut().hedge_look_us(service);
             let next = look_us.map(|us| now.saturating_add_micros(us));
@@ -163,16 +220,19 @@
     /// Starts another attempt if the outcome and the budget allow it.
     fn retry(&mut self, end: &AttemptEnd) -> bool {
         let outcome = match end {
-            AttemptEnd::NotRun(_) => AttemptOutcome::NotRun,
+            AttemptEnd::NotRun { .. } => AttemptOutcome::NotRun,
             AttemptEnd::Unknown(_) => AttemptOutcome::Unknown,
             AttemptEnd::Response(_) | AttemptEnd::BadRequest(_) => return false,
         };
         let query = RetryQuery {
-            service: self.call.service.as_str(),
+            service: self.call.rule.service.as_str(),
             outcome,
-            idempotent: self.call.idempotent,
+            idempotent: self.call.rule.idempotent,
             answer_started: self.call.upload_started(),
             attempts: self.tried.len() as u32,
+            reached: self.reached,
+            last_reached: end.has_reached_target(),
+            max_reached: self.call.rule.max_reached,
             deadline: self.call.deadline,
         };
         let now = self.node.now();
@@ -194,7 +254,23 @@
         });
     }
 
-    fn finish(self, end: AttemptEnd) -> Response<BoxBody> {
+    /// Notes how the request ended, and answers it.
+    async fn finish(self, end: AttemptEnd, reply: Reply) -> Result<(), Gone> {
+        let (node, call) = (self.node, self.call);
+        self.trace(&end);
+        let names = &node.settings.headers;
+        let answer = match end {
+            AttemptEnd::Response(answer) => return answer.pass_on(call, reply).await,
+            AttemptEnd::NotRun { reason, .. } => OwnAnswer::not_run(reason),
+            AttemptEnd::Unknown(reason) => {
+                OwnAnswer::unknown(reason, node.now() >= call.deadline)
+            }
+            AttemptEnd::BadRequest(reason) => OwnAnswer::bad_request(reason, Outcome::Unknown),
+        };
+        answer.send(names, &call.public_id, reply).await
+    }
+
+    fn trace(self, end: &AttemptEnd) {
         let (node, call) = (self.node, self.call);
         let outcome = end.outcome();
         let micros = node.now().micros_since(call.received);
@@ -206,21 +282,13 @@
         node.metrics.latency("entry.head_us", micros);
         node.traces.borrow_mut().push(RequestTrace {
             id: call.id,
-            service: call.service.as_str().to_owned(),
-            method: call.method.as_str().to_owned(),
-            idempotent: call.idempotent,
+            service: call.rule.service.as_str().to_owned(),
+            method: call.method.clone(),
+            idempotent: call.rule.idempotent,
             outcome: outcome.as_str(),
             micros,
             attempts: self.traces,
         });
-        match end {
-            AttemptEnd::Response(answer) => answer.into_response(call),
-            AttemptEnd::NotRun(reason) => answer::not_run(call.id, reason),
-            AttemptEnd::Unknown(reason) => {
-                answer::unknown(call.id, reason, node.now() >= call.deadline)
-            }
-            AttemptEnd::BadRequest(reason) => answer::bad_request(reason, outcome),
-        }
     }
 }
 
@@ -240,8 +308,8 @@
         }
         let now = node.now();
         let mut retries = node.retries.borrow_mut();
-        let service = call.service.as_str();
-        let p95_at = retries.hedge_at(now, service, call.idempotent, call.hedged, call.deadline)?;
+        let service = call.rule.service.as_str();
+        let p95_at = retries.hedge_at(now, service, call.rule.idempotent, call.hedged, call.deadline)?;
         let look_us = retries.hedge_look_us(service)?;
         Some(HedgePlan {
             look_at: now.saturating_add_micros(look_us),
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -39,6 +39,7 @@
     }
     apply_own_configuration(node);
     set_targets(node);
+    share_budget(node);
 }
 
 /// Tells the membership what the guard says of the target on this host.
@@ -74,6 +75,22 @@
     }
 }
 
+/// Part of the fleet's slack that is given out, in percent. The rest is for nodes that are
+/// not known to each other.
+const SLACK_GIVEN_PERCENT: u64 = 80;
+
+/// Gives this node its share of the extra requests that the whole fleet may send.
+fn share_budget(node: &Node) {
+    let Some(budget) = &node.settings.fleet_budget else {
+        return;
+    };
+    // Dead members count, because they may be back with a new account.
+    let members = node.members.borrow().members().count().max(1) as u64;
+    let share_percent = budget.slack * SLACK_GIVEN_PERCENT / members;
+    let mut retries = node.retries.borrow_mut();
+    retries.set_saved_percent(share_percent);
+}
+
 fn is_usable(record: &MemberRecord) -> bool {
     // A suspected member may still answer; the balancer judges it by its answers.
     matches!(
--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -4,19 +4,19 @@
 mod request;
 mod slot;
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_rt::net::{TcpListener, TcpStream};
 use bytes::Bytes;
 use plantainpost_core::time::Instant;
 use plantainpost_wire::{
     frame::{self, FrameError, FrameReader, FrameWriter},
-    handshake::{self, AcceptedPeer},
+    handshake::{self, AcceptedPeer, ClockShift},
     message::{MAX_BODY_PIECE, PeerMessage},
 };
 use slog::warn;
 
-use crate::node::Node;
+use crate::{node::Node, peers::PeerConn};
 
 /// Time that a peer has for its part of the handshake, in milliseconds.
 const HANDSHAKE_TIMEOUT_MS: u64 = 2_000;
@@ -67,6 +67,20 @@
     }
 }
 
+/// Opens a connection of this node's own entry, without a socket.
+pub(crate) fn open_local(node: &Rc<Node>, addr: SocketAddr) -> PeerConn {
+    let [(rx, tx), (peer_rx, peer_tx)] = frame::pair();
+    let now = node.now();
+    let peer = AcceptedPeer {
+        identity: node.identity.clone(),
+        shift: ClockShift::new(now, now),
+    };
+    let node = Rc::clone(node);
+    let conn = node.peers.local(peer_rx, peer_tx, addr);
+    actix_rt::spawn(async move { serve_requests(&node, Conn { rx, tx, peer }).await });
+    conn
+}
+
 async fn serve_conn(node: Rc<Node>, io: TcpStream) {
     let (mut rx, mut tx) = frame::split(io);
     let clock = node.clock;
@@ -77,7 +91,11 @@
         node.metrics.count("guard.handshake_failed");
         return;
     };
-    let mut conn = Conn { rx, tx, peer };
+    serve_requests(&node, Conn { rx, tx, peer }).await;
+}
+
+async fn serve_requests(node: &Rc<Node>, mut conn: Conn) {
+    let clock = node.clock;
     let idle_ms = node.settings.limits.idle_timeout_ms + IDLE_MARGIN_MS;
     loop {
         let idle_until = clock.now().saturating_add_millis(idle_ms);
@@ -85,7 +103,7 @@
             return;
         };
         let exchange = match msg {
-            Ok(msg) => answer(&node, &mut conn, msg).await,
+            Ok(msg) => answer(node, &mut conn, msg).await,
             Err(FrameError::Closed | FrameError::Io { .. }) => return,
             Err(_) => Exchange::Broken,
         };
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -2,36 +2,51 @@
 
 use std::rc::Rc;
 
-use actix_http::{Method, RequestHead as HttpHead, Uri, Version, header::HeaderMap};
 use bytes::Bytes;
 use futures_util::FutureExt;
-use plantainpost_core::admission::{Finish, RequestKey};
+use plantainpost_core::admission::{Finish, RefuseReason, RequestKey};
+use plantainpost_http1::{
+    self as http1, AnswerBody, BodyPart, Connection, Framing, NoAnswer,
+    ResponseHead as TargetHead,
+};
 use plantainpost_wire::{
     frame::FrameError,
-    message::{BodyLength, FailReason, MAX_BODY_PIECE, PeerMessage, ResponseHead},
+    message::{BodyLength, FailReason, Header, MAX_BODY_PIECE, PeerMessage, ResponseHead},
 };
+use slog::{info, warn};
 
 use super::{
     Conn, Exchange,
-    request::{DRAIN_TIMEOUT_MS, Pending},
+    request::{DRAIN_TIMEOUT_MS, Pending, refuse},
     sent,
     slot::Slot,
 };
 use crate::{
     headers,
     node::Node,
-    target::{BodyPart, TargetAnswer, TargetConn},
 };
 
 /// Status with which a target sheds load.
 const SERVICE_UNAVAILABLE: u16 = 503;
 
+/// Status with which a target refuses a request that is meant for another one.
+const MISDIRECTED: u16 = 421;
+
+/// Answers to earlier requests that are passed over on one connection.
+const MAX_EXTRA_ANSWERS: usize = 4;
+
 /// How the exchange with the target went until the head of its answer.
 enum End {
-    Answer(Box<TargetAnswer>),
+    Answer {
+        head: TargetHead,
+        body: Box<AnswerBody>,
+        /// Whether the target has the whole body of the request, so that the connection can
+        /// take another one.
+        is_sent: bool,
+    },
     /// The target closed the connection without a word.
     Closed,
-    /// The answer is not HTTP.
+    /// The answer is not HTTP, or belongs to no request.
     Malformed,
     /// The entry has gone or does not follow the protocol.
     EntryGone,
@@ -43,7 +58,7 @@
     conn: &mut Conn,
     mut req: Pending,
     slot: Slot,
-    target_conn: TargetConn,
+    target_conn: Connection,
 ) -> Exchange {
     let (key, deadline) = (req.head.key, req.deadline);
     let end = node
@@ -51,8 +66,16 @@
         .before(deadline, exchange(node, conn, &mut req, target_conn))
         .await;
     let reason = match end {
-        Some(End::Answer(answer)) => {
-            let answer = send_answer(node, conn, &req, slot, *answer);
+        Some(End::Answer {
+            head,
+            body,
+            is_sent,
+        }) => {
+            learn_load(node, &head);
+            if is_not_run(node, &head) {
+                return target_refused(node, conn, req, slot, &head).await;
+            }
+            let answer = send_answer(node, conn, &req, slot, head, *body, is_sent);
             let exchange = node.clock.before(deadline, answer).await;
             return finish(node, conn, &req, exchange).await;
         }
@@ -64,13 +87,65 @@
         Some(End::Malformed) => FailReason::Malformed,
         None => FailReason::Deadline,
     };
+    warn!(node.logger, "no answer of the target"; "request" => %req.public_id(node),
+        "reason" => reason.as_str(), "after_us" => slot.micros());
     drop(slot);
     let exchange = fail(node, conn, key, true, reason).await;
     finish(node, conn, &req, Some(exchange)).await
 }
 
+/// Reports whether the target says that it did not run the request.
+fn is_not_run(node: &Node, head: &TargetHead) -> bool {
+    let names = &node.settings.headers;
+    let says_so = names.not_run;
+    says_so.is_some_and(|name| http1::value(&head.headers, name).is_some())
+        || (names.expected_target.is_some() && head.status == MISDIRECTED)
+}
+
+/// Takes over the load that an answer tells.
+fn learn_load(node: &Node, head: &TargetHead) {
+    let Some(name) = node.settings.headers.load else {
+        return;
+    };
+    let fields = http1::text(&head.headers, name).map(|text| {
+        text.split(',')
+            .map(|field| field.trim().parse::<u32>())
+            .collect::<Result<Vec<_>, _>>()
+    });
+    match fields {
+        None => (),
+        Some(Ok(fields)) if fields.len() >= 3 => {
+            let pace_percent = fields.get(3).copied();
+            let mut guard = node.guard.borrow_mut();
+            guard.note_pace(node.now(), pace_percent.unwrap_or_default());
+        }
+        Some(_) => node.metrics.count("guard.bad_load_header"),
+    }
+}
+
+/// Tells the entry that the target did not run the request.
+async fn target_refused(
+    node: &Rc<Node>,
+    conn: &mut Conn,
+    req: Pending,
+    slot: Slot,
+    head: &TargetHead,
+) -> Exchange {
+    node.metrics.count("guard.target_refused");
+    info!(node.logger, "refused by the target"; "request" => %req.public_id(node),
+        "status" => head.status);
+    slot.finish(match head.status {
+        MISDIRECTED => Finish::Failed,
+        _ => Finish::TargetRefused,
+    });
+    if head.status == MISDIRECTED {
+        node.targets.clear();
+    }
+    refuse(node, conn, req, RefuseReason::TargetRefused).await
+}
+
 /// Sends the request to the target and waits for the head of its answer.
-async fn exchange(node: &Node, conn: &mut Conn, req: &mut Pending, target_conn: TargetConn) -> End {
+async fn exchange(node: &Node, conn: &mut Conn, req: &mut Pending, target_conn: Connection) -> End {
     let may_repeat = req.head.idempotent && target_conn.reused && is_replayable(req);
     let target = target_conn.addr();
     let pieces = req.body.pieces.clone();
@@ -80,7 +155,7 @@
     }
     // The target may close an idle connection while the request is on its way. An
     // idempotent request is sent once more (RFC 9110, section 9.2.2).
-    let Ok(target_conn) = TargetConn::open(target).await else {
+    let Ok(target_conn) = Connection::open(target).await else {
         return end;
     };
     node.metrics.count("guard.reopened");
@@ -96,13 +171,18 @@
     node: &Node,
     conn: &mut Conn,
     req: &mut Pending,
-    mut target_conn: TargetConn,
+    mut target_conn: Connection,
 ) -> End {
-    let head = http_head(node, req);
-    let is_head = head.method == Method::HEAD;
-    if target_conn.send_head(head, req.head.body).await.is_err() {
+    let list = target_headers(node, req);
+    let length = request_framing(req.head.body);
+    let method = req.head.method.clone();
+    let path = req.head.path.clone();
+    let first: Vec<Bytes> = req.body.pieces.drain(..).collect();
+    let head = target_conn.send_head(&method, &path, &list, length, &first);
+    if head.await.is_err() {
         return End::Closed;
     }
+    drop(first);
     if takes_more(req.head.body) {
         let key = req.head.key;
         if conn.tx.write(&PeerMessage::Continue { key }).await.is_err() {
@@ -112,23 +192,79 @@
     // The target may answer before it has read the whole body, or close its side
     // for reading; what it says is read in both cases.
     let mut target_reads = true;
+    let mut is_sent = !has_body(req.head.body);
+    let mut extra = 0;
     loop {
         while let Some(piece) = req.body.pieces.pop_front() {
-            if target_reads && target_conn.send_body(Some(piece)).await.is_err() {
+            if target_reads && target_conn.send_piece(&piece, length).await.is_err() {
                 target_reads = false;
             }
         }
-        if req.body.ended && target_reads && has_body(req.head.body) {
-            target_reads = target_conn.send_body(None).await.is_ok();
+        if req.body.ended && target_reads && !is_sent {
+            target_reads = target_conn.send_end(length).await.is_ok();
+            is_sent = target_reads;
         }
-        match next_event(conn, req, &mut target_conn).await {
+        match next_event(conn, req, &mut target_conn, &method).await {
             Event::Body => (),
             Event::EntryGone => return End::EntryGone,
-            Event::Head(Some(Ok(head))) => {
-                return End::Answer(Box::new(target_conn.into_answer(head, is_head)));
-            }
-            Event::Head(Some(Err(()))) => return End::Malformed,
-            Event::Head(None) => return End::Closed,
+            Event::Head(Ok(head)) => match ownership(node, req, &head) {
+                Ownership::Own => {
+                    let body = Box::new(target_conn.into_body(&head));
+                    return End::Answer {
+                        head,
+                        body,
+                        is_sent,
+                    };
+                }
+                Ownership::Other if extra < MAX_EXTRA_ANSWERS => {
+                    extra += 1;
+                    node.metrics.count("guard.extra_answer");
+                    warn!(node.logger, "answer to another request passed over";
+                        "request" => %req.public_id(node), "status" => head.status);
+                    match skip_body(target_conn, &head).await {
+                        Some(conn) => target_conn = conn,
+                        None => return End::Closed,
+                    }
+                    // What follows is not trusted to be a request's only answer.
+                    is_sent = false;
+                    target_reads = false;
+                }
+                Ownership::Other => return End::Malformed,
+            },
+            Event::Head(Err(NoAnswer::Malformed)) => return End::Malformed,
+            Event::Head(Err(NoAnswer::Closed)) => return End::Closed,
+        }
+    }
+}
+
+/// Whose answer was received.
+enum Ownership {
+    Own,
+    Other,
+}
+
+/// Decides by the id on an answer whether it belongs to the request. A target that repeats
+/// the ids of requests leaves it out only where it refuses one.
+fn ownership(node: &Node, req: &Pending, head: &TargetHead) -> Ownership {
+    let names = &node.settings.headers;
+    if !names.callers_choose_id {
+        return Ownership::Own;
+    }
+    let sent = http1::value(&req.head.headers, names.request_id);
+    match http1::value(&head.headers, names.request_id) {
+        Some(echoed) if Some(echoed) == sent => Ownership::Own,
+        None if is_not_run(node, head) => Ownership::Own,
+        _ => Ownership::Other,
+    }
+}
+
+async fn skip_body(target_conn: Connection, head: &TargetHead) -> Option<Connection> {
+    let mut body = target_conn.into_body(head);
+    loop {
+        match body.next().await {
+            BodyPart::Piece(_) => (),
+            BodyPart::End => return body.into_conn(),
+            BodyPart::Cut => return None,
         }
     }
 }
@@ -137,20 +273,25 @@
     /// More of the body was received.
     Body,
     EntryGone,
-    Head(Option<Result<actix_http::ResponseHead, ()>>),
+    Head(Result<TargetHead, NoAnswer>),
 }
 
-async fn next_event(conn: &mut Conn, req: &mut Pending, target_conn: &mut TargetConn) -> Event {
+async fn next_event(
+    conn: &mut Conn,
+    req: &mut Pending,
+    target_conn: &mut Connection,
+    method: &str,
+) -> Event {
     if req.body.ended {
         return tokio::select! {
-            head = target_conn.read_head() => Event::Head(head),
+            head = target_conn.read_head(method) => Event::Head(head),
             // Nothing may follow the body, so this is the end of the connection or
             // a breach of the protocol.
             _ = conn.rx.wait_readable() => Event::EntryGone,
         };
     }
     tokio::select! {
-        head = target_conn.read_head() => Event::Head(head),
+        head = target_conn.read_head(method) => Event::Head(head),
         msg = conn.rx.read() => match msg.map(|msg| req.body.take(req.head.body, msg)) {
             Ok(Ok(())) => Event::Body,
             Ok(Err(())) | Err(_) => Event::EntryGone,
@@ -167,29 +308,44 @@
     }
 }
 
+fn request_framing(length: BodyLength) -> Framing {
+    match length {
+        BodyLength::None => Framing::None,
+        BodyLength::Sized(length) => Framing::Sized(length),
+        BodyLength::Chunked => Framing::Chunked,
+    }
+}
+
+/// Returns the length of an answer as it is stated to the entry.
+fn answer_length(framing: Framing) -> BodyLength {
+    match framing {
+        Framing::None => BodyLength::None,
+        Framing::Sized(length) => BodyLength::Sized(length),
+        Framing::Chunked | Framing::UntilClose => BodyLength::Chunked,
+    }
+}
+
 fn has_body(length: BodyLength) -> bool {
     !matches!(length, BodyLength::None | BodyLength::Sized(0))
 }
 
-fn http_head(node: &Node, req: &Pending) -> HttpHead {
-    let mut map = HeaderMap::with_capacity(req.head.headers.len() + 3);
-    headers::extend(&mut map, &req.head.headers);
-    let remaining_ms = req.deadline.micros_since(node.now()).div_ceil(1_000);
-    map.insert(
-        headers::TIMEOUT_MS,
-        headers::value(&remaining_ms.to_string()),
-    );
-    let id = req.head.key.id.to_string();
-    map.insert(headers::REQUEST_ID, headers::value(&id));
+/// Returns the headers of a request as the target gets them.
+fn target_headers(node: &Node, req: &Pending) -> Vec<Header> {
+    let names = &node.settings.headers;
+    let mut list: Vec<Header> = req.head.headers.clone();
+    list.retain(headers::is_valid);
+    let remaining_ms = req.deadline.micros_since(node.now()) / 1_000;
+    let remaining_ms = remaining_ms.max(1).to_string();
+    list.push(headers::header(names.timeout_ms, remaining_ms));
+    let target = node.guard.borrow().target(node.now()).cloned();
+    if let (Some(name), Some(target)) = (names.expected_target, target) {
+        let id = Bytes::copy_from_slice(target.id.as_bytes());
+        list.push(headers::header(name, id));
+    }
     if req.head.hedged {
-        map.insert(headers::HEDGED, headers::value("1"));
+        list.push(headers::header(headers::HEDGED, "1"));
     }
-    let mut head = HttpHead::default();
-    head.method = Method::from_bytes(req.head.method.as_bytes()).unwrap_or(Method::GET);
-    head.uri = Uri::try_from(req.head.path.as_str()).unwrap_or_default();
-    head.version = Version::HTTP_11;
-    head.headers = map;
-    head
+    list
 }
 
 /// Passes the answer on to the entry.
@@ -198,18 +354,17 @@
     conn: &mut Conn,
     req: &Pending,
     slot: Slot,
-    answer: TargetAnswer,
+    answer: TargetHead,
+    mut body: AnswerBody,
+    is_sent: bool,
 ) -> Exchange {
     let key = req.head.key;
-    let Some(length) = answer.length else {
-        slot.finish(Finish::Failed);
-        return fail(node, conn, key, true, FailReason::Unframed).await;
-    };
-    let status = answer.head.status.as_u16();
+    let status = answer.status;
+    let length = answer_length(answer.framing);
     let head = ResponseHead {
         key,
         status,
-        headers: headers::end_to_end(&answer.head.headers),
+        headers: node.settings.headers.of_answer(&answer.headers),
         body: length,
         load: node.guard.borrow().load(node.now()),
     };
@@ -217,10 +372,10 @@
         slot.finish(Finish::Failed);
         return fail(node, conn, key, true, FailReason::Malformed).await;
     }
-    let mut body = answer.body;
     let Ok(bytes) = send_pieces(conn, req, &mut body).await else {
         // Without the end of the body the entry knows that the answer was cut.
         node.metrics.count("guard.answer_cut");
+        warn!(node.logger, "answer of the target cut"; "request" => %req.public_id(node));
         return Exchange::Broken;
     };
     slot.finish(match status {
@@ -229,7 +384,8 @@
             server_error: status >= 500,
         },
     });
-    if let Some(target_conn) = body.into_conn().filter(|_| req.body.ended) {
+    let target_conn = body.into_conn().filter(|conn| is_sent && conn.is_clean());
+    if let Some(target_conn) = target_conn {
         node.targets.release(target_conn, node.now());
     }
     if length != BodyLength::None {
@@ -250,7 +406,7 @@
 async fn send_pieces(
     conn: &mut Conn,
     req: &Pending,
-    body: &mut crate::target::TargetBody,
+    body: &mut AnswerBody,
 ) -> Result<u64, ()> {
     let mut bytes = 0;
     loop {
@@ -275,7 +431,7 @@
 async fn next_part(
     conn: &mut Conn,
     req: &Pending,
-    body: &mut crate::target::TargetBody,
+    body: &mut AnswerBody,
 ) -> Result<BodyPart, ()> {
     if !req.body.ended {
         return Ok(body.next().await);
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -7,6 +7,7 @@
     admission::{Admission, Dispatch, Offer, RefuseReason},
     time::Instant,
 };
+use plantainpost_http1::{self as http1, Connection};
 use plantainpost_wire::{
     frame::FrameError,
     message::{BodyLength, FailReason, MAX_BODY_PIECE, PeerMessage, RequestHead},
@@ -17,7 +18,7 @@
     Conn, Exchange, local_deadline, relay, sent,
     slot::{Admitted, Slot},
 };
-use crate::{node::Node, target::TargetConn};
+use crate::node::Node;
 
 /// Time that an entry has to send the rest of the body of a refused request, in
 /// milliseconds.
@@ -72,6 +73,15 @@
     pub(super) body: Received,
 }
 
+impl Pending {
+    /// Returns the id of the request for logs.
+    pub(super) fn public_id(&self, node: &Node) -> String {
+        let name = node.settings.headers.request_id;
+        let id = http1::value(&self.head.headers, name).unwrap_or_default();
+        String::from_utf8_lossy(id).into_owned()
+    }
+}
+
 /// What the wait for a slot led to.
 enum Wait {
     Start,
@@ -179,7 +189,7 @@
     Connect,
 }
 
-async fn connect(node: &Node, deadline: Instant) -> Result<TargetConn, Unreachable> {
+async fn connect(node: &Node, deadline: Instant) -> Result<Connection, Unreachable> {
     let now = node.now();
     let target = node.guard.borrow().target(now).map(|target| target.address);
     let target = target.ok_or(Unreachable::NoTarget)?;
@@ -200,7 +210,12 @@
 
 /// Tells the entry that the request was refused, and reads the rest of its body, so
 /// that the connection can be used again.
-async fn refuse(node: &Node, conn: &mut Conn, mut req: Pending, reason: RefuseReason) -> Exchange {
+pub(super) async fn refuse(
+    node: &Node,
+    conn: &mut Conn,
+    mut req: Pending,
+    reason: RefuseReason,
+) -> Exchange {
     node.metrics.count("guard.refused");
     let load = node.guard.borrow().load(node.now());
     let key = req.head.key;
--- a/crates/node/src/guard/slot.rs
+++ b/crates/node/src/guard/slot.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Returns the time since the dispatch, in microseconds.
+    pub(super) fn micros(&self) -> u64 {
+        self.node.now().micros_since(self.dispatched)
+    }
+
     /// Frees the slot.
     pub(super) fn finish(mut self, finish: Finish) {
         self.release(finish);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,15 +4,18 @@
 
 mod admin;
 mod audit;
+pub mod border;
 mod clock;
 mod config_sync;
 mod confirm;
+mod control;
 mod entry;
 mod fleet;
 mod gossip;
 mod guard;
-mod headers;
+pub mod headers;
 mod http;
+pub mod log;
 mod metrics;
 mod node;
 mod peers;
@@ -22,11 +25,12 @@
 mod start;
 mod status;
 mod stop;
+mod store_sync;
 mod target;
 mod trace;
 
 pub use crate::{
-    settings::{Limits, NodeSettings},
+    settings::{Limits, NodeSettings, Routing},
     start::{NodeError, run},
     stop::Summary,
 };
--- a/crates/platform/src/log.rs
+++ b/crates/node/src/log.rs
@@ -6,7 +6,7 @@
 
 /// Why a call of the log service gave no answer.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-#[snafu(visibility(pub(crate)))]
+#[snafu(visibility(pub))]
 #[expect(missing_docs, reason = "The messages name the fields.")]
 pub enum LogError {
     /// The call had no effect: an append was certainly not made.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,17 +18,18 @@
     measure,
     member::Membership,
     retry::Budgets,
+    routing::CallerLimits,
     time::Instant,
 };
-use plantainpost_platform::LogService;
 use plantainpost_wire::{auth::FleetKeys, handshake::Identity};
 use rand::rngs::StdRng;
 use slog::Logger;
 use tokio::sync::{Notify, oneshot};
 
 use crate::{
-    audit::AuditQueue, clock::Clock, config_sync::Ahead, fleet::Applied, metrics::Metrics,
-    peers::PeerPool, probe::Probes, report::LastReport, settings::NodeSettings, target::TargetPool,
+    audit::AuditQueue, clock::Clock, config_sync::Ahead, fleet::Applied, log::LogService,
+    metrics::Metrics,
+    peers::PeerPool, probe::Probes, report::LastReport, settings::{NodeSettings, Routing}, target::TargetPool,
     trace::TraceRing,
 };
 
@@ -79,7 +80,9 @@
 #[derive(Default)]
 pub(crate) struct Stop {
     started: Cell<bool>,
-    /// Wakes connections that wait for the stop.
+    /// Connections are closed once their requests are answered.
+    closing: Cell<bool>,
+    /// Wakes whoever waits for `closing`.
     notify: Notify,
 }
 
@@ -87,6 +90,11 @@
     /// Starts the stop.
     pub(crate) fn start(&self) {
         self.started.set(true);
+    }
+
+    /// Starts to close connections that have no requests in flight.
+    pub(crate) fn close(&self) {
+        self.closing.set(true);
         self.notify.notify_waiters();
     }
 
@@ -95,10 +103,15 @@
         self.started.get()
     }
 
-    /// Waits until the stop has started.
-    pub(crate) async fn wait(&self) {
+    /// Reports whether connections are being closed.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Waits until connections are being closed.
+    pub(crate) async fn wait_closing(&self) {
         let notified = self.notify.notified();
-        if !self.has_started() {
+        if !self.is_closing() {
             notified.await;
         }
     }
@@ -115,6 +128,29 @@
         &self.identity.node
     }
 
+    /// Reports whether the node takes callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        let has_routes = match self.settings.routing {
+            Routing::ByName => true,
+            Routing::ByTable => self.register.borrow().routes().is_some(),
+        };
+        has_routes && !self.stop.has_started()
+    }
+
+    /// Returns the bounds on what callers send.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        if let Some(table) = self.register.borrow().routes() {
+            return *table.limits();
+        }
+        let limits = &self.settings.limits;
+        CallerLimits {
+            header_bytes: limits.header_bytes as u64,
+            body_bytes: limits.body_bytes,
+            head_timeout_ms: limits.head_timeout_ms,
+            idle_timeout_ms: limits.idle_timeout_ms,
+        }
+    }
+
     /// Tells queued requests that they may start, or that they are refused.
     pub(crate) fn wake(&self, wakeups: Vec<Wakeup>) {
         let mut waiters = self.waiters.borrow_mut();
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -175,7 +175,19 @@
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
-    fn take_idle(&self, node: &NodeName, addr: SocketAddr) -> Option<PeerConn> {
+    /// Makes a connection to this node itself.
+    pub(crate) fn local(&self, rx: FrameReader, tx: FrameWriter, addr: SocketAddr) -> PeerConn {
+        PeerConn {
+            rx,
+            tx,
+            incarnation: self.me.incarnation,
+            addr,
+            retires_at: self.clock.now().saturating_add_millis(MAX_AGE_MS),
+        }
+    }
+
+    /// Takes an idle connection.
+    pub(crate) fn take_idle(&self, node: &NodeName, addr: SocketAddr) -> Option<PeerConn> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let conns = idle.get_mut(node)?;
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -5,17 +5,16 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use actix_http::{Method, RequestHead, StatusCode, Uri, header};
 use bytes::BytesMut;
 use plantainpost_core::time::Instant;
-use plantainpost_wire::{datagram::Reported, message::BodyLength};
+use plantainpost_http1::{BodyPart, Connection, Framing};
+use plantainpost_wire::datagram::Reported;
 use serde::Deserialize;
 
 use crate::{
     headers,
     node::Node,
     probe,
-    target::{BodyPart, TargetConn},
 };
 
 /// Path at which a target reports its load.
@@ -90,20 +89,16 @@
 }
 
 async fn ask(node: &Node, target: std::net::SocketAddr) -> Option<Report> {
-    let mut conn: TargetConn = node.targets.acquire(target, node.now()).await.ok()?;
-    let mut head = RequestHead::default();
-    head.method = Method::GET;
-    head.uri = Uri::from_static(PATH);
-    let host = headers::value(&target.to_string());
-    head.headers.insert(header::HOST, host);
-    conn.send_head(head, BodyLength::None).await.ok()?;
-    let head = conn.read_head().await?.ok()?;
-    let status = head.status;
-    let mut answer = conn.into_answer(head, false);
-    answer.length?;
+    let mut conn = node.targets.acquire(target, node.now()).await.ok()?;
+    let host = headers::header("host", target.to_string());
+    conn.send_head("GET", PATH, &[host], Framing::None, &[])
+        .await
+        .ok()?;
+    let head = conn.read_head("GET").await.ok()?;
+    let mut body = conn.into_body(&head);
     let mut buf = BytesMut::new();
     loop {
-        match answer.body.next().await {
+        match body.next().await {
             BodyPart::Piece(piece) if buf.len() + piece.len() <= MAX_REPORT_BYTES => {
                 buf.extend_from_slice(&piece);
             }
@@ -111,9 +106,9 @@
             BodyPart::Piece(_) | BodyPart::Cut => return None,
         }
     }
-    if let Some(conn) = answer.body.into_conn() {
+    if let Some(conn) = body.into_conn().filter(Connection::is_clean) {
         node.targets.release(conn, node.now());
     }
-    (status == StatusCode::OK).then_some(())?;
+    (head.status == 200).then_some(())?;
     serde_json::from_slice(&buf).ok()
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,9 +2,14 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use plantainpost_core::ids::{DataCentre, NodeName};
+use plantainpost_core::{
+    ids::{DataCentre, NodeName, ServiceName},
+    retry::BudgetSettings,
+};
 use plantainpost_wire::auth::FleetKeys;
 
+use crate::headers::HeaderNames;
+
 /// Limits on what callers and peers may use.
 ///
 /// Lengths of time are settings; they become instants when they are used.
@@ -56,6 +61,22 @@
     }
 }
 
+/// How a request finds its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Routing {
+    /// The host name is the name of the service.
+    ByName,
+    /// Routes that operators publish on the platform's store.
+    ByTable,
+}
+
+/// Share of the extra requests that all nodes together may send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetBudget {
+    /// Extra requests of all nodes beyond their share of the requests, in any window.
+    pub slack: u64,
+}
+
 /// Settings of a node.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -67,6 +88,20 @@
     pub region: String,
     /// Address of the host that peers use.
     pub ip: IpAddr,
+    /// Service of the target on this host, if it is known beforehand.
+    pub service: Option<ServiceName>,
+    /// How a request finds its service.
+    pub routing: Routing,
+    /// Names of headers.
+    pub headers: HeaderNames,
+    /// Time between two announcements of a target on the platform, in milliseconds.
+    pub announce_every_ms: u64,
+    /// Retries and hedges.
+    pub retries: BudgetSettings,
+    /// Bound on the extra requests of the whole fleet, if there is one.
+    pub fleet_budget: Option<FleetBudget>,
+    /// Listeners for targets and readiness checks of the platform.
+    pub listen_control: Vec<SocketAddr>,
     /// Listener for callers.
     pub listen_callers: SocketAddr,
     /// Listener for operators and the target.
@@ -101,6 +136,13 @@
             data_centre: DataCentre::from("default"),
             region: "default".to_owned(),
             ip,
+            service: None,
+            routing: Routing::ByName,
+            headers: HeaderNames::default(),
+            announce_every_ms: 1_500,
+            retries: BudgetSettings::default(),
+            fleet_budget: None,
+            listen_control: Vec::new(),
             listen_callers: SocketAddr::new(ip, 7400),
             listen_admin: SocketAddr::new(ip, 7401),
             listen_peer_tcp: SocketAddr::new(ip, 7402),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -18,7 +18,6 @@
     retry::Budgets,
     time::Instant,
 };
-use plantainpost_platform::{HttpLog, HttpLogSettings};
 use plantainpost_wire::{auth::FleetKeys, handshake::Identity};
 use slog::{Logger, info};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
@@ -26,21 +25,20 @@
 use crate::{
     admin,
     audit::{self, AuditEvent, AuditQueue},
+    border::{Borders, Platform},
     clock::{self, Clock},
-    config_sync, entry, gossip, guard,
-    http::{self, HttpSettings, OnStop},
+    config_sync, control, entry, gossip, guard, http,
+    log::LogService,
     metrics::Metrics,
     node::{Node, Stop},
     peers::PeerPool,
     report,
     settings::NodeSettings,
     stop::{self, Summary},
+    store_sync,
     target::TargetPool,
 };
 
-/// Connections of operators and the target at once.
-const ADMIN_CONNECTIONS: usize = 64;
-
 /// A node could not start.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -82,6 +80,7 @@
 struct Listeners {
     callers: TcpListener,
     admin: TcpListener,
+    control: Vec<TcpListener>,
     peer_tcp: TcpListener,
     peer_udp: UdpSocket,
 }
@@ -93,7 +92,12 @@
             addr,
             purpose: "peers (UDP)",
         })?;
+        let mut control = Vec::new();
+        for addr in &settings.listen_control {
+            control.push(listen(*addr, "targets").await?);
+        }
         Ok(Listeners {
+            control,
             callers: listen(settings.listen_callers, "callers").await?,
             admin: listen(settings.listen_admin, "operators").await?,
             peer_tcp: listen(settings.listen_peer_tcp, "peers (TCP)").await?,
@@ -115,7 +119,11 @@
 /// # Errors
 ///
 /// Fails when the settings can't be used or a listener can't be opened.
-pub async fn run(settings: NodeSettings, logger: Logger) -> Result<Summary, NodeError> {
+pub async fn run(
+    settings: NodeSettings,
+    borders: Borders,
+    logger: Logger,
+) -> Result<Summary, NodeError> {
     let keys = settings.keys.clone().context(NoKeySnafu)?;
     let admin = settings.listen_admin;
     ensure!(
@@ -123,7 +131,8 @@
         NoTokenSnafu { addr: admin }
     );
     let listeners = Listeners::open(&settings).await?;
-    let node = build(settings, keys, logger, listeners.peer_udp)?;
+    let Borders { log, platform } = borders;
+    let node = build(settings, keys, log, logger, listeners.peer_udp)?;
     info!(node.logger, "node started";
         "node" => %node.name(),
         "callers" => %node.settings.listen_callers,
@@ -134,6 +143,10 @@
     spawn_listeners(&node, &callers, listeners.callers, listeners.admin);
     actix_rt::spawn(guard::serve(Rc::clone(&node), listeners.peer_tcp));
     spawn_tasks(&node);
+    match platform {
+        Some(platform) => spawn_platform_tasks(&node, &platform, listeners.control),
+        None => spawn_log_tasks(&node),
+    }
     stop::wait_for_signal(&node)
         .await
         .context(SetupSnafu { what: "signals" })?;
@@ -148,28 +161,16 @@
     for_callers: TcpListener,
     for_admin: TcpListener,
 ) {
-    let settings = HttpSettings {
-        name: "callers",
-        limit: node.settings.limits.caller_connections,
-        on_stop: OnStop::Drain,
-        open: Rc::clone(callers),
-    };
-    actix_rt::spawn(http::serve(
+    actix_rt::spawn(entry::conn::serve(
         Rc::clone(node),
         for_callers,
-        settings,
+        Rc::clone(callers),
         entry::handle,
     ));
-    let settings = HttpSettings {
-        name: "admin",
-        limit: ADMIN_CONNECTIONS,
-        on_stop: OnStop::Continue,
-        open: Rc::default(),
-    };
     actix_rt::spawn(http::serve(
         Rc::clone(node),
         for_admin,
-        settings,
+        "admin",
         admin::handle,
     ));
 }
@@ -178,15 +179,37 @@
     actix_rt::spawn(gossip::receive(Rc::clone(node)));
     actix_rt::spawn(gossip::tick(Rc::clone(node)));
     actix_rt::spawn(gossip::expire_queue(Rc::clone(node)));
-    actix_rt::spawn(config_sync::read_log(Rc::clone(node)));
     actix_rt::spawn(config_sync::follow_peers(Rc::clone(node)));
+}
+
+/// Starts what follows the product's own streams on the log service.
+fn spawn_log_tasks(node: &Rc<Node>) {
+    actix_rt::spawn(config_sync::read_log(Rc::clone(node)));
     actix_rt::spawn(audit::run(Rc::clone(node)));
     actix_rt::spawn(report::poll(Rc::clone(node)));
 }
 
+/// Starts what serves and follows the platform.
+fn spawn_platform_tasks(node: &Rc<Node>, platform: &Platform, control: Vec<TcpListener>) {
+    actix_rt::spawn(store_sync::join(
+        Rc::clone(node),
+        Rc::clone(&platform.store),
+    ));
+    actix_rt::spawn(store_sync::follow_routes(
+        Rc::clone(node),
+        Rc::clone(&platform.store),
+    ));
+    for listener in control {
+        let control = Rc::clone(&platform.control);
+        let handler = move |node, req| control::handle(node, Rc::clone(&control), req);
+        actix_rt::spawn(http::serve(Rc::clone(node), listener, "control", handler));
+    }
+}
+
 fn build(
     settings: NodeSettings,
     keys: FleetKeys,
+    log_service: Rc<dyn LogService>,
     logger: Logger,
     udp: UdpSocket,
 ) -> Result<Rc<Node>, NodeError> {
@@ -204,10 +227,6 @@
         data_centre: settings.data_centre.clone(),
         ..Default::default()
     };
-    let log = HttpLogSettings {
-        address: settings.log_address.clone(),
-        ..Default::default()
-    };
     let guard_settings = GuardSettings {
         queue_factor: settings.limits.queue_factor,
         ..Default::default()
@@ -220,7 +239,7 @@
         exchanges: Rc::default(),
         waiters: RefCell::default(),
         balancer: RefCell::new(Balancer::new(balancer_settings, policy)),
-        retries: RefCell::new(Budgets::new()),
+        retries: RefCell::new(Budgets::with_settings(settings.retries)),
         measuring: RefCell::new(measure::Budget::new()),
         members: RefCell::new(membership(&settings, incarnation, clock.now())),
         register: RefCell::new(Register::new()),
@@ -229,7 +248,7 @@
         metrics,
         audit: AuditQueue::default(),
         traces: RefCell::default(),
-        log_service: Rc::new(HttpLog::new(log)),
+        log_service,
         udp,
         probes: Default::default(),
         report: Default::default(),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -84,7 +84,9 @@
     let deadline = started.saturating_add_millis(limits.stop_timeout_ms);
     let linger = started.saturating_add_millis(limits.stop_linger_ms);
     tell_peers(node).await;
-    wait_until_idle(node, callers, linger, deadline).await;
+    node.clock.sleep_until(linger.min(deadline)).await;
+    node.stop.close();
+    wait_until_idle(node, callers, deadline).await;
     let cut = in_flight(node, callers);
     if cut > 0 {
         warn!(node.logger, "requests were cut at the stop deadline"; "count" => cut);
@@ -123,13 +125,11 @@
 async fn wait_until_idle(
     node: &Rc<Node>,
     callers: &Rc<Cell<usize>>,
-    linger: Instant,
     deadline: Instant,
 ) {
     loop {
         let now = node.now();
-        let idle = in_flight(node, callers) == 0 && now >= linger;
-        if idle || now >= deadline {
+        if in_flight(node, callers) == 0 || now >= deadline {
             return;
         }
         let next = now.saturating_add_millis(POLL_MS);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,4 +1,6 @@
 //! Frames on a TCP connection: a length and a postcard message.
+//!
+//! Within one process the same messages pass through memory; see [`pair`].
 
 use std::io;
 
@@ -8,9 +10,10 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::tcp::{OwnedReadHalf, OwnedWriteHalf},
+    sync::mpsc,
 };
 
-use crate::message::PeerMessage;
+use crate::message::{MAX_BODY_PIECE, PeerMessage};
 
 /// Longest message that a peer may send, in bytes.
 pub const MAX_FRAME_BYTES: usize = 256 * 1024;
@@ -54,9 +57,28 @@
     }
 }
 
+/// Messages on their way between two tasks of one process. It bounds the memory of a
+/// request to a few pieces of a body in each direction.
+const LOCAL_MESSAGES: usize = 8;
+
 /// Reads frames from one direction of a connection.
 #[derive(Debug)]
 pub struct FrameReader {
+    source: Source,
+}
+
+#[derive(Debug)]
+enum Source {
+    Socket(SocketReader),
+    Local {
+        rx: mpsc::Receiver<PeerMessage>,
+        /// Message that was received and not read yet.
+        next: Option<PeerMessage>,
+    },
+}
+
+#[derive(Debug)]
+struct SocketReader {
     io: OwnedReadHalf,
     /// Holds at most one frame and one read beyond it.
     buf: BytesMut,
@@ -72,13 +94,12 @@
     ///
     /// Fails when the connection is closed or the message is not valid.
     pub async fn read(&mut self) -> Result<PeerMessage, FrameError> {
-        loop {
-            if let Some(msg) = self.decode()? {
-                return Ok(msg);
-            }
-            self.buf.reserve(READ_BYTES);
-            let count = self.io.read_buf(&mut self.buf).await.context(IoSnafu)?;
-            ensure!(count > 0, ClosedSnafu);
+        match &mut self.source {
+            Source::Socket(reader) => reader.read().await,
+            Source::Local { rx, next } => match next.take() {
+                Some(msg) => Ok(msg),
+                None => rx.recv().await.ok_or(FrameError::Closed),
+            },
         }
     }
 
@@ -89,6 +110,39 @@
     ///
     /// Fails when the connection fails.
     pub async fn wait_readable(&mut self) -> Result<bool, FrameError> {
+        match &mut self.source {
+            Source::Socket(reader) => reader.wait_readable().await,
+            Source::Local { rx, next } => {
+                if next.is_none() {
+                    *next = rx.recv().await;
+                }
+                Ok(next.is_some())
+            }
+        }
+    }
+
+    /// Reports whether an idle connection is closed or holds unexpected bytes.
+    pub fn is_stale(&self) -> bool {
+        match &self.source {
+            Source::Socket(reader) => reader.is_stale(),
+            Source::Local { rx, next } => next.is_some() || rx.is_closed() || !rx.is_empty(),
+        }
+    }
+}
+
+impl SocketReader {
+    async fn read(&mut self) -> Result<PeerMessage, FrameError> {
+        loop {
+            if let Some(msg) = self.decode()? {
+                return Ok(msg);
+            }
+            self.buf.reserve(READ_BYTES);
+            let count = self.io.read_buf(&mut self.buf).await.context(IoSnafu)?;
+            ensure!(count > 0, ClosedSnafu);
+        }
+    }
+
+    async fn wait_readable(&mut self) -> Result<bool, FrameError> {
         if !self.buf.is_empty() {
             return Ok(true);
         }
@@ -97,16 +151,10 @@
         Ok(count > 0)
     }
 
-    /// Reports whether bytes were received that no read has taken yet.
-    pub fn has_buffered(&self) -> bool {
-        !self.buf.is_empty()
-    }
-
-    /// Reports whether an idle connection is closed or holds unexpected bytes.
-    pub fn is_stale(&self) -> bool {
+    fn is_stale(&self) -> bool {
         let mut probe = [0; 1];
         match self.io.try_read(&mut probe) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.has_buffered(),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => !self.buf.is_empty(),
             _ => true,
         }
     }
@@ -132,8 +180,19 @@
 /// Writes frames to one direction of a connection.
 #[derive(Debug)]
 pub struct FrameWriter {
-    io: OwnedWriteHalf,
-    buf: Vec<u8>,
+    sink: Sink,
+}
+
+#[derive(Debug)]
+enum Sink {
+    Socket {
+        io: OwnedWriteHalf,
+        buf: Vec<u8>,
+    },
+    Local {
+        tx: mpsc::Sender<PeerMessage>,
+        queue: Vec<PeerMessage>,
+    },
 }
 
 impl FrameWriter {
@@ -155,23 +214,22 @@
     ///
     /// Fails when the message is longer than [`MAX_FRAME_BYTES`].
     pub fn queue(&mut self, msg: &PeerMessage) -> Result<(), FrameError> {
-        let start = self.buf.len();
-        let mut buf = std::mem::take(&mut self.buf);
-        buf.extend_from_slice(&[0; LENGTH_BYTES]);
-        self.buf = postcard::to_extend(msg, buf).context(DecodeSnafu)?;
-        let length = self.buf.len() - start - LENGTH_BYTES;
-        if length > MAX_FRAME_BYTES {
-            self.buf.truncate(start);
-            return TooLongSnafu { length }.fail();
+        match &mut self.sink {
+            Sink::Socket { buf, .. } => encode(buf, msg),
+            Sink::Local { queue, .. } => {
+                queue.push(msg.clone());
+                Ok(())
+            }
         }
-        let field = (length as u32).to_le_bytes();
-        self.buf[start..start + LENGTH_BYTES].copy_from_slice(&field);
-        Ok(())
     }
 
-    /// Returns the bytes that were queued.
+    /// Returns the bytes that were queued. Messages within a process count as pieces of a
+    /// body.
     pub fn queued(&self) -> usize {
-        self.buf.len()
+        match &self.sink {
+            Sink::Socket { buf, .. } => buf.len(),
+            Sink::Local { queue, .. } => queue.len() * MAX_BODY_PIECE,
+        }
     }
 
     /// Sends what was queued.
@@ -180,24 +238,69 @@
     ///
     /// Fails when the connection fails.
     pub async fn flush(&mut self) -> Result<(), FrameError> {
-        let outcome = self.io.write_all(&self.buf).await;
-        self.buf.clear();
-        outcome.context(IoSnafu)
+        match &mut self.sink {
+            Sink::Socket { io, buf } => {
+                let outcome = io.write_all(buf).await;
+                buf.clear();
+                outcome.context(IoSnafu)
+            }
+            Sink::Local { tx, queue } => {
+                for msg in queue.drain(..) {
+                    tx.send(msg).await.map_err(|_| FrameError::Closed)?;
+                }
+                Ok(())
+            }
+        }
     }
 }
 
+/// Adds a frame to `buf`, or nothing on failure.
+fn encode(buf: &mut Vec<u8>, msg: &PeerMessage) -> Result<(), FrameError> {
+    let start = buf.len();
+    let mut frames = std::mem::take(buf);
+    frames.extend_from_slice(&[0; LENGTH_BYTES]);
+    *buf = postcard::to_extend(msg, frames).context(DecodeSnafu)?;
+    let length = buf.len() - start - LENGTH_BYTES;
+    if length > MAX_FRAME_BYTES {
+        buf.truncate(start);
+        return TooLongSnafu { length }.fail();
+    }
+    let field = (length as u32).to_le_bytes();
+    buf[start..start + LENGTH_BYTES].copy_from_slice(&field);
+    Ok(())
+}
+
 /// Makes a reader and a writer of a connection.
 pub fn split(io: TcpStream) -> (FrameReader, FrameWriter) {
     // Frames are written whole, so waiting for more bytes only adds latency.
     let _ = io.set_nodelay(true);
     let (rx, tx) = io.into_split();
     let reader = FrameReader {
-        io: rx,
-        buf: BytesMut::new(),
+        source: Source::Socket(SocketReader {
+            io: rx,
+            buf: BytesMut::new(),
+        }),
     };
     let writer = FrameWriter {
-        io: tx,
-        buf: Vec::new(),
+        sink: Sink::Socket {
+            io: tx,
+            buf: Vec::new(),
+        },
     };
     (reader, writer)
 }
+
+/// Makes both ends of a connection within this process.
+pub fn pair() -> [(FrameReader, FrameWriter); 2] {
+    let (tx_a, rx_b) = mpsc::channel(LOCAL_MESSAGES);
+    let (tx_b, rx_a) = mpsc::channel(LOCAL_MESSAGES);
+    let end = |rx, tx| {
+        let reader = FrameReader {
+            source: Source::Local { rx, next: None },
+        };
+        let queue = Vec::new();
+        let sink = Sink::Local { tx, queue };
+        (reader, FrameWriter { sink })
+    };
+    [end(rx_a, tx_a), end(rx_b, tx_b)]
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -12,7 +12,7 @@
 use crate::auth::MAC_BYTES;
 
 /// Version of the peer protocol. A peer with another version is refused.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 
 /// Length of a handshake nonce in bytes.
 pub const NONCE_BYTES: usize = 16;
@@ -83,6 +83,8 @@
     pub deadline: Instant,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
     /// Whether this is a hedge or stems from one.
     pub hedged: bool,
     /// Length of the body that follows.
@@ -113,8 +115,6 @@
     Closed,
     /// The target's answer was not HTTP.
     Malformed,
-    /// The target's answer had no length and no chunks.
-    Unframed,
     /// The deadline passed while the target worked.
     Deadline,
     /// The caller's body was not complete.
@@ -128,7 +128,6 @@
             FailReason::Connect => "connect",
             FailReason::Closed => "closed",
             FailReason::Malformed => "malformed",
-            FailReason::Unframed => "unframed",
             FailReason::Deadline => "deadline",
             FailReason::RequestBody => "request-body",
         }
