Start no work in slow moments of a target's host

Cause: work that starts in a slow moment of a shared host takes five times as long until its end (inner calls: median 147 ms against 29 ms), while the moment lasts 150 ms. Ruled out: concurrency (same figures at 0 to 11 requests in flight). The guard measures the pace before a start when the last one is older than 20 ms, declines where the entry knows another target, and otherwise holds the request for as long as the moment would lengthen it.

--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -95,7 +95,10 @@
         },
         announce_every_ms: millis(settings.platform.announce_every),
         retries: retries(settings),
-        fleet_budget: settings.retry.fleet_slack.map(|slack| FleetBudget { slack }),
+        fleet_budget: settings
+            .retry
+            .fleet_slack
+            .map(|slack| FleetBudget { slack }),
         listen_control: settings.listen.control.clone(),
         name: NodeName::from(settings.node.name.as_str()),
         data_centre: DataCentre::from(settings.node.data_centre.as_str()),
--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -4,6 +4,7 @@
     Admission, Announced, AnnouncedTarget, Announcement, Counters, Dispatch, FenceState, Finish,
     LimitSettings, Offer, RefuseReason, RequestKey, Wakeup,
     limit::Limit,
+    pace::{Pace, PaceSettings},
     queue::Queue,
     records::{Records, State},
     steps::Place,
@@ -27,6 +28,8 @@
     /// fence that came over another connection. Twice the bound also covers copies
     /// that are refused, and fenced, after the deadline.
     pub deadline_spread_us: u64,
+    /// Settings for the pace of the target's host.
+    pub pace: PaceSettings,
     /// Settings of the concurrency limit.
     pub limit: LimitSettings,
 }
@@ -37,6 +40,7 @@
             queue_factor: 2,
             max_records: 65_536,
             deadline_spread_us: 1_100_000,
+            pace: PaceSettings::default(),
             limit: LimitSettings::default(),
         }
     }
@@ -54,8 +58,7 @@
     /// Set by configuration or a planned stop.
     pub(super) draining: bool,
     pub(super) limit: Limit,
-    /// What the target last told of the pace of its host, and when.
-    pub(super) pace: Option<(Instant, u32)>,
+    pub(super) pace: Pace,
     /// Holds exactly the keys of the records in state `Queued`.
     pub(super) queue: Queue,
     pub(super) records: Records,
@@ -78,7 +81,7 @@
             generation: 0,
             draining: false,
             limit: Limit::new(cfg.limit, 0),
-            pace: None,
+            pace: Pace::default(),
             queue: Queue::default(),
             records: Records::new(cfg.max_records),
             in_flight: 0,
@@ -169,7 +172,8 @@
             }
             Ok(Place::Queue) => {
                 self.counters.queued += 1;
-                let ticket = self.queue.push(offer.key, offer.deadline);
+                let hold_until = self.hold_until(now);
+                let ticket = self.queue.push(offer.key, offer.deadline, hold_until);
                 self.put(offer.key, State::Queued(ticket), offer.deadline);
                 Admission::Queued
             }
@@ -289,10 +293,15 @@
     /// Returns the instant at which [`Guard::expire`] has something to do. It is not
     /// in the future while wakeups are due.
     pub fn next_expiry(&self) -> Option<Instant> {
+        let held = match self.in_flight < self.limit.current() {
+            true => self.queue.first_hold_until(),
+            false => None,
+        };
         let lapse = self.target.as_ref().map(|target| target.expires);
         [
             self.due,
             lapse,
+            held,
             self.queue.first_deadline(),
             self.records.next_drop(),
         ]
@@ -304,7 +313,21 @@
     /// Notes how long work takes at the target's host, in percent of the usual time, as the
     /// target has just told.
     pub fn note_pace(&mut self, now: Instant, pace_percent: u32) {
-        self.pace = Some((now, pace_percent));
+        self.pace.note(now, pace_percent);
+        self.note_due(now);
+    }
+
+    /// Reports whether the pace of the target's host should be measured now, before the next
+    /// request starts, and notes that this is done.
+    pub fn ask_pace(&mut self, now: Instant) -> bool {
+        self.pace.ask(now, &self.cfg.pace)
+    }
+
+    /// Reports whether requests wait only for the end of a slow moment.
+    pub fn is_holding(&self, now: Instant) -> bool {
+        self.queue.len() > 0
+            && self.in_flight < self.limit.current()
+            && self.pace.is_slow(now, &self.cfg.pace)
     }
 
     /// Returns the load for peers.
@@ -316,7 +339,7 @@
             queued: self.queued() as u32,
             slots: if is_live { self.limit.slots() } else { 0 },
             service_time_us: service_time_us.try_into().unwrap_or(u32::MAX),
-            pace_percent: self.pace.map_or(0, |(_, pace_percent)| pace_percent),
+            pace_percent: self.pace.percent(),
             draining: self.is_draining() || !is_live,
         }
     }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -15,6 +15,7 @@
 mod counters;
 mod guard;
 mod limit;
+mod pace;
 mod queue;
 mod records;
 mod service_time;
@@ -26,6 +27,7 @@
     counters::Counters,
     guard::{Guard, GuardSettings},
     limit::LimitSettings,
+    pace::PaceSettings,
     service_time::CompareSettings,
     target::{Announced, AnnouncedTarget, Announcement, Life},
     types::{Admission, Dispatch, FenceState, Finish, Offer, RefuseReason, RequestKey, Wakeup},
--- /dev/null
+++ b/crates/core/src/admission/pace.rs
@@ -0,0 +1,82 @@
+//! Pace of the target's host.
+//!
+//! Hosts are shared. A target may tell how long work takes on its host at the moment, and
+//! that changes many times per second. Work that starts in a slow moment takes several times
+//! as long, even when the moment passes, so a start is worth delaying or moving elsewhere.
+
+use crate::time::Instant;
+
+/// Settings for the pace of the target's host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PaceSettings {
+    /// Pace from which a moment counts as slow, in percent of the usual time.
+    pub slow_percent: u32,
+    /// Age up to which the last pace is believed, in microseconds.
+    pub fresh_us: u64,
+    /// Least time between two measurements, in microseconds.
+    pub interval_us: u64,
+    /// Age from which the last pace says nothing at all, in microseconds.
+    pub forget_us: u64,
+}
+
+impl Default for PaceSettings {
+    fn default() -> Self {
+        PaceSettings {
+            slow_percent: 150,
+            fresh_us: 20_000,
+            interval_us: 20_000,
+            forget_us: 500_000,
+        }
+    }
+}
+
+/// What is known of the pace.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Pace {
+    /// When the target last told the pace, and what it was in percent of the usual time.
+    told: Option<(Instant, u32)>,
+    /// When it was last asked.
+    asked: Option<Instant>,
+}
+
+impl Pace {
+    pub(super) fn note(&mut self, now: Instant, percent: u32) {
+        self.told = Some((now, percent));
+    }
+
+    /// Returns the last pace in percent; zero if the target does not tell it.
+    pub(super) fn percent(&self) -> u32 {
+        self.told.map_or(0, |(_, percent)| percent)
+    }
+
+    /// Reports whether work that starts now would probably take much longer than usual.
+    pub(super) fn is_slow(&self, now: Instant, cfg: &PaceSettings) -> bool {
+        self.told.is_some_and(|(at, percent)| {
+            percent >= cfg.slow_percent && now.micros_since(at) < cfg.forget_us
+        })
+    }
+
+    /// Reports whether the pace should be measured before the next start, and notes that
+    /// this is done.
+    pub(super) fn ask(&mut self, now: Instant, cfg: &PaceSettings) -> bool {
+        let Some((at, _)) = self.told else {
+            return false;
+        };
+        let is_asked = self
+            .asked
+            .is_some_and(|asked| now.micros_since(asked) < cfg.interval_us);
+        if is_asked || now.micros_since(at) < cfg.fresh_us {
+            return false;
+        }
+        self.asked = Some(now);
+        true
+    }
+
+    /// Returns how long a start is worth delaying, in microseconds: as long as the slow
+    /// moment would lengthen the work. Waiting so long and starting then costs at most
+    /// twice the time of the better choice.
+    pub(super) fn worthwhile_delay_us(&self, service_us: u64) -> u64 {
+        let extra_percent = u64::from(self.percent().saturating_sub(100));
+        service_us * extra_percent / 100
+    }
+}
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -8,11 +8,20 @@
 /// Position in the queue; never reused.
 pub(super) type Ticket = u64;
 
+/// A request in the queue.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    key: RequestKey,
+    deadline: Instant,
+    /// Instant from which the request starts even in a slow moment of the target's host.
+    hold_until: Instant,
+}
+
 /// FIFO queue with removal by ticket and a view by deadline.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     next: Ticket,
-    waiting: BTreeMap<Ticket, (RequestKey, Instant)>,
+    waiting: BTreeMap<Ticket, Waiting>,
     /// Holds exactly the tickets of `waiting`, with their deadlines.
     by_deadline: BTreeSet<(Instant, Ticket)>,
 }
@@ -24,10 +33,20 @@
     }
 
     /// Appends a request.
-    pub(super) fn push(&mut self, key: RequestKey, deadline: Instant) -> Ticket {
+    pub(super) fn push(
+        &mut self,
+        key: RequestKey,
+        deadline: Instant,
+        hold_until: Instant,
+    ) -> Ticket {
         let ticket = self.next;
         self.next += 1;
-        self.waiting.insert(ticket, (key, deadline));
+        let waiting = Waiting {
+            key,
+            deadline,
+            hold_until,
+        };
+        self.waiting.insert(ticket, waiting);
         self.by_deadline.insert((deadline, ticket));
         ticket
     }
@@ -40,9 +59,9 @@
 
     /// Takes the request with `ticket` out of the queue.
     pub(super) fn remove(&mut self, ticket: Ticket) -> Option<RequestKey> {
-        let (key, deadline) = self.waiting.remove(&ticket)?;
-        self.by_deadline.remove(&(deadline, ticket));
-        Some(key)
+        let waiting = self.waiting.remove(&ticket)?;
+        self.by_deadline.remove(&(waiting.deadline, ticket));
+        Some(waiting.key)
     }
 
     /// Takes a request whose deadline has passed.
@@ -54,6 +73,13 @@
         self.remove(ticket)
     }
 
+    /// Returns the instant from which the request that has waited longest starts even in a
+    /// slow moment.
+    pub(super) fn first_hold_until(&self) -> Option<Instant> {
+        let (_, waiting) = self.waiting.first_key_value()?;
+        Some(waiting.hold_until)
+    }
+
     /// Returns the earliest deadline of a waiting request.
     pub(super) fn first_deadline(&self) -> Option<Instant> {
         self.by_deadline.first().map(|&(deadline, _)| deadline)
--- a/crates/core/src/admission/records.rs
+++ b/crates/core/src/admission/records.rs
@@ -45,6 +45,8 @@
     pub(super) started: Instant,
     /// Requests that held a slot at the dispatch, this one included.
     pub(super) level: u32,
+    /// Whether the dispatch was in a slow moment of the target's host.
+    pub(super) is_slow: bool,
 }
 
 /// Records by key, with a bound on their number.
--- a/crates/core/src/admission/steps.rs
+++ b/crates/core/src/admission/steps.rs
@@ -54,7 +54,11 @@
         if self.is_draining() {
             return Err(RefuseReason::Draining);
         }
-        if self.queue.len() == 0 && self.in_flight < self.limit.current() {
+        let is_slow = self.pace.is_slow(now, &self.cfg.pace);
+        if is_slow && offer.may_decline {
+            return Err(RefuseReason::Slow);
+        }
+        if !is_slow && self.queue.len() == 0 && self.in_flight < self.limit.current() {
             return Ok(Place::Slot);
         }
         let max_queued = u64::from(target.slots) * u64::from(self.cfg.queue_factor);
@@ -65,6 +69,16 @@
         Ok(Place::Queue)
     }
 
+    /// Returns the instant until which a request that is queued now waits for the end of a
+    /// slow moment.
+    pub(super) fn hold_until(&self, now: Instant) -> Instant {
+        if !self.pace.is_slow(now, &self.cfg.pace) {
+            return now;
+        }
+        let service_us = self.limit.service_time().mean_us();
+        now.saturating_add_micros(self.pace.worthwhile_delay_us(service_us))
+    }
+
     /// Predicts when a request that is queued now is answered, in microseconds.
     ///
     /// The request needs one slot to come free for each request ahead and one for
@@ -103,6 +117,7 @@
         }
         self.counters.dispatched += 1;
         let started = Record {
+            is_slow: self.pace.is_slow(now, &self.cfg.pace),
             state: State::Started,
             started: now,
             level: self.in_flight,
@@ -161,6 +176,8 @@
             return;
         }
         let change = match finish {
+            // Work that started in a slow moment says nothing about the concurrency.
+            Finish::Completed { .. } if record.is_slow => Change::None,
             Finish::Completed {
                 server_error: false,
             } => self.limit.on_sample(
@@ -197,6 +214,7 @@
     /// Writes the record of a request that is not with the target.
     pub(super) fn put(&mut self, key: RequestKey, state: State, deadline: Instant) {
         let record = Record {
+            is_slow: false,
             state,
             deadline,
             keep_until: self.keep_until(deadline),
@@ -236,7 +254,8 @@
 
     /// Notes that wakeups may be due.
     pub(super) fn note_due(&mut self, now: Instant) {
-        let can_promote = self.queue.len() > 0 && self.in_flight < self.limit.current();
+        let has_room = self.queue.len() > 0 && self.in_flight < self.limit.current();
+        let can_promote = has_room && self.may_start_first(now);
         if can_promote || !self.pending.is_empty() {
             self.due.get_or_insert(now);
         }
@@ -249,7 +268,7 @@
             self.refuse_waiting(key, RefuseReason::Deadline);
         }
         let mut wakeups = std::mem::take(&mut self.pending);
-        while self.in_flight < self.limit.current() {
+        while self.in_flight < self.limit.current() && self.may_start_first(now) {
             let Some(key) = self.queue.pop() else { break };
             wakeups.push(self.promote(key));
         }
@@ -257,6 +276,12 @@
         wakeups
     }
 
+    /// Returns whether the request that has waited longest may start at this pace.
+    fn may_start_first(&self, now: Instant) -> bool {
+        !self.pace.is_slow(now, &self.cfg.pace)
+            || self.queue.first_hold_until().is_some_and(|at| at <= now)
+    }
+
     fn promote(&mut self, key: RequestKey) -> Wakeup {
         let deadline = self.records.get(key).map(|record| record.deadline);
         self.put(key, State::Admitted, deadline.unwrap_or_default());
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -24,6 +24,9 @@
     pub service: &'a str,
     /// Instant on the guard's clock after which the request must not be started.
     pub deadline: Instant,
+    /// Whether the entry would rather hear of a slow moment of the target's host than wait
+    /// for its end, because it knows of another target.
+    pub may_decline: bool,
 }
 
 /// Decision on an offer.
@@ -61,11 +64,13 @@
     TableFull,
     /// The target itself refused the request and said that it did not run it.
     TargetRefused,
+    /// Work takes much longer than usual on the target's host at the moment.
+    Slow,
 }
 
 impl RefuseReason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [RefuseReason; 9] = [
+    pub const ALL: [RefuseReason; 10] = [
         RefuseReason::Overloaded,
         RefuseReason::Deadline,
         RefuseReason::Draining,
@@ -75,6 +80,7 @@
         RefuseReason::Duplicate,
         RefuseReason::TableFull,
         RefuseReason::TargetRefused,
+        RefuseReason::Slow,
     ];
 
     /// Returns whether the refusal states that the request was not run and never
@@ -95,6 +101,7 @@
             RefuseReason::Duplicate => "duplicate",
             RefuseReason::TableFull => "table-full",
             RefuseReason::TargetRefused => "target-refused",
+            RefuseReason::Slow => "slow",
         }
     }
 }
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -26,6 +26,8 @@
     /// Time in which a service time without newer answers falls back to the usual one
     /// by 1 - 1/e.
     pub service_memory_us: u64,
+    /// Time in which the memory of a slow moment of a host falls to 1/e.
+    pub pace_memory_us: u64,
     /// Service time that is assumed until one is observed.
     pub assumed_service_us: u32,
     /// Penalty of a target whose last requests all failed.
@@ -45,6 +47,7 @@
         ScoreSettings {
             load_memory_us: 100_000,
             service_memory_us: 100_000,
+            pace_memory_us: 100_000,
             assumed_service_us: 10_000,
             failure_penalty_us: 1_000_000,
             failure_memory_us: 5_000_000,
@@ -102,6 +105,20 @@
 /// A service time that has not changed for long is the last one before the target was
 /// avoided, so the figure goes back to the usual one.
 fn service_us(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> f64 {
+    usual_service_us(now, candidate, cfg) * pace(now, candidate, cfg)
+}
+
+/// Returns how much longer work takes on the target's host than usual, as far as the last
+/// sample still tells.
+fn pace(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> f64 {
+    let Some((at, sample)) = candidate.estimate.sample else {
+        return 1.0;
+    };
+    let excess = f64::from(sample.pace_percent.max(100) - 100) / 100.0;
+    1.0 + excess * remaining(now.micros_since(at), cfg.pace_memory_us)
+}
+
+fn usual_service_us(now: Instant, candidate: &Candidate<'_>, cfg: &ScoreSettings) -> f64 {
     let estimate = candidate.estimate;
     let observed = estimate.sample.zip(estimate.usual_service_us);
     let Some(((_, sample), usual_us)) = observed else {
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -9,7 +9,7 @@
 use googletest::prelude::*;
 use plantainpost_core::{
     admission::{
-        Admission, Announcement, Life, Dispatch, FenceState, Finish, Guard, GuardSettings, Offer,
+        Admission, Announcement, Dispatch, FenceState, Finish, Guard, GuardSettings, Life, Offer,
         RefuseReason, RequestKey, Wakeup,
     },
     ids::RequestId,
@@ -94,6 +94,7 @@
                 key,
                 service,
                 deadline,
+                may_decline: false,
             },
         ))
     }
@@ -292,3 +293,76 @@
         );
     }
 }
+
+/// A guard with one target of 12 slots that tells its pace.
+fn paced_guard(now: Instant, percent: u32) -> Guard {
+    let mut guard = Guard::new(GuardSettings::default());
+    guard.announce(
+        now,
+        Announcement {
+            life: Life::default(),
+            service: "stock",
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            slots: 12,
+            connections: 220,
+            expires: now.saturating_add_millis(60_000),
+            leaving: false,
+        },
+    );
+    guard.note_pace(now, percent);
+    guard
+}
+
+fn paced_offer(id: u128, may_decline: bool) -> Offer<'static> {
+    Offer {
+        key: RequestKey {
+            id: RequestId(id),
+            attempt: 0,
+        },
+        service: "stock",
+        deadline: Instant::from_millis(5_000),
+        may_decline,
+    }
+}
+
+/// Guards against work that starts in a slow moment of the target's host, where it takes
+/// several times as long although the moment is short.
+#[gtest]
+fn a_slow_moment_is_declined_or_waited_for() {
+    let now = Instant::from_millis(1_000);
+    let mut guard = paced_guard(now, 500);
+    let declined = guard.offer(now, &paced_offer(1, true));
+    expect_that!(declined, eq(Admission::Refused(RefuseReason::Slow)));
+    // Teach the guard a service time, so that waiting is worth something.
+    guard.note_pace(now, 100);
+    let first = paced_offer(2, false);
+    expect_that!(guard.offer(now, &first), eq(Admission::Start));
+    expect_that!(guard.dispatch(now, first.key), eq(Dispatch::Go));
+    let done = Finish::Completed {
+        server_error: false,
+    };
+    guard.finish(now, first.key, done, 100_000);
+    guard.note_pace(now, 500);
+    let held = paced_offer(3, false);
+    expect_that!(guard.offer(now, &held), eq(Admission::Queued));
+    expect_that!(guard.expire(now), is_empty());
+    let calm = now.saturating_add_millis(40);
+    guard.note_pace(calm, 100);
+    let started = Wakeup {
+        key: held.key,
+        admission: Admission::Start,
+    };
+    expect_that!(guard.expire(calm), elements_are![eq(&started)]);
+}
+
+/// Guards against a request that waits for ever because the host stays slow.
+#[gtest]
+fn a_long_slow_time_is_not_waited_for() {
+    let now = Instant::from_millis(1_000);
+    let mut guard = paced_guard(now, 500);
+    let held = paced_offer(1, false);
+    guard.offer(now, &held);
+    let later = now.saturating_add_millis(400);
+    guard.note_pace(later, 500);
+    expect_that!(guard.expire(later).len(), eq(1));
+}
--- a/crates/core/tests/admission_goodput.rs
+++ b/crates/core/tests/admission_goodput.rs
@@ -5,7 +5,8 @@
 use googletest::prelude::*;
 use plantainpost_core::{
     admission::{
-        Admission, Announcement, Life, Dispatch, Finish, Guard, GuardSettings, Offer, RequestKey, Wakeup,
+        Admission, Announcement, Dispatch, Finish, Guard, GuardSettings, Life, Offer, RequestKey,
+        Wakeup,
     },
     collections::HashMap,
     ids::RequestId,
@@ -154,6 +155,7 @@
             key: key(id),
             service: "stock",
             deadline,
+            may_decline: false,
         };
         match self.guard.offer(self.now, &offer) {
             Admission::Start => self.dispatch(id),
--- a/crates/core/tests/admission_model/mod.rs
+++ b/crates/core/tests/admission_model/mod.rs
@@ -4,7 +4,7 @@
 
 use plantainpost_core::{
     admission::{
-        Admission, Announcement, Life, Dispatch, FenceState, Finish, Guard, GuardSettings, Offer,
+        Admission, Announcement, Dispatch, FenceState, Finish, Guard, GuardSettings, Life, Offer,
         RefuseReason, RequestKey, Wakeup,
     },
     ids::RequestId,
@@ -162,6 +162,7 @@
             key: request(key),
             service: "stock",
             deadline,
+            may_decline: false,
         };
         let admission = self.guard.offer(self.now, &offer);
         if let Admission::Refused(reason) = admission {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -16,8 +16,8 @@
 pub use body::{BadBody, BodyDecoder, Part};
 pub use client::{AnswerBody, BodyPart, Connection, NoAnswer, push_chunk, push_header};
 pub use head::{
-    Framing, HeadError, RequestHead, ResponseHead, connection_options, take_request,
-    take_response, text, value,
+    Framing, HeadError, RequestHead, ResponseHead, connection_options, take_request, take_response,
+    text, value,
 };
 pub use socket::set_timeouts;
 
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -180,7 +180,10 @@
         let before = register.version();
         let routes = register.routes().cloned();
         let adopted = register.adopt(state);
-        if let Some(table) = register.routes().filter(|table| Some(*table) != routes.as_ref()) {
+        if let Some(table) = register
+            .routes()
+            .filter(|table| Some(*table) != routes.as_ref())
+        {
             info!(node.logger, "routes in force"; "version" => table.version(),
                 "routes" => table.len(), "read_to" => register.read_to(), "source" => "peer");
         }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -59,7 +59,9 @@
     let ttl_ms = node.settings.announce_every_ms * MISSED_ANNOUNCEMENTS;
     let connections = {
         let register = node.register.borrow();
-        let rule = register.routes().and_then(|table| table.service(&report.service));
+        let rule = register
+            .routes()
+            .and_then(|table| table.service(&report.service));
         rule.map_or(DEFAULT_CONNECTIONS, |rule| rule.max_connections)
     };
     let announcement = Announcement {
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -11,7 +11,7 @@
 };
 use plantainpost_wire::{
     frame::FrameError,
-    message::{PeerMessage, RequestHead, ResponseHead},
+    message::{EAGER_BODY_BYTES, PeerMessage, RequestHead, ResponseHead},
 };
 
 use crate::{
@@ -61,6 +61,8 @@
     pub(crate) peer: NodeName,
     pub(crate) number: u32,
     pub(crate) cause: Cause,
+    /// Whether the guard may refuse because of a slow moment.
+    pub(crate) may_decline: bool,
     pub(crate) started: Instant,
 }
 
@@ -248,18 +250,20 @@
 ) -> Result<Reply, FrameError> {
     let head = request_head(call, attempt, key, conn.incarnation);
     conn.tx.queue(&PeerMessage::Request(head))?;
-    if !call.first.is_empty() {
-        conn.tx.queue(&PeerMessage::Body(call.first.clone()))?;
-    }
-    if call.is_buffered() && !call.first.is_empty() {
-        conn.tx.queue(&body_end(call.first.len() as u64))?;
+    let mut first_sent = call.first.len() <= EAGER_BODY_BYTES;
+    if first_sent {
+        queue_first(call, conn)?;
     }
     conn.tx.flush().await?;
     loop {
         match reply_of(key, conn.rx.read().await?) {
             Some(reply) => return Ok(reply),
             None => {
-                // The guard has started the request and takes the rest of its body.
+                // The guard has started the request and takes its body.
+                if !std::mem::replace(&mut first_sent, true) {
+                    queue_first(call, conn)?;
+                    conn.tx.flush().await?;
+                }
                 let Some(mut upload) = call.rest.borrow_mut().take() else {
                     continue;
                 };
@@ -275,6 +279,17 @@
     }
 }
 
+fn queue_first(call: &Call, conn: &mut PeerConn) -> Result<(), FrameError> {
+    if call.first.is_empty() {
+        return Ok(());
+    }
+    conn.tx.queue(&PeerMessage::Body(call.first.clone()))?;
+    if call.is_buffered() {
+        conn.tx.queue(&body_end(call.first.len() as u64))?;
+    }
+    Ok(())
+}
+
 /// Sends the rest of the body. Returns early when the guard answers before its
 /// end, or when the caller does not send it.
 async fn send_rest(
@@ -350,6 +365,7 @@
         deadline: call.deadline,
         idempotent: call.rule.idempotent,
         priority: call.rule.priority,
+        may_decline: attempt.may_decline,
         hedged: call.hedged || attempt.cause == Cause::Hedge,
         body: call.length,
     }
--- a/crates/node/src/entry/body.rs
+++ b/crates/node/src/entry/body.rs
@@ -8,8 +8,8 @@
 use snafu::Snafu;
 
 use crate::{
-    entry::{answer, call::Call, flight::Flight},
     entry::conn::{Gone, Reply},
+    entry::{answer, call::Call, flight::Flight},
     node::Node,
     peers::PeerConn,
 };
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -198,9 +198,7 @@
 
 fn rule_by_name(node: &Node, service: ServiceName, method: &str) -> Rule {
     let register = node.register.borrow();
-    let repeatable = register
-        .content()
-        .is_repeatable(service.as_str(), method);
+    let repeatable = register.content().is_repeatable(service.as_str(), method);
     Rule {
         idempotent: matches!(method, "GET" | "HEAD" | "OPTIONS") || repeatable,
         service,
--- a/crates/node/src/entry/conn.rs
+++ b/crates/node/src/entry/conn.rs
@@ -381,7 +381,10 @@
             return Some(since.saturating_add_millis(limits.head_timeout_ms));
         }
         let is_idle = self.replies.is_empty() && self.upload.is_none();
-        is_idle.then(|| self.idle_since.saturating_add_millis(limits.idle_timeout_ms))
+        is_idle.then(|| {
+            self.idle_since
+                .saturating_add_millis(limits.idle_timeout_ms)
+        })
     }
 
     /// Takes what the buffer holds: pieces of a body and heads of requests.
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -91,6 +91,11 @@
     }
 }
 
+/// Attempts that a guard may refuse because of a slow moment of its target's host. The next
+/// one waits for the end of the moment. Slow moments of hosts are mostly independent, so that
+/// three at once are rare.
+const MAX_DECLINES: usize = 3;
+
 type AttemptFuture = LocalBoxFuture<'static, (Attempt, AttemptEnd)>;
 
 /// All attempts of one request.
@@ -183,6 +188,7 @@
             peer: peer.clone(),
             number: self.tried.len() as u32,
             cause,
+            may_decline: self.tried.len() < MAX_DECLINES,
             started: now,
         };
         self.tried.push(peer);
@@ -262,9 +268,7 @@
         let answer = match end {
             AttemptEnd::Response(answer) => return answer.pass_on(call, reply).await,
             AttemptEnd::NotRun { reason, .. } => OwnAnswer::not_run(reason),
-            AttemptEnd::Unknown(reason) => {
-                OwnAnswer::unknown(reason, node.now() >= call.deadline)
-            }
+            AttemptEnd::Unknown(reason) => OwnAnswer::unknown(reason, node.now() >= call.deadline),
             AttemptEnd::BadRequest(reason) => OwnAnswer::bad_request(reason, Outcome::Unknown),
         };
         answer.send(names, &call.public_id, reply).await
@@ -280,6 +284,12 @@
             Outcome::Unknown => "entry.unknown",
         });
         node.metrics.latency("entry.head_us", micros);
+        let attempts: Vec<String> = self.traces.iter().map(AttemptTrace::describe).collect();
+        info!(node.logger, "request ended"; "request" => %call.public_id(),
+            "service" => call.rule.service.as_str(),
+            "route" => call.rule.route.as_ref().map(|route| route.name.to_string()),
+            "version" => call.rule.version, "outcome" => outcome.as_str(),
+            "result" => end.describe(), "attempts" => attempts.join(", "), "us" => micros);
         node.traces.borrow_mut().push(RequestTrace {
             id: call.id,
             service: call.rule.service.as_str().to_owned(),
@@ -309,7 +319,13 @@
         let now = node.now();
         let mut retries = node.retries.borrow_mut();
         let service = call.rule.service.as_str();
-        let p95_at = retries.hedge_at(now, service, call.rule.idempotent, call.hedged, call.deadline)?;
+        let p95_at = retries.hedge_at(
+            now,
+            service,
+            call.rule.idempotent,
+            call.hedged,
+            call.deadline,
+        )?;
         let look_us = retries.hedge_look_us(service)?;
         Some(HedgePlan {
             look_at: now.saturating_add_micros(look_us),
--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -4,6 +4,8 @@
 mod request;
 mod slot;
 
+pub(crate) use self::relay::learn_load;
+
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_rt::net::{TcpListener, TcpStream};
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -6,12 +6,13 @@
 use futures_util::FutureExt;
 use plantainpost_core::admission::{Finish, RefuseReason, RequestKey};
 use plantainpost_http1::{
-    self as http1, AnswerBody, BodyPart, Connection, Framing, NoAnswer,
-    ResponseHead as TargetHead,
+    self as http1, AnswerBody, BodyPart, Connection, Framing, NoAnswer, ResponseHead as TargetHead,
 };
 use plantainpost_wire::{
     frame::FrameError,
-    message::{BodyLength, FailReason, Header, MAX_BODY_PIECE, PeerMessage, ResponseHead},
+    message::{
+        BodyLength, EAGER_BODY_BYTES, FailReason, Header, MAX_BODY_PIECE, PeerMessage, ResponseHead,
+    },
 };
 use slog::{info, warn};
 
@@ -21,10 +22,7 @@
     sent,
     slot::Slot,
 };
-use crate::{
-    headers,
-    node::Node,
-};
+use crate::{headers, node::Node};
 
 /// Status with which a target sheds load.
 const SERVICE_UNAVAILABLE: u16 = 503;
@@ -103,7 +101,7 @@
 }
 
 /// Takes over the load that an answer tells.
-fn learn_load(node: &Node, head: &TargetHead) {
+pub(crate) fn learn_load(node: &Node, head: &TargetHead) {
     let Some(name) = node.settings.headers.load else {
         return;
     };
@@ -303,7 +301,7 @@
 fn takes_more(length: BodyLength) -> bool {
     match length {
         BodyLength::None => false,
-        BodyLength::Sized(length) => length > MAX_BODY_PIECE as u64,
+        BodyLength::Sized(length) => length > EAGER_BODY_BYTES as u64,
         BodyLength::Chunked => true,
     }
 }
@@ -378,6 +376,11 @@
         warn!(node.logger, "answer of the target cut"; "request" => %req.public_id(node));
         return Exchange::Broken;
     };
+    let load = node.guard.borrow().load(node.now());
+    info!(node.logger, "request served"; "request" => %req.public_id(node), "status" => status,
+        "service_us" => slot.micros(), "bytes" => bytes, "in_flight" => load.in_flight,
+        "queued" => load.queued, "slots" => load.slots, "pace" => load.pace_percent,
+        "pace_at_start" => slot.pace_percent());
     slot.finish(match status {
         SERVICE_UNAVAILABLE => Finish::TargetRefused,
         _ => Finish::Completed {
@@ -403,11 +406,7 @@
 
 /// Sends the pieces of a body and returns their length, once it is complete. The
 /// last pieces may still be in the buffer of the connection.
-async fn send_pieces(
-    conn: &mut Conn,
-    req: &Pending,
-    body: &mut AnswerBody,
-) -> Result<u64, ()> {
+async fn send_pieces(conn: &mut Conn, req: &Pending, body: &mut AnswerBody) -> Result<u64, ()> {
     let mut bytes = 0;
     loop {
         let part = match body.next().now_or_never() {
@@ -428,11 +427,7 @@
     }
 }
 
-async fn next_part(
-    conn: &mut Conn,
-    req: &Pending,
-    body: &mut AnswerBody,
-) -> Result<BodyPart, ()> {
+async fn next_part(conn: &mut Conn, req: &Pending, body: &mut AnswerBody) -> Result<BodyPart, ()> {
     if !req.body.ended {
         return Ok(body.next().await);
     }
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -12,13 +12,14 @@
     frame::FrameError,
     message::{BodyLength, FailReason, MAX_BODY_PIECE, PeerMessage, RequestHead},
 };
+use slog::info;
 use tokio::sync::oneshot;
 
 use super::{
     Conn, Exchange, local_deadline, relay, sent,
     slot::{Admitted, Slot},
 };
-use crate::node::Node;
+use crate::{node::Node, pace};
 
 /// Time that an entry has to send the rest of the body of a refused request, in
 /// milliseconds.
@@ -101,6 +102,7 @@
         body,
     };
     let key = req.head.key;
+    pace::refresh(node).await;
     let admission = offer(node, &req);
     let admitted = match admission {
         Admission::Refused(reason) => return refuse(node, conn, req, reason).await,
@@ -125,6 +127,7 @@
         key: req.head.key,
         service: req.head.service.as_str(),
         deadline: req.deadline,
+        may_decline: req.head.may_decline,
     };
     node.guard.borrow_mut().offer(node.now(), &offer)
 }
@@ -134,6 +137,7 @@
 async fn wait_for_slot(node: &Node, conn: &mut Conn, req: &mut Pending) -> Wait {
     let (tx, mut rx) = oneshot::channel();
     node.waiters.borrow_mut().insert(req.head.key, tx);
+    node.pace.wake();
     loop {
         tokio::select! {
             woken = &mut rx => return match woken {
@@ -218,6 +222,10 @@
 ) -> Exchange {
     node.metrics.count("guard.refused");
     let load = node.guard.borrow().load(node.now());
+    info!(node.logger, "request refused"; "request" => %req.public_id(node),
+        "reason" => reason.as_str(), "in_flight" => load.in_flight, "queued" => load.queued,
+        "slots" => load.slots, "pace" => load.pace_percent, "draining" => load.draining,
+        "left_us" => req.deadline.micros_since(node.now()));
     let key = req.head.key;
     let msg = PeerMessage::Refused { key, reason, load };
     if sent(conn.tx.write(&msg).await) == Exchange::Broken {
--- a/crates/node/src/guard/slot.rs
+++ b/crates/node/src/guard/slot.rs
@@ -17,13 +17,17 @@
     node: Rc<Node>,
     key: RequestKey,
     dispatched: Instant,
+    /// Pace of the target's host at the dispatch, as far as it was known.
+    pace_percent: u32,
     finished: bool,
 }
 
 impl Slot {
     /// Takes charge of the slot of a request that was just dispatched.
     pub(super) fn new(node: &Rc<Node>, key: RequestKey) -> Self {
+        let load = node.guard.borrow().load(node.now());
         Slot {
+            pace_percent: load.pace_percent,
             node: Rc::clone(node),
             key,
             dispatched: node.now(),
@@ -31,6 +35,12 @@
         }
     }
 
+    /// Returns the pace of the target's host at the dispatch, in percent of the usual time;
+    /// zero if it was not known.
+    pub(super) fn pace_percent(&self) -> u32 {
+        self.pace_percent
+    }
+
     /// Returns the time since the dispatch, in microseconds.
     pub(super) fn micros(&self) -> u64 {
         self.node.now().micros_since(self.dispatched)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod log;
 mod metrics;
 mod node;
+mod pace;
 mod peers;
 mod probe;
 mod report;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -27,9 +27,18 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::{
-    audit::AuditQueue, clock::Clock, config_sync::Ahead, fleet::Applied, log::LogService,
+    audit::AuditQueue,
+    clock::Clock,
+    config_sync::Ahead,
+    fleet::Applied,
+    log::LogService,
     metrics::Metrics,
-    peers::PeerPool, probe::Probes, report::LastReport, settings::{NodeSettings, Routing}, target::TargetPool,
+    pace::PaceWatch,
+    peers::PeerPool,
+    probe::Probes,
+    report::LastReport,
+    settings::{NodeSettings, Routing},
+    target::TargetPool,
     trace::TraceRing,
 };
 
@@ -63,6 +72,7 @@
     pub(crate) traces: RefCell<TraceRing>,
     pub(crate) log_service: Rc<dyn LogService>,
     pub(crate) udp: UdpSocket,
+    pub(crate) pace: PaceWatch,
     pub(crate) probes: Probes,
     pub(crate) report: LastReport,
     /// A peer whose configuration state is to be fetched.
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -11,11 +11,7 @@
 use plantainpost_wire::datagram::Reported;
 use serde::Deserialize;
 
-use crate::{
-    headers,
-    node::Node,
-    probe,
-};
+use crate::{headers, node::Node, probe};
 
 /// Path at which a target reports its load.
 const PATH: &str = "/load";
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -31,6 +31,7 @@
     log::LogService,
     metrics::Metrics,
     node::{Node, Stop},
+    pace,
     peers::PeerPool,
     report,
     settings::NodeSettings,
@@ -180,6 +181,7 @@
     actix_rt::spawn(gossip::tick(Rc::clone(node)));
     actix_rt::spawn(gossip::expire_queue(Rc::clone(node)));
     actix_rt::spawn(config_sync::follow_peers(Rc::clone(node)));
+    actix_rt::spawn(pace::watch(Rc::clone(node)));
 }
 
 /// Starts what follows the product's own streams on the log service.
@@ -250,6 +252,7 @@
         traces: RefCell::default(),
         log_service,
         udp,
+        pace: Default::default(),
         probes: Default::default(),
         report: Default::default(),
         ahead: Default::default(),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -122,11 +122,7 @@
     exchanges + callers.get()
 }
 
-async fn wait_until_idle(
-    node: &Rc<Node>,
-    callers: &Rc<Cell<usize>>,
-    deadline: Instant,
-) {
+async fn wait_until_idle(node: &Rc<Node>, callers: &Rc<Cell<usize>>, deadline: Instant) {
     loop {
         let now = node.now();
         if in_flight(node, callers) == 0 || now >= deadline {
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -63,4 +63,3 @@
         None
     }
 }
-
--- a/crates/node/src/trace.rs
+++ b/crates/node/src/trace.rs
@@ -23,6 +23,19 @@
     pub(crate) micros: u64,
 }
 
+impl AttemptTrace {
+    /// Returns the attempt as text for logs.
+    pub(crate) fn describe(&self) -> String {
+        let AttemptTrace {
+            node,
+            cause,
+            result,
+            micros,
+        } = self;
+        format!("{cause} at {node}: {result} after {micros} us")
+    }
+}
+
 /// What happened to one request.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct RequestTrace {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -22,6 +22,11 @@
 /// It bounds the memory of a request to a few pieces in each direction.
 pub const MAX_BODY_PIECE: usize = 64 * 1024;
 
+/// Longest body that an entry sends before the guard has started the request, in bytes.
+///
+/// A refused request is sent elsewhere, and its body would have travelled for nothing.
+pub const EAGER_BODY_BYTES: usize = 8 * 1024;
+
 /// First message of the accepting side of a connection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
@@ -87,6 +92,8 @@
     pub priority: u32,
     /// Whether this is a hedge or stems from one.
     pub hedged: bool,
+    /// Whether the entry would rather hear of a slow moment of the target's host than wait.
+    pub may_decline: bool,
     /// Length of the body that follows.
     pub body: BodyLength,
 }
@@ -148,9 +155,10 @@
     },
     /// A request, from entry to guard.
     Request(RequestHead),
-    /// The guard has started the request and takes the rest of its body. It is sent
-    /// only for bodies that may be longer than [`MAX_BODY_PIECE`]; until then the
-    /// entry keeps what it sent, so that it can send a refused request elsewhere.
+    /// The guard has started the request and takes its body. It is sent only for bodies
+    /// that may be longer than [`EAGER_BODY_BYTES`]; a shorter one follows the head at once.
+    /// In both cases the entry keeps up to [`MAX_BODY_PIECE`] bytes until the guard has
+    /// answered, so that it can send a refused request elsewhere.
     Continue {
         /// Attempt that was started.
         key: RequestKey,
--- a/tests/integration/peer.rs
+++ b/tests/integration/peer.rs
@@ -143,6 +143,8 @@
         headers: nonce.iter().chain(headers).map(header).collect(),
         deadline: now().saturating_add_millis(5_000),
         idempotent: false,
+        priority: 0,
+        may_decline: false,
         hedged: false,
         body: BodyLength::None,
     }
