Prefer targets in the own data centre by the bytes of a request; stop without late cuts

A stop refuses requests once connections are closing, leaves pipelined requests unread behind one in progress, and answers what is left before the end; before, the connection was closed after 5.4 s without an answer. SIGHUP reloads the settings; it ended the process (exit 129).

--- a/crates/cli/commands.rs
+++ b/crates/cli/commands.rs
@@ -125,7 +125,7 @@
     let (logger, _guard) = logging::build(&settings.output);
     slog::info!(logger, "starting"; "node" => &settings.node.name);
     block_on(async {
-        let summary = node::run(&settings, logger).await?;
+        let summary = node::run(&flags.settings, &settings, logger).await?;
         Ok(Report::done(format!("{summary}\n")))
     })
 }
--- a/crates/cli/keys.rs
+++ b/crates/cli/keys.rs
@@ -138,6 +138,8 @@
 
     key("balance", "policy", Kind::Choice(POLICIES), Absent::Default("predicted-completion"),
         "Policy for choosing a target. All but the default are baselines for comparison."),
+    key("balance", "transfer_cost", Kind::Time(0, 1_000), Absent::Default("0 ms"),
+        "Time that is worth as much as a KiB less sent to another data centre."),
 
     key("output", "format", Kind::Choice(&["text", "json"]), Absent::Default("text"),
         "Format of log lines on standard output."),
--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -36,8 +36,12 @@
 /// # Errors
 ///
 /// Fails if a key can't be used or the node does not start.
-pub(crate) async fn run(settings: &Settings, logger: Logger) -> Result<Summary, RunError> {
-    let borders = borders(settings)?;
+pub(crate) async fn run(
+    file: &str,
+    settings: &Settings,
+    logger: Logger,
+) -> Result<Summary, RunError> {
+    let borders = borders(file, settings)?;
     let settings = node_settings(settings)?;
     Ok(plantainpost_node::run(settings, borders, logger).await?)
 }
@@ -50,7 +54,7 @@
 /// platform needs two missed readiness checks, 1 s apart, to send callers elsewhere.
 const LINGER_PERCENT_OF_GRACE: u64 = 45;
 
-fn borders(settings: &Settings) -> Result<Borders, RunError> {
+fn borders(file: &str, settings: &Settings) -> Result<Borders, RunError> {
     let address = settings.log.address.clone();
     let platform = match settings.log.is_platform {
         true => {
@@ -69,8 +73,13 @@
         address,
         ..Default::default()
     };
+    let file = file.to_owned();
     Ok(Borders {
         log: Rc::new(HttpLog::new(log)),
+        reload: Box::new(move || {
+            let (settings, _) = Settings::load(&file).map_err(|e| e.to_string())?;
+            node_settings(&settings).map_err(|e| e.to_string())
+        }),
         platform,
     })
 }
@@ -94,6 +103,7 @@
             false => Default::default(),
         },
         announce_every_ms: millis(settings.platform.announce_every),
+        transfer_us_per_kib: millis(settings.transfer_cost) * 1_000,
         retries: retries(settings),
         fleet_budget: settings
             .retry
--- a/crates/cli/settings.rs
+++ b/crates/cli/settings.rs
@@ -101,6 +101,8 @@
     pub(crate) retry: Retry,
     /// Name of the policy for choosing a target.
     pub(crate) policy: String,
+    /// Time that is worth as much as a KiB less between data centres.
+    pub(crate) transfer_cost: Duration,
     pub(crate) output: Output,
 }
 
@@ -282,6 +284,7 @@
                 },
             },
             policy: self.text("balance", "policy"),
+            transfer_cost: self.time("balance", "transfer_cost"),
             output: Output {
                 format: self.text("output", "format"),
                 level: self.text("output", "level"),
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -120,7 +120,8 @@
         self.release_above_half(now, service);
     }
 
-    /// Chooses a target. `exclude` holds the nodes that this request has tried.
+    /// Chooses a target for a request of no particular size; see
+    /// [`Balancer::choose_for`].
     ///
     /// # Errors
     ///
@@ -132,13 +133,33 @@
         exclude: &[NodeName],
         rng: &mut dyn Rng,
     ) -> Result<NodeName, NoChoice> {
+        self.choose_for(now, service, 0, exclude, rng)
+    }
+
+    /// Chooses a target for a request with its answer of about `bytes`. `exclude` holds the nodes that this request has tried.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service has no target, or none that is left to try.
+    pub fn choose_for(
+        &mut self,
+        now: Instant,
+        service: &str,
+        bytes: u64,
+        exclude: &[NodeName],
+        rng: &mut dyn Rng,
+    ) -> Result<NodeName, NoChoice> {
+        let transfer_us = self.cfg.transfer_us(bytes);
         let entry = self
             .services
             .get_mut(service)
             .ok_or(NoChoice::UnknownService)?;
         entry.last_request = Some(now);
         let nodes = &self.nodes;
-        let candidates = candidates(&self.cfg, nodes, now, entry, exclude)?;
+        let mut candidates = candidates(&self.cfg, nodes, now, entry, exclude)?;
+        for candidate in candidates.iter_mut().filter(|candidate| !candidate.local) {
+            candidate.transfer_us = transfer_us;
+        }
         if exclude.is_empty() {
             let due = candidates
                 .iter()
--- a/crates/core/src/balance/policy.rs
+++ b/crates/core/src/balance/policy.rs
@@ -20,6 +20,9 @@
     pub weight: u32,
     /// Network round trip, measured or assumed, in microseconds.
     pub distance_us: u32,
+    /// Cost of the bytes that the request sends to another data centre, as the time that is
+    /// worth the same, in microseconds; zero within the data centre.
+    pub transfer_us: u32,
     /// What the entry knows about the target.
     pub estimate: &'a Estimate,
 }
--- a/crates/core/src/balance/predicted.rs
+++ b/crates/core/src/balance/predicted.rs
@@ -74,7 +74,12 @@
         self.sampled.shuffle(rng);
         let cost_us = |index: &usize| {
             let score = Score::new(req.now, &req.candidates[*index], &self.cfg);
-            score.total_us() - if shared { score.distance_us } else { 0.0 }
+            score.total_us()
+                - if shared {
+                    score.distance_us + score.transfer_us
+                } else {
+                    0.0
+                }
         };
         self.sampled
             .iter()
--- a/crates/core/src/balance/roster.rs
+++ b/crates/core/src/balance/roster.rs
@@ -129,6 +129,7 @@
         local,
         weight: target.weight,
         distance_us: state.estimate.rtt_us.unwrap_or(assumed_us),
+        transfer_us: 0,
         estimate: &state.estimate,
     }
 }
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -67,6 +67,8 @@
     pub service_us: f64,
     /// Network round trip.
     pub distance_us: f64,
+    /// Cost of sending the request to another data centre.
+    pub transfer_us: f64,
     /// Penalty for recent failures.
     pub failure_us: f64,
     /// Penalty for a queue that is about to be full.
@@ -84,6 +86,7 @@
             queue_us: load * QUEUE_WEIGHT * service_us,
             service_us,
             distance_us: f64::from(candidate.distance_us),
+            transfer_us: f64::from(candidate.transfer_us),
             failure_us: failure_us(now, candidate, cfg),
             refusal_us: refusal_us(load, cfg),
             cold_us: cold_us(now, candidate, cfg),
@@ -92,7 +95,7 @@
 
     /// Returns the sum of the parts.
     pub fn total_us(&self) -> f64 {
-        let waits_us = self.queue_us + self.service_us + self.distance_us;
+        let waits_us = self.queue_us + self.service_us + self.distance_us + self.transfer_us;
         waits_us + self.failure_us + self.refusal_us + self.cold_us
     }
 }
--- a/crates/core/src/balance/settings.rs
+++ b/crates/core/src/balance/settings.rs
@@ -31,6 +31,9 @@
     pub local_distance_us: u32,
     /// Round trip that is assumed between data centres until one is measured.
     pub remote_distance_us: u32,
+    /// Cost of a KiB that is sent to another data centre, as the time that is worth the
+    /// same, in microseconds.
+    pub transfer_us_per_kib: u64,
     /// Constants of the score, used for explanations.
     pub score: ScoreSettings,
 }
@@ -49,7 +52,16 @@
             traffic_memory_ms: 5_000,
             local_distance_us: 200,
             remote_distance_us: 2_000,
+            transfer_us_per_kib: 0,
             score: ScoreSettings::default(),
         }
     }
 }
+
+impl BalancerSettings {
+    /// Returns the cost of sending `bytes` to another data centre, in microseconds.
+    pub(super) fn transfer_us(&self, bytes: u64) -> u32 {
+        let micros = bytes.saturating_mul(self.transfer_us_per_kib) / 1_024;
+        u32::try_from(micros).unwrap_or(u32::MAX)
+    }
+}
--- a/crates/node/src/border.rs
+++ b/crates/node/src/border.rs
@@ -11,12 +11,14 @@
 use plantainpost_core::routing::RouteTable;
 use snafu::Snafu;
 
-use crate::log::LogService;
+use crate::{log::LogService, settings::NodeSettings};
 
 /// The systems around a node.
 pub struct Borders {
     /// Log service with the product's own streams.
     pub log: Rc<dyn LogService>,
+    /// Reads the settings of the node again.
+    pub reload: Box<dyn Fn() -> Result<NodeSettings, String>>,
     /// Platform that the node runs on; `None` where it stands for itself.
     pub platform: Option<Platform>,
 }
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -23,6 +23,10 @@
     settings::Routing,
 };
 
+/// Bytes of an answer between nodes that is assumed, with the framing of both directions:
+/// most answers are a head and a small body.
+const ANSWER_BYTES: u64 = 1_024;
+
 /// Why a request of a caller is not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BadRequest {
@@ -119,6 +123,18 @@
         self.upload_started.get()
     }
 
+    /// Returns about how many bytes the request and its answer take between two nodes.
+    pub(crate) fn bytes(&self) -> u64 {
+        let body = match self.length {
+            BodyLength::None => 0,
+            BodyLength::Sized(length) => length,
+            BodyLength::Chunked => MAX_BODY_PIECE as u64,
+        };
+        let headers = self.headers.iter();
+        let head: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        body + (head + self.path.len()) as u64 + ANSWER_BYTES
+    }
+
     /// Returns the id as text for logs.
     pub(crate) fn public_id(&self) -> std::borrow::Cow<'_, str> {
         String::from_utf8_lossy(&self.public_id)
@@ -252,7 +268,8 @@
     let names = &node.settings.headers;
     let mut list = names.of_request(&head.headers);
     list.push(headers::header(names.request_id, public_id.clone()));
-    if let (Some(name), Some(service)) = (names.origin_service, &node.settings.service) {
+    let service = node.service.borrow();
+    if let (Some(name), Some(service)) = (names.origin_service, &*service) {
         let service = Bytes::copy_from_slice(service.as_str().as_bytes());
         list.push(headers::header(name, service));
     }
--- a/crates/node/src/entry/conn.rs
+++ b/crates/node/src/entry/conn.rs
@@ -400,7 +400,10 @@
                 self.buf.clear();
                 return Input::Closed;
             }
-            if self.replies.len() >= MAX_PIPELINED {
+            // The answer to the request in progress closes the connection at a stop. What
+            // follows stays unread, so that callers can send it elsewhere.
+            let is_stopping = self.node.stop.has_started() && !self.replies.is_empty();
+            if is_stopping || self.replies.len() >= MAX_PIPELINED {
                 return Input::Answers;
             }
             let limits = self.node.caller_limits();
@@ -516,8 +519,11 @@
     async fn write(&mut self, part: Option<ReplyPart>) -> Option<End> {
         let mut part = part;
         loop {
-            let pending = self.replies.front_mut()?;
-            let stopping = self.node.stop.has_started();
+            let is_last = self.replies.len() == 1;
+            let stopping = self.node.stop.has_started() && is_last && self.upload.is_none();
+            let Some(pending) = self.replies.front_mut() else {
+                return None;
+            };
             let Some(next) = part else {
                 // The task ended before the end of the answer.
                 let _ = self.tx.write_all(&self.out).await;
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -47,6 +47,10 @@
         reply,
     } = incoming;
     let id = call::new_id();
+    if node.stop.is_closing() {
+        let public_id = call::public_id(&node, id, &head);
+        return refuse_at_stop(&node, &public_id, reply).await;
+    }
     let public_id = call::public_id(&node, id, &head);
     let call = receive(&node, id, &public_id, received, head, body).await;
     let sent = match call {
@@ -68,6 +72,24 @@
     }
 }
 
+/// Refuses a request that came so late in a stop that its answer could be cut.
+async fn refuse_at_stop(node: &Node, public_id: &Bytes, reply: Reply) {
+    node.metrics.count("entry.refused_at_stop");
+    let answer = OwnAnswer {
+        close: true,
+        ..OwnAnswer::not_run("stopping")
+    };
+    info!(node.logger, "request refused"; "request" => %String::from_utf8_lossy(public_id),
+        "reason" => answer.reason);
+    if answer
+        .send(&node.settings.headers, public_id, reply)
+        .await
+        .is_err()
+    {
+        node.metrics.count("entry.caller_gone");
+    }
+}
+
 /// Takes a request up to the point at which it can be sent to a guard.
 async fn receive(
     node: &Rc<Node>,
@@ -142,6 +164,7 @@
             let hedge = wait_for_hedge(self.node, self.hedge);
             let done = tokio::select! {
                 done = self.running.next() => done,
+                () = self.node.stop.wait_cut() => return AttemptEnd::Unknown("stopping"),
                 () = hedge => {
                     self.hedge();
                     continue;
@@ -172,9 +195,10 @@
 
     fn start(&mut self, cause: Cause) -> Result<(), &'static str> {
         let now = self.node.now();
-        let chosen = self.node.balancer.borrow_mut().choose(
+        let chosen = self.node.balancer.borrow_mut().choose_for(
             now,
             self.call.rule.service.as_str(),
+            self.call.bytes(),
             &self.tried,
             &mut *self.node.rng.borrow_mut(),
         );
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod pace;
 mod peers;
 mod probe;
+mod reload;
 mod report;
 pub mod settings;
 mod start;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -53,6 +53,8 @@
     pub(crate) identity: Identity,
     pub(crate) keys: FleetKeys,
     pub(crate) rng: RefCell<StdRng>,
+    /// Service of the target on this host, if the settings name it.
+    pub(crate) service: RefCell<Option<ServiceName>>,
     pub(crate) guard: RefCell<Guard>,
     /// Cloned by each exchange about a request between an entry and this guard. It lasts
     /// longer than the slot of the request, because the last bytes of an answer may wait
@@ -94,6 +96,10 @@
     closing: Cell<bool>,
     /// Wakes whoever waits for `closing`.
     notify: Notify,
+    /// Requests in flight are answered at once, because the process ends soon.
+    cutting: Cell<bool>,
+    /// Wakes whoever waits for `cutting`.
+    notify_cut: Notify,
 }
 
 impl Stop {
@@ -113,6 +119,20 @@
         self.started.get()
     }
 
+    /// Answers the requests that are still in flight.
+    pub(crate) fn cut(&self) {
+        self.cutting.set(true);
+        self.notify_cut.notify_waiters();
+    }
+
+    /// Waits until requests in flight are to be answered at once.
+    pub(crate) async fn wait_cut(&self) {
+        let notified = self.notify_cut.notified();
+        if !self.cutting.get() {
+            notified.await;
+        }
+    }
+
     /// Reports whether connections are being closed.
     pub(crate) fn is_closing(&self) -> bool {
         self.closing.get()
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -96,6 +96,9 @@
     pub headers: HeaderNames,
     /// Time between two announcements of a target on the platform, in milliseconds.
     pub announce_every_ms: u64,
+    /// Cost of a KiB that is sent to another data centre, as the time that is worth the
+    /// same, in microseconds.
+    pub transfer_us_per_kib: u64,
     /// Retries and hedges.
     pub retries: BudgetSettings,
     /// Bound on the extra requests of the whole fleet, if there is one.
@@ -140,6 +143,7 @@
             routing: Routing::ByName,
             headers: HeaderNames::default(),
             announce_every_ms: 1_500,
+            transfer_us_per_kib: 0,
             retries: BudgetSettings::default(),
             fleet_budget: None,
             listen_control: Vec::new(),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -33,7 +33,7 @@
     node::{Node, Stop},
     pace,
     peers::PeerPool,
-    report,
+    reload, report,
     settings::NodeSettings,
     stop::{self, Summary},
     store_sync,
@@ -132,7 +132,11 @@
         NoTokenSnafu { addr: admin }
     );
     let listeners = Listeners::open(&settings).await?;
-    let Borders { log, platform } = borders;
+    let Borders {
+        log,
+        reload,
+        platform,
+    } = borders;
     let node = build(settings, keys, log, logger, listeners.peer_udp)?;
     info!(node.logger, "node started";
         "node" => %node.name(),
@@ -148,6 +152,7 @@
         Some(platform) => spawn_platform_tasks(&node, &platform, listeners.control),
         None => spawn_log_tasks(&node),
     }
+    reload::on_signal(&node, reload).context(SetupSnafu { what: "signals" })?;
     stop::wait_for_signal(&node)
         .await
         .context(SetupSnafu { what: "signals" })?;
@@ -227,6 +232,7 @@
     let balancer_settings = BalancerSettings {
         entry: settings.name.clone(),
         data_centre: settings.data_centre.clone(),
+        transfer_us_per_kib: settings.transfer_us_per_kib,
         ..Default::default()
     };
     let guard_settings = GuardSettings {
@@ -240,6 +246,7 @@
         guard: RefCell::new(Guard::new(guard_settings)),
         exchanges: Rc::default(),
         waiters: RefCell::default(),
+        service: RefCell::new(settings.service.clone()),
         balancer: RefCell::new(Balancer::new(balancer_settings, policy)),
         retries: RefCell::new(Budgets::with_settings(settings.retries)),
         measuring: RefCell::new(measure::Budget::new()),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -10,6 +10,7 @@
     audit::{self, AuditEvent},
     fleet, gossip,
     node::Node,
+    settings::Routing,
 };
 
 /// Time between two looks at what is in flight, in milliseconds.
@@ -18,6 +19,9 @@
 /// Time for the last entries of the audit trail, in milliseconds.
 const AUDIT_TIMEOUT_MS: u64 = 2_000;
 
+/// Time for the answers to requests that are cut, in milliseconds.
+const CUT_MS: u64 = 300;
+
 /// What a node did between its start and its stop.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Summary {
@@ -90,10 +94,15 @@
     let cut = in_flight(node, callers);
     if cut > 0 {
         warn!(node.logger, "requests were cut at the stop deadline"; "count" => cut);
+        node.stop.cut();
+        let until = node.now().saturating_add_millis(CUT_MS);
+        wait_until_idle(node, callers, until).await;
     }
     depart(node).await;
-    let limit = node.now().saturating_add_millis(AUDIT_TIMEOUT_MS);
-    let _ = node.clock.before(limit, audit::write_rest(node)).await;
+    if node.settings.routing == Routing::ByName {
+        let limit = node.now().saturating_add_millis(AUDIT_TIMEOUT_MS);
+        let _ = node.clock.before(limit, audit::write_rest(node)).await;
+    }
     summary(node, cut)
 }
 
