--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -149,7 +149,7 @@
         } else {
             from.saturating_sub(1)
         };
-        self.lower(now, limit)
+        self.lower(now, limit.max(self.refusal_floor()))
     }
 
     /// Learns that a request was cancelled after `micros` at the target.
@@ -198,6 +198,14 @@
         self.raise(now)
     }
 
+    /// Returns the limit below which refusals don't lower it.
+    ///
+    /// A target that refuses requests at half its capacity does not refuse them for want of
+    /// slots, so that fewer requests would only be served by it, and not more of them.
+    fn refusal_floor(&self) -> u32 {
+        self.current.min(self.ceiling.div_ceil(2))
+    }
+
     /// Returns the greatest number of requests at once that counts as low concurrency.
     fn low(&self) -> u32 {
         self.ceiling.div_ceil(4)
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -366,3 +366,26 @@
     guard.note_pace(later, 500);
     expect_that!(guard.expire(later).len(), eq(1));
 }
+
+/// Guards against a limit that collapses because the target refuses a share of its requests
+/// whatever their number. On such a target a limit of one served 4 requests a second instead
+/// of 30, for half a minute after the fault had ended.
+#[gtest]
+fn refusals_at_random_leave_half_of_the_slots() {
+    let mut now = Instant::from_millis(1_000);
+    let mut guard = paced_guard(now, 100);
+    for id in 0..200 {
+        let offer = paced_offer(id, false);
+        guard.offer(now, &offer);
+        guard.dispatch(now, offer.key);
+        now = now.saturating_add_millis(5);
+        let finish = match id % 2 {
+            0 => Finish::TargetRefused,
+            _ => Finish::Completed {
+                server_error: false,
+            },
+        };
+        guard.finish(now, offer.key, finish, 5_000);
+    }
+    expect_that!(guard.limit(), ge(6));
+}
