--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -5,10 +5,11 @@
     LimitSettings, Offer, RefuseReason, RequestKey, Wakeup,
     limit::Limit,
     pace::{Pace, PaceSettings},
-    queue::Queue,
+    queue::{Queue, Waiting},
     records::{Records, State},
     steps::Place,
     target::Newest,
+    work::WorkTimes,
 };
 use crate::{load::LoadSample, time::Instant};
 
@@ -59,6 +60,7 @@
     pub(super) draining: bool,
     pub(super) limit: Limit,
     pub(super) pace: Pace,
+    pub(super) work: WorkTimes,
     /// Holds exactly the keys of the records in state `Queued`.
     pub(super) queue: Queue,
     pub(super) records: Records,
@@ -82,6 +84,7 @@
             draining: false,
             limit: Limit::new(cfg.limit, 0),
             pace: Pace::default(),
+            work: WorkTimes::default(),
             queue: Queue::default(),
             records: Records::new(cfg.max_records),
             in_flight: 0,
@@ -168,13 +171,19 @@
                 self.in_flight += 1;
                 self.counters.started += 1;
                 self.put(offer.key, State::Admitted, offer.deadline);
+                self.records.set_class(offer.key, offer.urgency.class);
                 Admission::Start
             }
             Ok(Place::Queue) => {
                 self.counters.queued += 1;
-                let hold_until = self.hold_until(now);
-                let ticket = self.queue.push(offer.key, offer.deadline, hold_until);
+                let ticket = self.queue.push(Waiting {
+                    key: offer.key,
+                    deadline: offer.deadline,
+                    urgency: offer.urgency,
+                    hold_until: self.hold_until(now, offer.urgency.class),
+                });
                 self.put(offer.key, State::Queued(ticket), offer.deadline);
+                self.records.set_class(offer.key, offer.urgency.class);
                 Admission::Queued
             }
             Err(reason) => {
@@ -294,7 +303,10 @@
     /// in the future while wakeups are due.
     pub fn next_expiry(&self) -> Option<Instant> {
         let held = match self.in_flight < self.limit.current() {
-            true => self.queue.first_hold_until(),
+            true => {
+                let first = self.queue.first(Instant::default(), &self.work);
+                first.map(|(_, waiting)| waiting.hold_until)
+            }
             false => None,
         };
         let lapse = self.target.as_ref().map(|target| target.expires);
@@ -313,7 +325,7 @@
     /// Notes how long work takes at the target's host, in percent of the usual time, as the
     /// target has just told.
     pub fn note_pace(&mut self, now: Instant, pace_percent: u32) {
-        self.pace.note(now, pace_percent);
+        self.pace.note(now, pace_percent, &self.cfg.pace);
         self.note_due(now);
     }
 
@@ -333,7 +345,7 @@
     /// Returns the load for peers.
     pub fn load(&self, now: Instant) -> LoadSample {
         let is_live = self.target(now).is_some();
-        let service_time_us = self.limit.service_time().mean_us();
+        let service_time_us = self.work.mean_of_all_us();
         LoadSample {
             in_flight: self.in_flight,
             queued: self.queued() as u32,
--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -5,7 +5,7 @@
 //! its service time at low concurrency, which means that it works on fewer requests at
 //! once than it announced. The limit rises by one slot at a time.
 
-use super::service_time::{CompareSettings, Comparison, Level, ServiceTime, Verdict};
+use super::service_time::{CompareSettings, Comparison, Level, Verdict};
 use crate::time::Instant;
 
 /// Settings of the concurrency limit.
@@ -63,7 +63,6 @@
     ceiling: u32,
     /// At most `ceiling`; at least one unless `ceiling` is zero.
     current: u32,
-    service_time: ServiceTime,
     comparison: Comparison,
     /// Completed requests at high concurrency since the last change, counted where
     /// service times can't be compared.
@@ -87,7 +86,6 @@
         Limit {
             ceiling,
             current: ceiling,
-            service_time: ServiceTime::default(),
             comparison: Comparison::new(cfg.compare),
             successes: 0,
             changed: Instant::default(),
@@ -113,11 +111,6 @@
         }
     }
 
-    /// Returns the service time of the target.
-    pub(super) fn service_time(&self) -> &ServiceTime {
-        &self.service_time
-    }
-
     /// Takes over a renewed announcement. A lowered limit stays lowered.
     pub(super) fn set_ceiling(&mut self, ceiling: u32) {
         if ceiling == self.ceiling {
@@ -152,12 +145,6 @@
         self.lower(now, limit.max(self.refusal_floor()))
     }
 
-    /// Learns that a request was cancelled after `micros` at the target.
-    pub(super) fn on_cancel(&mut self, level: u32, micros: u64) {
-        self.service_time.add_cancelled(micros);
-        self.on_failure(level);
-    }
-
     /// Learns that a request ended with an error or without an answer.
     pub(super) fn on_failure(&mut self, level: u32) {
         if level <= self.low() {
@@ -167,7 +154,6 @@
 
     /// Learns the service time of a completed request.
     pub(super) fn on_sample(&mut self, now: Instant, sample: Sample) -> Change {
-        self.service_time.add(sample.service_time_us);
         let is_full = self.is_full(sample.level);
         if is_full && sample.started < self.changed {
             return Change::None;
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -22,6 +22,7 @@
 mod steps;
 mod target;
 mod types;
+mod work;
 
 pub use self::{
     counters::Counters,
@@ -30,5 +31,5 @@
     pace::PaceSettings,
     service_time::CompareSettings,
     target::{Announced, AnnouncedTarget, Announcement, Life},
-    types::{Admission, Dispatch, FenceState, Finish, Offer, RefuseReason, RequestKey, Wakeup},
+    types::{Admission, Dispatch, FenceState, Finish, Offer, RefuseReason, RequestKey, Urgency, Wakeup},
 };
--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/pace.rs
@@ -30,20 +30,40 @@
     }
 }
 
+/// Time over which the share of slow moments is averaged, in microseconds.
+const SHARE_MEMORY_US: u64 = 3_000_000;
+
+/// Largest share of slow moments that predictions use. On a host that is always slow,
+/// requests start after they were held.
+const MAX_SHARE: f64 = 0.75;
+
 /// What is known of the pace.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Pace {
     /// When the target last told the pace, and what it was in percent of the usual time.
     told: Option<(Instant, u32)>,
+    /// Share of the recent time that was slow, from 0 to 1.
+    slow_share: f64,
     /// When it was last asked.
     asked: Option<Instant>,
 }
 
 impl Pace {
-    pub(super) fn note(&mut self, now: Instant, percent: u32) {
+    pub(super) fn note(&mut self, now: Instant, percent: u32, cfg: &PaceSettings) {
+        if let Some((at, last)) = self.told {
+            let passed_us = now.micros_since(at).min(cfg.forget_us);
+            let weight = passed_us as f64 / (SHARE_MEMORY_US + passed_us) as f64;
+            let was_slow = f64::from(u8::from(last >= cfg.slow_percent));
+            self.slow_share += (was_slow - self.slow_share) * weight;
+        }
         self.told = Some((now, percent));
     }
 
+    /// Returns the share of the recent time that was slow, from 0 to [`MAX_SHARE`].
+    pub(super) fn slow_share(&self) -> f64 {
+        self.slow_share.min(MAX_SHARE)
+    }
+
     /// Returns the last pace in percent; zero if the target does not tell it.
     pub(super) fn percent(&self) -> u32 {
         self.told.map_or(0, |(_, percent)| percent)
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::RequestKey;
+use super::{RequestKey, Urgency, work::WorkTimes};
 use crate::time::Instant;
 
 /// Position in the queue; never reused.
@@ -10,14 +10,21 @@
 
 /// A request in the queue.
 #[derive(Clone, Copy, Debug)]
-struct Waiting {
-    key: RequestKey,
-    deadline: Instant,
+pub(super) struct Waiting {
+    pub(super) key: RequestKey,
+    pub(super) deadline: Instant,
+    pub(super) urgency: Urgency,
     /// Instant from which the request starts even in a slow moment of the target's host.
-    hold_until: Instant,
+    pub(super) hold_until: Instant,
 }
 
-/// FIFO queue with removal by ticket and a view by deadline.
+/// Place of a request in the order of starts; smaller starts earlier.
+///
+/// Requests that can still be answered in time come before those that are late already. Of
+/// the former the most urgent comes first, and of equal ones that which is due first.
+type Place = (bool, u32, Instant, Ticket);
+
+/// Queue with removal by ticket and a view by deadline.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     next: Ticket,
@@ -26,32 +33,39 @@
     by_deadline: BTreeSet<(Instant, Ticket)>,
 }
 
+impl Waiting {
+    fn place(&self, now: Instant, ticket: Ticket, work: &WorkTimes) -> Place {
+        let due = self.urgency.due.unwrap_or(Instant::MAX);
+        let need_us = work.mean_us(self.urgency.class);
+        let is_late = now.saturating_add_micros(need_us) > due;
+        (is_late, self.urgency.priority, due, ticket)
+    }
+}
+
 impl Queue {
     /// Returns the number of waiting requests.
     pub(super) fn len(&self) -> usize {
         self.waiting.len()
     }
 
-    /// Appends a request.
-    pub(super) fn push(
-        &mut self,
-        key: RequestKey,
-        deadline: Instant,
-        hold_until: Instant,
-    ) -> Ticket {
+    /// Adds a request.
+    pub(super) fn push(&mut self, waiting: Waiting) -> Ticket {
         let ticket = self.next;
         self.next += 1;
-        let waiting = Waiting {
-            key,
-            deadline,
-            hold_until,
-        };
+        self.by_deadline.insert((waiting.deadline, ticket));
         self.waiting.insert(ticket, waiting);
-        self.by_deadline.insert((deadline, ticket));
         ticket
     }
 
-    /// Takes the request that has waited longest.
+    /// Returns the request that starts next.
+    pub(super) fn first(&self, now: Instant, work: &WorkTimes) -> Option<(Ticket, &Waiting)> {
+        let places = self.waiting.iter();
+        places
+            .min_by_key(|(ticket, waiting)| waiting.place(now, **ticket, work))
+            .map(|(ticket, waiting)| (*ticket, waiting))
+    }
+
+    /// Takes any request.
     pub(super) fn pop(&mut self) -> Option<RequestKey> {
         let (&ticket, _) = self.waiting.first_key_value()?;
         self.remove(ticket)
@@ -64,20 +78,39 @@
         Some(waiting.key)
     }
 
-    /// Takes a request whose deadline has passed.
-    pub(super) fn pop_expired(&mut self, now: Instant) -> Option<RequestKey> {
-        let &(deadline, ticket) = self.by_deadline.first()?;
-        if now < deadline {
-            return None;
-        }
+    /// Takes a request that can't be answered before its deadline any more.
+    pub(super) fn pop_hopeless(&mut self, now: Instant, work: &WorkTimes) -> Option<RequestKey> {
+        let hopeless = self.waiting.iter().find(|(_, waiting)| {
+            let least_us = work.least_us(waiting.urgency.class);
+            now.saturating_add_micros(least_us) >= waiting.deadline
+        });
+        let ticket = *hopeless?.0;
         self.remove(ticket)
     }
 
-    /// Returns the instant from which the request that has waited longest starts even in a
-    /// slow moment.
-    pub(super) fn first_hold_until(&self) -> Option<Instant> {
-        let (_, waiting) = self.waiting.first_key_value()?;
-        Some(waiting.hold_until)
+    /// Returns the work of the requests that would start before one with this urgency, in
+    /// microseconds of one slot.
+    pub(super) fn work_ahead_us(&self, now: Instant, urgency: &Urgency, work: &WorkTimes) -> u64 {
+        let own = Waiting {
+            key: RequestKey::default(),
+            deadline: Instant::MAX,
+            urgency: *urgency,
+            hold_until: now,
+        };
+        let own = own.place(now, Ticket::MAX, work);
+        self.waiting
+            .iter()
+            .filter(|(ticket, waiting)| waiting.place(now, **ticket, work) < own)
+            .map(|(_, waiting)| work.mean_us(waiting.urgency.class))
+            .sum()
+    }
+
+    /// Returns the number of requests that can't be answered in time any more.
+    pub(super) fn late(&self, now: Instant, work: &WorkTimes) -> usize {
+        let waiting = self.waiting.iter();
+        waiting
+            .filter(|(ticket, waiting)| waiting.place(now, **ticket, work).0)
+            .count()
     }
 
     /// Returns the earliest deadline of a waiting request.
--- a/crates/core/src/admission/records.rs
+++ b/crates/core/src/admission/records.rs
@@ -45,6 +45,7 @@
     pub(super) started: Instant,
     /// Requests that held a slot at the dispatch, this one included.
     pub(super) level: u32,
+    pub(super) class: u32,
     /// Whether the dispatch was in a slow moment of the target's host.
     pub(super) is_slow: bool,
 }
@@ -96,6 +97,13 @@
         }
     }
 
+    /// Notes the class of a request.
+    pub(super) fn set_class(&mut self, key: RequestKey, class: u32) {
+        if let Some(record) = self.by_key.get_mut(&key) {
+            record.class = class;
+        }
+    }
+
     /// Drops records in a final state whose time has passed.
     pub(super) fn drop_old(&mut self, now: Instant) {
         while let Some(entry) = self.drops.first_entry() {
--- a/crates/core/src/admission/service_time.rs
+++ b/crates/core/src/admission/service_time.rs
@@ -50,6 +50,18 @@
         self.mean.value as u64
     }
 
+    /// Returns the number of samples, as far as they count.
+    pub(super) fn samples(&self) -> u32 {
+        self.mean.samples
+    }
+
+    /// Returns a time in which few requests are served: the mean less one mean deviation, and
+    /// at most four fifths of the mean, because predictions are not exact.
+    pub(super) fn least_us(&self) -> u64 {
+        let less_deviation = (self.mean.value - self.deviation.value).max(0.0);
+        less_deviation.min(self.mean.value * 0.8) as u64
+    }
+
     /// Returns a time in which most requests are served: the mean and two mean
     /// deviations.
     ///
--- a/crates/core/src/admission/steps.rs
+++ b/crates/core/src/admission/steps.rs
@@ -1,8 +1,9 @@
 //! Steps that the operations of the guard share.
 
 use super::{
-    Admission, Dispatch, FenceState, Finish, Guard, Offer, RefuseReason, RequestKey, Wakeup,
+    Admission, Dispatch, FenceState, Finish, Guard, Offer, RefuseReason, RequestKey, Urgency, Wakeup,
     limit::{Change, Sample},
+    queue::Ticket,
     records::{Record, State},
 };
 use crate::time::Instant;
@@ -58,42 +59,63 @@
         if is_slow && offer.may_decline {
             return Err(RefuseReason::Slow);
         }
+        if self.is_hopeless(now, offer) {
+            return Err(RefuseReason::Overloaded);
+        }
         if !is_slow && self.queue.len() == 0 && self.in_flight < self.limit.current() {
             return Ok(Place::Slot);
         }
         let max_queued = u64::from(target.slots) * u64::from(self.cfg.queue_factor);
-        let remaining = offer.deadline.micros_since(now);
-        if self.queue.len() as u64 >= max_queued || self.predicted_time_us() > remaining {
+        if self.queue.len() as u64 >= max_queued {
+            return Err(RefuseReason::Overloaded);
+        }
+        let end = now.saturating_add_micros(self.predicted_time_us(now, &offer.urgency));
+        if end > offer.deadline {
             return Err(RefuseReason::Overloaded);
         }
-        Ok(Place::Queue)
+        if offer.urgency.due.is_none_or(|due| end <= due) {
+            return Ok(Place::Queue);
+        }
+        // A late answer is worth little. It may use what on-time requests leave, but a long
+        // queue of late requests would only be refused later.
+        let has_room = self.queue.late(now, &self.work) < self.limit.current() as usize;
+        match has_room && !offer.may_decline {
+            true => Ok(Place::Queue),
+            false => Err(RefuseReason::Overloaded),
+        }
+    }
+
+    /// Returns whether the target could hardly answer before the deadline if it started now.
+    fn is_hopeless(&self, now: Instant, offer: &Offer<'_>) -> bool {
+        let least_us = self.work.least_us(offer.urgency.class);
+        now.saturating_add_micros(least_us) >= offer.deadline
     }
 
     /// Returns the instant until which a request that is queued now waits for the end of a
     /// slow moment.
-    pub(super) fn hold_until(&self, now: Instant) -> Instant {
+    pub(super) fn hold_until(&self, now: Instant, class: u32) -> Instant {
         if !self.pace.is_slow(now, &self.cfg.pace) {
             return now;
         }
-        let service_us = self.limit.service_time().mean_us();
+        let service_us = self.work.mean_us(class);
         now.saturating_add_micros(self.pace.worthwhile_delay_us(service_us))
     }
 
     /// Predicts when a request that is queued now is answered, in microseconds.
     ///
-    /// The request needs one slot to come free for each request ahead and one for
-    /// itself. The prediction includes its own service time, because an answer after
-    /// the deadline occupies a slot for nothing.
-    fn predicted_time_us(&self) -> u64 {
-        let service_time = self.limit.service_time();
-        let turns = self.queue.len() as u64 + 1;
-        match u64::from(self.limit.current()) {
-            0 => u64::MAX,
-            slots => {
-                let wait = service_time.mean_us().saturating_mul(turns) / slots;
-                wait.saturating_add(service_time.usual_us())
-            }
+    /// One slot has to come free for the work ahead, and one for the request itself. The
+    /// prediction includes its own service time, because an answer after the deadline
+    /// occupies a slot for nothing. Nothing starts in slow moments, so that waits are longer
+    /// by their share of the time.
+    fn predicted_time_us(&self, now: Instant, urgency: &Urgency) -> u64 {
+        let slots = u64::from(self.limit.current());
+        if slots == 0 {
+            return u64::MAX;
         }
+        let ahead_us = self.queue.work_ahead_us(now, urgency, &self.work);
+        let wait_us = (ahead_us + self.work.mean_of_all_us()) / slots;
+        let wait_us = (wait_us as f64 / (1.0 - self.pace.slow_share())) as u64;
+        wait_us.saturating_add(self.work.usual_us(urgency.class))
     }
 
     /// Checks an admitted request at the moment of dispatch.
@@ -138,7 +160,10 @@
             State::Started => {
                 if record.generation == self.generation {
                     let elapsed = now.micros_since(record.started);
-                    self.limit.on_cancel(record.level, elapsed);
+                    if !record.is_slow {
+                        self.work.add_cancelled(record.class, elapsed);
+                    }
+                    self.limit.on_failure(record.level);
                 }
                 self.release(now, key, State::Finished, record.deadline);
             }
@@ -175,6 +200,15 @@
         if record.generation != self.generation {
             return;
         }
+        let is_complete = matches!(
+            finish,
+            Finish::Completed {
+                server_error: false
+            }
+        );
+        if is_complete && !record.is_slow {
+            self.work.add(record.class, time_us);
+        }
         let change = match finish {
             // Work that started in a slow moment says nothing about the concurrency.
             Finish::Completed { .. } if record.is_slow => Change::None,
@@ -214,6 +248,7 @@
     /// Writes the record of a request that is not with the target.
     pub(super) fn put(&mut self, key: RequestKey, state: State, deadline: Instant) {
         let record = Record {
+            class: 0,
             is_slow: false,
             state,
             deadline,
@@ -254,8 +289,8 @@
 
     /// Notes that wakeups may be due.
     pub(super) fn note_due(&mut self, now: Instant) {
-        let has_room = self.queue.len() > 0 && self.in_flight < self.limit.current();
-        let can_promote = has_room && self.may_start_first(now);
+        let has_room = self.in_flight < self.limit.current();
+        let can_promote = has_room && self.first_to_start(now).is_some();
         if can_promote || !self.pending.is_empty() {
             self.due.get_or_insert(now);
         }
@@ -264,27 +299,36 @@
     /// Hands out the wakeups that are due: refusals first, then admissions in the
     /// order of arrival.
     pub(super) fn wake(&mut self, now: Instant) -> Vec<Wakeup> {
-        while let Some(key) = self.queue.pop_expired(now) {
+        while let Some(key) = self.queue.pop_hopeless(now, &self.work) {
             self.refuse_waiting(key, RefuseReason::Deadline);
         }
         let mut wakeups = std::mem::take(&mut self.pending);
-        while self.in_flight < self.limit.current() && self.may_start_first(now) {
-            let Some(key) = self.queue.pop() else { break };
+        while self.in_flight < self.limit.current() {
+            let Some(ticket) = self.first_to_start(now) else {
+                break;
+            };
+            let Some(key) = self.queue.remove(ticket) else {
+                break;
+            };
             wakeups.push(self.promote(key));
         }
         self.due = None;
         wakeups
     }
 
-    /// Returns whether the request that has waited longest may start at this pace.
-    fn may_start_first(&self, now: Instant) -> bool {
-        !self.pace.is_slow(now, &self.cfg.pace)
-            || self.queue.first_hold_until().is_some_and(|at| at <= now)
+    /// Returns the request that starts next, unless it waits for the end of a slow moment.
+    fn first_to_start(&self, now: Instant) -> Option<Ticket> {
+        let (ticket, waiting) = self.queue.first(now, &self.work)?;
+        let is_slow = self.pace.is_slow(now, &self.cfg.pace);
+        (!is_slow || waiting.hold_until <= now).then_some(ticket)
     }
 
     fn promote(&mut self, key: RequestKey) -> Wakeup {
-        let deadline = self.records.get(key).map(|record| record.deadline);
+        let record = self.records.get(key).copied();
+        let deadline = record.map(|record| record.deadline);
         self.put(key, State::Admitted, deadline.unwrap_or_default());
+        self.records
+            .set_class(key, record.map_or(0, |record| record.class));
         self.in_flight += 1;
         self.counters.promoted += 1;
         Wakeup {
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -7,7 +7,9 @@
 use crate::{ids::RequestId, time::Instant};
 
 /// Identifies one attempt of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct RequestKey {
     /// Request that the attempt belongs to.
     pub id: RequestId,
@@ -27,6 +29,19 @@
     /// Whether the entry would rather hear of a slow moment of the target's host than wait
     /// for its end, because it knows of another target.
     pub may_decline: bool,
+    /// How urgent the request is.
+    pub urgency: Urgency,
+}
+
+/// How urgent a request is. The default is a request without a latency target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Urgency {
+    /// Requests of one class take about the same time at a target.
+    pub class: u32,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Instant until which the answer is worth most, if there is one.
+    pub due: Option<Instant>,
 }
 
 /// Decision on an offer.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -71,7 +71,7 @@
 pub struct Incarnation(pub u64);
 
 /// Identifies a request across all its attempts.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestId(pub u128);
 
 impl fmt::Display for RequestId {
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -167,6 +167,14 @@
         &self.shares[0].service
     }
 
+    /// Returns a number that tells the requests of this route from those of others. Equal
+    /// numbers of two routes do no harm.
+    pub fn class(&self) -> u32 {
+        // FNV-1a, which gives the same number on every node.
+        let fold = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(16_777_619);
+        self.name.bytes().fold(2_166_136_261, fold)
+    }
+
     /// Reports whether a request may run more than once.
     pub fn is_idempotent(&self) -> bool {
         self.repeat == Repeat::Allowed
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -10,7 +10,7 @@
 use plantainpost_core::{
     admission::{
         Admission, Announcement, Dispatch, FenceState, Finish, Guard, GuardSettings, Life, Offer,
-        RefuseReason, RequestKey, Wakeup,
+        RefuseReason, RequestKey, Urgency, Wakeup,
     },
     ids::RequestId,
     time::Instant,
@@ -95,6 +95,7 @@
                 service,
                 deadline,
                 may_decline: false,
+                urgency: Urgency::default(),
             },
         ))
     }
@@ -322,6 +323,7 @@
         service: "stock",
         deadline: Instant::from_millis(5_000),
         may_decline,
+        urgency: Urgency::default(),
     }
 }
 
--- a/crates/core/tests/admission_goodput.rs
+++ b/crates/core/tests/admission_goodput.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use plantainpost_core::{
     admission::{
-        Admission, Announcement, Dispatch, Finish, Guard, GuardSettings, Life, Offer, RequestKey,
+        Admission, Announcement, Dispatch, Finish, Guard, GuardSettings, Life, Offer, RequestKey, Urgency,
         Wakeup,
     },
     collections::HashMap,
@@ -156,6 +156,7 @@
             service: "stock",
             deadline,
             may_decline: false,
+            urgency: Urgency::default(),
         };
         match self.guard.offer(self.now, &offer) {
             Admission::Start => self.dispatch(id),
--- a/crates/core/tests/admission_model/mod.rs
+++ b/crates/core/tests/admission_model/mod.rs
@@ -5,7 +5,7 @@
 use plantainpost_core::{
     admission::{
         Admission, Announcement, Dispatch, FenceState, Finish, Guard, GuardSettings, Life, Offer,
-        RefuseReason, RequestKey, Wakeup,
+        RefuseReason, RequestKey, Urgency, Wakeup,
     },
     ids::RequestId,
     time::Instant,
@@ -163,6 +163,7 @@
             service: "stock",
             deadline,
             may_decline: false,
+            urgency: Urgency::default(),
         };
         let admission = self.guard.offer(self.now, &offer);
         if let Admission::Refused(reason) = admission {
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -364,7 +364,7 @@
         headers: call.headers.clone(),
         deadline: call.deadline,
         idempotent: call.rule.idempotent,
-        priority: call.rule.priority,
+        urgency: call.urgency(),
         may_decline: attempt.may_decline,
         hedged: call.hedged || attempt.cause == Cause::Hedge,
         body: call.length,
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use plantainpost_core::{
+    admission::Urgency,
     ids::{RequestId, ServiceName},
     retry,
     routing::Route,
@@ -77,8 +78,6 @@
     pub(crate) max_reached: u32,
     /// Longest time until the final answer, in milliseconds.
     pub(crate) timeout_ms: u64,
-    /// Rank; 0 is the most urgent.
-    pub(crate) priority: u32,
     /// Route that gave the rule, if there are routes.
     pub(crate) route: Option<Rc<Route>>,
     /// Version of the routes.
@@ -123,6 +122,18 @@
         self.upload_started.get()
     }
 
+    /// Returns how urgent the request is.
+    pub(crate) fn urgency(&self) -> Urgency {
+        let Some(route) = &self.rule.route else {
+            return Urgency::default();
+        };
+        Urgency {
+            class: route.class(),
+            priority: route.priority,
+                due: Some(self.received.saturating_add_millis(route.latency_target_ms)),
+        }
+    }
+
     /// Returns about how many bytes the request and its answer take between two nodes.
     pub(crate) fn bytes(&self) -> u64 {
         let body = match self.length {
@@ -220,7 +231,6 @@
         service,
         max_reached: retry::MAX_RETRIES + 1,
         timeout_ms: node.settings.limits.max_timeout_ms,
-        priority: 0,
         route: None,
         version: register.version().unwrap_or_default(),
     }
@@ -235,7 +245,6 @@
         idempotent: route.is_idempotent(),
         max_reached: route.attempts,
         timeout_ms: route.timeout_ms,
-        priority: route.priority,
         route: Some(Rc::clone(route)),
         version: table.version(),
     })
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use plantainpost_core::{
-    admission::{Admission, Dispatch, Offer, RefuseReason},
+    admission::{Admission, Dispatch, Offer, RefuseReason, Urgency},
     time::Instant,
 };
 use plantainpost_http1::{self as http1, Connection};
@@ -71,6 +71,8 @@
     pub(super) head: RequestHead,
     /// Deadline on the own clock.
     pub(super) deadline: Instant,
+    /// Urgency with instants of the own clock.
+    pub(super) urgency: Urgency,
     pub(super) body: Received,
 }
 
@@ -96,9 +98,14 @@
     node.metrics.count("guard.request");
     let deadline = local_deadline(conn, head.deadline);
     let body = Received::new(head.body);
+    let urgency = Urgency {
+        due: head.urgency.due.map(|due| local_deadline(conn, due)),
+        ..head.urgency
+    };
     let mut req = Pending {
         head,
         deadline,
+        urgency,
         body,
     };
     let key = req.head.key;
@@ -128,6 +135,7 @@
         service: req.head.service.as_str(),
         deadline: req.deadline,
         may_decline: req.head.may_decline,
+        urgency: req.urgency,
     };
     node.guard.borrow_mut().offer(node.now(), &offer)
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use plantainpost_core::{
-    admission::{FenceState, RefuseReason, RequestKey},
+    admission::{FenceState, RefuseReason, RequestKey, Urgency},
     ids::{Incarnation, NodeName, ServiceName},
     load::LoadSample,
     time::Instant,
@@ -88,8 +88,8 @@
     pub deadline: Instant,
     /// Whether the request may run more than once.
     pub idempotent: bool,
-    /// Rank; 0 is the most urgent.
-    pub priority: u32,
+    /// How urgent the request is, with instants of the clock of the entry.
+    pub urgency: Urgency,
     /// Whether this is a hedge or stems from one.
     pub hedged: bool,
     /// Whether the entry would rather hear of a slow moment of the target's host than wait.
--- a/tests/integration/peer.rs
+++ b/tests/integration/peer.rs
@@ -143,7 +143,7 @@
         headers: nonce.iter().chain(headers).map(header).collect(),
         deadline: now().saturating_add_millis(5_000),
         idempotent: false,
-        priority: 0,
+        urgency: Default::default(),
         may_decline: false,
         hedged: false,
         body: BodyLength::None,
