--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -31,5 +31,7 @@
     pace::PaceSettings,
     service_time::CompareSettings,
     target::{Announced, AnnouncedTarget, Announcement, Life},
-    types::{Admission, Dispatch, FenceState, Finish, Offer, RefuseReason, RequestKey, Urgency, Wakeup},
+    types::{
+        Admission, Dispatch, FenceState, Finish, Offer, RefuseReason, RequestKey, Urgency, Wakeup,
+    },
 };
--- a/crates/core/src/admission/steps.rs
+++ b/crates/core/src/admission/steps.rs
@@ -1,7 +1,8 @@
 //! Steps that the operations of the guard share.
 
 use super::{
-    Admission, Dispatch, FenceState, Finish, Guard, Offer, RefuseReason, RequestKey, Urgency, Wakeup,
+    Admission, Dispatch, FenceState, Finish, Guard, Offer, RefuseReason, RequestKey, Urgency,
+    Wakeup,
     limit::{Change, Sample},
     queue::Ticket,
     records::{Record, State},
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -36,7 +36,7 @@
 /// How urgent a request is. The default is a request without a latency target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Urgency {
-    /// Requests of one class take about the same time at a target.
+    /// Requests of one class take about the same time at a target; 0 for no class.
     pub class: u32,
     /// Rank; 0 is the most urgent.
     pub priority: u32,
--- a/crates/core/src/admission/work.rs
+++ b/crates/core/src/admission/work.rs
@@ -6,6 +6,9 @@
 /// Classes that are told apart. Requests of further ones count as average.
 const MAX_CLASSES: usize = 256;
 
+/// Class of requests that are not told apart.
+const NO_CLASS: u32 = 0;
+
 /// Samples of a class before its own time is used.
 const MIN_SAMPLES: u32 = 5;
 
@@ -20,6 +23,9 @@
     /// Adds the time of a completed request.
     pub(super) fn add(&mut self, class: u32, micros: u64) {
         self.all.add(micros);
+        if class == NO_CLASS {
+            return;
+        }
         if self.by_class.len() < MAX_CLASSES || self.by_class.contains_key(&class) {
             self.by_class.entry(class).or_default().add(micros);
         }
@@ -54,8 +60,12 @@
         self.of(class).usual_us()
     }
 
-    /// Returns a time in which few requests of a class are served.
+    /// Returns a time in which few requests of a class are served. It is zero for requests
+    /// without a class, which may be much shorter than the others.
     pub(super) fn least_us(&self, class: u32) -> u64 {
-        self.of(class).least_us()
+        match class {
+            NO_CLASS => 0,
+            class => self.of(class).least_us(),
+        }
     }
 }
--- a/crates/core/tests/admission_goodput.rs
+++ b/crates/core/tests/admission_goodput.rs
@@ -5,8 +5,8 @@
 use googletest::prelude::*;
 use plantainpost_core::{
     admission::{
-        Admission, Announcement, Dispatch, Finish, Guard, GuardSettings, Life, Offer, RequestKey, Urgency,
-        Wakeup,
+        Admission, Announcement, Dispatch, Finish, Guard, GuardSettings, Life, Offer, RequestKey,
+        Urgency, Wakeup,
     },
     collections::HashMap,
     ids::RequestId,
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -130,7 +130,7 @@
         Urgency {
             class: route.class(),
             priority: route.priority,
-                due: Some(self.received.saturating_add_millis(route.latency_target_ms)),
+            due: Some(self.received.saturating_add_millis(route.latency_target_ms)),
         }
     }
 
