Native interface keeps its rules on the new data path

An unframed answer is refused unless the platform allows it. TCP_USER_TIMEOUT is not set, because it cuts uploads to a target that reads slowly (uploads test: 502 closed).

--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -102,6 +102,7 @@
             true => HEADERS,
             false => Default::default(),
         },
+        unframed_answers: is_platform,
         announce_every_ms: millis(settings.platform.announce_every),
         transfer_us_per_kib: millis(settings.transfer_cost) * 1_000,
         retries: retries(settings),
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -18,10 +18,6 @@
 /// Bytes asked of the socket in one read.
 const READ_BYTES: usize = 16 * 1024;
 
-/// Time in which a server must acknowledge data, in milliseconds. It is well above the round
-/// trip between regions with one lost segment.
-const USER_TIMEOUT_MS: u32 = 1_000;
-
 /// Longest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -70,7 +66,7 @@
     pub async fn open(addr: SocketAddr) -> io::Result<Self> {
         let io = TcpStream::connect(addr).await?;
         io.set_nodelay(true)?;
-        socket::set_timeouts(&io, USER_TIMEOUT_MS)?;
+        socket::set_keep_alive(&io)?;
         Ok(Connection {
             io,
             buf: BytesMut::new(),
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -19,7 +19,7 @@
     Framing, HeadError, RequestHead, ResponseHead, connection_options, take_request, take_response,
     text, value,
 };
-pub use socket::set_timeouts;
+pub use socket::set_keep_alive;
 
 /// A header as a name in lower case and its bytes.
 pub type Header = (String, Bytes);
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -13,17 +13,15 @@
 /// Probes without an answer after which a connection is closed.
 const KEEP_ALIVE_PROBES: u32 = 2;
 
-/// Makes a connection fail when its peer is silent: data that is not acknowledged within
-/// `user_timeout_ms` ends it, and so do unanswered probes of an idle connection.
+/// Makes an idle connection fail when its peer is silent, such as behind a cut network.
 ///
-/// Without this a connection through a cut network hangs until a deadline of the caller.
+/// `TCP_USER_TIMEOUT` is not set: it would also end connections whose peer reads slowly.
 ///
 /// # Errors
 ///
 /// Fails when the system refuses an option.
-pub fn set_timeouts(socket: impl AsFd, user_timeout_ms: u32) -> io::Result<()> {
+pub fn set_keep_alive(socket: impl AsFd) -> io::Result<()> {
     let fd = socket.as_fd();
-    sockopt::set_tcp_user_timeout(fd, user_timeout_ms)?;
     sockopt::set_socket_keepalive(fd, true)?;
     sockopt::set_tcp_keepidle(fd, KEEP_ALIVE_IDLE)?;
     sockopt::set_tcp_keepintvl(fd, KEEP_ALIVE_INTERVAL)?;
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -19,6 +19,7 @@
     time::Instant,
 };
 use plantainpost_http1::RequestHead;
+use plantainpost_wire::message::FailReason;
 
 use self::{
     answer::{Outcome, OwnAnswer},
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -358,6 +358,10 @@
 ) -> Exchange {
     let key = req.head.key;
     let status = answer.status;
+    if answer.framing == Framing::UntilClose && !node.settings.unframed_answers {
+        slot.finish(Finish::Failed);
+        return fail(node, conn, key, true, FailReason::Unframed).await;
+    }
     let length = answer_length(answer.framing);
     let head = ResponseHead {
         key,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -94,6 +94,9 @@
     pub routing: Routing,
     /// Names of headers.
     pub headers: HeaderNames,
+    /// Whether a target's answer may end with its connection. A cut that looks like a
+    /// regular end can't be seen then.
+    pub unframed_answers: bool,
     /// Time between two announcements of a target on the platform, in milliseconds.
     pub announce_every_ms: u64,
     /// Cost of a KiB that is sent to another data centre, as the time that is worth the
@@ -142,6 +145,7 @@
             service: None,
             routing: Routing::ByName,
             headers: HeaderNames::default(),
+            unframed_answers: false,
             announce_every_ms: 1_500,
             transfer_us_per_kib: 0,
             retries: BudgetSettings::default(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -122,6 +122,8 @@
     Closed,
     /// The target's answer was not HTTP.
     Malformed,
+    /// The target's answer had no length and no chunks.
+    Unframed,
     /// The deadline passed while the target worked.
     Deadline,
     /// The caller's body was not complete.
@@ -135,6 +137,7 @@
             FailReason::Connect => "connect",
             FailReason::Closed => "closed",
             FailReason::Malformed => "malformed",
+            FailReason::Unframed => "unframed",
             FailReason::Deadline => "deadline",
             FailReason::RequestBody => "request-body",
         }
--- a/tests/integration/scripted_guard.rs
+++ b/tests/integration/scripted_guard.rs
@@ -261,6 +261,13 @@
             }
             drop(peer);
             let text = caller.join().expect("no panic");
+            // The entry gathers a short answer before it passes on the head. A cut one is then
+            // replaced by its own answer, and nothing of the part may be in that.
+            if text.starts_with("HTTP/1.1 502") {
+                expect_that!(outcome(&text), eq("unknown"), "{name}: {text}");
+                expect_that!(text, not(contains_substring("part")), "{name}");
+                continue;
+            }
             // The head may be lost together with the rest.
             let received = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
             let whole = match length {
