--- a/crates/node/src/entry/conn.rs
+++ b/crates/node/src/entry/conn.rs
@@ -521,9 +521,7 @@
         loop {
             let is_last = self.replies.len() == 1;
             let stopping = self.node.stop.has_started() && is_last && self.upload.is_none();
-            let Some(pending) = self.replies.front_mut() else {
-                return None;
-            };
+            let pending = self.replies.front_mut()?;
             let Some(next) = part else {
                 // The task ended before the end of the answer.
                 let _ = self.tx.write_all(&self.out).await;
