A stopping node serves others until it closes its connections

Such a node is now used where there is no other, and its guard refuses from the closing of connections on.

--- a/crates/core/examples/compare/model.rs
+++ b/crates/core/examples/compare/model.rs
@@ -135,6 +135,7 @@
         slots: SLOTS,
         weight: 1,
         draining: false,
+        stopping: false,
     };
     let views: Vec<TargetView<'_>> = (first..topology.1).map(view).collect();
     let now = Instant::from_micros(now);
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -59,6 +59,9 @@
     pub weight: u32,
     /// Whether the target is leaving.
     pub draining: bool,
+    /// Whether the node beside the target is about to stop. Such a target is used only where
+    /// there is no other.
+    pub stopping: bool,
 }
 
 /// Predicted completion time at which a target counts as slow, as a multiple of the best
@@ -114,6 +117,7 @@
             data_centre: DataCentre::from(target.data_centre),
             weight: target.weight,
             draining: target.draining,
+            stopping: target.stopping,
             in_subset: used.contains(target.node),
         });
         self.services.entry(name).or_default().targets = targets.collect();
--- a/crates/core/src/balance/roster.rs
+++ b/crates/core/src/balance/roster.rs
@@ -21,6 +21,7 @@
     pub(super) data_centre: DataCentre,
     pub(super) weight: u32,
     pub(super) draining: bool,
+    pub(super) stopping: bool,
     /// Set only if the target has a share and is not leaving.
     pub(super) in_subset: bool,
 }
@@ -100,16 +101,19 @@
             NoChoice::NoTarget
         });
     }
-    let left: Vec<Candidate<'_>> = staying
+    let (stopping, left): (Vec<_>, Vec<_>) = staying
         .into_iter()
         .filter(|(target, _)| !exclude.contains(&target.node))
-        .map(|(target, state)| candidate(cfg, target, state))
-        .collect();
+        .partition(|(target, _)| target.stopping);
+    // A node that stops still serves for a while, which matters when the others are gone.
+    let left = if left.is_empty() { stopping } else { left };
     if left.is_empty() {
-        Err(NoChoice::AllExcluded)
-    } else {
-        Ok(left)
+        return Err(NoChoice::AllExcluded);
     }
+    let candidates = left.into_iter();
+    Ok(candidates
+        .map(|(target, state)| candidate(cfg, target, state))
+        .collect())
 }
 
 pub(super) fn candidate<'a>(
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -38,6 +38,7 @@
         slots: 12,
         weight: 1,
         draining: false,
+        stopping: false,
     }
 }
 
@@ -179,6 +180,7 @@
     };
     let leaving = TargetView {
         draining: true,
+        stopping: false,
         ..view("n1")
     };
     // Targets, excluded nodes, expected.
@@ -399,3 +401,26 @@
     }
     expect_that!(wanted, each(all!(ge(24), le(27))));
 }
+
+/// Guards against a service without any target while the node beside its last one stops,
+/// although that node still serves.
+#[gtest]
+fn a_stopping_node_is_used_only_without_others() {
+    let view = |node, stopping| TargetView {
+        node,
+        data_centre: "pos",
+        slots: 12,
+        weight: 100,
+        draining: false,
+        stopping,
+    };
+    let mut balancer = entry("entry", "pos", PRODUCT);
+    balancer.set_targets(LATER, SERVICE, &[view("n0", true), view("n1", false)]);
+    for _ in 0..20 {
+        let chosen = balancer.choose(LATER, SERVICE, &[], &mut rng());
+        expect_that!(chosen, ok(eq(&NodeName::from("n1"))));
+    }
+    balancer.set_targets(LATER, SERVICE, &[view("n0", true)]);
+    let chosen = balancer.choose(LATER, SERVICE, &[], &mut rng());
+    expect_that!(chosen, ok(eq(&NodeName::from("n0"))));
+}
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -26,6 +26,8 @@
     pub(crate) ip: IpAddr,
     pub(crate) slots: u32,
     pub(crate) draining: bool,
+    /// Whether the node is about to stop.
+    pub(crate) stopping: bool,
 }
 
 /// Tells the balancer and the guard of changes in the fleet and the configuration.
@@ -64,7 +66,7 @@
         settings.ip,
         settings.data_centre.as_str(),
     );
-    let draining = leaving || node.stop.has_started();
+    let draining = leaving || node.stop.is_closing();
     node.guard.borrow_mut().set_draining(draining);
     let share = content.measuring_permille();
     let now = node.now();
@@ -113,7 +115,9 @@
             data_centre: record.data_centre.clone(),
             ip: record.ip,
             slots: target.slots,
-            draining: target.draining || record.state == MemberState::Leaving,
+            // A leaving node tells of a draining target in any case; its guard knows better.
+            draining: target.draining && record.state != MemberState::Leaving,
+            stopping: record.state == MemberState::Leaving,
         });
     }
     targets
@@ -132,6 +136,7 @@
             slots: target.slots,
             weight: content.weight(target.service.as_str(), name, dc),
             draining: target.draining || content.is_leaving(name, target.ip, dc),
+            stopping: target.stopping,
         };
         services
             .entry(target.service.clone())
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -40,6 +40,10 @@
     target::TargetPool,
 };
 
+/// Time between two attempts to reach a dead member or an unknown contact, in milliseconds. A
+/// node that restarts while the store refuses it is found and told the routes by its peers.
+const RETRY_DEAD_EVERY_MS: u64 = 1_000;
+
 /// A node could not start.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -289,5 +293,9 @@
         target: None,
         config_version: 0,
     };
-    Membership::new(MemberSettings::default(), local, &settings.contacts, now)
+    let cfg = MemberSettings {
+        retry_every_ms: RETRY_DEAD_EVERY_MS,
+        ..Default::default()
+    };
+    Membership::new(cfg, local, &settings.contacts, now)
 }
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -81,7 +81,6 @@
     info!(node.logger, "stopping");
     audit::note(node, AuditEvent::Stopping);
     node.stop.start();
-    node.guard.borrow_mut().set_draining(true);
     fleet::refresh(node);
     let limits = &node.settings.limits;
     let started = node.now();
@@ -90,6 +89,7 @@
     tell_peers(node).await;
     node.clock.sleep_until(linger.min(deadline)).await;
     node.stop.close();
+    node.guard.borrow_mut().set_draining(true);
     wait_until_idle(node, callers, deadline).await;
     let cut = in_flight(node, callers);
     if cut > 0 {
