Slow moments are relative to the best recent pace of the host

Ruled out: recovery of nodes (all had routes and targets 1.0 s after the loss of power) and load. The last target of a service that is tried now holds a request instead of declining. The test gives Refused(Slow) without the change.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -114,6 +114,7 @@
             self.limit.set_ceiling(target.capacity());
         } else {
             self.limit = Limit::new(self.cfg.limit, target.capacity());
+            self.pace = Pace::default();
         }
         self.target = Some(target);
         self.note_due(now);
--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/pace.rs
@@ -9,8 +9,12 @@
 /// Settings for the pace of the target's host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PaceSettings {
-    /// Pace from which a moment counts as slow, in percent of the usual time.
+    /// Pace from which a moment counts as slow, in percent of the best recent pace. A target
+    /// that has just started is slow for seconds, and waiting for its end would serve nobody.
     pub slow_percent: u32,
+    /// Time for which the best pace is remembered, in microseconds; it is known for up to
+    /// twice this time.
+    pub best_us: u64,
     /// Age up to which the last pace is believed, in microseconds.
     pub fresh_us: u64,
     /// Least time between two measurements, in microseconds.
@@ -23,6 +27,7 @@
     fn default() -> Self {
         PaceSettings {
             slow_percent: 150,
+            best_us: 500_000,
             fresh_us: 20_000,
             interval_us: 20_000,
             forget_us: 500_000,
@@ -30,6 +35,9 @@
     }
 }
 
+/// Pace at which work takes the usual time.
+const USUAL_PERCENT: u32 = 100;
+
 /// Time over which the share of slow moments is averaged, in microseconds.
 const SHARE_MEMORY_US: u64 = 3_000_000;
 
@@ -42,6 +50,10 @@
 pub(super) struct Pace {
     /// When the target last told the pace, and what it was in percent of the usual time.
     told: Option<(Instant, u32)>,
+    /// Best pace of the present period and of the one before it, in percent.
+    best: [Option<u32>; 2],
+    /// End of the present period.
+    best_until: Instant,
     /// Share of the recent time that was slow, from 0 to 1.
     slow_share: f64,
     /// When it was last asked.
@@ -53,10 +65,16 @@
         if let Some((at, last)) = self.told {
             let passed_us = now.micros_since(at).min(cfg.forget_us);
             let weight = passed_us as f64 / (SHARE_MEMORY_US + passed_us) as f64;
-            let was_slow = f64::from(u8::from(last >= cfg.slow_percent));
+            let was_slow = f64::from(u8::from(self.is_slow_percent(last, cfg)));
             self.slow_share += (was_slow - self.slow_share) * weight;
         }
         self.told = Some((now, percent));
+        if now >= self.best_until {
+            let is_gap = now >= self.best_until.saturating_add_micros(cfg.best_us);
+            self.best = [None, self.best[0].filter(|_| !is_gap)];
+            self.best_until = now.saturating_add_micros(cfg.best_us);
+        }
+        self.best[0] = Some(self.best[0].map_or(percent, |best| best.min(percent)));
     }
 
     /// Returns the share of the recent time that was slow, from 0 to [`MAX_SHARE`].
@@ -72,10 +90,15 @@
     /// Reports whether work that starts now would probably take much longer than usual.
     pub(super) fn is_slow(&self, now: Instant, cfg: &PaceSettings) -> bool {
         self.told.is_some_and(|(at, percent)| {
-            percent >= cfg.slow_percent && now.micros_since(at) < cfg.forget_us
+            self.is_slow_percent(percent, cfg) && now.micros_since(at) < cfg.forget_us
         })
     }
 
+    fn is_slow_percent(&self, percent: u32, cfg: &PaceSettings) -> bool {
+        let best = self.best.iter().flatten().min().copied().unwrap_or(percent);
+        u64::from(percent) * 100 >= u64::from(best.max(USUAL_PERCENT)) * u64::from(cfg.slow_percent)
+    }
+
     /// Reports whether the pace should be measured before the next start, and notes that
     /// this is done.
     pub(super) fn ask(&mut self, now: Instant, cfg: &PaceSettings) -> bool {
@@ -96,7 +119,7 @@
     /// moment would lengthen the work. Waiting so long and starting then costs at most
     /// twice the time of the better choice.
     pub(super) fn worthwhile_delay_us(&self, service_us: u64) -> u64 {
-        let extra_percent = u64::from(self.percent().saturating_sub(100));
+        let extra_percent = u64::from(self.percent().saturating_sub(USUAL_PERCENT));
         service_us * extra_percent / 100
     }
 }
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -188,6 +188,12 @@
         Ok(NodeName::from(candidates[index].node))
     }
 
+    /// Returns the number of targets of a service that take requests.
+    pub fn target_count(&self, service: &str) -> usize {
+        let service = self.services.get(service);
+        service.map_or(0, |service| service.active().count())
+    }
+
     /// Records that a request was sent to a node.
     pub fn on_sent(&mut self, now: Instant, node: &str) {
         if let Some(state) = self.nodes.get_mut(node) {
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -295,7 +295,7 @@
     }
 }
 
-/// A guard with one target of 12 slots that tells its pace.
+/// A guard with one target of 12 slots that told the usual pace and now tells another.
 fn paced_guard(now: Instant, percent: u32) -> Guard {
     let mut guard = Guard::new(GuardSettings::default());
     guard.announce(
@@ -310,6 +310,7 @@
             leaving: false,
         },
     );
+    guard.note_pace(now, 100);
     guard.note_pace(now, percent);
     guard
 }
@@ -391,3 +392,23 @@
     }
     expect_that!(guard.limit(), ge(6));
 }
+
+/// Guards against a service that refuses everything for seconds after all its targets have
+/// started again, because a target that is still cold tells a steady slow pace.
+#[gtest]
+fn a_steady_slow_pace_is_no_slow_moment() {
+    let mut now = Instant::from_millis(1_000);
+    let mut guard = paced_guard(now, 200);
+    // The usual pace was told before the start, and is forgotten after a while.
+    now = now.saturating_add_millis(1_100);
+    guard.note_pace(now, 200);
+    for id in 0..8 {
+        now = now.saturating_add_millis(250);
+        guard.note_pace(now, 200);
+        let admission = guard.offer(now, &paced_offer(id, true));
+        expect_that!(admission, eq(Admission::Start));
+    }
+    guard.note_pace(now, 1_000);
+    let admission = guard.offer(now, &paced_offer(9, true));
+    expect_that!(admission, eq(Admission::Refused(RefuseReason::Slow)));
+}
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -204,6 +204,8 @@
             &mut *self.node.rng.borrow_mut(),
         );
         let peer = chosen.map_err(|_| "no-target")?;
+        let service = self.call.rule.service.as_str();
+        let targets = self.node.balancer.borrow().target_count(service);
         if cause == Cause::First {
             // Only services with targets get an account: callers can make up names.
             let service = self.call.rule.service.as_str();
@@ -213,7 +215,7 @@
             peer: peer.clone(),
             number: self.tried.len() as u32,
             cause,
-            may_decline: self.tried.len() < MAX_DECLINES,
+            may_decline: self.tried.len() + 1 < targets.min(MAX_DECLINES + 1),
             started: now,
         };
         self.tried.push(peer);
