--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,76 @@
+//! Routes and splits.
+
+use std::{collections::BTreeMap, rc::Rc};
+
+use googletest::prelude::*;
+use plantainpost_core::{
+    ids::ServiceName,
+    routing::{CallerLimits, Repeat, Route, RouteTable, Share},
+};
+use rand::{SeedableRng, rngs::StdRng};
+
+fn route(host: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
+    let shares = shares.iter().map(|(service, weight)| Share {
+        service: ServiceName::from(*service),
+        weight: *weight,
+    });
+    Route {
+        name: Rc::from(format!("{host}{prefix}")),
+        host: Rc::from(host),
+        prefix: Rc::from(prefix),
+        shares: shares.collect(),
+        repeat: Repeat::Allowed,
+        timeout_ms: 1_000,
+        latency_target_ms: 500,
+        attempts: 2,
+        priority: 0,
+    }
+}
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    let limits = CallerLimits {
+        header_bytes: 1,
+        body_bytes: 1,
+        head_timeout_ms: 1,
+        idle_timeout_ms: 1,
+    };
+    RouteTable::new(1, routes, Vec::new(), limits)
+}
+
+/// Guards against a request that runs at a service to which no route leads.
+#[gtest]
+fn the_longest_prefix_of_the_host_decides() {
+    let table = table(vec![
+        route("a", "/x/", &[("short", 1)]),
+        route("a", "/x/y/", &[("long", 1)]),
+        route("b", "/x/", &[("other", 1)]),
+    ]);
+    let rows = [
+        ("a", "/x/1", Some("short")),
+        ("a", "/x/y/1", Some("long")),
+        ("a", "/x/y", Some("short")),
+        ("a", "/x", None),
+        ("a", "/", None),
+        ("b", "/x/y/1", Some("other")),
+        ("c", "/x/1", None),
+    ];
+    for (host, path, wanted) in rows {
+        let found = table.find(host, path);
+        let service = found.map(|route| route.shares[0].service.as_str());
+        expect_that!(service, eq(wanted), "{host}{path}");
+    }
+}
+
+/// Guards against parts of a split that get more or less than their weight.
+#[gtest]
+fn a_split_keeps_its_weights() {
+    let route = route("a", "/", &[("most", 90_000), ("few", 10_000), ("none", 0)]);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..10_000 {
+        let service = route.draw(&mut rng).as_str().to_owned();
+        *counts.entry(service).or_default() += 1;
+    }
+    expect_that!(counts.get("none"), none());
+    expect_that!(counts["few"], all![gt(850), lt(1_150)]);
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,4 +20,5 @@
 mod server;
 pub mod target;
 mod timer;
+pub mod topics;
 pub mod usage;
