--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -38,6 +38,8 @@
     Cont,
     /// SIGKILL: stop at once.
     Kill,
+    /// SIGHUP: read the settings again.
+    Hangup,
 }
 
 impl From<Signal> for rustix::process::Signal {
@@ -47,6 +49,7 @@
             Signal::Stop => Self::STOP,
             Signal::Cont => Self::CONT,
             Signal::Kill => Self::KILL,
+            Signal::Hangup => Self::HUP,
         }
     }
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod links;
 mod peer;
+mod platform;
 mod races;
 mod requests;
 mod rows;
