--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -9,6 +9,7 @@
     records::{Records, State},
     steps::Place,
     target::Newest,
+    waits::Waits,
     work::WorkTimes,
 };
 use crate::{load::LoadSample, time::Instant};
@@ -61,6 +62,7 @@
     pub(super) limit: Limit,
     pub(super) pace: Pace,
     pub(super) work: WorkTimes,
+    pub(super) waits: Waits,
     /// Holds exactly the keys of the records in state `Queued`.
     pub(super) queue: Queue,
     pub(super) records: Records,
@@ -85,6 +87,7 @@
             limit: Limit::new(cfg.limit, 0),
             pace: Pace::default(),
             work: WorkTimes::default(),
+            waits: Waits::default(),
             queue: Queue::default(),
             records: Records::new(cfg.max_records),
             in_flight: 0,
@@ -182,6 +185,8 @@
                     deadline: offer.deadline,
                     urgency: offer.urgency,
                     hold_until: self.hold_until(now, offer.urgency.class),
+                    queued_at: now,
+                    predicted_us: self.predicted_wait_us(now, &offer.urgency),
                 });
                 self.put(offer.key, State::Queued(ticket), offer.deadline);
                 self.records.set_class(offer.key, offer.urgency.class);
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -22,6 +22,7 @@
 mod steps;
 mod target;
 mod types;
+mod waits;
 mod work;
 
 pub use self::{
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -16,6 +16,9 @@
     pub(super) urgency: Urgency,
     /// Instant from which the request starts even in a slow moment of the target's host.
     pub(super) hold_until: Instant,
+    pub(super) queued_at: Instant,
+    /// Wait that was predicted, before the correction, in microseconds.
+    pub(super) predicted_us: u64,
 }
 
 /// Place of a request in the order of starts; smaller starts earlier.
@@ -68,18 +71,18 @@
     /// Takes any request.
     pub(super) fn pop(&mut self) -> Option<RequestKey> {
         let (&ticket, _) = self.waiting.first_key_value()?;
-        self.remove(ticket)
+        self.remove(ticket).map(|waiting| waiting.key)
     }
 
     /// Takes the request with `ticket` out of the queue.
-    pub(super) fn remove(&mut self, ticket: Ticket) -> Option<RequestKey> {
+    pub(super) fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
         let waiting = self.waiting.remove(&ticket)?;
         self.by_deadline.remove(&(waiting.deadline, ticket));
-        Some(waiting.key)
+        Some(waiting)
     }
 
     /// Takes a request that can't be answered before its deadline any more.
-    pub(super) fn pop_hopeless(&mut self, now: Instant, work: &WorkTimes) -> Option<RequestKey> {
+    pub(super) fn pop_hopeless(&mut self, now: Instant, work: &WorkTimes) -> Option<Waiting> {
         let hopeless = self.waiting.iter().find(|(_, waiting)| {
             let least_us = work.least_us(waiting.urgency.class);
             now.saturating_add_micros(least_us) >= waiting.deadline
@@ -96,6 +99,8 @@
             deadline: Instant::MAX,
             urgency: *urgency,
             hold_until: now,
+            queued_at: now,
+            predicted_us: 0,
         };
         let own = own.place(now, Ticket::MAX, work);
         self.waiting
--- a/crates/core/src/admission/steps.rs
+++ b/crates/core/src/admission/steps.rs
@@ -113,10 +113,16 @@
         if slots == 0 {
             return u64::MAX;
         }
+        let wait_us = self.waits.correct(self.predicted_wait_us(now, urgency));
+        wait_us.saturating_add(self.work.usual_us(urgency.class))
+    }
+
+    /// Predicts the wait of a request that is queued now, in microseconds.
+    pub(super) fn predicted_wait_us(&self, now: Instant, urgency: &Urgency) -> u64 {
+        let slots = u64::from(self.limit.current()).max(1);
         let ahead_us = self.queue.work_ahead_us(now, urgency, &self.work);
         let wait_us = (ahead_us + self.work.mean_of_all_us()) / slots;
-        let wait_us = (wait_us as f64 / (1.0 - self.pace.slow_share())) as u64;
-        wait_us.saturating_add(self.work.usual_us(urgency.class))
+        (wait_us as f64 / (1.0 - self.pace.slow_share())) as u64
     }
 
     /// Checks an admitted request at the moment of dispatch.
@@ -300,18 +306,21 @@
     /// Hands out the wakeups that are due: refusals first, then admissions in the
     /// order of arrival.
     pub(super) fn wake(&mut self, now: Instant) -> Vec<Wakeup> {
-        while let Some(key) = self.queue.pop_hopeless(now, &self.work) {
-            self.refuse_waiting(key, RefuseReason::Deadline);
+        while let Some(waiting) = self.queue.pop_hopeless(now, &self.work) {
+            // It would have waited even longer.
+            self.waits.learn(now, &waiting);
+            self.refuse_waiting(waiting.key, RefuseReason::Deadline);
         }
         let mut wakeups = std::mem::take(&mut self.pending);
         while self.in_flight < self.limit.current() {
             let Some(ticket) = self.first_to_start(now) else {
                 break;
             };
-            let Some(key) = self.queue.remove(ticket) else {
+            let Some(waiting) = self.queue.remove(ticket) else {
                 break;
             };
-            wakeups.push(self.promote(key));
+            self.waits.learn(now, &waiting);
+            wakeups.push(self.promote(waiting.key));
         }
         self.due = None;
         wakeups
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -412,3 +412,57 @@
     let admission = guard.offer(now, &paced_offer(9, true));
     expect_that!(admission, eq(Admission::Refused(RefuseReason::Slow)));
 }
+
+/// Guards against requests that are queued although they will be refused after a wait, because
+/// the target answers fewer requests than the times of its good answers promise.
+#[gtest]
+fn predictions_learn_from_waits() {
+    let mut now = Instant::from_millis(1_000);
+    let mut guard = paced_guard(now, 100);
+    let offer = |id, due_ms: u64, now: Instant| Offer {
+        urgency: Urgency {
+            class: 1,
+            priority: u32::from(due_ms == 400),
+            due: Some(now.saturating_add_millis(due_ms)),
+        },
+        deadline: Instant::MAX,
+        ..paced_offer(id, true)
+    };
+    let done = Finish::Completed {
+        server_error: false,
+    };
+    // Teach a time of 100 ms.
+    for id in 0..10 {
+        let offer = offer(id, 5_000, now);
+        guard.offer(now, &offer);
+        guard.dispatch(now, offer.key);
+        guard.finish(now, offer.key, done, 100_000);
+    }
+    // 12 slots and a queue of 20 requests, as at each of the steps below.
+    let mut running: Vec<RequestKey> = Vec::new();
+    for id in 100..132 {
+        let offer = offer(id, 60_000, now);
+        if guard.offer(now, &offer) == Admission::Start {
+            guard.dispatch(now, offer.key);
+            running.push(offer.key);
+        }
+    }
+    expect_that!(guard.queued(), eq(20));
+    let asks_400_ms = offer(1_000, 400, now);
+    expect_that!(guard.offer(now, &asks_400_ms), eq(Admission::Queued));
+    guard.cancel(now, asks_400_ms.key);
+    for id in 200..260 {
+        now = now.saturating_add_millis(100);
+        let key = running.remove(0);
+        // A failure says nothing about the time of a good answer.
+        for wakeup in guard.finish(now, key, Finish::Failed, 100_000) {
+            guard.dispatch(now, wakeup.key);
+            running.push(wakeup.key);
+        }
+        guard.offer(now, &offer(id, 60_000, now));
+    }
+    expect_that!(guard.queued(), eq(20));
+    let asks_400_ms = offer(1_001, 400, now);
+    let admission = guard.offer(now, &asks_400_ms);
+    expect_that!(admission, eq(Admission::Refused(RefuseReason::Overloaded)));
+}
