--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -183,6 +183,7 @@
     drop(first);
     if takes_more(req.head.body) {
         let key = req.head.key;
+        req.is_continued = true;
         if conn.tx.write(&PeerMessage::Continue { key }).await.is_err() {
             return End::EntryGone;
         }
@@ -298,7 +299,7 @@
 }
 
 /// Reports whether the entry keeps part of the body until the request is started.
-fn takes_more(length: BodyLength) -> bool {
+pub(super) fn takes_more(length: BodyLength) -> bool {
     match length {
         BodyLength::None => false,
         BodyLength::Sized(length) => length > EAGER_BODY_BYTES as u64,
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -71,12 +71,19 @@
     pub(super) head: RequestHead,
     /// Deadline on the own clock.
     pub(super) deadline: Instant,
+    /// Whether the entry was asked for a body that it does not send at once.
+    pub(super) is_continued: bool,
     /// Urgency with instants of the own clock.
     pub(super) urgency: Urgency,
     pub(super) body: Received,
 }
 
 impl Pending {
+    /// Reports whether the entry sends the body, or has been asked to.
+    fn is_body_due(&self) -> bool {
+        self.is_continued || !relay::takes_more(self.head.body)
+    }
+
     /// Returns the id of the request for logs.
     pub(super) fn public_id(&self, node: &Node) -> String {
         let name = node.settings.headers.request_id;
@@ -105,6 +112,7 @@
     let mut req = Pending {
         head,
         deadline,
+        is_continued: false,
         urgency,
         body,
     };
@@ -221,7 +229,7 @@
 }
 
 /// Tells the entry that the request was refused, and reads the rest of its body, so
-/// that the connection can be used again.
+/// that the connection can be used again. An entry that was not asked for its body sends none.
 pub(super) async fn refuse(
     node: &Node,
     conn: &mut Conn,
@@ -241,7 +249,7 @@
     }
     let limit = node.now().saturating_add_millis(DRAIN_TIMEOUT_MS);
     let drain = async {
-        while !req.body.ended {
+        while !req.body.ended && req.is_body_due() {
             let msg = conn.rx.read().await;
             take_body(&mut req, msg)?;
             req.body.pieces.clear();
--- a/tests/integration/uploads.rs
+++ b/tests/integration/uploads.rs
@@ -210,3 +210,48 @@
         expect_that!(growth, lt(64 * 1024 * 1024), "node {i}");
     }
 }
+
+/// Guards against a connection between nodes that is broken after the refusal of an upload:
+/// the guard waited for a body that the entry only sends when it is asked for.
+#[gtest]
+fn a_refused_upload_leaves_the_connection_usable() {
+    let mut specs = hosts("desk", 1);
+    specs.extend(hosts("stock", 1));
+    specs[1].target.slots = 1;
+    let fleet = Fleet::start_with(&specs, |_, text| text.push_str("[limits]\nqueue = 1\n"));
+    let addr = fleet.nodes[0].callers;
+    let post = move |nonce: &str, work_us: u32| {
+        let head = format!(
+            "POST / HTTP/1.1\r\nhost: stock\r\nconnection: close\r\nx-nonce: {nonce}\r\n\
+             x-work-us: {work_us}\r\ncontent-length: 30000\r\n\r\n"
+        );
+        let mut io = TcpStream::connect(addr).expect("a connection");
+        io.write_all(head.as_bytes()).expect("the node reads");
+        let body = pattern::body_for(nonce, 30_000);
+        io.write_all(&body).expect("the node reads");
+        let mut answer = String::new();
+        io.read_to_string(&mut answer).expect("an answer");
+        answer
+    };
+    // One request runs, one waits, and the third is refused. Afterwards all three connections
+    // of the entry are used again.
+    for round in 0..2 {
+        let two = ["a", "b"].map(|name| {
+            let sender = thread::spawn(move || post(&format!("{name}{round}"), 400_000));
+            thread::sleep(Duration::from_millis(150));
+            sender
+        });
+        let refused = post(&format!("c{round}"), 0);
+        expect_that!(outcome(&refused), eq("not-run"), "{refused}");
+        for sender in two {
+            let answer = sender.join().expect("no panic");
+            expect_that!(outcome(&answer), eq("answered"), "{answer}");
+        }
+    }
+    let mut io = TcpStream::connect(fleet.nodes[0].admin).expect("a connection");
+    io.write_all(b"GET /v1/metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        .expect("the node reads");
+    let mut text = String::new();
+    io.read_to_string(&mut text).expect("an answer");
+    expect_that!(text, not(contains_substring("entry.connection_lost")));
+}
