Requests earn retries when they are taken, where the fleet has a bound

Cause: while all targets of a service refuse 55 % of their requests, retries were earned by the few successes only, and 587 of 1,103 inner calls ended refused, each failing the request that had made it. The bound of the platform counts requests.

--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -164,6 +164,7 @@
             true => 0,
             false => default.saved_percent,
         },
+        earns_at_once: is_fleet_bounded,
         has_floor: !is_fleet_bounded,
         hedges: !is_fleet_bounded,
     }
--- a/crates/core/src/retry/account.rs
+++ b/crates/core/src/retry/account.rs
@@ -37,8 +37,12 @@
 }
 
 impl Account {
-    pub(super) fn on_request(&mut self) {
-        self.unpaid_requests += 1;
+    pub(super) fn on_request(&mut self, cfg: &BudgetSettings) {
+        if cfg.earns_at_once {
+            self.earn(cfg);
+        } else {
+            self.unpaid_requests += 1;
+        }
         let hedge_parts = self.hedge_parts + HEDGE_EARNED_BY_REQUEST;
         self.hedge_parts = hedge_parts.min(MAX_SAVED_HEDGES * PARTS);
     }
@@ -47,11 +51,15 @@
         self.latencies.add(latency_us);
         if self.unpaid_requests > 0 {
             self.unpaid_requests -= 1;
-            let extra_parts = self.extra_parts + cfg.earned_percent;
-            self.extra_parts = extra_parts.min(cfg.saved_percent);
+            self.earn(cfg);
         }
     }
 
+    fn earn(&mut self, cfg: &BudgetSettings) {
+        let extra_parts = self.extra_parts + cfg.earned_percent;
+        self.extra_parts = extra_parts.min(cfg.saved_percent);
+    }
+
     pub(super) fn take_retry(&mut self, now: Instant, cfg: &BudgetSettings) -> bool {
         self.take_saved(cfg) || (cfg.has_floor && self.take_floor(now))
     }
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -96,8 +96,12 @@
 /// Settings of the accounts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BudgetSettings {
-    /// Extra requests that a successful request earns, in percent.
+    /// Extra requests that a request earns, in percent.
     pub earned_percent: u64,
+    /// Whether a request earns when it is taken, and not only when it succeeds. A bound on the
+    /// whole fleet counts requests; with it a fault that fails most of them leaves retries
+    /// for the others.
+    pub earns_at_once: bool,
     /// Extra requests that an account saves, in percent of one. Savings let a few requests
     /// be retried at once when a target fails; they also bound the burst that an outage can
     /// cause.
@@ -113,6 +117,7 @@
     fn default() -> Self {
         BudgetSettings {
             earned_percent: 10,
+            earns_at_once: false,
             saved_percent: MAX_SAVED_EXTRAS * 100,
             has_floor: true,
             hedges: true,
@@ -145,10 +150,10 @@
     /// targets: names that callers make up would use up the accounts.
     pub fn on_request(&mut self, _now: Instant, service: &str) {
         if let Some(account) = self.accounts.get_mut(service) {
-            account.on_request();
+            account.on_request(&self.cfg);
         } else if self.accounts.len() < MAX_SERVICES {
             let account = self.accounts.entry(ServiceName::from(service)).or_default();
-            account.on_request();
+            account.on_request(&self.cfg);
         }
     }
 
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -4,7 +4,7 @@
 use plantainpost_core::{
     retry::{
         AttemptOutcome::{self, NotRun, Unknown},
-        Budgets, FLOOR_INTERVAL_MS, MAX_RETRIES, MAX_SAVED_EXTRAS,
+        BudgetSettings, Budgets, FLOOR_INTERVAL_MS, MAX_RETRIES, MAX_SAVED_EXTRAS,
         RetryDecision::{
             self, AnswerStarted, AttemptsSpent, BudgetSpent, DeadlinePassed, NotRepeatable, Retry,
         },
@@ -217,3 +217,26 @@
         prop_assert!(extras(part) <= successes / 10 + 1 + MAX_SAVED_EXTRAS + floor(part));
     }
 }
+
+/// Guards against a fleet that sends more extra requests than its bound, also when all
+/// requests fail, and against one that sends none then.
+#[gtest]
+fn a_fleet_keeps_its_bound_while_all_requests_fail() {
+    const NODES: u64 = 12;
+    let cfg = BudgetSettings {
+        earns_at_once: true,
+        saved_percent: 300,
+        has_floor: false,
+        ..Default::default()
+    };
+    let mut extra = 0;
+    for _ in 0..NODES {
+        let mut budgets = Budgets::with_settings(cfg);
+        for _ in 0..100 {
+            budgets.on_request(Instant::default(), SERVICE);
+            let decision = budgets.may_retry(Instant::default(), &query(Unknown, true, 1));
+            extra += u64::from(decision.is_allowed());
+        }
+    }
+    expect_that!(extra, all![ge(100), le(NODES * 100 / 10 + NODES * 3)]);
+}
