--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -17,6 +17,7 @@
 mod merge;
 mod message;
 mod probe;
+mod readers;
 mod receive;
 mod record;
 mod settings;
--- a/crates/core/tests/member/rules.rs
+++ b/crates/core/tests/member/rules.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use plantainpost_core::{
     ids::{Incarnation, NodeName},
-    member::{MemberEvent, MemberRecord, MemberSettings, MemberState, Message},
+    member::{MemberEvent, MemberRecord, MemberSettings, MemberState, Membership, Message},
 };
 
 use crate::fixture::{LIFE, at, events, member, peer, rng, sent, tell, with};
@@ -381,3 +381,27 @@
         expect_that!(known.state, eq(MemberState::Alive));
     }
 }
+
+/// Guards against calls to the store by each member of a large fleet for each change, and
+/// against a member that is cut off from the others and learns of no change.
+#[gtest]
+fn few_members_of_a_data_centre_read_the_store() {
+    // Every fourth host of the fixture is in the same data centre.
+    let names: Vec<String> = (0..10).map(|i| format!("m{i}")).collect();
+    let readers = |ms: u64, heard_ms: u64| {
+        let is_reader = |own: usize| {
+            let local = record(&names[own], own * 4, LIFE);
+            let settings = MemberSettings::default();
+            let mut member = Membership::new(settings, local, &[addr(9)], at(0));
+            let others = names.iter().enumerate().filter(|(i, _)| *i != own);
+            let records: Vec<_> = others.map(|(i, name)| record(name, i * 4, LIFE)).collect();
+            for records in records.chunks(3) {
+                tell(&mut member, heard_ms, records);
+            }
+            member.is_reader(at(ms))
+        };
+        (0..names.len()).filter(|own| is_reader(*own)).count()
+    };
+    expect_that!(readers(500, 400), eq(3));
+    expect_that!(readers(3_000, 400), eq(10));
+}
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -18,6 +18,9 @@
 /// 2 s after its confirmation, also right after an outage.
 const RETRY_MAX_MS: u64 = 1_000;
 
+/// Time between two looks whether this node is to read the store, in milliseconds.
+const DUTY_EVERY_MS: u64 = 200;
+
 /// Pauses between failed calls, which grow and are spread at random.
 struct Backoff {
     mean_ms: u64,
@@ -107,11 +110,20 @@
         is_up: true,
         task: "routes",
     };
-    let mut from = None;
+    let mut from: Option<u64> = None;
     loop {
         let read = match from {
             None => store.newest_routes().await,
-            Some(from) => store.next_routes(from).await,
+            Some(from) => {
+                let read = store.next_routes(from.max(node.register.borrow().read_to()));
+                tokio::select! {
+                    read = read => read,
+                    () = wait_for_duty(&node, false) => {
+                        wait_for_duty(&node, true).await;
+                        continue;
+                    }
+                }
+            }
         };
         node.metrics.count("store.read");
         match read {
@@ -131,6 +143,14 @@
     }
 }
 
+/// Waits until this node is, or is not, one of those that read the store.
+async fn wait_for_duty(node: &Node, is_reader: bool) {
+    while node.members.borrow().is_reader(node.now()) != is_reader {
+        let at = node.now().saturating_add_millis(DUTY_EVERY_MS);
+        node.clock.sleep_until(at).await;
+    }
+}
+
 async fn put_in_force(node: &Rc<Node>, published: Published) {
     for reason in &published.refused {
         node.metrics.count("store.bad_record");
