--- a/crates/cli/keys.rs
+++ b/crates/cli/keys.rs
@@ -88,6 +88,8 @@
         "Requests of other nodes."),
     key("listen", "peer_udp", Kind::Address, Absent::Default("0.0.0.0:8082"),
         "Membership and probes of other nodes."),
+    key("listen", "metrics", Kind::Address, Absent::Optional("10.0.0.7:8083"),
+        "Counters and latencies as text, at any path. It needs no token and changes nothing."),
     key("listen", "control", Kind::Addresses, Absent::Default(""),
         "Announcements of the target and readiness checks in the form of the platform."),
 
--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -111,6 +111,7 @@
             .fleet_slack
             .map(|slack| FleetBudget { slack }),
         listen_control: settings.listen.control.clone(),
+        listen_metrics: settings.listen.metrics,
         name: NodeName::from(settings.node.name.as_str()),
         data_centre: DataCentre::from(settings.node.data_centre.as_str()),
         region: settings.node.region.clone(),
--- a/crates/cli/settings.rs
+++ b/crates/cli/settings.rs
@@ -124,6 +124,7 @@
     pub(crate) peer_tcp: SocketAddr,
     pub(crate) peer_udp: SocketAddr,
     pub(crate) control: Vec<SocketAddr>,
+    pub(crate) metrics: Option<SocketAddr>,
 }
 
 /// The log service.
@@ -260,6 +261,7 @@
                 peer_tcp: self.address("listen", "peer_tcp"),
                 peer_udp: self.address("listen", "peer_udp"),
                 control: self.addresses("listen", "control"),
+                metrics: self.optional_address("listen", "metrics"),
             },
             contacts: self.addresses("peers", "contacts"),
             log: Log {
@@ -288,7 +290,7 @@
             output: Output {
                 format: self.text("output", "format"),
                 level: self.text("output", "level"),
-                statsd: self.statsd(),
+                statsd: self.optional_address("output", "statsd"),
             },
         })
     }
@@ -300,11 +302,10 @@
         }
     }
 
-    fn statsd(&self) -> Option<SocketAddr> {
-        let value = self.values.get("output", "statsd")?;
-        match value {
+    fn optional_address(&self, section: &'static str, name: &'static str) -> Option<SocketAddr> {
+        match self.values.get(section, name)? {
             Value::Address(address) => Some(*address),
-            value => unreachable!("output.statsd is {value:?}"),
+            value => unreachable!("{section}.{name} is {value:?}"),
         }
     }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -93,6 +93,20 @@
     }
 }
 
+impl Quantiles {
+    /// Returns the values with labels that tell them apart.
+    pub(crate) fn labelled(&self) -> [(&'static str, u64); 6] {
+        [
+            ("stat=\"count\"", self.count),
+            ("quantile=\"0.5\"", self.p50_us),
+            ("quantile=\"0.9\"", self.p90_us),
+            ("quantile=\"0.99\"", self.p99_us),
+            ("quantile=\"0.999\"", self.p999_us),
+            ("quantile=\"1\"", self.max_us),
+        ]
+    }
+}
+
 /// Metrics of the node.
 pub(crate) struct Metrics {
     client: StatsdClient,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -108,6 +108,8 @@
     pub fleet_budget: Option<FleetBudget>,
     /// Listeners for targets and readiness checks of the platform.
     pub listen_control: Vec<SocketAddr>,
+    /// Listener for metrics, if there is one.
+    pub listen_metrics: Option<SocketAddr>,
     /// Listener for callers.
     pub listen_callers: SocketAddr,
     /// Listener for operators and the target.
@@ -151,6 +153,7 @@
             retries: BudgetSettings::default(),
             fleet_budget: None,
             listen_control: Vec::new(),
+            listen_metrics: None,
             listen_callers: SocketAddr::new(ip, 7400),
             listen_admin: SocketAddr::new(ip, 7401),
             listen_peer_tcp: SocketAddr::new(ip, 7402),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -35,6 +35,7 @@
     peers::PeerPool,
     reload, report,
     settings::NodeSettings,
+    status,
     stop::{self, Summary},
     store_sync,
     target::TargetPool,
@@ -86,6 +87,7 @@
     callers: TcpListener,
     admin: TcpListener,
     control: Vec<TcpListener>,
+    metrics: Option<TcpListener>,
     peer_tcp: TcpListener,
     peer_udp: UdpSocket,
 }
@@ -101,8 +103,13 @@
         for addr in &settings.listen_control {
             control.push(listen(*addr, "targets").await?);
         }
+        let metrics = match settings.listen_metrics {
+            Some(addr) => Some(listen(addr, "metrics").await?),
+            None => None,
+        };
         Ok(Listeners {
             control,
+            metrics,
             callers: listen(settings.listen_callers, "callers").await?,
             admin: listen(settings.listen_admin, "operators").await?,
             peer_tcp: listen(settings.listen_peer_tcp, "peers (TCP)").await?,
@@ -152,6 +159,10 @@
     spawn_listeners(&node, &callers, listeners.callers, listeners.admin);
     actix_rt::spawn(guard::serve(Rc::clone(&node), listeners.peer_tcp));
     spawn_tasks(&node);
+    if let Some(listener) = listeners.metrics {
+        let handler = |node: Rc<Node>, _| async move { status::metrics_text(&node) };
+        actix_rt::spawn(http::serve(Rc::clone(&node), listener, "metrics", handler));
+    }
     match platform {
         Some(platform) => spawn_platform_tasks(&node, &platform, listeners.control),
         None => spawn_log_tasks(&node),
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -1,5 +1,10 @@
 //! What operators can see of a node.
 
+use actix_http::{
+    Response, StatusCode,
+    body::BoxBody,
+    header::{CONTENT_TYPE, HeaderValue},
+};
 use plantainpost_core::{measure::PROBE_COST_US, member::MemberRecord};
 use serde_json::{Value, json};
 
@@ -71,6 +76,28 @@
     })
 }
 
+/// Returns counters, gauges and latency quantiles as text, one to a line.
+pub(crate) fn metrics_text(node: &Node) -> Response<BoxBody> {
+    let mut text = String::new();
+    for (name, value) in node.metrics.totals() {
+        text.push_str(&format!("{} {value}\n", metric_name(&name)));
+    }
+    for (name, quantiles) in node.metrics.quantiles() {
+        for (label, value) in quantiles.labelled() {
+            text.push_str(&format!("{}{{{label}}} {value}\n", metric_name(name)));
+        }
+    }
+    let mut res = Response::with_body(StatusCode::OK, BoxBody::new(text));
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    res.headers_mut().insert(CONTENT_TYPE, plain);
+    res
+}
+
+/// Returns a name without the dots of StatsD.
+fn metric_name(name: &str) -> String {
+    format!("plantainpost_{}", name.replace('.', "_"))
+}
+
 /// Returns why the target beside a node gets the requests that it gets from here.
 pub(crate) fn target(node: &Node, name: &str) -> Option<Value> {
     let now = node.now();
--- a/tests/cli/settings.rs
+++ b/tests/cli/settings.rs
@@ -36,6 +36,7 @@
     for (section, key) in [
         ("output", "statsd"),
         ("node", "service"),
+        ("listen", "metrics"),
         ("platform", "grace"),
         ("retry", "fleet_slack"),
     ] {
--- a/tests/integration/platform.rs
+++ b/tests/integration/platform.rs
@@ -25,7 +25,7 @@
 const BORN: u64 = 1_770_140_801_833;
 
 /// Addresses of one node.
-const ADDRESSES: usize = 4;
+const ADDRESSES: usize = 5;
 
 /// What a scripted target does with one request.
 enum Reply {
@@ -132,6 +132,7 @@
 struct Host {
     callers: SocketAddr,
     control: SocketAddr,
+    metrics: SocketAddr,
     settings: std::path::PathBuf,
     process: Process,
 }
@@ -161,10 +162,11 @@
         let addresses = fleet::free_addresses(count * ADDRESSES);
         let hosts = addresses.chunks(ADDRESSES).enumerate().map(|(i, at)| {
             let [callers, admin, peers, control] = [at[0], at[1], at[2], at[3]];
+            let metrics = at[4];
             let text = format!(
                 "[node]\nname = host-{i}\ndata_centre = pos\nregion = tt\nip = 127.0.0.1\n\
                  service = counter\n[listen]\ncallers = {callers}\nadmin = {admin}\n\
-                 peer_tcp = {peers}\npeer_udp = {peers}\ncontrol = {control}\n\
+                 peer_tcp = {peers}\npeer_udp = {peers}\ncontrol = {control}\nmetrics = {metrics}\n\
                  [log]\naddress = {}\ninterface = topics\n[platform]\ngrace = 6 s\n\
                  [retry]\nfleet_slack = 50\n[security]\nkey_file = {}\n",
                 store.address(),
@@ -175,6 +177,7 @@
             Host {
                 callers,
                 control,
+                metrics,
                 process: start_process(&settings),
                 settings,
             }
@@ -331,6 +334,16 @@
         starts_with("HTTP/1.1 404")
     );
     expect_that!(target.received().len(), eq(1));
+    let ask = b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+    let metrics = exchange(platform.hosts[0].metrics, ask);
+    expect_that!(
+        metrics,
+        contains_substring("plantainpost_entry_answered 1\n")
+    );
+    expect_that!(
+        metrics,
+        contains_substring("plantainpost_entry_total_us{quantile=\"0.99\"}")
+    );
 }
 
 /// Guards against requests that reach a target after it was told that its leaving is known,
