--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -48,7 +48,7 @@
 
 /// Part of the grace time after which requests in flight are cut at a stop, in percent. The
 /// rest is for the end of the process.
-const STOP_PERCENT_OF_GRACE: u64 = 90;
+const STOP_PERCENT_OF_GRACE: u64 = 85;
 
 /// Part of the grace time during which a stopping node still takes requests, in percent: the
 /// platform needs two missed readiness checks, 1 s apart, to send callers elsewhere.
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     entry::call::{BadRequest, Call},
-    entry::conn::{Gone, Reply, ReplyHead},
+    entry::reply::{Gone, Reply, ReplyHead},
     headers::{self, HeaderNames},
 };
 
--- a/crates/node/src/entry/body.rs
+++ b/crates/node/src/entry/body.rs
@@ -8,7 +8,7 @@
 use snafu::Snafu;
 
 use crate::{
-    entry::conn::{Gone, Reply},
+    entry::reply::{Gone, Reply},
     entry::{answer, call::Call, flight::Flight},
     node::Node,
     peers::PeerConn,
--- a/crates/node/src/entry/conn.rs
+++ b/crates/node/src/entry/conn.rs
@@ -4,28 +4,24 @@
 //! their answers are written in the order of the requests. The end of the connection aborts
 //! its tasks, which cancels the requests.
 
-use std::{cell::Cell, collections::VecDeque, rc::Rc, time::Duration};
+use std::{collections::VecDeque, rc::Rc};
 
 use actix_http::StatusCode;
 use actix_rt::{net::TcpStream, task::JoinHandle};
 use bytes::{Bytes, BytesMut};
 use plantainpost_core::{routing::CallerLimits, time::Instant};
-use plantainpost_http1::{
-    BodyDecoder, Framing, HeadError, Header, Part, RequestHead, push_chunk, push_header,
-    take_request,
-};
+use plantainpost_http1::{BodyDecoder, Framing, HeadError, Part, RequestHead, take_request};
 use plantainpost_wire::message::BodyLength;
-use slog::warn;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{
-        TcpListener,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     sync::mpsc,
 };
 
-use super::answer;
+use super::{
+    answer,
+    reply::{Pending, Reply, ReplyHead, ReplyPart, pending_reply},
+};
 use crate::node::Node;
 
 /// Requests of one connection that are worked on at once. Further ones are not read.
@@ -34,9 +30,6 @@
 /// Pieces of a body that wait for their request's task.
 const BODY_PIECES: usize = 4;
 
-/// Parts of an answer that wait for the connection.
-const REPLY_PARTS: usize = 4;
-
 /// Bytes asked of the socket in one read.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -47,9 +40,6 @@
 /// unread bytes would reset it, and the caller could lose the last answer.
 const LINGER_MS: u64 = 1_000;
 
-/// Pause after a failed accept, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// A request as it comes from a connection.
 pub(crate) struct Incoming {
     pub(crate) head: RequestHead,
@@ -88,107 +78,9 @@
     }
 }
 
-/// Head of an answer.
-pub(crate) struct ReplyHead {
-    pub(crate) status: u16,
-    pub(crate) headers: Vec<Header>,
-    pub(crate) length: BodyLength,
-    /// Whether the connection ends after this answer.
-    pub(crate) close: bool,
-}
-
-enum ReplyPart {
-    Head(ReplyHead),
-    Data(Bytes),
-    End,
-}
-
-/// The connection has ended.
-#[derive(Debug)]
-pub(crate) struct Gone;
-
-/// Writes the answer to one request. Dropping it before [`Reply::end`] cuts the answer.
-pub(crate) struct Reply {
-    tx: mpsc::Sender<ReplyPart>,
-}
-
-impl Reply {
-    /// Sends the head.
-    pub(crate) async fn head(&self, head: ReplyHead) -> Result<(), Gone> {
-        self.send(ReplyPart::Head(head)).await
-    }
-
-    /// Sends a piece of the body.
-    pub(crate) async fn data(&self, piece: Bytes) -> Result<(), Gone> {
-        self.send(ReplyPart::Data(piece)).await
-    }
-
-    /// Completes the answer.
-    pub(crate) async fn end(self) -> Result<(), Gone> {
-        self.send(ReplyPart::End).await
-    }
-
-    async fn send(&self, part: ReplyPart) -> Result<(), Gone> {
-        self.tx.send(part).await.map_err(|_| Gone)
-    }
-}
-
 /// Answers one request.
 pub(crate) type Handler = fn(Rc<Node>, Incoming) -> JoinHandle<()>;
 
-/// Counts an open connection.
-struct OpenConn(Rc<Cell<usize>>);
-
-impl OpenConn {
-    fn new(open: &Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        OpenConn(Rc::clone(open))
-    }
-}
-
-impl Drop for OpenConn {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// Accepts connections until the node closes them for a stop.
-pub(crate) async fn serve(
-    node: Rc<Node>,
-    listener: TcpListener,
-    open: Rc<Cell<usize>>,
-    handler: Handler,
-) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = node.stop.wait_closing() => return,
-        };
-        match accepted {
-            Ok(_) if open.get() >= node.settings.limits.caller_connections => {
-                node.metrics.count("http.connection_refused");
-            }
-            Ok((io, _)) => {
-                node.metrics.count("http.connection");
-                // Without it the end of an answer waits up to 40 ms for the caller's
-                // acknowledgement of its head.
-                let _ = io.set_nodelay(true);
-                let conn = OpenConn::new(&open);
-                let node = Rc::clone(&node);
-                actix_rt::spawn(async move {
-                    let _conn = conn;
-                    serve_conn(node, io, handler).await;
-                });
-            }
-            Err(e) => {
-                node.metrics.count("http.accept_error");
-                warn!(node.logger, "can't accept a connection"; "listener" => "callers", "error" => %e);
-                actix_rt::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 /// Body of a request that is being received.
 struct Upload {
     decoder: BodyDecoder,
@@ -198,29 +90,6 @@
     left: u64,
 }
 
-/// An answer that is to be written.
-struct Pending {
-    rx: mpsc::Receiver<ReplyPart>,
-    /// Aborted when the connection ends first.
-    task: Option<JoinHandle<()>>,
-    is_head: bool,
-    is_http10: bool,
-    /// Whether the caller wants the connection closed afterwards.
-    close: bool,
-    /// Length of the body, once the head was written.
-    writing: Option<BodyLength>,
-    /// Bytes of the body that were written.
-    written: u64,
-}
-
-impl Drop for Pending {
-    fn drop(&mut self) {
-        if let Some(task) = &self.task {
-            task.abort();
-        }
-    }
-}
-
 /// What the connection waits for before it can read on.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Input {
@@ -259,7 +128,8 @@
     Drop,
 }
 
-async fn serve_conn(node: Rc<Node>, io: TcpStream, handler: Handler) {
+/// Serves a connection until it ends.
+pub(super) async fn serve_conn(node: Rc<Node>, io: TcpStream, handler: Handler) {
     let (rx, tx) = io.into_split();
     let now = node.now();
     let mut conn = Conn {
@@ -509,9 +379,7 @@
             length: BodyLength::None,
             close: true,
         };
-        // A new channel has room for both parts.
-        let _ = reply.tx.try_send(ReplyPart::Head(head));
-        let _ = reply.tx.try_send(ReplyPart::End);
+        reply.queue_empty(head);
         self.replies.push_back(pending);
     }
 
@@ -585,70 +453,3 @@
         let _ = clock.before(until, drain).await;
     }
 }
-
-fn pending_reply() -> (Reply, Pending) {
-    let (tx, rx) = mpsc::channel(REPLY_PARTS);
-    let pending = Pending {
-        rx,
-        task: None,
-        is_head: false,
-        is_http10: false,
-        close: false,
-        writing: None,
-        written: 0,
-    };
-    (Reply { tx }, pending)
-}
-
-/// The parts of an answer do not fit together.
-struct Mismatch;
-
-impl Pending {
-    fn encode(&mut self, out: &mut Vec<u8>, part: ReplyPart, stop: bool) -> Result<(), Mismatch> {
-        match (part, self.writing) {
-            (ReplyPart::Head(head), None) => self.encode_head(out, head, stop),
-            (ReplyPart::Data(piece), Some(length)) => {
-                self.written += piece.len() as u64;
-                match length {
-                    BodyLength::Chunked if !self.is_http10 => push_chunk(out, &piece),
-                    BodyLength::None => return Err(Mismatch),
-                    _ => out.extend_from_slice(&piece),
-                }
-            }
-            (ReplyPart::End, Some(length)) => match length {
-                BodyLength::Chunked if !self.is_http10 => out.extend_from_slice(b"0\r\n\r\n"),
-                BodyLength::Sized(length) if length != self.written => return Err(Mismatch),
-                _ => (),
-            },
-            _ => return Err(Mismatch),
-        }
-        Ok(())
-    }
-
-    fn encode_head(&mut self, out: &mut Vec<u8>, head: ReplyHead, stop: bool) {
-        let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-        let reason = status.canonical_reason().unwrap_or("Status");
-        out.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).as_bytes());
-        for (name, value) in &head.headers {
-            push_header(out, name, value);
-        }
-        let is_unframed = self.is_http10 && head.length == BodyLength::Chunked;
-        self.close |= head.close || stop || is_unframed;
-        match head.length {
-            BodyLength::Sized(length) => {
-                push_header(out, "content-length", length.to_string().as_bytes());
-            }
-            BodyLength::Chunked if is_unframed => (),
-            BodyLength::Chunked => push_header(out, "transfer-encoding", b"chunked"),
-            BodyLength::None if self.is_head || matches!(head.status, 204 | 304) => (),
-            BodyLength::None => push_header(out, "content-length", b"0"),
-        }
-        if self.close {
-            push_header(out, "connection", b"close");
-        } else if self.is_http10 {
-            push_header(out, "connection", b"keep-alive");
-        }
-        out.extend_from_slice(b"\r\n");
-        self.writing = Some(head.length);
-    }
-}
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -4,8 +4,10 @@
 mod attempt;
 mod body;
 mod call;
-pub(crate) mod conn;
+mod conn;
 mod flight;
+pub(crate) mod listener;
+mod reply;
 
 use std::rc::Rc;
 
@@ -25,7 +27,8 @@
     answer::{Outcome, OwnAnswer},
     attempt::{Attempt, AttemptEnd, Cause},
     call::{BadRequest, Call},
-    conn::{Gone, Incoming, Reply, RequestBody},
+    conn::{Incoming, RequestBody},
+    reply::{Gone, Reply},
 };
 use slog::info;
 
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -182,7 +182,7 @@
     for_callers: TcpListener,
     for_admin: TcpListener,
 ) {
-    actix_rt::spawn(entry::conn::serve(
+    actix_rt::spawn(entry::listener::serve(
         Rc::clone(node),
         for_callers,
         Rc::clone(callers),
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -10,6 +10,7 @@
 mod links;
 mod peer;
 mod platform;
+mod platform_fixture;
 mod races;
 mod requests;
 mod rows;
