--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -147,6 +147,7 @@
             Some(grace) => millis(grace) * STOP_PERCENT_OF_GRACE / 100,
             None => millis(limits.stop_timeout),
         },
+        serves_while_lingering: settings.platform.grace.is_some(),
         stop_linger_ms: match settings.platform.grace {
             Some(grace) => millis(grace) * LINGER_PERCENT_OF_GRACE / 100,
             None => Limits::default().stop_linger_ms,
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -66,7 +66,7 @@
         settings.ip,
         settings.data_centre.as_str(),
     );
-    let draining = leaving || node.stop.is_closing();
+    let draining = leaving || node.refuses_for_stop();
     node.guard.borrow_mut().set_draining(draining);
     let share = content.measuring_permille();
     let now = node.now();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -167,6 +167,14 @@
         has_routes && !self.stop.has_started()
     }
 
+    /// Reports whether a planned stop has come so far that peers get no new work done here.
+    pub(crate) fn refuses_for_stop(&self) -> bool {
+        match self.settings.limits.serves_while_lingering {
+            true => self.stop.is_closing(),
+            false => self.stop.has_started(),
+        }
+    }
+
     /// Returns the bounds on what callers send.
     pub(crate) fn caller_limits(&self) -> CallerLimits {
         if let Some(table) = self.register.borrow().routes() {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -40,6 +40,9 @@
     pub stop_timeout_ms: u64,
     /// Time during which a stopping node still answers its peers, in milliseconds.
     pub stop_linger_ms: u64,
+    /// Whether a stopping node takes requests of peers during that time. It does where the
+    /// target goes on while its node restarts, and may be the last one of its service.
+    pub serves_while_lingering: bool,
 }
 
 impl Default for Limits {
@@ -57,6 +60,7 @@
             queue_factor: 2,
             stop_timeout_ms: 130_000,
             stop_linger_ms: 1_000,
+            serves_while_lingering: false,
         }
     }
 }
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -81,6 +81,8 @@
     info!(node.logger, "stopping");
     audit::note(node, AuditEvent::Stopping);
     node.stop.start();
+    let refuses = node.refuses_for_stop();
+    node.guard.borrow_mut().set_draining(refuses);
     fleet::refresh(node);
     let limits = &node.settings.limits;
     let started = node.now();
