--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -19,7 +19,7 @@
     datagram::{self, Datagram, DatagramError, MAX_DATAGRAM_BYTES},
     frame::{self, FrameError, FrameReader, FrameWriter, MAX_FRAME_BYTES},
     handshake::{self, ClockShift, HandshakeError, Identity},
-    message::{Hello, PeerMessage},
+    message::{Hello, PROTOCOL_VERSION, PeerMessage},
 };
 use proptest::prelude::{any, prop, proptest};
 use tokio::io::AsyncWriteExt;
@@ -218,7 +218,7 @@
     run(async {
         let (opened, (mut arx, mut atx)) = pair().await;
         let hello = Hello {
-            version: 1,
+            version: PROTOCOL_VERSION,
             node: NodeName::from("b"),
             incarnation: Incarnation(7),
             nonce: [9; 16],
