Measure the pace within the health checks that the operators allow

The rate now comes from the settings; with 60 allowed it is 50 as before. The test asks 500 times in 10 s instead of 10 with the fixed rate.

--- a/crates/cli/keys.rs
+++ b/crates/cli/keys.rs
@@ -133,6 +133,8 @@
 
     key("platform", "announce_every", Kind::Time(100, 60_000), Absent::Default("1500 ms"),
         "Time between two announcements of a target."),
+    key("platform", "probes", Kind::Count(1, 1_000), Absent::Default("60"),
+        "Health checks that the target may get in a second, for the pace of its host."),
     key("platform", "grace", Kind::Time(1_000, 600_000), Absent::Optional("6 s"),
         "Time after which a node that was told to stop is killed. Without it stop_timeout alone counts."),
 
--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -104,6 +104,7 @@
         },
         unframed_answers: is_platform,
         announce_every_ms: millis(settings.platform.announce_every),
+        probes_per_second: settings.platform.probes,
         transfer_us_per_kib: millis(settings.transfer_cost) * 1_000,
         retries: retries(settings),
         fleet_budget: settings
--- a/crates/cli/settings.rs
+++ b/crates/cli/settings.rs
@@ -143,6 +143,8 @@
 pub(crate) struct Platform {
     pub(crate) announce_every: Duration,
     pub(crate) grace: Option<Duration>,
+    /// Health checks of the target in a second.
+    pub(crate) probes: u64,
 }
 
 /// Budgets of extra requests.
@@ -273,6 +275,7 @@
             limits: self.limits(),
             platform: Platform {
                 announce_every: self.time("platform", "announce_every"),
+                probes: self.count("platform", "probes"),
                 grace: match self.values.get("platform", "grace") {
                     Some(Value::Time(grace)) => Some(*grace),
                     _ => None,
--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/pace.rs
@@ -45,6 +45,17 @@
 /// requests start after they were held.
 const MAX_SHARE: f64 = 0.75;
 
+impl PaceSettings {
+    /// Returns settings that measure at most `per_second` times a second. A sixth of that is
+    /// left for health checks of others.
+    pub fn with_rate(per_second: u64) -> Self {
+        PaceSettings {
+            interval_us: 1_200_000 / per_second.max(1),
+            ..Default::default()
+        }
+    }
+}
+
 /// What is known of the pace.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Pace {
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -10,7 +10,7 @@
 use plantainpost_core::{
     admission::{
         Admission, Announcement, Dispatch, FenceState, Finish, Guard, GuardSettings, Life, Offer,
-        RefuseReason, RequestKey, Urgency, Wakeup,
+        PaceSettings, RefuseReason, RequestKey, Urgency, Wakeup,
     },
     ids::RequestId,
     time::Instant,
@@ -466,3 +466,25 @@
     let admission = guard.offer(now, &asks_400_ms);
     expect_that!(admission, eq(Admission::Refused(RefuseReason::Overloaded)));
 }
+
+/// Guards against more health checks than the operators allow a target, where they allow few.
+#[gtest]
+fn the_pace_is_measured_no_more_often_than_allowed() {
+    for per_second in [1, 5, 60] {
+        let mut guard = Guard::new(GuardSettings {
+            pace: PaceSettings::with_rate(per_second),
+            ..Default::default()
+        });
+        let mut now = Instant::from_millis(1_000);
+        guard.note_pace(now, 100);
+        let mut asked = 0;
+        for _ in 0..10_000 {
+            now = now.saturating_add_millis(1);
+            if guard.ask_pace(now) {
+                asked += 1;
+                guard.note_pace(now, 100);
+            }
+        }
+        expect_that!(asked, all![ge(1), le(10 * per_second)], "{per_second}");
+    }
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -103,6 +103,8 @@
     pub unframed_answers: bool,
     /// Time between two announcements of a target on the platform, in milliseconds.
     pub announce_every_ms: u64,
+    /// Largest number of health checks that the target gets in a second.
+    pub probes_per_second: u64,
     /// Cost of a KiB that is sent to another data centre, as the time that is worth the
     /// same, in microseconds.
     pub transfer_us_per_kib: u64,
@@ -153,6 +155,7 @@
             headers: HeaderNames::default(),
             unframed_answers: false,
             announce_every_ms: 1_500,
+            probes_per_second: 60,
             transfer_us_per_kib: 0,
             retries: BudgetSettings::default(),
             fleet_budget: None,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -9,7 +9,7 @@
 
 use actix_rt::net::{TcpListener, UdpSocket};
 use plantainpost_core::{
-    admission::{Guard, GuardSettings},
+    admission::{Guard, GuardSettings, PaceSettings},
     balance::{Balancer, BalancerSettings, policy_by_name},
     config::Register,
     ids::{Incarnation, Region},
@@ -252,6 +252,7 @@
     };
     let guard_settings = GuardSettings {
         queue_factor: settings.limits.queue_factor,
+        pace: PaceSettings::with_rate(settings.probes_per_second),
         ..Default::default()
     };
     let metrics = Metrics::new(settings.statsd).context(SetupSnafu { what: "metrics" })?;
