Start no work that the end of a stopping node would cut

One waited in its queue, started 1.5 s before the end of the process, and was cut. Ruled out: the stop of the node that had taken the request, which was not at its deadline. The test dispatches the request without the change.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -59,6 +59,8 @@
     pub(super) generation: u64,
     /// Set by configuration or a planned stop.
     pub(super) draining: bool,
+    /// Instant at which work that is still in progress is cut, because the node stops.
+    pub(super) ends_at: Option<Instant>,
     pub(super) limit: Limit,
     pub(super) pace: Pace,
     pub(super) work: WorkTimes,
@@ -84,6 +86,7 @@
             newest: Newest::default(),
             generation: 0,
             draining: false,
+            ends_at: None,
             limit: Limit::new(cfg.limit, 0),
             pace: Pace::default(),
             work: WorkTimes::default(),
@@ -156,6 +159,12 @@
         self.draining = draining;
     }
 
+    /// Notes when work that is still in progress will be cut. No request is started any more
+    /// that would usually take longer.
+    pub fn set_end(&mut self, ends_at: Instant) {
+        self.ends_at = Some(ends_at);
+    }
+
     /// Returns the announcement in force.
     pub fn target(&self, now: Instant) -> Option<&AnnouncedTarget> {
         self.target.as_ref().filter(|target| target.is_live(now))
--- a/crates/core/src/admission/steps.rs
+++ b/crates/core/src/admission/steps.rs
@@ -53,7 +53,7 @@
         if target.service.as_str() != offer.service {
             return Err(RefuseReason::WrongService);
         }
-        if self.is_draining() {
+        if self.is_draining() || self.would_be_cut(now, offer.urgency.class) {
             return Err(RefuseReason::Draining);
         }
         let is_slow = self.pace.is_slow(now, &self.cfg.pace);
@@ -71,6 +71,9 @@
             return Err(RefuseReason::Overloaded);
         }
         let end = now.saturating_add_micros(self.predicted_time_us(now, &offer.urgency));
+        if self.ends_at.is_some_and(|at| end > at) {
+            return Err(RefuseReason::Draining);
+        }
         if end > offer.deadline {
             return Err(RefuseReason::Overloaded);
         }
@@ -86,6 +89,13 @@
         }
     }
 
+    /// Returns whether a request that started now would probably be cut by the end of the node.
+    fn would_be_cut(&self, now: Instant, class: u32) -> bool {
+        let usual_us = self.work.usual_us(class);
+        self.ends_at
+            .is_some_and(|at| now.saturating_add_micros(usual_us) > at)
+    }
+
     /// Returns whether the target could hardly answer before the deadline if it started now.
     fn is_hopeless(&self, now: Instant, offer: &Offer<'_>) -> bool {
         let least_us = self.work.least_us(offer.urgency.class);
@@ -136,6 +146,8 @@
             Some(RefuseReason::Deadline)
         } else if self.target(now).is_none() || record.generation != self.generation {
             Some(RefuseReason::NoTarget)
+        } else if self.would_be_cut(now, record.class) {
+            Some(RefuseReason::Draining)
         } else {
             None
         };
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -488,3 +488,50 @@
         expect_that!(asked, all![ge(1), le(10 * per_second)], "{per_second}");
     }
 }
+
+/// Guards against a request that a stopping node starts although it can't end before the
+/// process does: it waited in the queue, and was cut at its target.
+#[gtest]
+fn no_request_starts_that_the_end_of_the_node_would_cut() {
+    let now = Instant::from_millis(1_000);
+    let mut guard = paced_guard(now, 100);
+    let offer = |id| Offer {
+        urgency: Urgency {
+            class: 1,
+            ..Urgency::default()
+        },
+        ..paced_offer(id, false)
+    };
+    let done = Finish::Completed {
+        server_error: false,
+    };
+    for id in 0..10 {
+        let offer = offer(id);
+        guard.offer(now, &offer);
+        guard.dispatch(now, offer.key);
+        guard.finish(now, offer.key, done, 1_000_000);
+    }
+    let first = offer(100);
+    guard.offer(now, &first);
+    for id in 100..113 {
+        let offer = offer(id);
+        guard.offer(now, &offer);
+        guard.dispatch(now, offer.key);
+    }
+    expect_that!(guard.queued(), eq(1));
+    guard.set_end(now.saturating_add_millis(2_500));
+    // The one that waits gets its slot too late.
+    let late = now.saturating_add_millis(1_800);
+    let wakeups = guard.finish(late, first.key, done, 1_000_000);
+    let started: Vec<_> = wakeups.iter().map(|wakeup| wakeup.key).collect();
+    expect_that!(started, elements_are![eq(&offer(112).key)]);
+    let dispatch = guard.dispatch(late, offer(112).key);
+    expect_that!(dispatch, eq(Dispatch::Refused(RefuseReason::Draining)));
+    // A new one that could still end is taken before, and refused after that time.
+    let early = now.saturating_add_millis(1_000);
+    let mut other = paced_guard(now, 100);
+    other.set_end(now.saturating_add_millis(2_500));
+    expect_that!(other.offer(early, &offer(200)), eq(Admission::Start));
+    let refused = guard.offer(late, &offer(201));
+    expect_that!(refused, eq(Admission::Refused(RefuseReason::Draining)));
+}
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -88,6 +88,9 @@
     let started = node.now();
     let deadline = started.saturating_add_millis(limits.stop_timeout_ms);
     let linger = started.saturating_add_millis(limits.stop_linger_ms);
+    if limits.serves_while_lingering {
+        node.guard.borrow_mut().set_end(deadline);
+    }
     tell_peers(node).await;
     node.clock.sleep_until(linger.min(deadline)).await;
     node.stop.close();
