One client of the store, for the platform and for the product's own streams

Cause: the platform's store and the product's log service had a client, a stand-in and a wire format each (HttpLog over awc, Store over http1). The log service now is a topic of the same store: Store implements FleetStore and LogService, client.rs makes all calls, records.rs holds the formats, and one stand-in serves them. [log] interface becomes [node] interface.

Tests: the contract table of appends keeps its 18 rows. The rows of reads follow the binary format, with cut records and dropped offsets added. 'A record too large to read' is replaced by 'a record that is no text': the store bounds records to 256 KiB, the longest that readers accept, and pages to 1 MiB; an answer without end is still refused. The stand-in's tests have two more rows (cut answers, appends of cut records).

--- a/crates/cli/keys.rs
+++ b/crates/cli/keys.rs
@@ -77,6 +77,8 @@
     key("node", "ip", Kind::HostIp, Absent::Required("10.0.0.7"),
         "IP number at which other nodes reach this host."),
 
+    key("node", "interface", Kind::Choice(&["product", "platform"]), Absent::Default("product"),
+        "Interface towards callers, targets and operators: the product's own, or that of the users' platform."),
     key("node", "service", Kind::Name, Absent::Optional("stock"),
         "Service of the target on this host, told to the targets of requests that begin here."),
 
@@ -98,8 +100,6 @@
 
     key("log", "address", Kind::HostPort, Absent::Required("10.0.0.9:9000"),
         "Address of the log service, HTTP/1.1."),
-    key("log", "interface", Kind::Choice(&["streams", "topics"]), Absent::Default("streams"),
-        "streams: the log service with the product's own streams. topics: the platform's store, on which operators publish routes."),
     key("log", "poll", Kind::Time(100, 60_000), Absent::Default("1 s"),
         "Least mean time between two reads of the log by this node. Large fleets read more rarely."),
 
--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -1,6 +1,6 @@
 //! Start of the node with the settings of its file.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use plantainpost_core::{
     ids::{DataCentre, NodeName, ServiceName},
@@ -8,10 +8,10 @@
 };
 use plantainpost_node::{
     Limits, NodeError, NodeSettings, Routing, Summary,
-    border::{Borders, Platform},
+    border::{Borders, FleetStore, Platform},
     settings::FleetBudget,
 };
-use plantainpost_platform::{ControlCodec, HEADERS, HttpLog, HttpLogSettings, Store};
+use plantainpost_platform::{ControlCodec, HEADERS, Store, StoreSettings};
 use plantainpost_wire::auth::{FleetKeys, Key, KeyError};
 use slog::Logger;
 use snafu::Snafu;
@@ -26,9 +26,6 @@
 
     #[snafu(display("run: {source}; see key_file in [security]"), context(false))]
     Key { source: KeyError },
-
-    #[snafu(display("run: {address} is no IP number and port; see address in [log]"))]
-    StoreAddress { address: String },
 }
 
 /// Runs a node until a planned stop has ended.
@@ -41,7 +38,7 @@
     settings: &Settings,
     logger: Logger,
 ) -> Result<Summary, RunError> {
-    let borders = borders(file, settings)?;
+    let borders = borders(file, settings);
     let settings = node_settings(settings)?;
     Ok(plantainpost_node::run(settings, borders, logger).await?)
 }
@@ -54,34 +51,24 @@
 /// platform needs two missed readiness checks, 1 s apart, to send callers elsewhere.
 const LINGER_PERCENT_OF_GRACE: u64 = 45;
 
-fn borders(file: &str, settings: &Settings) -> Result<Borders, RunError> {
-    let address = settings.log.address.clone();
-    let platform = match settings.log.is_platform {
-        true => {
-            let addr: Result<SocketAddr, _> = address.parse();
-            let addr = addr.map_err(|_| RunError::StoreAddress {
-                address: address.clone(),
-            })?;
-            Some(Platform {
-                store: Rc::new(Store::new(addr)),
-                control: Rc::new(ControlCodec),
-            })
-        }
-        false => None,
-    };
-    let log = HttpLogSettings {
-        address,
+fn borders(file: &str, settings: &Settings) -> Borders {
+    let store = Rc::new(Store::new(StoreSettings {
+        address: settings.log.address.clone(),
         ..Default::default()
-    };
+    }));
+    let platform = settings.node.is_on_platform.then(|| Platform {
+        store: Rc::clone(&store) as Rc<dyn FleetStore>,
+        control: Rc::new(ControlCodec),
+    });
     let file = file.to_owned();
-    Ok(Borders {
-        log: Rc::new(HttpLog::new(log)),
+    Borders {
+        log: store,
         reload: Box::new(move || {
             let (settings, _) = Settings::load(&file).map_err(|e| e.to_string())?;
             node_settings(&settings).map_err(|e| e.to_string())
         }),
         platform,
-    })
+    }
 }
 
 fn node_settings(settings: &Settings) -> Result<NodeSettings, KeyError> {
@@ -90,7 +77,7 @@
     let second = security.second_key.as_ref().map(key).transpose()?;
     let token = security.token.as_ref();
     let token = token.map(|token| String::from_utf8_lossy(token.expose()).into_owned());
-    let is_platform = settings.log.is_platform;
+    let is_platform = settings.node.is_on_platform;
     let service = settings.node.service.as_deref().map(ServiceName::from);
     Ok(NodeSettings {
         service,
--- a/crates/cli/settings.rs
+++ b/crates/cli/settings.rs
@@ -113,6 +113,8 @@
     pub(crate) data_centre: String,
     pub(crate) region: String,
     pub(crate) ip: IpAddr,
+    /// Whether the node speaks the interface of the users' platform.
+    pub(crate) is_on_platform: bool,
     pub(crate) service: Option<String>,
 }
 
@@ -132,8 +134,6 @@
 pub(crate) struct Log {
     /// Host and port.
     pub(crate) address: String,
-    /// Whether it is the platform's store.
-    pub(crate) is_platform: bool,
     /// Least mean time between two reads.
     pub(crate) poll: Duration,
 }
@@ -255,6 +255,7 @@
                 data_centre: self.text("node", "data_centre"),
                 region: self.text("node", "region"),
                 ip: self.ip("node", "ip"),
+                is_on_platform: self.text("node", "interface") == "platform",
                 service: self.optional_text("node", "service"),
             },
             listen: Listen {
@@ -268,7 +269,6 @@
             contacts: self.addresses("peers", "contacts"),
             log: Log {
                 address: self.text("log", "address"),
-                is_platform: self.text("log", "interface") == "topics",
                 poll: self.time("log", "poll"),
             },
             security: self.security()?,
