Fault soak of nodes on the users' platform

Real node processes with a proxy on each link to the store and to the target, signals, and the switches of store and targets. A seeded schedule draws faults alone, in series and overlapping; after each round of 10 s the histories of callers and targets are checked (answers whole and one's own, not run means not started, nothing twice, no start 2 s after an acknowledged leave), then recovery within 15 s and a configuration in force within 2 s. A stop must end within 6 s, and no node may end by itself.

--- a/crates/standin/src/bin/plantainpost-bench/args.rs
+++ b/crates/standin/src/bin/plantainpost-bench/args.rs
@@ -21,6 +21,7 @@
     Policies(Policies),
     Probes(Probes),
     Soak(Soak),
+    Faults(Faults),
 }
 
 /// Latency that an entry and a guard add to a call, alternating with direct calls, and
@@ -160,6 +161,36 @@
     pub(crate) seed: u64,
 }
 
+/// Random faults on a fleet with the interface of the users' platform, round by round; checks
+/// the promises after each round.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "faults")]
+pub(crate) struct Faults {
+    /// binary of the node (default: beside this program)
+    #[argh(option)]
+    binary: Option<PathBuf>,
+
+    /// number of nodes (default 6)
+    #[argh(option, default = "6")]
+    pub(crate) nodes: usize,
+
+    /// rounds for each seed (default 3)
+    #[argh(option, default = "3")]
+    pub(crate) rounds: u64,
+
+    /// first seed (default 1)
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+
+    /// number of seeds, one fleet for each (default 1)
+    #[argh(option, default = "1")]
+    pub(crate) seeds: u64,
+
+    /// requests per second (default 120)
+    #[argh(option, default = "120.0")]
+    pub(crate) rate: f64,
+}
+
 /// Returns the binary that was given, or the one beside this program.
 fn binary(given: Option<&PathBuf>) -> Result<PathBuf> {
     match given {
@@ -179,4 +210,12 @@
     };
 }
 
-with_binary!(Latency, Capacity, Connections, Policies, Probes, Soak);
+with_binary!(
+    Latency,
+    Capacity,
+    Connections,
+    Policies,
+    Probes,
+    Soak,
+    Faults
+);
--- a/crates/standin/src/bin/plantainpost-bench/main.rs
+++ b/crates/standin/src/bin/plantainpost-bench/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod capacity;
 mod connections;
+mod faults;
 mod latency;
 mod policies;
 mod probes;
@@ -25,6 +26,7 @@
         Command::Policies(args) => policies::run(&args),
         Command::Probes(args) => probes::run(&args),
         Command::Soak(args) => soak::run(&args),
+        Command::Faults(args) => faults::run(&args),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/standin/src/bin/plantainpost-standin/args.rs
+++ b/crates/standin/src/bin/plantainpost-standin/args.rs
@@ -129,6 +129,7 @@
                 ..Default::default()
             },
             history: self.history.clone(),
+            ..Default::default()
         }
     }
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -19,7 +19,8 @@
     error::{Error, FileSnafu, Result, SettingSnafu, TimeoutSnafu},
     log::{self, LogHandle, LogSettings},
     process::{self, Process, ProcessSettings},
-    target::{self, TargetHandle, TargetSettings},
+    proxy::Proxy,
+    target::{self, Interface, TargetHandle, TargetSettings},
 };
 
 /// First port and number of ports for nodes. They lie below the range that the system
@@ -31,6 +32,13 @@
 /// Key of the fleet.
 pub const KEY: [u8; 32] = [7; 32];
 
+/// Addresses that each host has: four of its node and one of its target.
+const ADDRESSES: usize = 5;
+
+/// Settings of nodes on the platform: the bounds of the users' sites.
+const PLATFORM_SETTINGS: &str = "[platform]\nannounce_every = 1000 ms\ngrace = 6 s\nprobes = 60\n\
+     [retry]\nfleet_slack = 56\n";
+
 /// Addresses of other nodes that each node contacts first.
 const CONTACTS: usize = 3;
 
@@ -59,6 +67,9 @@
     pub log: LogSettings,
     /// Policy for choosing a target; the default one if empty.
     pub policy: String,
+    /// Whether nodes and targets speak the interface of the users' platform, over links that
+    /// can be disturbed.
+    pub on_platform: bool,
     /// Whether log lines of nodes go to the standard error of this process.
     pub echo: bool,
 }
@@ -72,10 +83,21 @@
     pub admin: SocketAddr,
     /// TCP and UDP address for peers.
     pub peers: SocketAddr,
+    /// Listener for announcements on the platform.
+    pub control: SocketAddr,
     /// The process.
     pub process: Process,
 }
 
+/// Links of one host on the platform.
+#[derive(Debug)]
+pub struct Links {
+    /// From the node to the store.
+    pub store: Proxy,
+    /// From the node to the target beside it.
+    pub target: Proxy,
+}
+
 /// A running fleet, stopped on drop.
 pub struct Fleet {
     /// The nodes, in the order of their hosts.
@@ -84,6 +106,8 @@
     pub targets: Vec<TargetHandle>,
     /// The log service.
     pub log: LogHandle,
+    /// The links of each host; none unless the fleet is on the platform.
+    pub links: Vec<Links>,
     settings: FleetSettings,
     dir: TempDir,
 }
@@ -168,6 +192,7 @@
         let mut fleet = Fleet {
             nodes: Vec::new(),
             targets: Vec::new(),
+            links: Vec::new(),
             log: log::start(&settings.log)?,
             settings: settings.clone(),
             dir: TempDir::new()?,
@@ -176,7 +201,7 @@
         fs::write(&key, KEY).context(FileSnafu {
             path: key.display().to_string(),
         })?;
-        let addresses = free_addresses(settings.hosts.len() * 3);
+        let addresses = free_addresses(settings.hosts.len() * ADDRESSES);
         for i in 0..settings.hosts.len() {
             fleet.start_host(i, &addresses)?;
         }
@@ -189,7 +214,15 @@
 
     fn start_host(&mut self, i: usize, addresses: &[SocketAddr]) -> Result<()> {
         let host = &self.settings.hosts[i];
-        let [callers, admin, peers] = [0, 1, 2].map(|k| addresses[i * 3 + k]);
+        let [callers, admin, peers, control, own] =
+            [0, 1, 2, 3, 4].map(|k| addresses[i * ADDRESSES + k]);
+        let on_platform = self.settings.on_platform;
+        if on_platform {
+            self.links.push(Links {
+                store: Proxy::start(self.log.address())?,
+                target: Proxy::start(own)?,
+            });
+        }
         let file = self.dir.path().join(format!("{}.ini", host.name));
         let text = self.settings_text(i, addresses);
         fs::write(&file, text).context(FileSnafu {
@@ -197,14 +230,24 @@
         })?;
         let target = TargetSettings {
             name: host.name.clone(),
-            node: Some(admin),
+            node: Some(if on_platform { control } else { admin }),
             ..host.target.clone()
         };
+        let target = match self.links.get(i) {
+            Some(links) => TargetSettings {
+                listen: own,
+                interface: Interface::Platform,
+                announced_address: Some(links.target.address()),
+                ..target
+            },
+            None => target,
+        };
         let process = self.start_process(&file)?;
         self.nodes.push(Node {
             callers,
             admin,
             peers,
+            control,
             process,
         });
         self.targets.push(target::start(&target)?);
@@ -213,21 +256,28 @@
 
     fn settings_text(&self, i: usize, addresses: &[SocketAddr]) -> String {
         let host = &self.settings.hosts[i];
-        let [callers, admin, peers] = [0, 1, 2].map(|k| addresses[i * 3 + k]);
+        let [callers, admin, peers, control] = [0, 1, 2, 3].map(|k| addresses[i * ADDRESSES + k]);
+        let links = self.links.get(i);
+        let store = links.map_or(self.log.address(), |links| links.store.address());
+        let (mut node, mut more) = ("", "");
+        if self.settings.on_platform {
+            node = "interface = platform\n";
+            more = PLATFORM_SETTINGS;
+        }
         let mut text = format!(
-            "[node]\nname = {}\ndata_centre = {}\nregion = one\nip = 127.0.0.1\n\
+            "[node]\nname = {}\ndata_centre = {}\nregion = one\nip = 127.0.0.1\n{node}\
              [listen]\ncallers = {callers}\nadmin = {admin}\npeer_tcp = {peers}\n\
-             peer_udp = {peers}\n[log]\naddress = {}\n[security]\nkey_file = {}\n",
+             peer_udp = {peers}\ncontrol = {control}\n[log]\naddress = {store}\n{more}\
+             [security]\nkey_file = {}\n",
             host.name,
             host.data_centre,
-            self.log.address(),
             self.dir.path().join("fleet.key").display(),
         );
         let contacts = (0..CONTACTS.min(self.settings.hosts.len()))
             .filter(|k| *k != i)
-            .map(|k| addresses[k * 3 + 2].to_string());
+            .map(|k| addresses[k * ADDRESSES + 2].to_string());
         let contacts = contacts.collect::<Vec<_>>().join(", ");
-        if !contacts.is_empty() {
+        if !contacts.is_empty() && !self.settings.on_platform {
             let _ = write!(text, "[peers]\ncontacts = {contacts}\n");
         }
         if !self.settings.policy.is_empty() {
@@ -253,6 +303,7 @@
     pub fn restart(&mut self, i: usize) -> Result<()> {
         let name = &self.settings.hosts[i].name;
         let file = self.dir.path().join(format!("{name}.ini"));
+        // Both fail only when the process has ended.
         drop(self.nodes[i].process.signal(process::Signal::Kill));
         drop(self.nodes[i].process.wait_exit(Duration::from_secs(5)));
         self.nodes[i].process = self.start_process(&file)?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod process;
 pub mod proxy;
 mod server;
+pub mod soak;
 pub mod target;
 mod timer;
-pub mod topics;
 pub mod usage;
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -35,8 +35,10 @@
     pub seed: u64,
     /// Most connections per route.
     pub connections: usize,
-    /// The time that each request has, in ms; sent in `plantainpost-timeout-ms`.
+    /// The time that each request has, in ms; told in a header.
     pub timeout_ms: u64,
+    /// Whether requests carry the headers of the users' platform.
+    pub on_platform: bool,
     /// The kinds of requests, chosen by weight.
     pub kinds: Vec<Kind>,
     /// Most requests open at the same time; further ones are counted as skipped.
@@ -56,6 +58,7 @@
             seed: 1,
             connections: 64,
             timeout_ms: 10_000,
+            on_platform: false,
             kinds: vec![Kind::default()],
             max_open: 20_000,
             history: None,
--- a/crates/standin/src/load/exchange.rs
+++ b/crates/standin/src/load/exchange.rs
@@ -108,8 +108,13 @@
     let mut req = run.clients[route]
         .request(method, format!("http://{address}{}", kind.path))
         .insert_header(("Host", kind.service.as_str()))
-        .insert_header(("x-nonce", nonce))
-        .insert_header(("plantainpost-timeout-ms", timeout_ms));
+        .insert_header(("x-nonce", nonce));
+    req = match run.settings.on_platform {
+        true => req
+            .insert_header(("plantainpost-request-id", nonce))
+            .insert_header(("plantainpost-deadline-ms", timeout_ms)),
+        false => req.insert_header(("plantainpost-timeout-ms", timeout_ms)),
+    };
     if let Some(len) = kind.answer_bytes {
         req = req.insert_header(("x-answer-bytes", len.to_string()));
     }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -54,8 +54,13 @@
     pub service_time: ServiceTime,
     /// The seed of the service time distribution.
     pub seed: u64,
-    /// The admin address of the node beside it; none for a target that announces nothing.
+    /// The address of the node beside it for announcements; none for a target that announces
+    /// nothing.
     pub node: Option<SocketAddr>,
+    /// The form of its announcements and answers.
+    pub interface: Interface,
+    /// The address that it announces; none for its own.
+    pub announced_address: Option<SocketAddr>,
     /// The time to live of an announcement in ms; it is renewed three times as often.
     pub ttl_ms: u64,
     /// Fault switches at the start.
@@ -76,6 +81,8 @@
             service_time: ServiceTime::default(),
             seed: 1,
             node: None,
+            interface: Interface::default(),
+            announced_address: None,
             ttl_ms: 3000,
             faults: TargetFaults::default(),
             history: None,
@@ -83,6 +90,17 @@
     }
 }
 
+/// The form in which a target speaks to nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Interface {
+    /// The product's own.
+    #[default]
+    Product,
+    /// That of the users' platform: leases of incarnations, and requests that name the one
+    /// that they are for.
+    Platform,
+}
+
 /// A running target, stopped on drop.
 #[derive(Debug)]
 pub struct TargetHandle {
--- a/crates/standin/src/target/http.rs
+++ b/crates/standin/src/target/http.rs
@@ -31,6 +31,15 @@
 /// The path of the load report, which is not a request of the service.
 const LOAD_PATH: &str = "/load";
 
+/// The path of the health check on the platform.
+const HEALTH_PATH: &str = "/healthz";
+
+/// Headers of the platform: the id of a request, which answers repeat; the incarnation that a
+/// request is for; and the mark of answers to requests that were not run.
+const REQUEST_ID: &str = "plantainpost-request-id";
+const EXPECTED: &str = "plantainpost-expect-instance";
+const NOT_RUN: &str = "plantainpost-not-run";
+
 /// The handlers of the main and the control listener.
 pub(super) fn handlers(shared: Arc<Shared>) -> (Rc<dyn Handler>, Rc<dyn Handler>) {
     (Rc::new(Main(Arc::clone(&shared))), Rc::new(Control(shared)))
@@ -40,7 +49,7 @@
 
 impl Handler for Main {
     fn begin(&self, req: &Request) {
-        if !is_load(req) {
+        if self.is_work(req) {
             self.0.begin(&nonce(req));
         }
     }
@@ -53,19 +62,42 @@
                     "slots": self.0.settings.slots,
                 }));
             }
+            if !self.is_work(req) {
+                return self.no_work(req);
+            }
             self.work(req, &body).await
         }
         .boxed_local()
     }
 
     fn end(&self, req: &Request, ok: bool) {
-        if !is_load(req) {
+        if self.is_work(req) {
             self.0.end(&nonce(req), ok);
         }
     }
 }
 
 impl Main {
+    /// Whether the request runs here.
+    fn is_work(&self, req: &Request) -> bool {
+        let is_meant = header::<String>(req, EXPECTED)
+            .is_none_or(|expected| expected == self.0.incarnation_id());
+        is_meant && !is_load(req) && req.path() != HEALTH_PATH
+    }
+
+    /// The answer to a health check, or to a request for another incarnation.
+    fn no_work(&self, req: &Request) -> Reply {
+        if req.path() == HEALTH_PATH {
+            return text(StatusCode::OK, "healthy");
+        }
+        let mut reply = text(StatusCode::MISDIRECTED_REQUEST, "another incarnation");
+        insert(&mut reply, NOT_RUN, "1");
+        if let Some(id) = header::<String>(req, REQUEST_ID) {
+            insert(&mut reply, REQUEST_ID, &id);
+        }
+        reply
+    }
+
     async fn work(&self, req: &Request, body: &[u8]) -> Reply {
         let decision = self.0.decide(header(req, "x-work-us"));
         match decision.fail {
@@ -106,15 +138,22 @@
             ("x-target", name),
             ("x-service", service),
         ] {
-            if let Ok(value) = HeaderValue::from_str(value) {
-                let name = HeaderName::from_static(name);
-                reply.head.headers_mut().insert(name, value);
-            }
+            insert(&mut reply, name, value);
+        }
+        if let Some(id) = header::<String>(req, REQUEST_ID) {
+            insert(&mut reply, REQUEST_ID, &id);
         }
         reply
     }
 }
 
+fn insert(reply: &mut Reply, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        let name = HeaderName::from_static(name);
+        reply.head.headers_mut().insert(name, value);
+    }
+}
+
 /// Applies the fault switches to an answer.
 fn apply(decision: &Decision, reply: &mut Reply) {
     if decision.close_idle {
--- a/crates/standin/src/target/state.rs
+++ b/crates/standin/src/target/state.rs
@@ -12,7 +12,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::sync::{Notify, Semaphore};
 
-use super::{Fail, LoadFault, TargetFaults, TargetSettings};
+use super::{Fail, Interface, LoadFault, TargetFaults, TargetSettings};
 use crate::{
     clock::now_us,
     error::Result,
@@ -42,6 +42,7 @@
     started_at: Instant,
     node: Option<SocketAddr>,
     announced: bool,
+    incarnation: Incarnation,
     in_flight: u32,
     /// In-flight counts after each change, oldest first.
     loads: VecDeque<(Instant, u32)>,
@@ -52,6 +53,19 @@
     rng: StdRng,
 }
 
+/// One life of a target, as it announces it on the platform.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Incarnation {
+    /// Distinguishes the lives of one target.
+    pub(super) number: u64,
+    /// Start in ms since the Unix epoch.
+    pub(super) born_ms: u64,
+    /// Announcements so far.
+    pub(super) sequence: u64,
+    /// Whether a node has acknowledged that it leaves.
+    leave_known: bool,
+}
+
 /// What the switches say about one request.
 #[derive(Debug)]
 pub(super) struct Decision {
@@ -75,6 +89,7 @@
                 started_at: now,
                 node: settings.node,
                 announced: false,
+                incarnation: Incarnation::born(0),
                 in_flight: 0,
                 loads: VecDeque::new(),
                 executions: HashMap::new(),
@@ -102,6 +117,10 @@
         let mut state = self.lock();
         if state.faults.leaving != faults.leaving {
             self.note_leaving(&mut state, faults.leaving);
+            if !faults.leaving {
+                // A leave holds for the rest of a life.
+                state.incarnation = Incarnation::born(state.incarnation.number + 1);
+            }
         }
         state.faults = faults;
         state.faults_since = Instant::now();
@@ -110,6 +129,10 @@
     }
 
     fn note_leaving(&self, state: &mut State, leaving: bool) {
+        if leaving && self.settings.interface == Interface::Platform {
+            // There it counts from the acknowledgement.
+            return;
+        }
         let (at, target) = (now_us(), self.settings.name.clone());
         state.note(match leaving {
             true => Record::Leaving { at, target },
@@ -117,6 +140,34 @@
         });
     }
 
+    /// The next announcement: the incarnation, and whether it leaves.
+    pub(super) fn next_announcement(&self) -> (Incarnation, bool) {
+        let mut state = self.lock();
+        state.incarnation.sequence += 1;
+        (state.incarnation.clone(), state.faults.leaving)
+    }
+
+    /// Notes that a node acknowledged that incarnation `number` leaves.
+    pub(super) fn note_leave_acknowledged(&self, number: u64) {
+        let mut state = self.lock();
+        if state.incarnation.number != number || state.incarnation.leave_known {
+            return;
+        }
+        state.incarnation.leave_known = true;
+        let (at, target) = (now_us(), self.settings.name.clone());
+        state.note(Record::Leaving { at, target });
+    }
+
+    /// The id of the present incarnation.
+    pub(super) fn incarnation_id(&self) -> String {
+        self.id_of(self.lock().incarnation.number)
+    }
+
+    /// The id of an incarnation.
+    pub(super) fn id_of(&self, number: u64) -> String {
+        format!("{}-{number}", self.settings.name)
+    }
+
     pub(super) fn node(&self) -> Option<SocketAddr> {
         self.lock().node
     }
@@ -219,6 +270,16 @@
     }
 }
 
+impl Incarnation {
+    fn born(number: u64) -> Self {
+        Incarnation {
+            number,
+            born_ms: now_us() / 1000,
+            ..Default::default()
+        }
+    }
+}
+
 impl State {
     /// The factor on the service time now.
     fn slowdown(&self) -> f64 {
