Settings of the platform may be fractions, zero or missing

Cause: the template passes the bounds of a site on, and [retry] fleet_slack, [platform] probes and the times took whole numbers only. Ruled out: the template's rendering, which gives the value as the site states it.

With no health checks allowed the pace of the host is not measured.

Test the_template_serves_other_sites failed first; after: passes.

--- a/crates/cli/keys.rs
+++ b/crates/cli/keys.rs
@@ -133,14 +133,14 @@
 
     key("platform", "announce_every", Kind::Time(100, 60_000), Absent::Default("1500 ms"),
         "Time between two announcements of a target."),
-    key("platform", "probes", Kind::Count(1, 1_000), Absent::Default("60"),
+    key("platform", "probes", Kind::Bound(0, 1_000), Absent::Default("60"),
         "Health checks that the target may get in a second, for the pace of its host."),
     key("platform", "grace", Kind::Time(1_000, 600_000), Absent::Optional("6 s"),
         "Time after which a node that was told to stop is killed. Without it stop_timeout alone counts."),
 
     key("retry", "earned", Kind::Count(0, 100), Absent::Default("10"),
         "Extra requests that 100 successful requests of a service earn at one node."),
-    key("retry", "fleet_slack", Kind::Count(0, 1_000_000), Absent::Optional("50"),
+    key("retry", "fleet_slack", Kind::Bound(0, 1_000_000), Absent::Optional("50"),
         "Extra requests that all nodes together may send beyond those that were earned."),
 
     key("balance", "policy", Kind::Choice(POLICIES), Absent::Default("predicted-completion"),
--- a/crates/cli/value.rs
+++ b/crates/cli/value.rs
@@ -27,6 +27,8 @@
     Size(u64, u64),
     /// Whole number, at least and at most.
     Count(u64, u64),
+    /// Bound, at least and at most. A fraction is rounded down.
+    Bound(u64, u64),
     /// One of these words.
     Choice(&'static [&'static str]),
 }
@@ -72,6 +74,10 @@
                 let count = text.parse().ok()?;
                 (min..=max).contains(&count).then_some(Value::Count(count))
             }
+            Kind::Bound(min, max) => {
+                let bound = parse_number(text)? as u64;
+                (min..=max).contains(&bound).then_some(Value::Count(bound))
+            }
             Kind::Choice(words) => words.contains(&text).then(|| Value::Text(text.to_owned())),
         }
     }
@@ -96,6 +102,7 @@
                 with_unit(max, SIZE_UNITS)
             ),
             Kind::Count(min, max) => format!("{min} to {max}, no unit"),
+            Kind::Bound(min, max) => format!("{min} to {max}, fractions are rounded down"),
             Kind::Choice(words) => format!("one of {}", words.join(", ")),
         }
     }
@@ -151,12 +158,22 @@
     })
 }
 
-/// Parses a number with a unit, with or without a space between them.
+/// Parses a number with a unit, with or without a space between them. A fraction of the
+/// smallest unit is dropped.
 fn parse_with_unit(text: &str, units: &[(&str, u64)]) -> Option<u64> {
-    let end = text.find(|c: char| !c.is_ascii_digit())?;
+    let end = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
     let (number, unit) = text.split_at(end);
     let (_, factor) = units.iter().find(|(name, _)| *name == unit.trim_start())?;
-    number.parse::<u64>().ok()?.checked_mul(*factor)
+    match number.contains('.') {
+        true => Some((parse_number(number)? * *factor as f64) as u64),
+        false => number.parse::<u64>().ok()?.checked_mul(*factor),
+    }
+}
+
+/// Parses a decimal number without sign and exponent.
+fn parse_number(text: &str) -> Option<f64> {
+    let is_plain = text.chars().all(|c| c.is_ascii_digit() || c == '.');
+    is_plain.then(|| text.parse().ok()).flatten()
 }
 
 /// Writes a number in the largest unit that needs no fraction.
--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/pace.rs
@@ -17,8 +17,8 @@
     pub best_us: u64,
     /// Age up to which the last pace is believed, in microseconds.
     pub fresh_us: u64,
-    /// Least time between two measurements, in microseconds.
-    pub interval_us: u64,
+    /// Least time between two measurements, in microseconds; none if nothing is measured.
+    pub interval_us: Option<u64>,
     /// Age from which the last pace says nothing at all, in microseconds.
     pub forget_us: u64,
 }
@@ -29,7 +29,7 @@
             slow_percent: 150,
             best_us: 500_000,
             fresh_us: 20_000,
-            interval_us: 20_000,
+            interval_us: Some(20_000),
             forget_us: 500_000,
         }
     }
@@ -50,7 +50,7 @@
     /// left for health checks of others.
     pub fn with_rate(per_second: u64) -> Self {
         PaceSettings {
-            interval_us: 1_200_000 / per_second.max(1),
+            interval_us: 1_200_000_u64.checked_div(per_second),
             ..Default::default()
         }
     }
@@ -113,12 +113,12 @@
     /// Reports whether the pace should be measured before the next start, and notes that
     /// this is done.
     pub(super) fn ask(&mut self, now: Instant, cfg: &PaceSettings) -> bool {
-        let Some((at, _)) = self.told else {
+        let (Some((at, _)), Some(interval_us)) = (self.told, cfg.interval_us) else {
             return false;
         };
         let is_asked = self
             .asked
-            .is_some_and(|asked| now.micros_since(asked) < cfg.interval_us);
+            .is_some_and(|asked| now.micros_since(asked) < interval_us);
         if is_asked || now.micros_since(at) < cfg.fresh_us {
             return false;
         }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -4,6 +4,8 @@
 mod calls;
 #[path = "cli/settings.rs"]
 mod settings;
+#[path = "cli/template.rs"]
+mod template;
 
 use std::{
     fs,
