--- a/crates/standin/src/bin/plantainpost-bench/args.rs
+++ b/crates/standin/src/bin/plantainpost-bench/args.rs
@@ -174,6 +174,10 @@
     #[argh(option, default = "6")]
     pub(crate) nodes: usize,
 
+    /// first round of each seed (default 0)
+    #[argh(option, default = "0")]
+    pub(crate) first_round: u64,
+
     /// rounds for each seed (default 3)
     #[argh(option, default = "3")]
     pub(crate) rounds: u64,
--- a/crates/standin/src/bin/plantainpost-bench/faults.rs
+++ b/crates/standin/src/bin/plantainpost-bench/faults.rs
@@ -12,6 +12,7 @@
             binary: args.binary()?,
             seed,
             nodes: args.nodes,
+            first_round: args.first_round,
             rounds: args.rounds,
             rate: args.rate,
             ..Default::default()
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -43,6 +43,8 @@
     pub seed: u64,
     /// Number of nodes.
     pub nodes: usize,
+    /// Number of the first round, to play a round of another run again.
+    pub first_round: u64,
     /// Number of rounds.
     pub rounds: u64,
     /// Time in which faults begin in a round, in milliseconds.
@@ -59,6 +61,7 @@
             binary: PathBuf::new(),
             seed: 1,
             nodes: 6,
+            first_round: 0,
             rounds: 3,
             round_ms: 10_000,
             faults: 8,
@@ -124,7 +127,7 @@
     driver.publish();
     checks::recovery(&mut driver).map_err(|what| SoakError::Promise { round: 0, what })?;
     let mut report = SoakReport::default();
-    for round in 0..cfg.rounds {
+    for round in cfg.first_round..cfg.first_round + cfg.rounds {
         let seed = cfg.seed.wrapping_mul(1_000).wrapping_add(round);
         let steps = schedule(seed, cfg.nodes, cfg.round_ms, cfg.faults);
         report.faults += steps.iter().filter(|step| step.begins).count() as u64;
--- a/crates/standin/src/soak/driver.rs
+++ b/crates/standin/src/soak/driver.rs
@@ -39,8 +39,8 @@
     pub(super) fleet: Fleet,
     /// Version of the newest configuration.
     pub(super) version: u64,
-    /// Nodes that were asked to stop, by when they must have ended.
-    stopping: BTreeMap<usize, Instant>,
+    /// Nodes that were asked to stop and have not been started again.
+    stopping: Vec<usize>,
     /// Nodes that were killed or stopped and have not been started again.
     ended: Vec<usize>,
     /// Faults of the same place that overlap: it is well again when all have ended.
@@ -52,7 +52,7 @@
         Driver {
             fleet,
             version: 0,
-            stopping: BTreeMap::new(),
+            stopping: Vec::new(),
             ended: Vec::new(),
             active: BTreeMap::new(),
         }
@@ -120,7 +120,7 @@
     fn take(&mut self, step: &Step, changes: bool) -> Result<(), String> {
         match &step.fault {
             Fault::Kill(i) => self.kill(*i, step.begins, changes),
-            Fault::Stop(i) => self.stop(*i, step.begins),
+            Fault::Stop(i) => self.stop(*i, step.begins, changes),
             Fault::Publish if step.begins => {
                 self.publish();
                 Ok(())
@@ -196,7 +196,7 @@
     fn kill(&mut self, i: usize, begins: bool, changes: bool) -> Result<(), String> {
         if begins {
             self.signal(i, Signal::Kill);
-            self.stopping.remove(&i);
+            self.stopping.retain(|other| *other != i);
             self.ended.push(i);
         } else if changes {
             self.start(i)?;
@@ -204,24 +204,18 @@
         Ok(())
     }
 
-    fn stop(&mut self, i: usize, begins: bool) -> Result<(), String> {
+    fn stop(&mut self, i: usize, begins: bool, changes: bool) -> Result<(), String> {
         if begins {
-            if self.ended.contains(&i) || self.stopping.contains_key(&i) {
-                return Ok(());
+            if !self.ended.contains(&i) && !self.stopping.contains(&i) {
+                self.signal(i, Signal::Term);
+                self.stopping.push(i);
             }
-            self.signal(i, Signal::Term);
-            let until = Instant::now() + Duration::from_millis(STOP_MS);
-            self.stopping.insert(i, until);
             return Ok(());
         }
-        let Some(until) = self.stopping.get(&i).copied() else {
-            return Ok(());
-        };
-        if Instant::now() + Duration::from_millis(1) < until {
-            // The end of an earlier stop of a series.
+        if !changes || !self.stopping.contains(&i) {
             return Ok(());
         }
-        self.stopping.remove(&i);
+        self.stopping.retain(|other| *other != i);
         let process = &mut self.fleet.nodes[i].process;
         let was_frozen = self.active.get(&place(&Fault::Freeze(i))).copied() > Some(0);
         if process.is_running() && !was_frozen {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -17,6 +17,7 @@
 mod scripted_entry;
 mod scripted_guard;
 mod scripted_stop;
+mod soak;
 mod stop;
 mod uploads;
 mod util;
