Requests queued before a slow moment wait for its end, too

Cause: the delay of a start in a slow moment counted from the arrival in the queue and was zero for requests that arrived before the moment. The delay now counts from the beginning of the moment.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -193,7 +193,6 @@
                     key: offer.key,
                     deadline: offer.deadline,
                     urgency: offer.urgency,
-                    hold_until: self.hold_until(now, offer.urgency.class),
                     queued_at: now,
                     predicted_us: self.predicted_wait_us(now, &offer.urgency),
                 });
@@ -320,7 +319,7 @@
         let held = match self.in_flight < self.limit.current() {
             true => {
                 let first = self.queue.first(Instant::default(), &self.work);
-                first.map(|(_, waiting)| waiting.hold_until)
+                first.map(|(_, waiting)| self.hold_until(waiting))
             }
             false => None,
         };
--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/pace.rs
@@ -67,6 +67,8 @@
     best_until: Instant,
     /// Share of the recent time that was slow, from 0 to 1.
     slow_share: f64,
+    /// When the present slow moment was first noticed; none outside of one.
+    slow_since: Option<Instant>,
     /// When it was last asked.
     asked: Option<Instant>,
 }
@@ -86,6 +88,9 @@
             self.best_until = now.saturating_add_micros(cfg.best_us);
         }
         self.best[0] = Some(self.best[0].map_or(percent, |best| best.min(percent)));
+        self.slow_since = self
+            .is_slow_percent(percent, cfg)
+            .then(|| self.slow_since.unwrap_or(now));
     }
 
     /// Returns the share of the recent time that was slow, from 0 to [`MAX_SHARE`].
@@ -126,11 +131,26 @@
         true
     }
 
-    /// Returns how long a start is worth delaying, in microseconds: as long as the slow
-    /// moment would lengthen the work. Waiting so long and starting then costs at most
-    /// twice the time of the better choice.
-    pub(super) fn worthwhile_delay_us(&self, service_us: u64) -> u64 {
-        let extra_percent = u64::from(self.percent().saturating_sub(USUAL_PERCENT));
-        service_us * extra_percent / 100
+    /// Returns until when a start is worth delaying for a request that waits since
+    /// `queued_at`: as long as the slow moment would lengthen the work, and no longer than the
+    /// moment is believed in. Waiting so long and starting then costs at most twice the time of
+    /// the better choice.
+    ///
+    /// The delay counts from the beginning of the moment. Requests that were queued before it
+    /// would otherwise start in it, and under load these are most of them.
+    pub(super) fn hold_until(
+        &self,
+        queued_at: Instant,
+        service_us: u64,
+        cfg: &PaceSettings,
+    ) -> Instant {
+        let (Some(since), Some((told_at, percent))) = (self.slow_since, self.told) else {
+            return queued_at;
+        };
+        let extra_percent = u64::from(percent.saturating_sub(USUAL_PERCENT));
+        let worthwhile = since
+            .max(queued_at)
+            .saturating_add_micros(service_us * extra_percent / 100);
+        worthwhile.min(told_at.saturating_add_micros(cfg.forget_us))
     }
 }
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -14,8 +14,6 @@
     pub(super) key: RequestKey,
     pub(super) deadline: Instant,
     pub(super) urgency: Urgency,
-    /// Instant from which the request starts even in a slow moment of the target's host.
-    pub(super) hold_until: Instant,
     pub(super) queued_at: Instant,
     /// Wait that was predicted, before the correction, in microseconds.
     pub(super) predicted_us: u64,
@@ -98,7 +96,6 @@
             key: RequestKey::default(),
             deadline: Instant::MAX,
             urgency: *urgency,
-            hold_until: now,
             queued_at: now,
             predicted_us: 0,
         };
--- a/crates/core/src/admission/steps.rs
+++ b/crates/core/src/admission/steps.rs
@@ -4,7 +4,7 @@
     Admission, Dispatch, FenceState, Finish, Guard, Offer, RefuseReason, RequestKey, Urgency,
     Wakeup,
     limit::{Change, Sample},
-    queue::Ticket,
+    queue::{Ticket, Waiting},
     records::{Record, State},
 };
 use crate::time::Instant;
@@ -102,14 +102,11 @@
         now.saturating_add_micros(least_us) >= offer.deadline
     }
 
-    /// Returns the instant until which a request that is queued now waits for the end of a
-    /// slow moment.
-    pub(super) fn hold_until(&self, now: Instant, class: u32) -> Instant {
-        if !self.pace.is_slow(now, &self.cfg.pace) {
-            return now;
-        }
-        let service_us = self.work.mean_us(class);
-        now.saturating_add_micros(self.pace.worthwhile_delay_us(service_us))
+    /// Returns the instant until which a request waits for the end of a slow moment.
+    pub(super) fn hold_until(&self, waiting: &Waiting) -> Instant {
+        let service_us = self.work.mean_us(waiting.urgency.class);
+        self.pace
+            .hold_until(waiting.queued_at, service_us, &self.cfg.pace)
     }
 
     /// Predicts when a request that is queued now is answered, in microseconds.
@@ -341,8 +338,7 @@
     /// Returns the request that starts next, unless it waits for the end of a slow moment.
     fn first_to_start(&self, now: Instant) -> Option<Ticket> {
         let (ticket, waiting) = self.queue.first(now, &self.work)?;
-        let is_slow = self.pace.is_slow(now, &self.cfg.pace);
-        (!is_slow || waiting.hold_until <= now).then_some(ticket)
+        (self.hold_until(waiting) <= now).then_some(ticket)
     }
 
     fn promote(&mut self, key: RequestKey) -> Wakeup {
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -485,7 +485,11 @@
                 guard.note_pace(now, 100);
             }
         }
-        expect_that!(asked, all![ge(per_second.min(1)), le(10 * per_second)], "{per_second}");
+        expect_that!(
+            asked,
+            all![ge(per_second.min(1)), le(10 * per_second)],
+            "{per_second}"
+        );
     }
 }
 
