--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -19,6 +19,7 @@
     fleet::{Fleet, FleetSettings, Host},
     history::{self, Summary, Violation},
     load::{self, Kind, LoadSettings, Route},
+    process,
     target::{ServiceTime, TargetSettings},
 };
 
@@ -28,6 +29,9 @@
 /// Longest time until a new fleet is ready.
 const READY: Duration = Duration::from_secs(30);
 
+/// Longest time for which targets work on after the last answer to a caller.
+const SETTLE: Duration = Duration::from_secs(10);
+
 /// Time of each request in milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 2_000;
 
@@ -193,6 +197,10 @@
     round: u64,
     mut records: Vec<history::Record>,
 ) -> Result<Summary, SoakError> {
+    // Targets note the end of an answer after its last byte was sent.
+    process::wait_until("the end of all requests at targets", SETTLE, || {
+        driver.fleet.targets.iter().all(|t| t.in_flight() == 0)
+    })?;
     for target in &driver.fleet.targets {
         records.extend(target.history());
     }
