trace: the way of a request through the logs of several nodes

Tests: order by time (fractions of different length sorted wrongly at first), calls of the target, other requests left out, errors.

--- a/crates/cli/commands.rs
+++ b/crates/cli/commands.rs
@@ -14,6 +14,7 @@
     node::{self, RunError},
     render,
     settings::{self, Settings, SettingsError},
+    trace::{self, TraceError},
 };
 
 /// Reason why a command failed.
@@ -31,6 +32,9 @@
     #[snafu(transparent)]
     Run { source: RunError },
 
+    #[snafu(transparent)]
+    Trace { source: TraceError },
+
     #[snafu(display("{file}: can't read plan: {source}; check the file name"))]
     ReadPlan {
         file: String,
@@ -71,9 +75,12 @@
     /// Returns the exit code.
     pub(crate) fn exit(&self) -> Exit {
         match self {
-            CommandError::Intent { .. } | CommandError::CheckWhat | CommandError::ExplainWhat => {
-                Exit::Usage
-            }
+            CommandError::Intent { .. }
+            | CommandError::CheckWhat
+            | CommandError::ExplainWhat
+            | CommandError::Trace {
+                source: TraceError::NoFile,
+            } => Exit::Usage,
             CommandError::Unknown { .. } | CommandError::NoOutcome { .. } => Exit::Unknown,
             _ => Exit::Error,
         }
@@ -112,6 +119,7 @@
         Command::Status(flags) => block_on(status(flags)),
         Command::Audit(flags) => block_on(audit(flags)),
         Command::Explain(flags) => block_on(explain(flags)),
+        Command::Trace(flags) => Ok(Report::done(trace::trace(&flags.id, &flags.files)?)),
     }
 }
 
--- a/crates/cli/flags.rs
+++ b/crates/cli/flags.rs
@@ -22,6 +22,7 @@
     Status(Status),
     Audit(Audit),
     Explain(Explain),
+    Trace(Trace),
 }
 
 /// How to reach the admin listener of a node.
@@ -91,6 +92,19 @@
     pub(crate) json: bool,
 }
 
+/// Print what the logs of several nodes say about a request, in order of time.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "trace")]
+pub(crate) struct Trace {
+    /// id of the request, as its caller knows it
+    #[argh(positional, arg_name = "id")]
+    pub(crate) id: String,
+
+    /// log files with JSON lines; each is named after its node
+    #[argh(positional, arg_name = "file")]
+    pub(crate) files: Vec<String>,
+}
+
 admin_command! {
     /// Turn an intent into a plan. Nothing changes until the plan is confirmed.
     #[argh(subcommand, name = "plan")]
--- a/crates/cli/main.rs
+++ b/crates/cli/main.rs
@@ -11,6 +11,7 @@
 mod node;
 mod render;
 mod settings;
+mod trace;
 mod value;
 
 use std::{
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -6,6 +6,8 @@
 mod settings;
 #[path = "cli/template.rs"]
 mod template;
+#[path = "cli/trace.rs"]
+mod trace;
 
 use std::{
     fs,
