Refusals for want of time say so

The reason is 'deadline' now; nothing else changes. Test too_little_time_is_no_overload failed first.

--- a/crates/core/src/admission/steps.rs
+++ b/crates/core/src/admission/steps.rs
@@ -61,7 +61,7 @@
             return Err(RefuseReason::Slow);
         }
         if self.is_hopeless(now, offer) {
-            return Err(RefuseReason::Overloaded);
+            return Err(RefuseReason::Deadline);
         }
         if !is_slow && self.queue.len() == 0 && self.in_flight < self.limit.current() {
             return Ok(Place::Slot);
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -63,7 +63,7 @@
 pub enum RefuseReason {
     /// The queue is full, or the predicted wait exceeds the remaining time.
     Overloaded,
-    /// The deadline has passed.
+    /// The deadline has passed, or is too near for the work.
     Deadline,
     /// The target is leaving.
     Draining,
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -539,3 +539,31 @@
     let refused = guard.offer(late, &offer(201));
     expect_that!(refused, eq(Admission::Refused(RefuseReason::Draining)));
 }
+
+/// Guards against a refusal for want of time that is told as a full target: those who explain it
+/// afterwards would look for load, and the time was spent before.
+#[gtest]
+fn too_little_time_is_no_overload() {
+    let now = Instant::from_millis(1_000);
+    let mut guard = paced_guard(now, 100);
+    let offer = |id, millis| Offer {
+        deadline: now.saturating_add_millis(millis),
+        urgency: Urgency {
+            class: 1,
+            ..Urgency::default()
+        },
+        ..paced_offer(id, false)
+    };
+    for id in 1..=8 {
+        let served = offer(id, 5_000);
+        expect_that!(guard.offer(now, &served), eq(Admission::Start));
+        guard.dispatch(now, served.key);
+        let finish = Finish::Completed {
+            server_error: false,
+        };
+        guard.finish(now, served.key, finish, 200_000);
+    }
+    let admission = guard.offer(now, &offer(100, 17));
+    expect_that!(admission, eq(Admission::Refused(RefuseReason::Deadline)));
+    expect_that!(guard.offer(now, &offer(101, 1_000)), eq(Admission::Start));
+}
