--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -77,7 +77,7 @@
 /// What a soak has seen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SoakReport {
-    /// Requests and their outcomes in all rounds.
+    /// Requests of the last round. Starts at targets are counted over all rounds.
     pub requests: Summary,
     /// Faults brought about.
     pub faults: u64,
@@ -129,7 +129,8 @@
     )?;
     let mut driver = Driver::new(fleet);
     driver.publish();
-    checks::recovery(&mut driver).map_err(|what| SoakError::Promise { round: 0, what })?;
+    let broken = |round| move |what| SoakError::Promise { round, what };
+    checks::recovery(&mut driver).map_err(broken(cfg.first_round))?;
     let mut report = SoakReport::default();
     for round in cfg.first_round..cfg.first_round + cfg.rounds {
         let seed = cfg.seed.wrapping_mul(1_000).wrapping_add(round);
@@ -138,10 +139,10 @@
         let load = load::start(&load_settings(cfg, seed, &driver.fleet))?;
         let played = driver.play(&steps);
         let records = load.wait()?.records;
-        played.map_err(|what| SoakError::Promise { round, what })?;
+        played.map_err(broken(round))?;
         report.requests = check_history(&driver, round, records)?;
-        checks::recovery(&mut driver).map_err(|what| SoakError::Promise { round, what })?;
-        checks::configuration(&mut driver).map_err(|what| SoakError::Promise { round, what })?;
+        checks::recovery(&mut driver).map_err(broken(round))?;
+        checks::configuration(&mut driver).map_err(broken(round))?;
     }
     Ok(report)
 }
