Stand-in target: a request ends in the life in which it began

Found by reading: a target that began another life while a request ran did not note its end, so that the soak could wait for it. Test a_request_ends_in_another_life_of_its_target failed first (timed out waiting for the end). Only the stand-in changes.

--- a/crates/standin/src/target/http.rs
+++ b/crates/standin/src/target/http.rs
@@ -7,7 +7,7 @@
 };
 
 use actix_http::{
-    Method, Request, Response, StatusCode,
+    HttpMessage, Method, Request, Response, StatusCode,
     header::{HeaderName, HeaderValue},
 };
 use bytes::Bytes;
@@ -47,9 +47,17 @@
 
 struct Main(Arc<Shared>);
 
+/// Marks a request that runs here. The target may begin another life before its end.
+struct Begun;
+
+fn has_begun(req: &Request) -> bool {
+    req.extensions().contains::<Begun>()
+}
+
 impl Handler for Main {
     fn begin(&self, req: &Request) {
         if self.is_work(req) {
+            req.extensions_mut().insert(Begun);
             self.0.begin(&nonce(req));
         }
     }
@@ -62,7 +70,7 @@
                     "slots": self.0.settings.slots,
                 }));
             }
-            if !self.is_work(req) {
+            if !has_begun(req) {
                 return self.no_work(req);
             }
             self.work(req, &body).await
@@ -71,7 +79,7 @@
     }
 
     fn end(&self, req: &Request, ok: bool) {
-        if self.is_work(req) {
+        if has_begun(req) {
             self.0.end(&nonce(req), ok);
         }
     }
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -13,7 +13,9 @@
     history::{CheckSettings, Record, Rule, check},
     load::{self, Kind, LoadSettings, Report, Route},
     process::wait_until,
-    target::{self, Fail, LoadFault, ServiceTime, TargetFaults, TargetHandle, TargetSettings},
+    target::{
+        self, Fail, Interface, LoadFault, ServiceTime, TargetFaults, TargetHandle, TargetSettings,
+    },
 };
 
 fn start(faults: TargetFaults) -> Result<TargetHandle> {
@@ -302,3 +304,26 @@
         ]
     )
 }
+
+/// Guards against a request that a target runs and never ends, because it has begun another
+/// life meanwhile; the soak would wait for its end.
+#[gtest]
+fn a_request_ends_in_another_life_of_its_target() -> Result<()> {
+    let target = target::start(&TargetSettings {
+        service_time: ServiceTime::Fixed(300_000),
+        interface: Interface::Platform,
+        ..Default::default()
+    })?;
+    let address = target.address();
+    let line = "GET / HTTP/1.1\r\nplantainpost-expect-instance: target-0\r\nconnection: close";
+    let running = thread::spawn(move || raw(address, line, ""));
+    wait_until("the start", LIMIT, || target.in_flight() == 1)?;
+    target.set_leaving(true);
+    target.set_leaving(false);
+    let answer = running.join().expect("the thread does not panic")?;
+    expect_that!(answer, starts_with("HTTP/1.1 200"));
+    wait_until("the end", LIMIT, || target.in_flight() == 0)?;
+    let again = raw(address, line, "")?;
+    expect_that!(again, starts_with("HTTP/1.1 421"));
+    Ok(())
+}
