node: log where a configuration comes from and why one is not taken

Logs could not tell why a configuration was late. Log lines now name the peer of an adopted state, the reason and duration of a failed fetch, the reason why a state of a peer is refused, the duration of a failed read of the store, changes of the reader role, and the version that refused a request. adopt_state returns what became of the state as a value.

No decision changes.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -27,5 +27,5 @@
 pub use record::{
     Batch, Confirm, LogRecord, MAX_LOG_RECORD_BYTES, MAX_SUMMARY_BYTES, Record, RecordError,
 };
-pub use replica::{BatchOutcome, ConfigReplica, Counters};
+pub use replica::{Adoption, BatchOutcome, ConfigReplica, Counters};
 pub use state::{Decision, MAX_DECISIONS, MAX_VERSIONS, State, StateError, Verdict, VersionInfo};
--- a/crates/core/src/config/replica.rs
+++ b/crates/core/src/config/replica.rs
@@ -34,6 +34,31 @@
     pub skipped: u64,
 }
 
+/// What became of a state that was offered to [`ConfigReplica::adopt_state`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Adoption {
+    /// The state replaced the old one.
+    Adopted,
+    /// The replica has read as far as the state.
+    NotNewer,
+    /// The state violates a limit or its offsets are out of order.
+    Invalid,
+    /// The state has read further, but has an older version or another content for the same one.
+    Conflict,
+}
+
+impl Adoption {
+    /// Returns the name used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Adoption::Adopted => "adopted",
+            Adoption::NotNewer => "not-newer",
+            Adoption::Invalid => "invalid",
+            Adoption::Conflict => "conflict",
+        }
+    }
+}
+
 /// Counts of the input that a reader rejected.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
@@ -260,22 +285,22 @@
     }
 
     /// Replaces the state by that of a peer or a checkpoint if that is valid and has read
-    /// further, and returns whether it did.
-    pub fn adopt_state(&mut self, state: State) -> bool {
+    /// further.
+    pub fn adopt_state(&mut self, state: State) -> Adoption {
         if state.read_to() <= self.read_to() {
-            return false;
+            return Adoption::NotNewer;
         }
         if state.validate().is_err() {
             self.counters.invalid_states += 1;
-            return false;
+            return Adoption::Invalid;
         }
         if self.conflicts_with(&state) {
             self.counters.conflicts += 1;
-            return false;
+            return Adoption::Conflict;
         }
         self.state = state;
         self.drop_finished_scan();
-        true
+        Adoption::Adopted
     }
 
     /// Returns whether a state that has read further can't come from the log that was read
--- a/crates/core/tests/config/agreement.rs
+++ b/crates/core/tests/config/agreement.rs
@@ -1,7 +1,7 @@
 //! Agreement of readers under random interleavings of steps, and after faults of the log.
 
 use googletest::prelude::*;
-use plantainpost_core::config::{Batch, ConfigReplica, Content, Intent};
+use plantainpost_core::config::{Adoption, Batch, ConfigReplica, Content, Intent};
 use proptest::prelude::*;
 
 use super::harness::{LogHarness, READERS, Step, batch};
@@ -113,8 +113,9 @@
         let invalid = json.replacen(old, new, 1);
         expect_ne!(invalid, json, "{name}");
         let mut reader = ConfigReplica::new();
-        expect_false!(
+        expect_eq!(
             reader.adopt_state(serde_json::from_str(&invalid)?),
+            Adoption::Invalid,
             "{name}"
         );
         expect_eq!(reader.counters().invalid_states, 1, "{name}");
@@ -161,7 +162,8 @@
     }
     let lost = fresh.log.read(6, 0, 10);
     expect_false!(fresh.readers[2].apply(&lost).version_changed);
-    expect_false!(running.adopt_state(fresh.readers[2].snapshot()));
+    let adoption = running.adopt_state(fresh.readers[2].snapshot());
+    expect_eq!(adoption, Adoption::Conflict);
     expect_eq!(running.counters().conflicts, 1);
     expect_eq!(running.snapshot(), state);
     // The running node continues at its offset, and an override makes both readers agree.
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -4,18 +4,20 @@
 
 use bytes::BytesMut;
 use plantainpost_core::{
-    config::{BatchOutcome, LogPosition, State, Verdict},
+    config::{Adoption, BatchOutcome, LogPosition, State, Verdict},
     ids::NodeName,
 };
-use plantainpost_wire::message::PeerMessage;
+use plantainpost_wire::{frame::FrameError, message::PeerMessage};
 use rand::RngExt;
 use slog::{info, warn};
+use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::{
     audit::{self, AuditEvent},
     fleet, gossip,
     log_service::LogError,
     node::Node,
+    peer_pool::ConnectError,
 };
 
 /// Stream of the log service that holds the configuration.
@@ -176,6 +178,29 @@
     }
 }
 
+/// Why the state of a peer was not fetched.
+#[derive(Debug, Snafu)]
+enum FetchError {
+    /// The peer is no longer a member.
+    #[snafu(display("the peer is not a member"))]
+    UnknownPeer,
+    /// No connection to the peer could be opened.
+    #[snafu(display("can't connect: {source}"))]
+    Connect { source: ConnectError },
+    /// The connection failed.
+    #[snafu(display("the connection failed: {source}"))]
+    Connection { source: FrameError },
+    /// The peer sent an unexpected message or too much data.
+    #[snafu(display("the peer violated the protocol"))]
+    Protocol,
+    /// The state can't be decoded. A peer that has not read further sends an empty one.
+    #[snafu(display("the state can't be decoded: {source}"))]
+    Decode { source: postcard::Error },
+    /// The peer did not send its state in time.
+    #[snafu(display("timeout"))]
+    Timeout,
+}
+
 /// Fetches the state of peers that have read further, until the process exits.
 pub(crate) async fn fetch_from_peers(node: Rc<Node>) {
     let mut timeout_ms = FETCH_MIN_TIMEOUT_MS;
@@ -184,66 +209,80 @@
         let Some(peer) = node.state_fetch.peer.take() else {
             continue;
         };
+        let started_at = node.now();
         match fetch_state(&node, &peer, timeout_ms).await {
-            Some(state) => {
+            Ok(state) => {
                 timeout_ms = FETCH_MIN_TIMEOUT_MS;
-                adopt_state(&node, state).await;
+                adopt_state(&node, &peer, state).await;
             }
             // The next notice or ping from a peer that has read further triggers another fetch.
-            None => {
+            Err(e) => {
                 node.metrics.count("config.fetch_error");
                 warn!(node.logger, "configuration not fetched"; "peer" => %peer,
-                    "timeout_ms" => timeout_ms);
+                    "error" => %e, "us" => node.now().micros_since(started_at));
                 timeout_ms = (timeout_ms * 2).min(FETCH_MAX_TIMEOUT_MS);
             }
         }
     }
 }
 
-async fn adopt_state(node: &Rc<Node>, state: State) {
-    let (old_version, is_adopted, new_version) = {
+async fn adopt_state(node: &Rc<Node>, peer: &NodeName, state: State) {
+    let (old_version, adoption, new_version) = {
         let mut config = node.config.borrow_mut();
         let old_version = config.version();
         let old_routes = config.routes().cloned();
-        let is_adopted = config.adopt_state(state);
+        let adoption = config.adopt_state(state);
         if let Some(table) = config
             .routes()
             .filter(|table| Some(*table) != old_routes.as_ref())
         {
             info!(node.logger, "routes in force"; "version" => table.version(),
-                "routes" => table.len(), "read_to" => config.read_to(), "source" => "peer");
+                "routes" => table.len(), "read_to" => config.read_to(), "source" => "peer",
+                "peer" => %peer);
         }
-        (old_version, is_adopted, config.version())
+        (old_version, adoption, config.version())
     };
-    if is_adopted {
-        node.metrics.count("config.adopted");
-        on_state_changed(node, old_version != new_version, true).await;
+    match adoption {
+        Adoption::Adopted => {
+            node.metrics.count("config.adopted");
+            on_state_changed(node, old_version != new_version, true).await;
+        }
+        // The store or another peer was faster.
+        Adoption::NotNewer => node.metrics.count("config.not_newer"),
+        Adoption::Invalid | Adoption::Conflict => {
+            node.metrics.count("config.state_refused");
+            warn!(node.logger, "configuration of a peer refused"; "peer" => %peer,
+                "reason" => adoption.as_str());
+        }
     }
 }
 
-async fn fetch_state(node: &Node, peer: &NodeName, timeout_ms: u64) -> Option<State> {
+async fn fetch_state(node: &Node, peer: &NodeName, timeout_ms: u64) -> Result<State, FetchError> {
     let addr = {
         let members = node.members.borrow();
-        members.get(peer.as_str())?.tcp_addr()
+        let record = members.get(peer.as_str()).context(UnknownPeerSnafu)?;
+        record.tcp_addr()
     };
     let read_to = node.config.borrow().read_to();
     let deadline = node.now().saturating_add_millis(timeout_ms);
     let fetch = async {
-        let mut conn = node.peer_pool.acquire(peer, addr, deadline).await.ok()?;
+        let conn = node.peer_pool.acquire(peer, addr, deadline).await;
+        let mut conn = conn.context(ConnectSnafu)?;
         let request = PeerMessage::FetchConfig { read_to };
-        conn.tx.write(&request).await.ok()?;
+        conn.tx.write(&request).await.context(ConnectionSnafu)?;
         let mut buf = BytesMut::new();
         loop {
-            match conn.rx.read().await.ok()? {
+            match conn.rx.read().await.context(ConnectionSnafu)? {
                 PeerMessage::Body(chunk) if buf.len() + chunk.len() <= MAX_STATE_BYTES => {
                     buf.extend_from_slice(&chunk);
                 }
                 PeerMessage::BodyEnd { length, .. } if length == buf.len() as u64 => break,
-                _ => return None,
+                _ => return ProtocolSnafu.fail(),
             }
         }
         node.peer_pool.release(peer, conn);
-        postcard::from_bytes(&buf).ok()
+        postcard::from_bytes(&buf).context(DecodeSnafu)
     };
-    node.clock.timeout_at(deadline, fetch).await.flatten()
+    let fetched = node.clock.timeout_at(deadline, fetch).await;
+    fetched.unwrap_or_else(|| TimeoutSnafu.fail())
 }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -68,7 +68,8 @@
         Err(response) => {
             node.metrics.count("entry.bad_request");
             info!(node.logger, "request refused"; "request" => %String::from_utf8_lossy(&public_id),
-                "status" => response.status.as_u16(), "reason" => response.reason);
+                "status" => response.status.as_u16(), "reason" => response.reason,
+                "version" => node.config.borrow().routes().map(|table| table.version()));
             response
                 .send(&node.settings.headers, &public_id, writer)
                 .await
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
+use plantainpost_core::time::Instant;
 use rand::RngExt;
 use slog::{info, warn};
 
@@ -49,15 +50,18 @@
 }
 
 impl StoreAvailability {
-    fn update(&mut self, node: &Node, error: Option<&StoreError>) {
+    /// Records the result of a call that began at `started_at`.
+    fn update(&mut self, node: &Node, started_at: Instant, error: Option<&StoreError>) {
         if error.is_none() == self.is_up {
             return;
         }
         self.is_up = error.is_none();
+        let micros = node.now().micros_since(started_at);
         match error {
             None => info!(node.logger, "the store answers again"; "task" => self.task),
             Some(e) => {
-                warn!(node.logger, "the store does not answer"; "task" => self.task, "error" => %e);
+                warn!(node.logger, "the store does not answer"; "task" => self.task, "error" => %e,
+                    "us" => micros);
             }
         }
     }
@@ -79,13 +83,14 @@
         task: "join",
     };
     loop {
+        let started_at = node.now();
         let contacts = async {
             store.register_contact(&own_contact).await?;
             store.contacts().await
         };
         match contacts.await {
             Ok(contacts) => {
-                availability.update(&node, None);
+                availability.update(&node, started_at, None);
                 info!(node.logger, "fleet found on the store"; "contacts" => contacts.len());
                 let others = contacts
                     .iter()
@@ -98,7 +103,7 @@
             }
             Err(e) => {
                 node.metrics.count("store.join_error");
-                availability.update(&node, Some(&e));
+                availability.update(&node, started_at, Some(&e));
                 backoff.wait(&node).await;
             }
         }
@@ -114,6 +119,7 @@
     };
     let mut from: Option<u64> = None;
     loop {
+        let started_at = node.now();
         let read = match from {
             None => store.newest_routes().await,
             Some(from) => {
@@ -130,7 +136,7 @@
         node.metrics.count("store.read");
         match read {
             Ok(published) => {
-                availability.update(&node, None);
+                availability.update(&node, started_at, None);
                 backoff = Backoff::new();
                 from = Some(published.read_to);
                 apply_routes(&node, published).await;
@@ -138,7 +144,7 @@
             Err(StoreError::Expired) => from = None,
             Err(e) => {
                 node.metrics.count("store.read_error");
-                availability.update(&node, Some(&e));
+                availability.update(&node, started_at, Some(&e));
                 backoff.wait(&node).await;
             }
         }
@@ -151,6 +157,8 @@
         let next_check = node.now().saturating_add_millis(READER_CHECK_INTERVAL_MS);
         node.clock.sleep_until(next_check).await;
     }
+    node.metrics.gauge("store.reader", is_reader.into());
+    info!(node.logger, "reading of the store"; "is_reader" => is_reader);
 }
 
 async fn apply_routes(node: &Rc<Node>, published: PublishedRoutes) {
