store_sync: bound the wait of a read of the store

A reader waited up to 21 s for the answer to a read whose connection carried no data any more. TCP keep-alive ended that after 3 s at best, and never where the store had lost the answer on a live connection.

The first reader of a data centre now waits 1 s for a change, the second 2 s and the third 4 s, so that a dead read is noticed 2 s after it was sent at the latest, for seven calls in 4 s instead of three in 20 s for each data centre. The wait is decided in core; the store client takes it as an argument.

Test: lost_read_of_the_store_does_not_delay_a_configuration, failed before after 20 s without the route, passes in 2.3 s.

--- a/crates/core/src/member/config_readers.rs
+++ b/crates/core/src/member/config_readers.rs
@@ -20,15 +20,24 @@
 /// exchange several messages a second, and changes must be in force within 2 s.
 const MAX_SILENCE_MS: u64 = 1_200;
 
+/// How long a read of the first reader of a data centre waits for a change, in milliseconds. It
+/// bounds the time until a connection that no longer carries data is noticed: changes must be in
+/// force 3 s after such a fault.
+const MIN_READ_WAIT_MS: u64 = 1_000;
+
 impl Membership {
-    /// Returns whether this member reads configuration changes from the store.
-    pub fn is_config_reader(&self, now: Instant) -> bool {
+    /// Returns how long a read of the store may wait for a configuration change, in
+    /// milliseconds; `None` if this member leaves reading to others.
+    ///
+    /// The wait doubles with the rank of a reader, because every read costs a call: the first
+    /// reader notices a dead connection soon, and the others stand in for it.
+    pub fn config_read_wait_ms(&self, now: Instant) -> Option<u64> {
         let silence_us = MAX_SILENCE_MS * 1_000;
         let recently_received = self
             .last_received_at
             .is_some_and(|at| now.micros_since(at) < silence_us);
         if !recently_received {
-            return true;
+            return Some(MIN_READ_WAIT_MS);
         }
         let own_rank = rank(self.local.name.as_str());
         let lower_ranked = self
@@ -37,7 +46,7 @@
             .filter(|member| member.state == MemberState::Alive)
             .filter(|member| rank(member.name.as_str()) < own_rank)
             .count();
-        lower_ranked < READERS_PER_DATA_CENTRE
+        (lower_ranked < READERS_PER_DATA_CENTRE).then(|| MIN_READ_WAIT_MS << lower_ranked)
     }
 }
 
--- a/crates/core/tests/member/rules.rs
+++ b/crates/core/tests/member/rules.rs
@@ -437,8 +437,8 @@
 fn only_few_members_of_a_data_centre_read_the_store() {
     // Every fourth host of the fixture is in the same data centre.
     let names: Vec<String> = (0..10).map(|i| format!("m{i}")).collect();
-    let readers = |ms: u64, received_ms: u64| {
-        let is_reader = |local_index: usize| {
+    let read_waits_ms = |ms: u64, received_ms: u64| {
+        let read_wait_ms = |local_index: usize| {
             let local = record(&names[local_index], local_index * 4, INCARNATION);
             let settings = MemberSettings::default();
             let mut member = Membership::new(settings, local, &[addr(9)], at(0));
@@ -449,10 +449,12 @@
             for records in records.chunks(3) {
                 receive_records(&mut member, received_ms, records);
             }
-            member.is_config_reader(at(ms))
+            member.config_read_wait_ms(at(ms))
         };
-        (0..names.len()).filter(|index| is_reader(*index)).count()
+        let mut waits: Vec<u64> = (0..names.len()).filter_map(read_wait_ms).collect();
+        waits.sort();
+        waits
     };
-    expect_that!(readers(500, 400), eq(3));
-    expect_that!(readers(3_000, 400), eq(10));
+    expect_that!(read_waits_ms(500, 400), eq(&vec![1_000, 2_000, 4_000]));
+    expect_that!(read_waits_ms(3_000, 400), eq(&vec![1_000; 10]));
 }
--- a/crates/node/src/external.rs
+++ b/crates/node/src/external.rs
@@ -81,9 +81,12 @@
 
     /// Waits for records from offset `from` on, and returns the newest routes among them.
     ///
-    /// Returns without routes if none are published for a while.
-    fn wait_for_routes(&self, from: u64)
-    -> LocalBoxFuture<'_, Result<PublishedRoutes, StoreError>>;
+    /// Returns without routes if none are published within `wait_ms` milliseconds.
+    fn wait_for_routes(
+        &self,
+        from: u64,
+        wait_ms: u64,
+    ) -> LocalBoxFuture<'_, Result<PublishedRoutes, StoreError>>;
 }
 
 /// A heartbeat by which a target announces itself.
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -123,13 +123,11 @@
         let read = match from {
             None => store.newest_routes().await,
             Some(from) => {
-                let read = store.wait_for_routes(from.max(node.config.borrow().read_to()));
+                let wait_ms = wait_for_reader_role(&node).await;
+                let from = from.max(node.config.borrow().read_to());
                 tokio::select! {
-                    read = read => read,
-                    () = wait_for_reader_role(&node, false) => {
-                        wait_for_reader_role(&node, true).await;
-                        continue;
-                    }
+                    read = store.wait_for_routes(from, wait_ms) => read,
+                    () = wait_for_loss_of_reader_role(&node) => continue,
                 }
             }
         };
@@ -151,12 +149,40 @@
     }
 }
 
-/// Waits until this node is one of the members that read the store, or until it no longer is.
-async fn wait_for_reader_role(node: &Node, is_reader: bool) {
-    while node.members.borrow().is_config_reader(node.now()) != is_reader {
-        let next_check = node.now().saturating_add_millis(READER_CHECK_INTERVAL_MS);
-        node.clock.sleep_until(next_check).await;
+/// Waits until this node is one of the members that read the store. Returns how long its read may
+/// wait for a change, in milliseconds.
+async fn wait_for_reader_role(node: &Node) -> u64 {
+    let mut is_reader = true;
+    loop {
+        let wait_ms = node.members.borrow().config_read_wait_ms(node.now());
+        if wait_ms.is_some() != is_reader {
+            is_reader = wait_ms.is_some();
+            log_reader_role(node, is_reader);
+        }
+        match wait_ms {
+            Some(wait_ms) => return wait_ms,
+            None => wait_for_reader_check(node).await,
+        }
     }
+}
+
+/// Waits until this node is no longer one of the members that read the store.
+async fn wait_for_loss_of_reader_role(node: &Node) {
+    let is_reader = || {
+        let members = node.members.borrow();
+        members.config_read_wait_ms(node.now()).is_some()
+    };
+    while is_reader() {
+        wait_for_reader_check(node).await;
+    }
+}
+
+async fn wait_for_reader_check(node: &Node) {
+    let next_check = node.now().saturating_add_millis(READER_CHECK_INTERVAL_MS);
+    node.clock.sleep_until(next_check).await;
+}
+
+fn log_reader_role(node: &Node, is_reader: bool) {
     node.metrics.gauge("store.reader", is_reader.into());
     info!(node.logger, "reading of the store"; "is_reader" => is_reader);
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -7,6 +7,7 @@
 mod fault_cases;
 mod fleet_fixture;
 mod http_client;
+mod late_configuration;
 mod network_faults;
 mod node_faults;
 mod operator_races;
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -153,6 +153,13 @@
     _dir: TempDir,
 }
 
+/// Path prefix, kind and timeout in milliseconds of the routes that most tests use.
+const STANDARD_ROUTES: &[(&str, &str, u64)] = &[
+    ("/safe/", "safe", 5_000),
+    ("/once/", "unsafe", 5_000),
+    ("/short/", "safe", 400),
+];
+
 /// Starts a node with a settings file.
 pub(crate) fn start_process(settings: &std::path::Path) -> Process {
     Process::start(&ProcessSettings {
@@ -218,20 +225,24 @@
     /// Writes routes to the service `shelf` to the store: `/safe/` is safe to repeat,
     /// `/once/` is not, and `/short/` is safe with a timeout of 400 ms instead of 5 s.
     pub(crate) fn publish_routes(&self, version: u64) {
-        let route = |prefix: &str, kind: &str, timeout: u64| {
+        self.publish_route_list(version, STANDARD_ROUTES);
+    }
+
+    /// Writes routes to the service `shelf` to the store. Each has a path prefix, a kind, and a
+    /// timeout in milliseconds.
+    pub(crate) fn publish_route_list(&self, version: u64, routes: &[(&str, &str, u64)]) {
+        let routes = routes.iter().map(|(prefix, kind, timeout)| {
             format!(
                 r#""r{prefix}":{{"host":"shop.example","pathPrefix":"{prefix}","kind":"{kind}",
                 "timeoutMs":{timeout},"latencyTargetMs":{timeout},"priority":1,"attempts":2,
                 "service":"shelf"}}"#
             )
-        };
+        });
+        let routes = routes.collect::<Vec<_>>().join(",");
         let text = format!(
-            r#"{{"version":{version},"routes":{{{},{},{}}},"services":{{"shelf":
+            r#"{{"version":{version},"routes":{{{routes}}},"services":{{"shelf":
             {{"healthPath":"/healthz","maxConns":260}}}},"limits":{{"maxHeaderBytes":16384,
             "maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
-            route("/safe/", "safe", 5_000),
-            route("/once/", "unsafe", 5_000),
-            route("/short/", "safe", 400),
         );
         self.store
             .append_keyed("keyed.op", "config", text.as_bytes());
