config_sync: fetch configurations over new connections, from peers in turn

After a network fault that made all open connections silent, nodes fetched a new configuration over idle connections, which were dead. Each failure doubled the time limit of the next fetch, from 400 ms to 3.2 s, at another peer, and the next one began only with another notice or ping. An answer of a peer that had read no further counted as a failure too.

A fetch now opens a connection. Peers that have read further are kept in a bounded list and asked in turn; one that does not answer within 400 ms goes to the end. The time limit for the whole state is 3.2 s from the start, once its first part has arrived.

Tests: configuration_is_fetched_over_a_new_connection and several_silent_peers_do_not_delay_a_configuration failed on the code before this commit, and pass. silent_peer_does_not_delay_a_configuration moves to the same file unchanged.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -10,6 +10,7 @@
 mod content;
 mod delta;
 mod describe;
+mod fetch;
 mod gap_scan;
 mod intent;
 mod plan;
@@ -22,6 +23,7 @@
     Content, ContentError, DEFAULT_MEASURING_PERMILLE, DEFAULT_SHARE, Leaving, MAX_CONTENT_BYTES,
     MAX_MEASURING_PERMILLE, MAX_NAME_BYTES, MAX_SHARE, ServiceRules, ShareKey, ShareKeyError,
 };
+pub use fetch::FetchCandidates;
 pub use intent::Intent;
 pub use plan::{KnownTarget, Plan, PlanError, VerifyError};
 pub use record::{
--- /dev/null
+++ b/crates/core/tests/config/fetch.rs
@@ -0,0 +1,46 @@
+//! Order in which peers are asked for a newer configuration.
+
+use googletest::prelude::*;
+use plantainpost_core::{config::FetchCandidates, ids::NodeName};
+
+fn next(candidates: &mut FetchCandidates, own_read_to: u64) -> Option<String> {
+    let peer = candidates.next(own_read_to);
+    peer.map(|peer| peer.as_str().to_owned())
+}
+
+/// Guards against a peer that does not answer and is asked again before the others, and against a
+/// fetch from a peer that has read no further.
+#[gtest]
+fn silent_peer_is_asked_after_the_others() {
+    let [a, b, c] = ["a", "b", "c"].map(NodeName::from);
+    let mut candidates = FetchCandidates::default();
+    expect_eq!(next(&mut candidates, 0), None);
+    candidates.add(&a, 5);
+    expect_that!(candidates.record_failure(&a), eq(false));
+    candidates.add(&b, 4);
+    candidates.add(&c, 5);
+    expect_eq!(next(&mut candidates, 3), Some("a".to_owned()));
+    expect_that!(candidates.record_failure(&a), eq(true));
+    // A notice of the silent peer does not put it first again.
+    candidates.add(&a, 6);
+    expect_eq!(next(&mut candidates, 3), Some("b".to_owned()));
+    candidates.remove(&b);
+    expect_eq!(next(&mut candidates, 4), Some("c".to_owned()));
+    expect_eq!(next(&mut candidates, 5), Some("a".to_owned()));
+    expect_eq!(next(&mut candidates, 6), None);
+}
+
+/// Guards against an unbounded list in a large fleet.
+#[gtest]
+fn candidates_are_bounded() {
+    let mut candidates = FetchCandidates::default();
+    for i in 0..100 {
+        candidates.add(&NodeName::from(&*format!("n{i}")), 1);
+    }
+    let mut count = 0;
+    while let Some(peer) = candidates.next(0) {
+        candidates.remove(&peer);
+        count += 1;
+    }
+    expect_that!(count, le(8));
+}
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -4,7 +4,7 @@
 
 use bytes::BytesMut;
 use plantainpost_core::{
-    config::{Adoption, BatchOutcome, LogPosition, State, Verdict},
+    config::{Adoption, BatchOutcome, FetchCandidates, LogPosition, State, Verdict},
     ids::NodeName,
 };
 use plantainpost_wire::{frame::FrameError, message::PeerMessage};
@@ -29,31 +29,30 @@
 /// Largest number of records in one read.
 const MAX_RECORDS_PER_READ: usize = 100;
 
-/// Initial timeout to fetch the state of a peer, in milliseconds.
+/// Timeout for connecting to a peer and for the beginning of its state, in milliseconds.
 ///
 /// A configuration must take effect within 2 s of its confirmation, even if the first peers do
-/// not respond. A state of 256 KiB takes 210 ms on a 10 Mbit/s link.
-const FETCH_MIN_TIMEOUT_MS: u64 = 400;
+/// not respond.
+const FETCH_REPLY_TIMEOUT_MS: u64 = 400;
 
-/// Longest timeout to fetch the state of a peer, in milliseconds. The timeout doubles after each
-/// failure, for states that take longer than [`FETCH_MIN_TIMEOUT_MS`].
-const FETCH_MAX_TIMEOUT_MS: u64 = 3_200;
+/// Timeout for the whole state of a peer, in milliseconds. A state of 256 KiB takes 210 ms on an
+/// idle 10 Mbit/s link; several nodes may fetch from the same peer.
+const FETCH_TIMEOUT_MS: u64 = 3_200;
 
 /// Longest encoded state of a peer, in bytes.
 const MAX_STATE_BYTES: usize = 4 * 1024 * 1024;
 
-/// Request to fetch the configuration state of a peer.
+/// Pending fetch of the configuration state of a peer.
 #[derive(Default)]
 pub(crate) struct StateFetch {
-    /// Peer that has read further than this node.
-    peer: RefCell<Option<NodeName>>,
+    candidates: RefCell<FetchCandidates>,
     requested: tokio::sync::Notify,
 }
 
 /// Requests the state of a peer that has read further than this node.
 pub(crate) fn on_peer_ahead(node: &Rc<Node>, peer: &NodeName, read_to: u64) {
     if read_to > node.config.borrow().read_to() {
-        node.state_fetch.peer.replace(Some(peer.clone()));
+        node.state_fetch.candidates.borrow_mut().add(peer, read_to);
         node.state_fetch.requested.notify_one();
     }
 }
@@ -193,7 +192,7 @@
     /// The peer sent an unexpected message or too much data.
     #[snafu(display("the peer violated the protocol"))]
     Protocol,
-    /// The state can't be decoded. A peer that has not read further sends an empty one.
+    /// The state can't be decoded.
     #[snafu(display("the state can't be decoded: {source}"))]
     Decode { source: postcard::Error },
     /// The peer did not send its state in time.
@@ -203,24 +202,33 @@
 
 /// Fetches the state of peers that have read further, until the process exits.
 pub(crate) async fn fetch_from_peers(node: Rc<Node>) {
-    let mut timeout_ms = FETCH_MIN_TIMEOUT_MS;
+    let candidates = &node.state_fetch.candidates;
     loop {
-        node.state_fetch.requested.notified().await;
-        let Some(peer) = node.state_fetch.peer.take() else {
+        let read_to = node.config.borrow().read_to();
+        let next_peer = candidates.borrow_mut().next(read_to);
+        let Some(peer) = next_peer else {
+            node.state_fetch.requested.notified().await;
             continue;
         };
         let started_at = node.now();
-        match fetch_state(&node, &peer, timeout_ms).await {
+        match fetch_state(&node, &peer, read_to).await {
             Ok(state) => {
-                timeout_ms = FETCH_MIN_TIMEOUT_MS;
-                adopt_state(&node, &peer, state).await;
+                candidates.borrow_mut().remove(&peer);
+                if let Some(state) = state {
+                    adopt_state(&node, &peer, state).await;
+                }
             }
-            // The next notice or ping from a peer that has read further triggers another fetch.
+            Err(FetchError::UnknownPeer) => candidates.borrow_mut().remove(&peer),
             Err(e) => {
                 node.metrics.count("config.fetch_error");
                 warn!(node.logger, "configuration not fetched"; "peer" => %peer,
                     "error" => %e, "us" => node.now().micros_since(started_at));
-                timeout_ms = (timeout_ms * 2).min(FETCH_MAX_TIMEOUT_MS);
+                if !candidates.borrow_mut().record_failure(&peer) {
+                    let retry_at = started_at.saturating_add_millis(FETCH_REPLY_TIMEOUT_MS);
+                    let notified = node.state_fetch.requested.notified();
+                    // Another peer may become known before the same one is asked again.
+                    let _ = node.clock.timeout_at(retry_at, notified).await;
+                }
             }
         }
     }
@@ -257,32 +265,41 @@
     }
 }
 
-async fn fetch_state(node: &Node, peer: &NodeName, timeout_ms: u64) -> Result<State, FetchError> {
+/// Fetches the state of a peer. Returns `None` if the peer has not read further than `read_to`.
+///
+/// The connection is a new one, because idle ones can all be dead after a network fault.
+async fn fetch_state(
+    node: &Node,
+    peer: &NodeName,
+    read_to: u64,
+) -> Result<Option<State>, FetchError> {
     let addr = {
         let members = node.members.borrow();
         let record = members.get(peer.as_str()).context(UnknownPeerSnafu)?;
         record.tcp_addr()
     };
-    let read_to = node.config.borrow().read_to();
-    let deadline = node.now().saturating_add_millis(timeout_ms);
-    let fetch = async {
-        let conn = node.peer_pool.acquire(peer, addr, deadline).await;
-        let mut conn = conn.context(ConnectSnafu)?;
-        let request = PeerMessage::FetchConfig { read_to };
-        conn.tx.write(&request).await.context(ConnectionSnafu)?;
-        let mut buf = BytesMut::new();
-        loop {
-            match conn.rx.read().await.context(ConnectionSnafu)? {
-                PeerMessage::Body(chunk) if buf.len() + chunk.len() <= MAX_STATE_BYTES => {
-                    buf.extend_from_slice(&chunk);
-                }
-                PeerMessage::BodyEnd { length, .. } if length == buf.len() as u64 => break,
-                _ => return ProtocolSnafu.fail(),
+    let reply_deadline = node.now().saturating_add_millis(FETCH_REPLY_TIMEOUT_MS);
+    let deadline = node.now().saturating_add_millis(FETCH_TIMEOUT_MS);
+    let conn = node.peer_pool.connect(peer, addr, reply_deadline).await;
+    let mut conn = conn.context(ConnectSnafu)?;
+    let request = PeerMessage::FetchConfig { read_to };
+    conn.tx.write(&request).await.context(ConnectionSnafu)?;
+    let mut buf = BytesMut::new();
+    let mut read_deadline = reply_deadline;
+    loop {
+        let read = node.clock.timeout_at(read_deadline, conn.rx.read()).await;
+        match read.context(TimeoutSnafu)?.context(ConnectionSnafu)? {
+            PeerMessage::Body(chunk) if buf.len() + chunk.len() <= MAX_STATE_BYTES => {
+                buf.extend_from_slice(&chunk);
             }
+            PeerMessage::BodyEnd { length, .. } if length == buf.len() as u64 => break,
+            _ => return ProtocolSnafu.fail(),
         }
-        node.peer_pool.release(peer, conn);
-        postcard::from_bytes(&buf).context(DecodeSnafu)
-    };
-    let fetched = node.clock.timeout_at(deadline, fetch).await;
-    fetched.unwrap_or_else(|| TimeoutSnafu.fail())
+        read_deadline = deadline;
+    }
+    node.peer_pool.release(peer, conn);
+    if buf.is_empty() {
+        return Ok(None);
+    }
+    postcard::from_bytes(&buf).map(Some).context(DecodeSnafu)
 }
--- a/tests/integration/late_configuration.rs
+++ b/tests/integration/late_configuration.rs
@@ -2,12 +2,17 @@
 
 use std::time::{Duration, Instant};
 
+use actix_rt::{net::TcpListener, time::timeout};
 use googletest::prelude::*;
 use plantainpost_standin::{log::LogFaults, process};
+use plantainpost_wire::message::{BodyLength, PeerMessage};
 
 use crate::{
     fleet_fixture::WAIT_TIMEOUT,
+    http_client::outcome_header,
     platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer},
+    scripted_guard::{ScriptedGuardFleet, response_message},
+    scripted_peer::{ScriptedPeer, run_script},
 };
 
 /// Longest time until a configuration is in force after the end of a fault of the store.
@@ -40,3 +45,83 @@
     .expect("an answer");
     expect_that!(start.elapsed(), lt(MAX_DELAY_AFTER_FAULT));
 }
+
+/// Accepts a connection on which a node asks the guard `stock-0` for its configuration.
+async fn accept_configuration_fetch(listener: &TcpListener) -> ScriptedPeer {
+    let mut peer = ScriptedPeer::accept(listener, "stock-0").await;
+    match peer.next_message().await {
+        Ok(PeerMessage::FetchConfig { .. }) => peer,
+        other => panic!("expected FetchConfig, not {other:?}"),
+    }
+}
+
+/// Starts an entry that gets configurations from its peer only.
+fn start_without_log() -> ScriptedGuardFleet {
+    ScriptedGuardFleet::start_with_entry_settings(|text| {
+        *text = text.replace("[log]\naddress = ", "[log]\naddress = 127.0.0.1:1\n; ");
+    })
+}
+
+/// Guards against a node that gets a configuration too late because it waits for a peer that
+/// does not answer, for example over a dead connection or from a frozen host.
+#[gtest]
+fn silent_peer_does_not_delay_a_configuration() {
+    let scripted = start_without_log();
+    scripted.fleet.plan_and_confirm(1, &["measure", "3"]);
+    let delay = run_script(async {
+        let listener = TcpListener::bind(scripted.guard_address)
+            .await
+            .expect("a listener");
+        let _silent = accept_configuration_fetch(&listener).await;
+        let start = Instant::now();
+        let _next = accept_configuration_fetch(&listener).await;
+        start.elapsed()
+    });
+    // A configuration must be in force on all nodes within 2 s.
+    expect_that!(delay, le(Duration::from_secs(1)));
+}
+
+/// Guards against time limits that grow with each peer that does not answer, so that the last nodes
+/// get a configuration seconds after the others.
+#[gtest]
+fn several_silent_peers_do_not_delay_a_configuration() {
+    let scripted = start_without_log();
+    scripted.fleet.plan_and_confirm(1, &["measure", "3"]);
+    let delay = run_script(async {
+        let listener = TcpListener::bind(scripted.guard_address)
+            .await
+            .expect("a listener");
+        let start = Instant::now();
+        let mut silent = Vec::new();
+        for _ in 0..4 {
+            silent.push(accept_configuration_fetch(&listener).await);
+        }
+        start.elapsed()
+    });
+    // A configuration must be in force on all nodes within 2 s.
+    expect_that!(delay, le(Duration::from_secs(2)));
+}
+
+/// Guards against a fetch over an idle connection that a network fault has made dead, although the
+/// peer accepts new ones.
+#[gtest]
+fn configuration_is_fetched_over_a_new_connection() {
+    let scripted = start_without_log();
+    run_script(async {
+        let listener = TcpListener::bind(scripted.guard_address)
+            .await
+            .expect("a listener");
+        let caller = scripted.send_post(2_000);
+        let mut dead = ScriptedPeer::accept(&listener, "stock-0").await;
+        let key = dead.next_request().await.key;
+        dead.send(response_message(key, BodyLength::None)).await;
+        let text = caller.join().expect("no panic");
+        expect_that!(outcome_header(&text), eq("answered"), "{text}");
+        scripted.fleet.plan_and_confirm(1, &["measure", "3"]);
+        let _fetch = accept_configuration_fetch(&listener).await;
+        // Without a message the read is still waiting.
+        let read = timeout(Duration::from_millis(100), dead.rx.read()).await;
+        let is_fetch = matches!(read, Ok(Ok(PeerMessage::FetchConfig { .. })));
+        expect_false!(is_fetch, "a fetch on the idle connection");
+    });
+}
--- a/tests/integration/scripted_guard.rs
+++ b/tests/integration/scripted_guard.rs
@@ -1,14 +1,7 @@
 //! A real entry and a scripted guard: which frames the entry trusts, and which connections
 //! it reuses.
 
-use std::{
-    future::Future,
-    net::SocketAddr,
-    pin::Pin,
-    sync::Mutex,
-    thread,
-    time::{Duration, Instant},
-};
+use std::{future::Future, net::SocketAddr, pin::Pin, sync::Mutex, thread, time::Duration};
 
 use actix_rt::net::TcpListener;
 use googletest::prelude::*;
@@ -28,10 +21,10 @@
 
 /// A fleet of an entry `desk-0` and of a node `stock-0` whose peer address the test listens
 /// on, so that a script acts as its guard.
-struct ScriptedGuardFleet {
-    fleet: Fleet,
+pub(crate) struct ScriptedGuardFleet {
+    pub(crate) fleet: Fleet,
     /// Address on which the script accepts connections as the guard `stock-0`.
-    guard_address: SocketAddr,
+    pub(crate) guard_address: SocketAddr,
     _relay: Relay,
 }
 
@@ -41,7 +34,7 @@
     }
 
     /// Starts the fleet with changed settings of the entry.
-    fn start_with_entry_settings(edit_entry: impl Fn(&mut String)) -> Self {
+    pub(crate) fn start_with_entry_settings(edit_entry: impl Fn(&mut String)) -> Self {
         let mut specs = host_specs("desk", 1);
         specs.extend(host_specs("stock", 1));
         let guard_relay = Mutex::new(None);
@@ -77,7 +70,7 @@
     }
 
     /// Sends a non-idempotent request in a new thread, which returns the answer.
-    fn send_post(&self, timeout_ms: u64) -> thread::JoinHandle<String> {
+    pub(crate) fn send_post(&self, timeout_ms: u64) -> thread::JoinHandle<String> {
         let callers = self.fleet.nodes[0].callers;
         thread::spawn(move || {
             request_with_timeout(callers, ("POST", "stock"), ("n", timeout_ms), "")
@@ -99,7 +92,7 @@
     }
 }
 
-fn response_message(key: RequestKey, body: BodyLength) -> PeerMessage {
+pub(crate) fn response_message(key: RequestKey, body: BodyLength) -> PeerMessage {
     PeerMessage::Response(PeerResponseHead {
         key,
         status: 200,
@@ -413,33 +406,3 @@
         }
     });
 }
-
-/// Accepts a connection on which a node asks the guard `stock-0` for its configuration.
-async fn accept_configuration_fetch(listener: &TcpListener) -> ScriptedPeer {
-    let mut peer = ScriptedPeer::accept(listener, "stock-0").await;
-    match peer.next_message().await {
-        Ok(PeerMessage::FetchConfig { .. }) => peer,
-        other => panic!("expected FetchConfig, not {other:?}"),
-    }
-}
-
-/// Guards against a node that gets a configuration too late because it waits for a peer that
-/// does not answer, for example over a dead connection or from a frozen host.
-#[gtest]
-fn silent_peer_does_not_delay_a_configuration() {
-    let scripted = ScriptedGuardFleet::start_with_entry_settings(|text| {
-        *text = text.replace("[log]\naddress = ", "[log]\naddress = 127.0.0.1:1\n; ");
-    });
-    scripted.fleet.plan_and_confirm(1, &["measure", "3"]);
-    let delay = run_script(async {
-        let listener = TcpListener::bind(scripted.guard_address)
-            .await
-            .expect("a listener");
-        let _silent = accept_configuration_fetch(&listener).await;
-        let start = Instant::now();
-        let _next = accept_configuration_fetch(&listener).await;
-        start.elapsed()
-    });
-    // A configuration must be in force on all nodes within 2 s.
-    expect_that!(delay, le(Duration::from_secs(1)));
-}
