member: members stand in for readers whose reads of the store fail

Three members of each data centre, chosen by their names, read the store. If it refused all of them, nobody read, although it served others.

A member whose last read failed says so in its member record. Others count only members whose reads work, so that the next ones by rank read until a regular reader succeeds again. The members whose reads fail go on trying. A stand-in repeats a failed read after 4 s on average, because in an outage of the whole store every member becomes one.

--- a/crates/core/examples/membership/sim/hosts.rs
+++ b/crates/core/examples/membership/sim/hosts.rs
@@ -31,6 +31,7 @@
             slots: 12,
             draining: false,
         }),
+        store_reads_fail: false,
         config_version: 100_000,
     }
 }
--- a/crates/core/src/member/config_readers.rs
+++ b/crates/core/src/member/config_readers.rs
@@ -25,28 +25,46 @@
 /// force 3 s after such a fault.
 const MIN_READ_WAIT_MS: u64 = 1_000;
 
+/// Role of a member that reads configuration changes from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigReader {
+    /// How long a read may wait for a change, in milliseconds.
+    pub read_wait_ms: u64,
+    /// Whether this member reads only because reads of other members fail.
+    pub is_stand_in: bool,
+}
+
 impl Membership {
-    /// Returns how long a read of the store may wait for a configuration change, in
-    /// milliseconds; `None` if this member leaves reading to others.
+    /// Returns the role of this member if it reads the store; `None` if it leaves that to others.
     ///
     /// The wait doubles with the rank of a reader, because every read costs a call: the first
-    /// reader notices a dead connection soon, and the others stand in for it.
-    pub fn config_read_wait_ms(&self, now: Instant) -> Option<u64> {
+    /// reader notices a dead connection soon, and the others stand in for it. Members whose reads
+    /// fail go on trying, but don't count: the store may refuse any number of members while it
+    /// serves the others.
+    pub fn config_reader(&self, now: Instant) -> Option<ConfigReader> {
         let silence_us = MAX_SILENCE_MS * 1_000;
         let recently_received = self
             .last_received_at
             .is_some_and(|at| now.micros_since(at) < silence_us);
         if !recently_received {
-            return Some(MIN_READ_WAIT_MS);
+            return Some(ConfigReader {
+                read_wait_ms: MIN_READ_WAIT_MS,
+                is_stand_in: false,
+            });
         }
         let own_rank = rank(self.local.name.as_str());
-        let lower_ranked = self
-            .members()
-            .filter(|member| member.data_centre == self.local.data_centre)
-            .filter(|member| member.state == MemberState::Alive)
-            .filter(|member| rank(member.name.as_str()) < own_rank)
-            .count();
-        (lower_ranked < READERS_PER_DATA_CENTRE).then(|| MIN_READ_WAIT_MS << lower_ranked)
+        let lower_ranked = || {
+            self.members()
+                .filter(|member| member.data_centre == self.local.data_centre)
+                .filter(|member| member.state == MemberState::Alive)
+                .filter(|member| rank(member.name.as_str()) < own_rank)
+        };
+        let working = lower_ranked().filter(|member| !member.store_reads_fail);
+        let working = working.count();
+        (working < READERS_PER_DATA_CENTRE).then(|| ConfigReader {
+            read_wait_ms: MIN_READ_WAIT_MS << working,
+            is_stand_in: lower_ranked().count() >= READERS_PER_DATA_CENTRE,
+        })
     }
 }
 
--- a/crates/core/src/member/membership.rs
+++ b/crates/core/src/member/membership.rs
@@ -111,6 +111,14 @@
         }
     }
 
+    /// Sets whether the last read of the store failed, and announces a change at the next tick.
+    pub fn set_store_reads_fail(&mut self, store_reads_fail: bool) {
+        if self.local.store_reads_fail != store_reads_fail {
+            self.local.store_reads_fail = store_reads_fail;
+            self.note_local_change();
+        }
+    }
+
     /// Sets the configuration version in force at this node and the offset up to which
     /// it has read the configuration log. Lower values than the current ones are ignored.
     pub fn set_config(&mut self, version: u64, read_to: u64) {
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -27,6 +27,7 @@
 mod tick;
 
 pub use self::{
+    config_readers::ConfigReader,
     counters::Counters,
     event::{Action, MemberEvent},
     membership::Membership,
--- a/crates/core/src/member/record.rs
+++ b/crates/core/src/member/record.rs
@@ -71,6 +71,9 @@
     pub region: Region,
     /// Target of the member, if one is announced.
     pub target: Option<TargetInfo>,
+    /// Whether the store did not answer the last read of this member, so that it can't learn of
+    /// configuration changes there.
+    pub store_reads_fail: bool,
     /// Configuration version in force at the member. Never decreases within an
     /// incarnation and is not covered by `revision`.
     pub config_version: u64,
--- a/crates/core/tests/member/rules.rs
+++ b/crates/core/tests/member/rules.rs
@@ -431,30 +431,54 @@
     }
 }
 
+/// Returns the read waits of those of ten members of a data centre that read the store at `ms`, in
+/// ascending order, after each has heard of the others at `received_ms`. The reads of the members in
+/// `failing` fail.
+fn read_waits_ms(ms: u64, received_ms: u64, failing: &[usize]) -> Vec<(usize, u64)> {
+    // Every fourth host of the fixture is in the same data centre.
+    let member_record = |i: usize| MemberRecord {
+        store_reads_fail: failing.contains(&i),
+        ..record(&format!("m{i}"), i * 4, INCARNATION)
+    };
+    let read_wait_ms = |local: usize| {
+        let settings = MemberSettings::default();
+        let mut member = Membership::new(settings, member_record(local), &[addr(9)], at(0));
+        let records: Vec<_> = (0..10).filter(|i| *i != local).map(member_record).collect();
+        for records in records.chunks(3) {
+            receive_records(&mut member, received_ms, records);
+        }
+        let reader = member.config_reader(at(ms))?;
+        Some((local, reader.read_wait_ms))
+    };
+    let mut waits: Vec<(usize, u64)> = (0..10).filter_map(read_wait_ms).collect();
+    waits.sort_by_key(|(_, wait_ms)| *wait_ms);
+    waits
+}
+
 /// Guards against a call to the store by every member of a large fleet for each change, and
 /// against a member that is isolated from the others and learns of no change.
 #[gtest]
 fn only_few_members_of_a_data_centre_read_the_store() {
-    // Every fourth host of the fixture is in the same data centre.
-    let names: Vec<String> = (0..10).map(|i| format!("m{i}")).collect();
-    let read_waits_ms = |ms: u64, received_ms: u64| {
-        let read_wait_ms = |local_index: usize| {
-            let local = record(&names[local_index], local_index * 4, INCARNATION);
-            let settings = MemberSettings::default();
-            let mut member = Membership::new(settings, local, &[addr(9)], at(0));
-            let others = names.iter().enumerate().filter(|(i, _)| *i != local_index);
-            let records: Vec<_> = others
-                .map(|(i, name)| record(name, i * 4, INCARNATION))
-                .collect();
-            for records in records.chunks(3) {
-                receive_records(&mut member, received_ms, records);
-            }
-            member.config_read_wait_ms(at(ms))
-        };
-        let mut waits: Vec<u64> = (0..names.len()).filter_map(read_wait_ms).collect();
-        waits.sort();
-        waits
+    let waits = |ms| {
+        let waits = read_waits_ms(ms, 400, &[]);
+        waits.into_iter().map(|(_, ms)| ms).collect::<Vec<_>>()
+    };
+    expect_that!(waits(500), eq(&vec![1_000, 2_000, 4_000]));
+    expect_that!(waits(3_000), eq(&vec![1_000; 10]));
+}
+
+/// Guards against a data centre without readers while the store refuses those of the lowest rank.
+#[gtest]
+fn members_stand_in_for_readers_whose_reads_fail() {
+    let readers = |failing: &[usize]| {
+        let waits = read_waits_ms(500, 400, failing);
+        waits.into_iter().map(|(i, _)| i).collect::<Vec<_>>()
     };
-    expect_that!(read_waits_ms(500, 400), eq(&vec![1_000, 2_000, 4_000]));
-    expect_that!(read_waits_ms(3_000, 400), eq(&vec![1_000; 10]));
+    let regular = readers(&[]);
+    let with_stand_ins = readers(&regular);
+    let working = with_stand_ins.iter().filter(|i| !regular.contains(i));
+    expect_that!(working.count(), eq(3));
+    // The members whose reads fail go on trying, so that they take over again.
+    expect_that!(with_stand_ins.len(), eq(6));
+    expect_that!(readers(&(0..10).collect::<Vec<_>>()).len(), eq(10));
 }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -321,6 +321,7 @@
         data_centre: settings.data_centre.clone(),
         region: Region::from(settings.region.as_str()),
         target: None,
+        store_reads_fail: false,
         config_version: 0,
     };
     let member_settings = MemberSettings {
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -19,6 +19,10 @@
 /// after its confirmation, even right after an outage.
 const MAX_BACKOFF_MS: u64 = 1_000;
 
+/// Mean delay after a failed call of a stand-in, in milliseconds. In an outage of the whole store
+/// every node becomes a stand-in, and the regular readers notice its end.
+const STAND_IN_BACKOFF_MS: u64 = 4_000;
+
 /// Interval between checks whether this node reads the store, in milliseconds.
 const READER_CHECK_INTERVAL_MS: u64 = 200;
 
@@ -34,8 +38,9 @@
         }
     }
 
-    async fn wait(&mut self, node: &Node) {
-        let range = self.mean_ms / 2..=self.mean_ms * 3 / 2;
+    async fn wait(&mut self, node: &Node, min_mean_ms: u64) {
+        let mean_ms = self.mean_ms.max(min_mean_ms);
+        let range = mean_ms / 2..=mean_ms * 3 / 2;
         let delay_ms = node.rng.borrow_mut().random_range(range);
         let retry_at = node.now().saturating_add_millis(delay_ms);
         self.mean_ms = (self.mean_ms * 2).min(MAX_BACKOFF_MS);
@@ -104,7 +109,7 @@
             Err(e) => {
                 node.metrics.count("store.join_error");
                 availability.update(&node, started_at, Some(&e));
-                backoff.wait(&node).await;
+                backoff.wait(&node, MIN_BACKOFF_MS).await;
             }
         }
     }
@@ -136,6 +141,7 @@
             Ok(published) => {
                 availability.update(&node, started_at, None);
                 backoff = Backoff::new();
+                node.members.borrow_mut().set_store_reads_fail(false);
                 from = Some(published.read_to);
                 apply_routes(&node, published).await;
             }
@@ -143,24 +149,33 @@
             Err(e) => {
                 node.metrics.count("store.read_error");
                 availability.update(&node, started_at, Some(&e));
-                backoff.wait(&node).await;
+                node.members.borrow_mut().set_store_reads_fail(true);
+                backoff.wait(&node, min_backoff_ms(&node)).await;
             }
         }
     }
 }
 
+/// Returns the shortest mean delay before a failed read is repeated, in milliseconds.
+fn min_backoff_ms(node: &Node) -> u64 {
+    match node.members.borrow().config_reader(node.now()) {
+        Some(reader) if reader.is_stand_in => STAND_IN_BACKOFF_MS,
+        _ => MIN_BACKOFF_MS,
+    }
+}
+
 /// Waits until this node is one of the members that read the store. Returns how long its read may
 /// wait for a change, in milliseconds.
 async fn wait_for_reader_role(node: &Node) -> u64 {
     let mut is_reader = true;
     loop {
-        let wait_ms = node.members.borrow().config_read_wait_ms(node.now());
-        if wait_ms.is_some() != is_reader {
-            is_reader = wait_ms.is_some();
+        let reader = node.members.borrow().config_reader(node.now());
+        if reader.is_some() != is_reader {
+            is_reader = reader.is_some();
             log_reader_role(node, is_reader);
         }
-        match wait_ms {
-            Some(wait_ms) => return wait_ms,
+        match reader {
+            Some(reader) => return reader.read_wait_ms,
             None => wait_for_reader_check(node).await,
         }
     }
@@ -170,7 +185,7 @@
 async fn wait_for_loss_of_reader_role(node: &Node) {
     let is_reader = || {
         let members = node.members.borrow();
-        members.config_read_wait_ms(node.now()).is_some()
+        members.config_reader(node.now()).is_some()
     };
     while is_reader() {
         wait_for_reader_check(node).await;
--- a/tests/integration/late_configuration.rs
+++ b/tests/integration/late_configuration.rs
@@ -4,13 +4,17 @@
 
 use actix_rt::{net::TcpListener, time::timeout};
 use googletest::prelude::*;
-use plantainpost_standin::{log::LogFaults, process};
+use plantainpost_standin::{
+    log::LogFaults,
+    process,
+    proxy::{Proxy, ProxyFaults},
+};
 use plantainpost_wire::message::{BodyLength, PeerMessage};
 
 use crate::{
     fleet_fixture::WAIT_TIMEOUT,
     http_client::outcome_header,
-    platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer},
+    platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer, exchange},
     scripted_guard::{ScriptedGuardFleet, response_message},
     scripted_peer::{ScriptedPeer, run_script},
 };
@@ -55,6 +59,51 @@
     }
 }
 
+/// Guards against a fleet that learns of no configuration because the store refuses exactly the
+/// nodes that read it, while it serves the others.
+#[gtest]
+fn refused_readers_do_not_delay_a_configuration() {
+    let target = ScriptedTarget::start(|head| ScriptedReply::Keep(answer(head, "200 OK", "stock")));
+    let mut proxies = Vec::new();
+    let platform = PlatformFleet::start_with_store_addresses(5, |_, store| {
+        proxies.push(Proxy::start(store).expect("the proxy starts"));
+        proxies.last().expect("a proxy").address()
+    });
+    platform.publish_routes(4);
+    platform.announce(0, &target, "i-1", 1, "ready");
+    let metrics_request = b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+    let is_no_reader = |i: usize| {
+        exchange(platform.hosts[i].metrics, metrics_request)
+            .contains("plantainpost_store_reader 0\n")
+    };
+    process::wait_until(
+        "two nodes that leave reading to others",
+        WAIT_TIMEOUT,
+        || (0..5).filter(|i| is_no_reader(*i)).count() == 2,
+    )
+    .expect("three readers");
+    for (i, proxy) in proxies.iter().enumerate() {
+        if !is_no_reader(i) {
+            proxy.set_faults(ProxyFaults {
+                close_new_connections: true,
+                ..Default::default()
+            });
+            proxy.cut_connections();
+        }
+    }
+    platform.publish_route_list(6, &[("/added/", "safe", 5_000)]);
+    let start = Instant::now();
+    for i in 0..5 {
+        process::wait_until("an answer on the added route", WAIT_TIMEOUT, || {
+            platform
+                .get(i, "/added/1", "a1")
+                .starts_with("HTTP/1.1 200")
+        })
+        .expect("an answer");
+    }
+    expect_that!(start.elapsed(), lt(MAX_DELAY_AFTER_FAULT));
+}
+
 /// Starts an entry that gets configurations from its peer only.
 fn start_without_log() -> ScriptedGuardFleet {
     ScriptedGuardFleet::start_with_entry_settings(|text| {
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -174,6 +174,15 @@
     /// Starts nodes without routes or targets and waits until each answers `/-/readyz` with
     /// 503.
     pub(crate) fn start(count: usize) -> Self {
+        Self::start_with_store_addresses(count, |_, store| store)
+    }
+
+    /// Like [`PlatformFleet::start`], with a store address for each node: `address_of` gets the
+    /// index of the node and the address of the store.
+    pub(crate) fn start_with_store_addresses(
+        count: usize,
+        mut address_of: impl FnMut(usize, SocketAddr) -> SocketAddr,
+    ) -> Self {
         let store = log::start(&LogSettings::default()).expect("the store starts");
         let dir = TempDir::new().expect("a temporary directory");
         let key = dir.path().join("fleet.key");
@@ -188,7 +197,7 @@
                  peer_tcp = {peers}\npeer_udp = {peers}\ncontrol = {control}\nmetrics = {metrics}\n\
                  [log]\naddress = {}\n[platform]\ngrace = 6 s\n\
                  [retry]\nfleet_slack = 50\n[security]\nkey_file = {}\n",
-                store.address(),
+                address_of(i, store.address()),
                 key.display()
             );
             let settings = dir.path().join(format!("host-{i}.ini"));
