guard: read the rate limit that a target states, and log it

Logs could not tell which targets are in need and what they named. The header is read from each answer of the target; changes of more than a tenth are logged, and there is a gauge and a counter of values that are no numbers. No decision depends on it yet.

--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -4,8 +4,9 @@
 mod relay;
 mod request;
 mod slot;
+mod target_headers;
 
-pub(crate) use self::relay::record_load_header;
+pub(crate) use self::target_headers::record_load;
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -23,6 +23,7 @@
     request::{BODY_DRAIN_TIMEOUT_MS, PendingRequest, send_refusal},
     slot::Slot,
     state_after_write,
+    target_headers::record_target_headers,
 };
 use crate::{headers, node::Node};
 
@@ -73,7 +74,7 @@
             body,
             request_sent,
         }) => {
-            record_load_header(node, &head);
+            record_target_headers(node, &head);
             if says_not_run(node, &head) {
                 return handle_target_refusal(node, conn, req, slot, &head).await;
             }
@@ -104,30 +105,6 @@
         || (names.expected_target.is_some() && head.status == MISDIRECTED_REQUEST)
 }
 
-/// Records the pace of the host (see [`crate::pace`]) from the load header of a target's response.
-///
-/// The header holds at least three comma-separated integers; the fourth, if there is
-/// one, is the pace in percent.
-pub(crate) fn record_load_header(node: &Node, head: &TargetResponseHead) {
-    let Some(name) = node.settings.headers.load else {
-        return;
-    };
-    let load_fields = http1::header_text(&head.headers, name).map(|text| {
-        text.split(',')
-            .map(|field| field.trim().parse::<u32>())
-            .collect::<Result<Vec<_>, _>>()
-    });
-    match load_fields {
-        None => (),
-        Some(Ok(load_fields)) if load_fields.len() >= 3 => {
-            let pace_percent = load_fields.get(3).copied();
-            let mut guard = node.guard.borrow_mut();
-            guard.record_pace(node.now(), pace_percent.unwrap_or_default());
-        }
-        Some(_) => node.metrics.count("guard.bad_load_header"),
-    }
-}
-
 /// Ends a request that the target refused to run, and tells the entry so.
 async fn handle_target_refusal(
     node: &Rc<Node>,
--- /dev/null
+++ b/crates/node/src/guard/target_headers.rs
@@ -0,0 +1,72 @@
+//! What a target says about itself in the headers of its responses: its load, and a rate limit.
+
+use plantainpost_http1::{self as http1, ResponseHead};
+use slog::info;
+
+use crate::node::Node;
+
+/// Change of a rate limit, as a share of the old one, from which on it is logged. A limit may differ
+/// a little in each response.
+const MIN_LOGGED_CHANGE: f64 = 0.1;
+
+/// Records what the target says about itself in the head of a response.
+pub(super) fn record_target_headers(node: &Node, head: &ResponseHead) {
+    record_load(node, head);
+    record_rate_limit(node, head);
+}
+
+/// Records the rate limit that the target states in requests per second. It holds for as long as
+/// the responses state it.
+fn record_rate_limit(node: &Node, head: &ResponseHead) {
+    let Some(name) = node.settings.headers.rate_limit else {
+        return;
+    };
+    let stated = http1::header_text(&head.headers, name).map(|text| text.trim().parse::<f64>());
+    let per_second = match stated {
+        Some(Ok(per_second)) if per_second.is_finite() && per_second >= 0.0 => Some(per_second),
+        Some(_) => {
+            node.metrics.count("guard.bad_rate_limit");
+            return;
+        }
+        None => None,
+    };
+    log_rate_limit(node, per_second);
+}
+
+fn log_rate_limit(node: &Node, per_second: Option<f64>) {
+    let logged = &node.logged_rate_limit;
+    let is_logged = match (logged.get(), per_second) {
+        (Some(old), Some(new)) => (new - old).abs() <= old * MIN_LOGGED_CHANGE,
+        (old, new) => old.is_none() && new.is_none(),
+    };
+    if !is_logged {
+        logged.set(per_second);
+        info!(node.logger, "rate limit of the target"; "per_second" => per_second);
+        let millis = per_second.map_or(0, |per_second| (per_second * 1_000.0) as u64);
+        node.metrics.gauge("guard.rate_limit_per_1000_s", millis);
+    }
+}
+
+/// Records the pace of the host (see [`crate::pace`]) from the load header of a target's response.
+///
+/// The header holds at least three comma-separated integers; the fourth, if there is
+/// one, is the pace in percent.
+pub(crate) fn record_load(node: &Node, head: &ResponseHead) {
+    let Some(name) = node.settings.headers.load else {
+        return;
+    };
+    let load_fields = http1::header_text(&head.headers, name).map(|text| {
+        text.split(',')
+            .map(|field| field.trim().parse::<u32>())
+            .collect::<Result<Vec<_>, _>>()
+    });
+    match load_fields {
+        None => (),
+        Some(Ok(load_fields)) if load_fields.len() >= 3 => {
+            let pace_percent = load_fields.get(3).copied();
+            let mut guard = node.guard.borrow_mut();
+            guard.record_pace(node.now(), pace_percent.unwrap_or_default());
+        }
+        Some(_) => node.metrics.count("guard.bad_load_header"),
+    }
+}
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -28,6 +28,8 @@
     pub expected_target: Option<&'static str>,
     /// Load of a target, in its responses.
     pub load: Option<&'static str>,
+    /// Requests per second that a target takes from all callers together, in its responses.
+    pub rate_limit: Option<&'static str>,
     /// Marks responses of a target that did not run the request.
     pub not_run: Option<&'static str>,
     /// Headers with this prefix that are not listed above are internal to the nodes and never
@@ -46,6 +48,7 @@
             origin_service: None,
             expected_target: None,
             load: None,
+            rate_limit: None,
             not_run: None,
             private_prefix: Some("plantainpost-"),
             callers_choose_id: false,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -60,6 +60,8 @@
     /// count gives the open exchanges. An exchange lasts longer than the slot of its request,
     /// because the last bytes of a response may wait for an entry that reads slowly.
     pub(crate) exchanges: Rc<()>,
+    /// Rate limit of the target that was last logged, in requests per second.
+    pub(crate) logged_rate_limit: Cell<Option<f64>>,
     /// Contains exactly the requests that the guard has queued.
     pub(crate) waiters: RefCell<Waiters>,
     pub(crate) balancer: RefCell<Balancer>,
--- a/crates/node/src/pace.rs
+++ b/crates/node/src/pace.rs
@@ -65,7 +65,7 @@
     match head.flatten() {
         Some(head) => {
             node.metrics.count("pace.measured");
-            guard::record_load_header(node, &head);
+            guard::record_load(node, &head);
             let percent = node.guard.borrow().load_sample(node.now()).pace_percent;
             debug!(node.logger, "pace measured"; "pace" => percent);
         }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -279,6 +279,7 @@
         rng: RefCell::new(rand::make_rng()),
         guard: RefCell::new(Guard::new(guard_settings)),
         exchanges: Rc::default(),
+        logged_rate_limit: Cell::default(),
         waiters: RefCell::default(),
         service: RefCell::new(settings.service.clone()),
         balancer: RefCell::new(Balancer::new(balancer_settings, policy)),
