guard: keep to the rate limit that a target states, over all entries

The node beside a target sees every request for it, so the guard can hold the limit exactly, for calls, retries, hedges and second sends alike, without a share for each entry. Health checks don't count: they are no requests and carry no id, and the targets answer them beside their work.

The guard spaces the starts by the stated interval, with an allowance of half a second. It holds as long as answers state the limit and ends with the first one that does not, or with the target. A limit of zero leaves one request in 4 s, whose answer tells whether it still holds. Requests that the limit leaves no time for are refused at once as rate-limited, also those that are queued when a limit is stated. Load samples tell entries when a new request can start: they choose a limited target only if no other can start it, count that wait into the prediction, do not take it for an alternative in slow moments of a host, and state it in Retry-After, in whole seconds.

Tests: admission_rate (core), target_at_its_rate_limit_is_avoided_while_another_can_start, target_gets_no_more_requests_than_it_states. The last one fails on the code before this commit.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -7,6 +7,7 @@
     limit::ConcurrencyLimit,
     pace::{HostPace, PaceSettings},
     queue::{Queue, QueuedRequest},
+    rate_limit::RateLimit,
     records::{RecordTable, RequestState},
     target::NewestAnnouncement,
     transitions::Placement,
@@ -63,6 +64,8 @@
     /// it is stopping.
     pub(super) stop_deadline: Option<Instant>,
     pub(super) limit: ConcurrencyLimit,
+    /// Limit that the target in `target` has stated.
+    pub(super) rate_limit: RateLimit,
     pub(super) pace: HostPace,
     pub(super) service_times: ClassServiceTimes,
     pub(super) wait_correction: WaitCorrection,
@@ -90,6 +93,7 @@
             draining: false,
             stop_deadline: None,
             limit: ConcurrencyLimit::new(cfg.limit, 0),
+            rate_limit: RateLimit::default(),
             pace: HostPace::default(),
             service_times: ClassServiceTimes::default(),
             wait_correction: WaitCorrection::default(),
@@ -126,6 +130,7 @@
         } else {
             self.limit = ConcurrencyLimit::new(self.cfg.limit, target.capacity());
             self.pace = HostPace::default();
+            self.rate_limit = RateLimit::default();
         }
         self.target = Some(target);
         self.schedule_wakeups(now);
@@ -189,6 +194,7 @@
         self.counters.offered += 1;
         match self.decide_and_fence(now, offer) {
             Ok(Placement::Slot) => {
+                self.rate_limit.record_start(now);
                 self.in_flight += 1;
                 self.counters.started += 1;
                 self.put_record(offer.key, RequestState::Admitted, offer.deadline);
@@ -329,7 +335,8 @@
                 let first = self
                     .queue
                     .next_to_start(Instant::default(), &self.service_times);
-                first.map(|(_, queued)| self.delay_start_until(queued))
+                let earliest = self.rate_limit.next_start();
+                first.map(|(_, queued)| self.delay_start_until(queued).max(earliest))
             }
             false => None,
         };
@@ -353,6 +360,30 @@
         self.schedule_wakeups(now);
     }
 
+    /// Records the rate limit in an answer, in requests per second; `None` if the answer states
+    /// none. `generation` is the value of [`Guard::target_generation`] when the request was sent.
+    pub fn record_rate_limit(&mut self, now: Instant, generation: u64, per_second: Option<f64>) {
+        if generation == self.target_generation {
+            self.rate_limit.set(now, per_second);
+            self.schedule_wakeups(now);
+        }
+    }
+
+    /// Returns whether the rate limit lets a request that was dispatched be sent once more, and
+    /// counts it against the limit.
+    pub fn try_resend(&mut self, now: Instant) -> bool {
+        let is_allowed = self.rate_limit.next_start() <= now;
+        if is_allowed {
+            self.rate_limit.record_start(now);
+        }
+        is_allowed
+    }
+
+    /// Returns a number that changes whenever the target is replaced or its announcement ends.
+    pub fn target_generation(&self) -> u64 {
+        self.target_generation
+    }
+
     /// Returns whether the pace of the target's host should be measured now, before the next
     /// request starts, and records that a measurement was started.
     pub fn start_pace_measurement(&mut self, now: Instant) -> bool {
@@ -370,7 +401,12 @@
     pub fn load_sample(&self, now: Instant) -> LoadSample {
         let is_in_force = self.target(now).is_some();
         let service_time_us = self.service_times.overall_mean_us();
+        let start_interval_us = self.rate_limit.interval_us().unwrap_or_default();
+        let start_wait_us =
+            self.rate_limit.wait_us(now) + self.queue.len() as u64 * start_interval_us;
         LoadSample {
+            start_wait_us: start_wait_us.try_into().unwrap_or(u32::MAX),
+            start_interval_us: start_interval_us.try_into().unwrap_or(u32::MAX),
             in_flight: self.in_flight,
             queued: self.queued() as u32,
             slots: if is_in_force { self.limit.slots() } else { 0 },
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -24,6 +24,7 @@
 mod limit;
 mod pace;
 mod queue;
+mod rate_limit;
 mod records;
 mod service_time;
 mod target;
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -102,14 +102,13 @@
         self.remove(ticket)
     }
 
-    /// Returns the sum of the mean service times of the requests that would start before a
-    /// new one with this urgency, in microseconds.
-    pub(super) fn work_ahead_us(
+    /// Returns the requests that would start before a new one with this urgency.
+    fn requests_ahead(
         &self,
         now: Instant,
         urgency: &Urgency,
         service_times: &ClassServiceTimes,
-    ) -> u64 {
+    ) -> impl Iterator<Item = &QueuedRequest> {
         let new_request = QueuedRequest {
             key: RequestKey::default(),
             deadline: Instant::MAX,
@@ -120,11 +119,63 @@
         let new_order = new_request.start_order(now, Ticket::MAX, service_times);
         self.by_ticket
             .iter()
-            .filter(|(ticket, queued)| queued.start_order(now, **ticket, service_times) < new_order)
-            .map(|(_, queued)| service_times.mean_us(queued.urgency.class))
+            .filter(move |(ticket, queued)| {
+                queued.start_order(now, **ticket, service_times) < new_order
+            })
+            .map(|(_, queued)| queued)
+    }
+
+    /// Returns the sum of the mean service times of the requests that would start before a
+    /// new one with this urgency, in microseconds.
+    pub(super) fn work_ahead_us(
+        &self,
+        now: Instant,
+        urgency: &Urgency,
+        service_times: &ClassServiceTimes,
+    ) -> u64 {
+        self.requests_ahead(now, urgency, service_times)
+            .map(|queued| service_times.mean_us(queued.urgency.class))
             .sum()
     }
 
+    /// Returns the number of requests that would start before a new one with this urgency.
+    pub(super) fn count_ahead(
+        &self,
+        now: Instant,
+        urgency: &Urgency,
+        service_times: &ClassServiceTimes,
+    ) -> usize {
+        self.requests_ahead(now, urgency, service_times).count()
+    }
+
+    /// Returns the tickets of the requests that the target can hardly answer before their deadline
+    /// if the first request starts at `first_start` and the others at intervals of `interval_us`.
+    pub(super) fn unservable_at_rate(
+        &self,
+        now: Instant,
+        first_start: Instant,
+        interval_us: u64,
+        service_times: &ClassServiceTimes,
+    ) -> Vec<Ticket> {
+        let mut in_order: Vec<(Ticket, &QueuedRequest)> = self
+            .by_ticket
+            .iter()
+            .map(|(ticket, queued)| (*ticket, queued))
+            .collect();
+        in_order.sort_by_key(|(ticket, queued)| queued.start_order(now, *ticket, service_times));
+        let mut start = first_start;
+        let mut unservable = Vec::new();
+        for (ticket, queued) in in_order {
+            let low_estimate_us = service_times.low_estimate_us(queued.urgency.class);
+            if start.saturating_add_micros(low_estimate_us) >= queued.deadline {
+                unservable.push(ticket);
+            } else {
+                start = start.saturating_add_micros(interval_us);
+            }
+        }
+        unservable
+    }
+
     /// Returns the number of requests that can no longer meet their latency target.
     pub(super) fn late_count(&self, now: Instant, service_times: &ClassServiceTimes) -> usize {
         let queued = self.by_ticket.iter();
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -63,7 +63,7 @@
         if self.would_miss_deadline(now, offer) {
             return Err(RefuseReason::Deadline);
         }
-        if !is_slow && self.queue.len() == 0 && self.in_flight < self.limit.effective_limit() {
+        if !is_slow && self.queue.len() == 0 && self.can_start(now) {
             return Ok(Placement::Slot);
         }
         let max_queued = u64::from(target.slots) * u64::from(self.cfg.queue_factor);
@@ -75,7 +75,7 @@
             return Err(RefuseReason::Draining);
         }
         if end > offer.deadline {
-            return Err(RefuseReason::Overloaded);
+            return Err(self.overload_reason(now, &offer.urgency));
         }
         if offer.urgency.due.is_none_or(|due| end <= due) {
             return Ok(Placement::Queue);
@@ -86,7 +86,21 @@
             self.queue.late_count(now, &self.service_times) < self.limit.effective_limit() as usize;
         match has_room && !offer.has_alternative {
             true => Ok(Placement::Queue),
-            false => Err(RefuseReason::Overloaded),
+            false => Err(self.overload_reason(now, &offer.urgency)),
+        }
+    }
+
+    /// Returns whether a slot is free and the rate limit lets a request start.
+    fn can_start(&self, now: Instant) -> bool {
+        self.in_flight < self.limit.effective_limit() && self.rate_limit.next_start() <= now
+    }
+
+    /// Returns whether a request would wait longer for the rate limit than for a slot.
+    fn overload_reason(&self, now: Instant, urgency: &Urgency) -> RefuseReason {
+        let rate_wait_us = self.rate_wait_us(now, urgency);
+        match rate_wait_us > 0 && rate_wait_us >= self.slot_wait_us(now, urgency) {
+            true => RefuseReason::RateLimited,
+            false => RefuseReason::Overloaded,
         }
     }
 
@@ -130,11 +144,28 @@
 
     /// Predicts the wait of a request that is queued now, in microseconds, without the
     /// correction by observed waits.
+    pub(super) fn predicted_wait_us(&self, now: Instant, urgency: &Urgency) -> u64 {
+        self.slot_wait_us(now, urgency)
+            .max(self.rate_wait_us(now, urgency))
+    }
+
+    /// Returns how long the rate limit delays a request that is queued now, in microseconds.
+    fn rate_wait_us(&self, now: Instant, urgency: &Urgency) -> u64 {
+        let Some(interval_us) = self.rate_limit.interval_us() else {
+            return 0;
+        };
+        let ahead = self.queue.count_ahead(now, urgency, &self.service_times);
+        self.rate_limit
+            .wait_us(now)
+            .saturating_add(interval_us.saturating_mul(ahead as u64))
+    }
+
+    /// Predicts how long a request that is queued now waits for a slot, in microseconds.
     ///
     /// The slots must work off the requests ahead, and then one slot must become free for the
     /// request itself. Nothing starts in slow periods of the target's host, so the wait is
     /// longer according to their share of the time.
-    pub(super) fn predicted_wait_us(&self, now: Instant, urgency: &Urgency) -> u64 {
+    fn slot_wait_us(&self, now: Instant, urgency: &Urgency) -> u64 {
         let slots = u64::from(self.limit.effective_limit()).max(1);
         let work_ahead_us = self.queue.work_ahead_us(now, urgency, &self.service_times);
         let wait_us = (work_ahead_us + self.service_times.overall_mean_us()) / slots;
@@ -328,8 +359,7 @@
 
     /// Sets `wakeups_due_at` if there are wakeups to return.
     pub(super) fn schedule_wakeups(&mut self, now: Instant) {
-        let has_room = self.in_flight < self.limit.effective_limit();
-        let can_promote = has_room && self.next_startable(now).is_some();
+        let can_promote = self.can_start(now) && self.next_startable(now).is_some();
         if can_promote || !self.pending_refusals.is_empty() {
             self.wakeups_due_at.get_or_insert(now);
         }
@@ -343,8 +373,9 @@
             self.wait_correction.record_wait(now, &queued);
             self.refuse_queued(queued.key, RefuseReason::Deadline);
         }
+        self.refuse_beyond_rate_limit(now);
         let mut wakeups = std::mem::take(&mut self.pending_refusals);
-        while self.in_flight < self.limit.effective_limit() {
+        while self.can_start(now) {
             let Some(ticket) = self.next_startable(now) else {
                 break;
             };
@@ -352,12 +383,30 @@
                 break;
             };
             self.wait_correction.record_wait(now, &queued);
+            self.rate_limit.record_start(now);
             wakeups.push(self.promote(queued.key));
         }
         self.wakeups_due_at = None;
         wakeups
     }
 
+    /// Refuses queued requests whose turn under the rate limit comes too late for their deadline,
+    /// so that they do not wait in vain after a limit was stated or lowered.
+    fn refuse_beyond_rate_limit(&mut self, now: Instant) {
+        let Some(interval_us) = self.rate_limit.interval_us() else {
+            return;
+        };
+        let first_start = now.max(self.rate_limit.next_start());
+        let tickets =
+            self.queue
+                .unservable_at_rate(now, first_start, interval_us, &self.service_times);
+        for ticket in tickets {
+            if let Some(queued) = self.queue.remove(ticket) {
+                self.refuse_queued(queued.key, RefuseReason::RateLimited);
+            }
+        }
+    }
+
     /// Returns the ticket of the request that starts next; `None` if the queue is empty or the
     /// start is delayed because the target's host is slow.
     fn next_startable(&self, now: Instant) -> Option<Ticket> {
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -84,11 +84,14 @@
     TargetRefused,
     /// The target's host is much slower than usual at the moment.
     Slow,
+    /// The rate limit that the target states leaves no room before the deadline or the latency
+    /// target.
+    RateLimited,
 }
 
 impl RefuseReason {
     /// All reasons, in the order of declaration.
-    pub const ALL: [RefuseReason; 10] = [
+    pub const ALL: [RefuseReason; 11] = [
         RefuseReason::Overloaded,
         RefuseReason::Deadline,
         RefuseReason::Draining,
@@ -99,6 +102,7 @@
         RefuseReason::TableFull,
         RefuseReason::TargetRefused,
         RefuseReason::Slow,
+        RefuseReason::RateLimited,
     ];
 
     /// Returns whether the refusal guarantees that the request was not run and never
@@ -120,6 +124,7 @@
             RefuseReason::TableFull => "table-full",
             RefuseReason::TargetRefused => "target-refused",
             RefuseReason::Slow => "slow",
+            RefuseReason::RateLimited => "rate-limited",
         }
     }
 }
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -196,6 +196,18 @@
         } else {
             &in_use
         };
+        // A target whose rate limit would delay the request is chosen only if no other can start it
+        // at once.
+        let startable: Vec<Candidate<'_>> = candidates
+            .iter()
+            .filter(|candidate| candidate.estimate.start_wait_us(now) == 0)
+            .copied()
+            .collect();
+        let candidates = if startable.is_empty() {
+            candidates
+        } else {
+            &startable
+        };
         let choice_request = ChoiceRequest {
             now,
             candidates,
@@ -208,11 +220,39 @@
         Ok(NodeName::from(candidates[index].node))
     }
 
-    /// Returns the number of targets of a service in the subset of this entry, ejected ones
-    /// included.
-    pub fn target_count(&self, service: &str) -> usize {
-        let service = self.services.get(service);
-        service.map_or(0, |service| service.subset_targets().count())
+    /// Returns the nodes of the targets of a service in the subset of this entry whose stated rate
+    /// limit, if any, lets a request start at once. Ejected targets are included.
+    pub fn startable_targets(
+        &self,
+        now: Instant,
+        service: &str,
+    ) -> impl Iterator<Item = &NodeName> {
+        self.subset_nodes_with_wait(now, service)
+            .filter(|(_, wait_us)| *wait_us == 0)
+            .map(|(node, _)| node)
+    }
+
+    /// Returns the nodes in the subset of this entry with how long a stated rate limit delays a
+    /// request there, in microseconds.
+    fn subset_nodes_with_wait(
+        &self,
+        now: Instant,
+        service: &str,
+    ) -> impl Iterator<Item = (&NodeName, u64)> {
+        let targets = self.services.get(service).into_iter();
+        targets
+            .flat_map(ServiceTargets::subset_targets)
+            .filter_map(move |target| {
+                let state = self.nodes.get(&target.node)?;
+                Some((&target.node, state.estimate.start_wait_us(now)))
+            })
+    }
+
+    /// Returns how long the rate limits that the targets of a service state delay a request, in
+    /// microseconds; zero if a target can start it at once, or none is known.
+    pub fn start_wait_us(&self, now: Instant, service: &str) -> u64 {
+        let waits = self.subset_nodes_with_wait(now, service);
+        waits.map(|(_, wait_us)| wait_us).min().unwrap_or_default()
     }
 
     /// Records that a request was sent to a node.
--- a/crates/core/src/balance/estimate.rs
+++ b/crates/core/src/balance/estimate.rs
@@ -37,6 +37,8 @@
     pub sample: Option<(Instant, LoadSample)>,
     /// Requests of this entry in flight when `sample` arrived.
     pub own_in_flight_at_sample: u32,
+    /// Requests that this entry has sent since `sample` arrived.
+    pub sent_since_sample: u32,
     /// When a load sample last showed requests in flight. The service time in a sample only
     /// changes when the target answers, so that of an idle target can be older than the sample.
     pub last_busy_at: Instant,
@@ -64,6 +66,7 @@
             announced_slots,
             sample: None,
             own_in_flight_at_sample: 0,
+            sent_since_sample: 0,
             last_busy_at: now,
             long_term_service_us: None,
             report: None,
@@ -100,6 +103,18 @@
             self.outstanding.pop_front();
         }
         self.outstanding.push_back(now);
+        self.sent_since_sample += 1;
+    }
+
+    /// Returns how long the rate limit that the target states would delay a request, in
+    /// microseconds; zero without a limit.
+    pub fn start_wait_us(&self, now: Instant) -> u64 {
+        let Some((at, sample)) = self.sample else {
+            return 0;
+        };
+        let sent_since = u64::from(self.sent_since_sample);
+        let added_us = sent_since * u64::from(sample.start_interval_us);
+        (u64::from(sample.start_wait_us) + added_us).saturating_sub(now.micros_since(at))
     }
 
     /// Removes the outstanding request whose send time is closest to `sent`.
@@ -159,6 +174,7 @@
         }
         self.sample = Some((now, sample));
         self.own_in_flight_at_sample = self.own_in_flight();
+        self.sent_since_sample = 0;
     }
 
     pub(super) fn update_rtt(&mut self, rtt_us: u32) {
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -65,6 +65,8 @@
     pub queue_us: f64,
     /// Service time.
     pub service_us: f64,
+    /// Wait for the rate limit that the target states.
+    pub start_wait_us: f64,
     /// Network round-trip time.
     pub distance_us: f64,
     /// Cost of the transfer to another data centre.
@@ -85,6 +87,7 @@
         Score {
             queue_us: load * QUEUE_WEIGHT * service_us,
             service_us,
+            start_wait_us: candidate.estimate.start_wait_us(now) as f64,
             distance_us: f64::from(candidate.rtt_us),
             transfer_us: f64::from(candidate.transfer_cost_us),
             failure_us: failure_penalty_us(now, candidate, cfg),
@@ -97,6 +100,7 @@
     pub fn total_us(&self) -> f64 {
         let without_penalties_us =
             self.queue_us + self.service_us + self.distance_us + self.transfer_us;
+        let without_penalties_us = without_penalties_us + self.start_wait_us;
         without_penalties_us + self.failure_us + self.refusal_us + self.cold_us
     }
 }
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -19,6 +19,11 @@
     /// How long work takes on the target's host at the moment, in percent of the usual time;
     /// zero if the target does not report it.
     pub pace_percent: u32,
+    /// Time until a new request can start under the rate limit that the target states, in
+    /// microseconds; zero without a limit.
+    pub start_wait_us: u32,
+    /// Time between two starts under that limit, in microseconds; zero without a limit.
+    pub start_interval_us: u32,
     /// Whether the guard refuses all new requests: the target is leaving, no target is announced,
     /// or the guard is draining.
     pub draining: bool,
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -461,3 +461,31 @@
     let chosen = balancer.choose_target(LATER, SERVICE, &[], &mut seeded_rng());
     expect_that!(chosen, ok(eq(&NodeName::from("n0"))));
 }
+
+/// Guards against requests that wait at, or are refused by, a target whose stated rate limit is
+/// used up while another target could start them.
+#[gtest]
+fn target_at_its_rate_limit_is_avoided_while_another_can_start() {
+    for policy in POLICIES {
+        let mut balancer = four_targets(policy);
+        let limited = LoadSample {
+            start_wait_us: 400_000,
+            start_interval_us: 200_000,
+            ..load_sample(0, 0)
+        };
+        for node in ["n0", "n1", "n2"] {
+            balancer.on_probe_reply(LATER, node, 100, limited);
+        }
+        balancer.on_probe_reply(LATER, "n3", 100, load_sample(12, 4));
+        let now = LATER.saturating_add_millis(10);
+        expect_that!(
+            count_choices(&mut balancer, now, 50),
+            eq([0, 0, 0, 50]),
+            "{policy}"
+        );
+        // The wait has passed.
+        let now = LATER.saturating_add_millis(401);
+        let [n0, n1, n2, _] = count_choices(&mut balancer, now, 50);
+        expect_that!(n0 + n1 + n2, gt(0), "{policy}");
+    }
+}
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -221,8 +221,6 @@
             &mut *self.node.rng.borrow_mut(),
         );
         let peer = chosen.map_err(|_| "no-target")?;
-        let service = self.request.policy.service.as_str();
-        let target_count = self.node.balancer.borrow().target_count(service);
         if cause == AttemptCause::First {
             // Only services with targets get a retry budget, since callers can send any number
             // of made-up names.
@@ -236,8 +234,7 @@
             peer: peer.clone(),
             number: self.tried_nodes.len() as u32,
             cause,
-            may_refuse_if_slow: self.tried_nodes.len() + 1
-                < target_count.min(MAX_SLOW_HOST_REFUSALS + 1),
+            may_refuse_if_slow: self.may_refuse_if_slow(now, &peer),
             started_at: now,
         };
         self.tried_nodes.push(peer);
@@ -249,6 +246,15 @@
         Ok(())
     }
 
+    /// Returns whether the guard on `peer` may refuse the request because its host is slow.
+    fn may_refuse_if_slow(&self, now: Instant, peer: &NodeName) -> bool {
+        let service = self.request.policy.service.as_str();
+        let is_untried = |node: &NodeName| node != peer && !self.tried_nodes.contains(node);
+        let balancer = self.node.balancer.borrow();
+        self.tried_nodes.len() < MAX_SLOW_HOST_REFUSALS
+            && balancer.startable_targets(now, service).any(is_untried)
+    }
+
     /// Sends a hedge if the target is slow or the request is past `overdue_at`. Hedges for
     /// requests in the normal latency tail of healthy targets would use up the budget.
     fn consider_hedge(&mut self) {
@@ -328,7 +334,11 @@
         let names = &node.settings.headers;
         let response = match end {
             AttemptEnd::Response(response) => return response.forward(request, writer).await,
-            AttemptEnd::NotRun { reason, .. } => LocalResponse::not_run(reason),
+            AttemptEnd::NotRun { reason, .. } => {
+                let service = request.policy.service.as_str();
+                let start_wait_us = node.balancer.borrow().start_wait_us(node.now(), service);
+                LocalResponse::not_run(reason).with_retry_after(start_wait_us)
+            }
             AttemptEnd::Unknown(reason) => {
                 // The guard may report the deadline slightly before the local clock reaches it.
                 let is_past_deadline = reason == FailReason::Deadline.as_str();
--- a/crates/node/src/entry/response.rs
+++ b/crates/node/src/entry/response.rs
@@ -2,6 +2,7 @@
 
 use actix_http::StatusCode;
 use bytes::Bytes;
+use plantainpost_core::time::MICROS_PER_SECOND;
 use plantainpost_wire::message::{BodyLength, Header, PeerResponseHead};
 
 use crate::{
@@ -10,8 +11,8 @@
     headers::{self, HeaderNames},
 };
 
-/// Seconds after which a caller may send a refused request again.
-const RETRY_AFTER_S: &str = "1";
+/// Shortest time after which a caller may send a refused request again, in seconds.
+const MIN_RETRY_AFTER_S: u64 = 1;
 
 /// Outcome of a request as reported to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,7 +43,7 @@
     pub(crate) outcome: CallerOutcome,
     pub(crate) reason: &'static str,
     /// Seconds after which the caller may retry, for the `retry-after` header.
-    pub(crate) retry_after_s: Option<&'static str>,
+    pub(crate) retry_after_s: Option<u64>,
     /// Whether the connection is closed after the response.
     pub(crate) close: bool,
 }
@@ -63,7 +64,7 @@
             status,
             outcome,
             reason: reason.as_str(),
-            retry_after_s: is_unavailable.then_some(RETRY_AFTER_S),
+            retry_after_s: is_unavailable.then_some(MIN_RETRY_AFTER_S),
             close: matches!(reason, BadRequest::BodyTooLong | BadRequest::BodyIncomplete),
         }
     }
@@ -74,11 +75,21 @@
             status: StatusCode::SERVICE_UNAVAILABLE,
             outcome: CallerOutcome::NotRun,
             reason,
-            retry_after_s: Some(RETRY_AFTER_S),
+            retry_after_s: Some(MIN_RETRY_AFTER_S),
             close: false,
         }
     }
 
+    /// Delays the next try of the caller until a target can start a request, which takes `wait_us`
+    /// microseconds.
+    pub(crate) fn with_retry_after(self, wait_us: u64) -> Self {
+        let wait_s = wait_us.div_ceil(MICROS_PER_SECOND);
+        LocalResponse {
+            retry_after_s: Some(wait_s.max(MIN_RETRY_AFTER_S)),
+            ..self
+        }
+    }
+
     /// Returns the response to a request that may have run.
     pub(crate) fn unknown(reason: &'static str, past_deadline: bool) -> Self {
         LocalResponse {
@@ -107,7 +118,7 @@
             headers::header("content-type", "text/plain; charset=utf-8"),
         ];
         if let Some(seconds) = self.retry_after_s {
-            headers.push(headers::header("retry-after", seconds));
+            headers.push(headers::header("retry-after", seconds.to_string()));
         }
         let body = Bytes::from(format!("{}\n", self.reason));
         let head = CallerResponseHead {
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -74,7 +74,10 @@
             body,
             request_sent,
         }) => {
-            record_target_headers(node, &head);
+            // A misdirected request was answered by another target.
+            if head.status != MISDIRECTED_REQUEST {
+                record_target_headers(node, &head, slot.target_generation());
+            }
             if says_not_run(node, &head) {
                 return handle_target_refusal(node, conn, req, slot, &head).await;
             }
@@ -141,6 +144,9 @@
     if !may_resend || !matches!(end, ExchangeEnd::Closed) {
         return end;
     }
+    if !node.guard.borrow_mut().try_resend(node.now()) {
+        return end;
+    }
     // The target may close an idle connection while a request is being sent on it. An
     // idempotent request is sent once more (RFC 9110, section 9.2.2).
     let Ok(target_conn) = Connection::open(target_addr).await else {
--- a/crates/node/src/guard/slot.rs
+++ b/crates/node/src/guard/slot.rs
@@ -20,15 +20,18 @@
     /// Pace of the target's host at the dispatch, in percent of the usual time (at 200, work takes
     /// twice as long); zero if unknown.
     pace_percent: u32,
+    /// Value of `Guard::target_generation` at the dispatch.
+    target_generation: u64,
     released: bool,
 }
 
 impl Slot {
     /// Takes over the slot of a request that was just dispatched.
     pub(super) fn new(node: &Rc<Node>, key: RequestKey) -> Self {
-        let load = node.guard.borrow().load_sample(node.now());
+        let guard = node.guard.borrow();
         Slot {
-            pace_percent: load.pace_percent,
+            pace_percent: guard.load_sample(node.now()).pace_percent,
+            target_generation: guard.target_generation(),
             node: Rc::clone(node),
             key,
             dispatched_at: node.now(),
@@ -42,6 +45,11 @@
         self.pace_percent
     }
 
+    /// Returns the value of `Guard::target_generation` at the dispatch.
+    pub(super) fn target_generation(&self) -> u64 {
+        self.target_generation
+    }
+
     /// Returns the time since the dispatch, in microseconds.
     pub(super) fn elapsed_us(&self) -> u64 {
         self.node.now().micros_since(self.dispatched_at)
--- a/crates/node/src/guard/target_headers.rs
+++ b/crates/node/src/guard/target_headers.rs
@@ -9,15 +9,18 @@
 /// a little in each response.
 const MIN_LOGGED_CHANGE: f64 = 0.1;
 
-/// Records what the target says about itself in the head of a response.
-pub(super) fn record_target_headers(node: &Node, head: &ResponseHead) {
+/// Records what the target says about itself in the head of a response. `generation` is the value
+/// of [`Guard::target_generation`] when the request was sent.
+///
+/// [`Guard::target_generation`]: plantainpost_core::admission::Guard::target_generation
+pub(super) fn record_target_headers(node: &Node, head: &ResponseHead, generation: u64) {
     record_load(node, head);
-    record_rate_limit(node, head);
+    record_rate_limit(node, head, generation);
 }
 
 /// Records the rate limit that the target states in requests per second. It holds for as long as
 /// the responses state it.
-fn record_rate_limit(node: &Node, head: &ResponseHead) {
+fn record_rate_limit(node: &Node, head: &ResponseHead, generation: u64) {
     let Some(name) = node.settings.headers.rate_limit else {
         return;
     };
@@ -30,6 +33,9 @@
         }
         None => None,
     };
+    let mut guard = node.guard.borrow_mut();
+    guard.record_rate_limit(node.now(), generation, per_second);
+    drop(guard);
     log_rate_limit(node, per_second);
 }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -21,4 +21,5 @@
 mod soak;
 mod stale_configuration;
 mod stop;
+mod target_statements;
 mod uploads;
