guard: an answer that says that its target leaves ends its use

Targets announced in answers that they leave before the store or a heartbeat said so, and got further requests (DRAIN). The header is one more source for the state that heartbeats set: the guard refuses new requests from that answer on, whichever entry sends them, later heartbeats of the incarnation do not bring it back, and membership spreads it. It ends with the incarnation.

A node that restarts beside such a target knows nothing. It therefore checks the health of a new target once before the first request, which also finds targets that do not report a pace; answers to health checks count for leaving like any other.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -150,6 +150,23 @@
         }
     }
 
+    /// Records that an answer of the target says that it is leaving, like
+    /// [`Guard::mark_leaving`]. `generation` is the value of [`Guard::target_generation`] when the
+    /// request was sent. Returns whether this was not known.
+    pub fn mark_leaving_by_answer(&mut self, generation: u64) -> bool {
+        if generation != self.target_generation {
+            return false;
+        }
+        match &mut self.target {
+            Some(target) if !target.leaving => {
+                target.leaving = true;
+                self.newest_announcement.mark_leaving(&target.id);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Ends the announcement and refuses the queued requests.
     pub fn withdraw_target(&mut self, now: Instant) {
         if self.target.take().is_none() {
--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/pace.rs
@@ -124,15 +124,21 @@
     }
 
     /// Returns whether the pace should be measured before the next request starts, and
-    /// records that a measurement was started.
+    /// records that a measurement was started. A target that reports no pace is measured once.
     pub(super) fn start_measurement(&mut self, now: Instant, cfg: &PaceSettings) -> bool {
-        let (Some((at, _)), Some(min_interval_us)) = (self.last_report, cfg.min_interval_us) else {
+        let Some(min_interval_us) = cfg.min_interval_us else {
             return false;
         };
-        let is_too_soon = self
-            .last_measured
-            .is_some_and(|last_measured| now.micros_since(last_measured) < min_interval_us);
-        if is_too_soon || now.micros_since(at) < cfg.remeasure_after_us {
+        let is_due = match (self.last_measured, self.last_report) {
+            (None, None) => true,
+            (Some(_), None) => false,
+            (last_measured, Some((at, _))) => {
+                let is_too_soon = last_measured
+                    .is_some_and(|last_measured| now.micros_since(last_measured) < min_interval_us);
+                !is_too_soon && now.micros_since(at) >= cfg.remeasure_after_us
+            }
+        };
+        if !is_due {
             return false;
         }
         self.last_measured = Some(now);
--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -6,7 +6,7 @@
 mod slot;
 mod target_headers;
 
-pub(crate) use self::target_headers::record_load;
+pub(crate) use self::target_headers::record_health_headers;
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
--- a/crates/node/src/guard/target_headers.rs
+++ b/crates/node/src/guard/target_headers.rs
@@ -1,9 +1,12 @@
-//! What a target says about itself in the headers of its responses: its load, and a rate limit.
+//! What a target says about itself in the headers of its responses: its load, a rate limit, and
+//! that it is leaving.
+
+use std::rc::Rc;
 
 use plantainpost_http1::{self as http1, ResponseHead};
 use slog::info;
 
-use crate::node::Node;
+use crate::{admin, node::Node};
 
 /// Change of a rate limit, as a share of the old one, from which on it is logged. A limit may differ
 /// a little in each response.
@@ -13,11 +16,24 @@
 /// of [`Guard::target_generation`] when the request was sent.
 ///
 /// [`Guard::target_generation`]: plantainpost_core::admission::Guard::target_generation
-pub(super) fn record_target_headers(node: &Node, head: &ResponseHead, generation: u64) {
-    record_load(node, head);
+pub(super) fn record_target_headers(node: &Rc<Node>, head: &ResponseHead, generation: u64) {
+    record_health_headers(node, head, generation);
     record_rate_limit(node, head, generation);
 }
 
+/// Like [`record_target_headers`], for the response to a health check, which need not state a rate
+/// limit.
+pub(crate) fn record_health_headers(node: &Rc<Node>, head: &ResponseHead, generation: u64) {
+    record_load(node, head);
+    let leaving = node.settings.headers.leaving;
+    let is_leaving =
+        leaving.is_some_and(|name| http1::header_text(&head.headers, name) == Some("1"));
+    if is_leaving && node.guard.borrow_mut().mark_leaving_by_answer(generation) {
+        info!(node.logger, "target leaves"; "source" => "answer");
+        admin::on_target_changed(node);
+    }
+}
+
 /// Records the rate limit that the target states in requests per second. It holds for as long as
 /// the responses state it.
 fn record_rate_limit(node: &Node, head: &ResponseHead, generation: u64) {
@@ -57,7 +73,7 @@
 ///
 /// The header holds at least three comma-separated integers; the fourth, if there is
 /// one, is the pace in percent.
-pub(crate) fn record_load(node: &Node, head: &ResponseHead) {
+fn record_load(node: &Node, head: &ResponseHead) {
     let Some(name) = node.settings.headers.load else {
         return;
     };
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -30,6 +30,8 @@
     pub load: Option<&'static str>,
     /// Requests per second that a target takes from all callers together, in its responses.
     pub rate_limit: Option<&'static str>,
+    /// Marks the responses of a target that is leaving, with the value 1.
+    pub leaving: Option<&'static str>,
     /// Marks responses of a target that did not run the request.
     pub not_run: Option<&'static str>,
     /// Headers with this prefix that are not listed above are internal to the nodes and never
@@ -49,6 +51,7 @@
             expected_target: None,
             load: None,
             rate_limit: None,
+            leaving: None,
             not_run: None,
             private_prefix: Some("plantainpost-"),
             callers_choose_id: false,
--- a/crates/node/src/pace.rs
+++ b/crates/node/src/pace.rs
@@ -60,12 +60,13 @@
 }
 
 async fn measure_pace(node: &Rc<Node>) {
+    let generation = node.guard.borrow().target_generation();
     let deadline = node.now().saturating_add_millis(MEASUREMENT_TIMEOUT_MS);
     let head = node.clock.timeout_at(deadline, request_health(node)).await;
     match head.flatten() {
         Some(head) => {
             node.metrics.count("pace.measured");
-            guard::record_load(node, &head);
+            guard::record_health_headers(node, &head, generation);
             let percent = node.guard.borrow().load_sample(node.now()).pace_percent;
             debug!(node.logger, "pace measured"; "pace" => percent);
         }
