guard: a copy of an earlier refusal is no answer to a later request

Report of other operators: a faulty endpoint wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that it ran (REFUSED), or these ran twice (TWICE). It can happen here: a refusal without a request id was taken as the answer to the request in progress. The guard closes the connection after a refusal of a request, but keeps it after a refused health check, which has no id.

On a connection that has carried an exchange before, a response without the id of the request is now passed over, refusals included. On a new connection a refusal without an id counts as before.

Test: copy_of_an_earlier_refusal_is_no_answer_to_a_later_request got 503 before, while the target had answered; refusal_without_an_id_counts_on_a_new_connection passes before and after.

--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -189,6 +189,7 @@
     let mut target_accepts_body = true;
     let mut request_sent = !has_body(req.head.body);
     let mut stray_responses = 0;
+    let is_reused = target_conn.reused;
     loop {
         while let Some(piece) = req.body.pieces.pop_front() {
             if target_accepts_body && target_conn.send_body_data(&piece, length).await.is_err() {
@@ -202,7 +203,8 @@
         match next_relay_event(conn, req, &mut target_conn, &method).await {
             RelayEvent::BodyReceived => (),
             RelayEvent::EntryGone => return ExchangeEnd::EntryGone,
-            RelayEvent::ResponseHead(Ok(head)) => match response_owner(node, req, &head) {
+            RelayEvent::ResponseHead(Ok(head)) => match response_owner(node, req, &head, is_reused)
+            {
                 ResponseOwner::ThisRequest => {
                     let body = Box::new(target_conn.into_body(&head));
                     return ExchangeEnd::Response {
@@ -241,9 +243,17 @@
     OtherRequest,
 }
 
-/// Decides by the request id of a response whether it belongs to the request. A target that
-/// echoes request ids omits the id only when it refuses a request.
-fn response_owner(node: &Node, req: &PendingRequest, head: &TargetResponseHead) -> ResponseOwner {
+/// Decides by the request id of a response whether it belongs to the request.
+///
+/// A target that echoes request ids omits the id only when it refuses a request. On a connection
+/// that has carried other requests, such a refusal may be a copy of an earlier one, while the target
+/// runs this request.
+fn response_owner(
+    node: &Node,
+    req: &PendingRequest,
+    head: &TargetResponseHead,
+    is_reused: bool,
+) -> ResponseOwner {
     let names = &node.settings.headers;
     if !names.callers_choose_id {
         return ResponseOwner::ThisRequest;
@@ -251,7 +261,7 @@
     let request_id = http1::header_value(&req.head.headers, names.request_id);
     match http1::header_value(&head.headers, names.request_id) {
         Some(response_id) if Some(response_id) == request_id => ResponseOwner::ThisRequest,
-        None if says_not_run(node, head) => ResponseOwner::ThisRequest,
+        None if says_not_run(node, head) && !is_reused => ResponseOwner::ThisRequest,
         _ => ResponseOwner::OtherRequest,
     }
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod failure_outcomes;
 mod fault_cases;
+mod faulty_targets;
 mod fleet_fixture;
 mod http_client;
 mod late_configuration;
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -311,9 +311,14 @@
 
     /// Sends a `GET` request to a node as a caller and returns the answer.
     pub(crate) fn get(&self, i: usize, path: &str, id: &str) -> String {
+        self.send(i, "GET", path, id)
+    }
+
+    /// Sends a request without a body to a node on a new connection and returns the answer.
+    pub(crate) fn send(&self, i: usize, method: &str, path: &str, id: &str) -> String {
         exchange(
             self.hosts[i].callers,
-            &request_head("GET", path, id, "Connection: close\r\n"),
+            &request_head(method, path, id, "Connection: close\r\n"),
         )
     }
 }
