platform: report records of other writers that can't be decoded

Report of other operators: one odd entry among those of the endpoints, very deeply nested, with a number too large or with a port out of range, ended the machines that read the list, or stopped them from following it. Nothing of that could be made to happen here: the decoder bounds nesting, and an odd heartbeat is answered 400. Weaknesses that were found:

- A contact in the store that can't be decoded was left out without a log line or counter.
It now counts as store.bad_record, and one line names the number and the first reason.

--- a/crates/node/src/external.rs
+++ b/crates/node/src/external.rs
@@ -42,6 +42,15 @@
     pub udp_port: u16,
 }
 
+/// Contacts in the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Contacts {
+    /// Contacts that could be decoded.
+    pub contacts: Vec<Contact>,
+    /// Reasons of the records that could not be decoded, one for each.
+    pub rejected_records: Vec<String>,
+}
+
 /// Routes that operators published in the store.
 #[derive(Clone, Debug)]
 pub struct PublishedRoutes {
@@ -74,7 +83,7 @@
     ) -> LocalBoxFuture<'a, Result<(), StoreError>>;
 
     /// Returns the contacts of all nodes.
-    fn contacts(&self) -> LocalBoxFuture<'_, Result<Vec<Contact>, StoreError>>;
+    fn contacts(&self) -> LocalBoxFuture<'_, Result<Contacts, StoreError>>;
 
     /// Returns the newest routes.
     fn newest_routes(&self) -> LocalBoxFuture<'_, Result<PublishedRoutes, StoreError>>;
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -96,6 +96,8 @@
         match contacts.await {
             Ok(contacts) => {
                 availability.update(&node, started_at, None);
+                count_rejected_records(&node, &contacts.rejected_records);
+                let contacts = contacts.contacts;
                 info!(node.logger, "fleet found on the store"; "contacts" => contacts.len());
                 let others = contacts
                     .iter()
@@ -202,11 +204,17 @@
     info!(node.logger, "reading of the store"; "is_reader" => is_reader);
 }
 
-async fn apply_routes(node: &Rc<Node>, published: PublishedRoutes) {
-    for reason in &published.rejected_records {
-        node.metrics.count("store.bad_record");
-        warn!(node.logger, "record of the store refused"; "reason" => reason);
+/// Counts records that could not be decoded, and logs the first of them.
+fn count_rejected_records(node: &Node, reasons: &[String]) {
+    node.metrics.add("store.bad_record", reasons.len() as i64);
+    if let Some(reason) = reasons.first() {
+        warn!(node.logger, "records of the store refused"; "count" => reasons.len(),
+            "reason" => reason);
     }
+}
+
+async fn apply_routes(node: &Rc<Node>, published: PublishedRoutes) {
+    count_rejected_records(node, &published.rejected_records);
     let Some(table) = published.table else {
         return;
     };
