tests: bytes without end of a target are given up

Seven forms of them were tried: a header, headers, informational answers, newlines, the body of another answer, trailers and a body. In each the request ends by its timeout, the connection to the target is closed, the node serves the next request and stays below 128 MiB. No fault was found; the test passes without a change of the code.

--- a/tests/integration/faulty_targets.rs
+++ b/tests/integration/faulty_targets.rs
@@ -1,8 +1,14 @@
 //! Targets that send bytes which are no answer to the request in progress.
 
+use std::time::{Duration, Instant};
+
 use googletest::prelude::*;
+use plantainpost_standin::{process, usage::Usage};
 
-use crate::platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer, body};
+use crate::{
+    fleet_fixture::WAIT_TIMEOUT,
+    platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer, body},
+};
 
 /// A refusal without a request id.
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nPlantainpost-Not-Run: 1\r\n\
@@ -42,3 +48,65 @@
     expect_that!(text, starts_with("HTTP/1.1 503"));
     expect_that!(text, contains_substring("target-refused"));
 }
+
+/// Guards against bytes without end that hold a request past its timeout, keep the connection to
+/// the target open, fill the memory of the node, or keep it from serving others.
+#[gtest]
+fn bytes_without_end_are_given_up() {
+    let rows: [(&str, &[u8], &'static [u8]); 7] = [
+        ("header", b"HTTP/1.1 200 OK\r\nX-Long: ", &[b'x'; 4096]),
+        ("headers", b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n"),
+        ("informational", b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+        ("newlines", b"", b"\r\n\r\n\r\n"),
+        (
+            "body of another answer",
+            b"HTTP/1.1 200 OK\r\nPlantainpost-Request-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"4\r\nmore\r\n",
+        ),
+        (
+            "trailer",
+            b"HTTP/1.1 200 OK\r\nPlantainpost-Request-Id: e\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"x: 1\r\n",
+        ),
+        (
+            "body",
+            b"HTTP/1.1 200 OK\r\nPlantainpost-Request-Id: e\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"4\r\nmore\r\n",
+        ),
+    ];
+    for (name, first, repeated) in rows {
+        let target = ScriptedTarget::start(move |head| match head.starts_with("post /short/") {
+            true => ScriptedReply::Endless(first.to_vec(), repeated),
+            false => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
+        });
+        let platform = PlatformFleet::start_with_target(&target);
+        // The connection is kept, and the endless bytes come on it.
+        expect_that!(
+            platform.get(0, "/safe/1", "f"),
+            starts_with("HTTP/1.1 200"),
+            "{name}"
+        );
+        let closed_before = *target.closed_connections.lock().expect("no panic");
+        let start = Instant::now();
+        let text = platform.send(0, "POST", "/short/1", "e");
+        // The route allows 400 ms.
+        expect_that!(start.elapsed(), lt(Duration::from_millis(1_400)), "{name}");
+        let is_complete = text.contains("\r\n0\r\n\r\n");
+        expect_that!(
+            is_complete && text.starts_with("HTTP/1.1 200"),
+            eq(false),
+            "{name}"
+        );
+        process::wait_until("the connection is closed", WAIT_TIMEOUT, || {
+            *target.closed_connections.lock().expect("no panic") > closed_before
+        })
+        .expect(name);
+        expect_that!(
+            platform.get(0, "/safe/1", "g"),
+            starts_with("HTTP/1.1 200"),
+            "{name}"
+        );
+        let usage = Usage::of(platform.hosts[0].process.id());
+        expect_that!(usage.resident_kib, lt(128 * 1024), "{name}");
+    }
+}
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -33,6 +33,9 @@
     Keep(Vec<u8>),
     /// Writes these bytes and closes the connection.
     Close(Vec<u8>),
+    /// Writes the first bytes, then the second ones again and again until the node closes the
+    /// connection.
+    Endless(Vec<u8>, &'static [u8]),
     /// Waits, writes these bytes and keeps the connection open. Writes nothing if the node
     /// closes the connection while it waits.
     After(Duration, Vec<u8>),
@@ -88,6 +91,13 @@
         let (bytes, keep) = match script(&head) {
             ScriptedReply::Keep(bytes) => (bytes, true),
             ScriptedReply::Close(bytes) => (bytes, false),
+            ScriptedReply::Endless(first, repeated) => {
+                let mut written = io.write_all(&first);
+                while written.is_ok() {
+                    written = io.write_all(repeated);
+                }
+                return;
+            }
             ScriptedReply::After(pause, bytes) => {
                 io.set_read_timeout(Some(pause)).expect("a timeout");
                 // The node sends no further request here, so an empty read means that it closed.
