--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -208,7 +208,7 @@
 fn count_rejected_records(node: &Node, reasons: &[String]) {
     node.metrics.add("store.bad_record", reasons.len() as i64);
     if let Some(reason) = reasons.first() {
-        warn!(node.logger, "records of the store refused"; "count" => reasons.len(),
+        warn!(node.logger, "record of the store refused"; "count" => reasons.len(),
             "reason" => reason);
     }
 }
