--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -379,11 +379,19 @@
 
     /// Records the rate limit in an answer, in requests per second; `None` if the answer states
     /// none. `generation` is the value of [`Guard::target_generation`] when the request was sent.
-    pub fn record_rate_limit(&mut self, now: Instant, generation: u64, per_second: Option<f64>) {
-        if generation == self.target_generation {
-            self.rate_limit.set(now, per_second);
-            self.schedule_wakeups(now);
+    /// Returns whether the answer came from the present target.
+    pub fn record_rate_limit(
+        &mut self,
+        now: Instant,
+        generation: u64,
+        per_second: Option<f64>,
+    ) -> bool {
+        if generation != self.target_generation {
+            return false;
         }
+        self.rate_limit.set(now, per_second);
+        self.schedule_wakeups(now);
+        true
     }
 
     /// Returns whether the rate limit lets a request that was dispatched be sent once more, and
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -98,9 +98,8 @@
 
     /// Returns the predicted completion time, the sum of all parts.
     pub fn total_us(&self) -> f64 {
-        let without_penalties_us =
-            self.queue_us + self.service_us + self.distance_us + self.transfer_us;
-        let without_penalties_us = without_penalties_us + self.start_wait_us;
+        let waits_us = self.queue_us + self.start_wait_us;
+        let without_penalties_us = waits_us + self.service_us + self.distance_us + self.transfer_us;
         without_penalties_us + self.failure_us + self.refusal_us + self.cold_us
     }
 }
--- a/crates/core/src/member/config_readers.rs
+++ b/crates/core/src/member/config_readers.rs
@@ -13,7 +13,8 @@
 /// Readers in each data centre.
 ///
 /// The store may refuse some members. If it refuses a third of them, and each of three data
-/// centres has three readers, it refuses all readers only once in 10,000 times.
+/// centres has three readers, it refuses all readers only once in 10,000 times. Others then read in
+/// their place.
 const READERS_PER_DATA_CENTRE: usize = 3;
 
 /// Time without a received message after which a member reads the store itself. Members
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -283,7 +283,11 @@
     let conn = node.peer_pool.connect(peer, addr, reply_deadline).await;
     let mut conn = conn.context(ConnectSnafu)?;
     let request = PeerMessage::FetchConfig { read_to };
-    conn.tx.write(&request).await.context(ConnectionSnafu)?;
+    let sent = node
+        .clock
+        .timeout_at(reply_deadline, conn.tx.write(&request))
+        .await;
+    sent.context(TimeoutSnafu)?.context(ConnectionSnafu)?;
     let mut buf = BytesMut::new();
     let mut read_deadline = reply_deadline;
     loop {
--- a/crates/node/src/guard/target_headers.rs
+++ b/crates/node/src/guard/target_headers.rs
@@ -50,9 +50,11 @@
         None => None,
     };
     let mut guard = node.guard.borrow_mut();
-    guard.record_rate_limit(node.now(), generation, per_second);
+    let is_recorded = guard.record_rate_limit(node.now(), generation, per_second);
     drop(guard);
-    log_rate_limit(node, per_second);
+    if is_recorded {
+        log_rate_limit(node, per_second);
+    }
 }
 
 fn log_rate_limit(node: &Node, per_second: Option<f64>) {
