tests: writes after a wrong frame may fail in frames_about_other_requests_are_not_trusted

The test was listed as failing at times on a busy machine. The node closes the connection after the first wrong frame, as it must, and the test panicked when it wrote a further one. What the test is for stays as strict: the outcome of each row and whether the connection is closed; the first frame of each row, and all frames of rows that keep the connection, must still be written.

--- a/tests/integration/scripted_guard.rs
+++ b/tests/integration/scripted_guard.rs
@@ -233,8 +233,10 @@
             let caller = scripted.send_post(1_000);
             let mut peer = ScriptedPeer::accept(&listener, "stock-0").await;
             let key = peer.next_request().await.key;
-            for msg in answer(key) {
-                peer.send(msg).await;
+            for (i, msg) in answer(key).into_iter().enumerate() {
+                let sent = peer.tx.write(&msg).await;
+                // After a wrong first frame the node may already have closed the connection.
+                expect_that!(sent.is_ok() || (closes && i > 0), eq(true), "{name}");
             }
             let text = caller.join().expect("no panic");
             expect_that!(outcome_header(&text), eq(wanted), "{name}: {text}");
