--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -126,11 +126,12 @@
     };
     let mut from: Option<u64> = None;
     loop {
-        let started_at = node.now();
+        let mut started_at = node.now();
         let read = match from {
             None => store.newest_routes().await,
             Some(from) => {
                 let wait_ms = wait_for_reader_role(&node).await;
+                started_at = node.now();
                 let from = from.max(node.config.borrow().read_to());
                 tokio::select! {
                     read = store.wait_for_routes(from, wait_ms) => read,
