Continue exchanges between nodes on another connection when they fall silent

Cause: an entry heard nothing of a request between its send and its answer, so that a connection without data, or a suspended guard, cost the caller the whole deadline (504).

Change: guards send signs of life by a schedule that entries know (150 ms, then doubling to 600 ms). An entry that misses one sends Resume on a new connection. The guard goes on with the exchange there, sends a kept answer again (64 KiB, 2 s, 1 MiB in all), or fences the request. Without a reply within 200 ms an idempotent request goes to another guard as well, within the retry budget. Once silence is proven, connections that were idle meanwhile are closed. Protocol version 4.

Tests: silent_connections_do_not_cost_the_deadline failed before (504 for requests in flight and later ones); guarantees_hold_when_connections_fall_silent held before and after; scripted_resume, core tests/progress. scripted_guard expects Resume where it expected Fence, which is as strict; scripted entries pass over signs of life, which busy machines cause.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -21,6 +21,7 @@
 mod class_service_times;
 mod counters;
 mod guard;
+mod kept_answers;
 mod limit;
 mod pace;
 mod queue;
@@ -35,6 +36,7 @@
 pub use self::{
     counters::Counters,
     guard::{Guard, GuardSettings},
+    kept_answers::{KeptAnswers, KeptAnswersSettings},
     limit::LimitSettings,
     pace::PaceSettings,
     service_time::ComparisonSettings,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod load;
 pub mod measure;
 pub mod member;
+pub mod progress;
 pub mod retry;
 pub mod routing;
 pub mod time;
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use plantainpost_core::{
-    admission::{FenceState, RefuseReason, RequestKey},
+    admission::{RefuseReason, RequestKey},
     balance,
     ids::{Incarnation, NodeName},
     load::LoadSample,
@@ -14,9 +14,12 @@
     message::{MAX_EAGER_BODY_BYTES, PeerMessage, PeerRequestHead, PeerResponseHead},
 };
 
+use tokio::sync::Notify;
+
 use crate::{
     entry::{
         caller_request::{BadRequest, BodyRemainder, CallerRequest},
+        exchange::{Exchange, ExchangeLoss},
         in_flight::InFlightAttempt,
         response::CallerOutcome,
         target_response::{ResponseTruncated, TargetResponse},
@@ -31,9 +34,6 @@
 /// the outcome "unknown" instead of "not-run".
 const REFUSAL_GRACE_MS: u64 = 20;
 
-/// Timeout for fencing a request at its guard, in milliseconds.
-const FENCE_TIMEOUT_MS: u64 = 500;
-
 /// Why an attempt was started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptCause {
@@ -65,6 +65,9 @@
     /// Whether the guard may refuse the request because the target's host is temporarily slow.
     pub(crate) may_refuse_if_slow: bool,
     pub(crate) started_at: Instant,
+    /// Notified when the guard gives no sign of life, so that the request may be sent to another
+    /// one while this attempt goes on.
+    pub(crate) unresponsive: Rc<Notify>,
 }
 
 /// How an attempt ended.
@@ -139,7 +142,7 @@
         in_flight.report(balance::RequestOutcome::Failed, None);
         return not_run_unreached("no-target");
     };
-    let mut conn = match connect_to_guard(node, request, &attempt.peer, addr).await {
+    let conn = match connect_to_guard(node, request, &attempt.peer, addr).await {
         Ok(conn) => conn,
         Err(_) => {
             node.metrics.count("entry.connect_error");
@@ -152,15 +155,19 @@
         attempt: attempt.number,
     };
     let reply_deadline = request.deadline.saturating_add_millis(REFUSAL_GRACE_MS);
-    let reply = exchange_with_guard(request, attempt, key, &mut conn);
+    let mut exchange = Exchange::start(node, request, attempt, &mut in_flight, (addr, key, conn));
+    let reply = exchange_with_guard(request, attempt, key, &mut exchange);
     match node.clock.timeout_at(reply_deadline, reply).await {
-        Some(Ok(reply)) => finish_attempt(node, request, attempt, conn, in_flight, reply).await,
-        Some(Err(_)) => {
-            node.metrics.count("entry.connection_lost");
+        Some(Ok(reply)) => {
+            let conn = exchange.conn;
+            finish_attempt(node, request, attempt, conn, in_flight, reply).await
+        }
+        Some(Err(loss)) => {
             in_flight.report(balance::RequestOutcome::Failed, None);
-            let incarnation = conn.incarnation;
-            drop(conn);
-            request_fence(node, request, &attempt.peer, addr, incarnation, key).await
+            match loss {
+                ExchangeLoss::Fenced => not_run_unreached("connection-lost"),
+                ExchangeLoss::Unknown => AttemptEnd::Unknown("connection-lost"),
+            }
         }
         None => {
             in_flight.report(balance::RequestOutcome::Failed, None);
@@ -252,37 +259,67 @@
     request: &CallerRequest,
     attempt: &Attempt,
     key: RequestKey,
+    exchange: &mut Exchange<'_>,
+) -> Result<GuardReply, ExchangeLoss> {
+    let mut prefix_sent = request.body_prefix.len() <= MAX_EAGER_BODY_BYTES;
+    let head = request_head(request, attempt, key, exchange.conn.incarnation);
+    let mut msg = match send_head(request, head, prefix_sent, &mut exchange.conn).await {
+        Ok(()) => exchange.next_message().await?,
+        Err(_) => exchange.next_message_after_loss().await?,
+    };
+    loop {
+        if let Some(reply) = guard_reply(key, msg) {
+            return Ok(reply);
+        }
+        // The guard has started the request and asks for the rest of its body.
+        let is_prefix_due = !std::mem::replace(&mut prefix_sent, true);
+        msg = match send_body(request, key, is_prefix_due, &mut exchange.conn).await {
+            Ok(Some(reply)) => return Ok(reply),
+            Ok(None) => {
+                exchange.on_sent();
+                exchange.next_message().await?
+            }
+            Err(_) => exchange.next_message_after_loss().await?,
+        };
+    }
+}
+
+async fn send_head(
+    request: &CallerRequest,
+    head: PeerRequestHead,
+    with_prefix: bool,
     conn: &mut PeerConn,
-) -> Result<GuardReply, FrameError> {
-    let head = request_head(request, attempt, key, conn.incarnation);
+) -> Result<(), FrameError> {
     conn.tx.queue(&PeerMessage::Request(head))?;
-    let mut prefix_sent = request.body_prefix.len() <= MAX_EAGER_BODY_BYTES;
-    if prefix_sent {
+    if with_prefix {
         queue_body_prefix(request, conn)?;
     }
-    conn.tx.flush().await?;
-    loop {
-        match guard_reply(key, conn.rx.read().await?) {
-            Some(reply) => return Ok(reply),
-            None => {
-                // The guard has started the request and asks for the rest of its body.
-                if !std::mem::replace(&mut prefix_sent, true) {
-                    queue_body_prefix(request, conn)?;
-                    conn.tx.flush().await?;
-                }
-                let Some(mut body_rest) = request.body_rest.borrow_mut().take() else {
-                    continue;
-                };
-                request.set_body_rest_started();
-                if let Some(reply) = send_body_rest(key, conn, &mut body_rest).await? {
-                    // The unsent rest is put back, so that `is_buffered` is false and the
-                    // connection is not reused.
-                    request.body_rest.borrow_mut().replace(body_rest);
-                    return Ok(reply);
-                }
-            }
-        }
+    conn.tx.flush().await
+}
+
+/// Sends the part of the body that the guard has not received. Returns early if the guard replies
+/// before the end of the body or the caller does not send all of it.
+async fn send_body(
+    request: &CallerRequest,
+    key: RequestKey,
+    is_prefix_due: bool,
+    conn: &mut PeerConn,
+) -> Result<Option<GuardReply>, FrameError> {
+    if is_prefix_due {
+        queue_body_prefix(request, conn)?;
+        conn.tx.flush().await?;
     }
+    let Some(mut body_rest) = request.body_rest.borrow_mut().take() else {
+        return Ok(None);
+    };
+    request.set_body_rest_started();
+    let reply = send_body_rest(key, conn, &mut body_rest).await?;
+    if reply.is_some() {
+        // The unsent rest is put back, so that `is_buffered` is false and the connection is not
+        // reused.
+        request.body_rest.borrow_mut().replace(body_rest);
+    }
+    Ok(reply)
 }
 
 fn queue_body_prefix(request: &CallerRequest, conn: &mut PeerConn) -> Result<(), FrameError> {
@@ -332,7 +369,7 @@
 /// Returns the guard's reply, or `None` if the guard has only started the request.
 fn guard_reply(wanted: RequestKey, msg: PeerMessage) -> Option<GuardReply> {
     match msg {
-        PeerMessage::Continue { key } if key == wanted => None,
+        PeerMessage::Continue { key } | PeerMessage::Progress { key } if key == wanted => None,
         PeerMessage::Response(head) if head.key == wanted => Some(GuardReply::Response(head)),
         PeerMessage::Refused { key, reason, load } if key == wanted => Some(GuardReply::Refused {
             refusal: reason,
@@ -385,40 +422,3 @@
     let record = members.get(peer.as_str())?;
     Some(SocketAddr::new(record.ip, record.tcp_port))
 }
-
-/// Fences a request whose connection was lost: if the guard has not started the request, it
-/// will refuse it from now on, and the attempt counts as not run.
-async fn request_fence(
-    node: &Node,
-    request: &CallerRequest,
-    peer: &NodeName,
-    addr: SocketAddr,
-    incarnation: Incarnation,
-    key: RequestKey,
-) -> AttemptEnd {
-    let fence_timeout_at = node.now().saturating_add_millis(FENCE_TIMEOUT_MS);
-    let deadline = fence_timeout_at.min(request.deadline);
-    let ask_guard = async {
-        let mut conn = node.peer_pool.connect(peer, addr, deadline).await.ok()?;
-        if conn.incarnation != incarnation {
-            return None;
-        }
-        let deadline = request.deadline;
-        let fence = PeerMessage::Fence { key, deadline };
-        conn.tx.write(&fence).await.ok()?;
-        let reply = conn.rx.read().await.ok()?;
-        node.peer_pool.release(peer, conn);
-        Some(reply)
-    };
-    let reply = node.clock.timeout_at(deadline, ask_guard).await.flatten();
-    match reply {
-        Some(PeerMessage::FenceResult {
-            key: fenced_key,
-            state: FenceState::Fenced,
-        }) if fenced_key == key => {
-            node.metrics.count("entry.fenced");
-            not_run_unreached("connection-lost")
-        }
-        _ => AttemptEnd::Unknown("connection-lost"),
-    }
-}
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod caller_request;
 mod conn;
+mod exchange;
 mod in_flight;
 pub(crate) mod listener;
 mod response;
@@ -32,6 +33,7 @@
     response_writer::{CallerGone, ResponseWriter},
 };
 use slog::info;
+use tokio::sync::Notify;
 
 use crate::{
     node::Node,
@@ -154,6 +156,8 @@
     /// Number of attempts that reached a target.
     targets_reached: u32,
     traces: Vec<AttemptTrace>,
+    /// Notified by an attempt whose guard gives no sign of life.
+    unresponsive: Rc<Notify>,
 }
 
 impl<'a> RequestExecution<'a> {
@@ -167,6 +171,7 @@
             unknown_reason: None,
             targets_reached: 0,
             traces: Vec::new(),
+            unresponsive: Rc::default(),
         }
     }
 
@@ -187,6 +192,10 @@
                     self.consider_hedge();
                     continue;
                 }
+                () = self.unresponsive.notified() => {
+                    self.try_another_guard();
+                    continue;
+                }
             };
             let Some((attempt, end)) = done else {
                 return AttemptEnd::Unknown("no-attempt");
@@ -236,6 +245,7 @@
             cause,
             may_refuse_if_slow: self.may_refuse_if_slow(now, &peer),
             started_at: now,
+            unresponsive: Rc::clone(&self.unresponsive),
         };
         self.tried_nodes.push(peer);
         let (node, request) = (Rc::clone(self.node), Rc::clone(self.request));
@@ -291,6 +301,24 @@
             AttemptEnd::Unknown(_) => AttemptOutcome::Unknown,
             AttemptEnd::Response(_) | AttemptEnd::BadRequest(_) => return false,
         };
+        self.start_retry(outcome, self.targets_reached, end.has_reached_target())
+    }
+
+    /// Sends the request to another guard as well if the one that has it gives no sign of life.
+    /// That one may run it all the same.
+    fn try_another_guard(&mut self) {
+        let targets_reached = self.targets_reached + self.in_flight.len() as u32;
+        if self.start_retry(AttemptOutcome::Unknown, targets_reached, true) {
+            self.node.metrics.count("entry.moved");
+        }
+    }
+
+    fn start_retry(
+        &mut self,
+        outcome: AttemptOutcome,
+        targets_reached: u32,
+        last_reached_target: bool,
+    ) -> bool {
         let query = RetryQuery {
             service: self.request.policy.service.as_str(),
             outcome,
@@ -299,8 +327,8 @@
             // sent again either, because the streamed bytes are not kept.
             answer_started: self.request.body_rest_started(),
             attempts: self.tried_nodes.len() as u32,
-            targets_reached: self.targets_reached,
-            last_reached_target: end.has_reached_target(),
+            targets_reached,
+            last_reached_target,
             max_targets_reached: self.request.policy.max_targets_reached,
             deadline: self.request.deadline,
         };
--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -1,18 +1,19 @@
 //! The guard: admits requests that entries of other nodes and of this one send, queues or
 //! refuses them, and relays them to the target on this host.
 
+mod link;
 mod relay;
 mod request;
 mod slot;
 mod target_headers;
 
-pub(crate) use self::target_headers::record_health_headers;
+pub(crate) use self::{link::ExchangeLinks, target_headers::record_health_headers};
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_rt::net::{TcpListener, TcpStream};
 use bytes::Bytes;
-use plantainpost_core::time::Instant;
+use plantainpost_core::{admission::RequestKey, time::Instant};
 use plantainpost_wire::{
     frame::{self, FrameError, FrameReader, FrameWriter},
     handshake::{self, AcceptedPeer, ClockOffset},
@@ -33,7 +34,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// A connection that a peer, or the entry of this node, has opened.
-struct InboundConn {
+pub(crate) struct InboundConn {
     rx: FrameReader,
     tx: FrameWriter,
     peer: AcceptedPeer,
@@ -46,6 +47,8 @@
     Reusable,
     /// The connection failed, the peer violated the protocol, or the exchange is incomplete.
     MustClose,
+    /// The exchange of this request is continued on the connection.
+    Resumes(RequestKey),
 }
 
 /// Accepts connections of peers until the process exits.
@@ -109,37 +112,60 @@
             return;
         };
         let state = match msg {
+            Ok(PeerMessage::Request(head)) => {
+                let _exchange = Rc::clone(&node.exchanges);
+                let state;
+                (state, conn) = request::serve_request(node, conn, head).await;
+                state
+            }
             Ok(msg) => handle_message(node, &mut conn, msg).await,
             Err(FrameError::Closed | FrameError::Io { .. }) => return,
             Err(_) => ConnState::MustClose,
         };
-        if state == ConnState::MustClose {
-            node.metrics.count("guard.conn_broken");
-            return;
+        match state {
+            ConnState::Reusable => (),
+            ConnState::MustClose => {
+                node.metrics.count("guard.conn_broken");
+                return;
+            }
+            ConnState::Resumes(key) => return link::hand_over(node, key, conn),
         }
     }
 }
 
 async fn handle_message(node: &Rc<Node>, conn: &mut InboundConn, msg: PeerMessage) -> ConnState {
     match msg {
-        PeerMessage::Request(head) => {
-            let _exchange = Rc::clone(&node.exchanges);
-            request::serve_request(node, conn, head).await
-        }
-        PeerMessage::Fence { key, deadline } => {
-            let deadline = conn.peer.clock_offset.to_local(deadline);
-            let state = node.guard.borrow_mut().fence(node.now(), key, deadline);
-            // Fencing may have removed a queued request, whose task has to be woken.
-            let wakeups = node.guard.borrow_mut().expire(node.now());
-            node.wake_waiters(wakeups);
-            let reply = PeerMessage::FenceResult { key, state };
-            state_after_write(conn.tx.write(&reply).await)
+        PeerMessage::Fence { key, deadline } => fence(node, conn, key, deadline).await,
+        PeerMessage::Resume { key, deadline } => {
+            if link::can_resume(node, key) {
+                return ConnState::Resumes(key);
+            }
+            match link::send_kept_answer(node, conn, key).await {
+                Some(state) => state,
+                None => fence(node, conn, key, deadline).await,
+            }
         }
         PeerMessage::FetchConfig { read_to } => send_config(node, conn, read_to).await,
         _ => ConnState::MustClose,
     }
 }
 
+/// Fences a request and tells the entry its state.
+async fn fence(
+    node: &Node,
+    conn: &mut InboundConn,
+    key: RequestKey,
+    deadline: Instant,
+) -> ConnState {
+    let deadline = to_local_clock(conn, deadline);
+    let state = node.guard.borrow_mut().fence(node.now(), key, deadline);
+    // Fencing may have removed a queued request, whose task has to be woken.
+    let wakeups = node.guard.borrow_mut().expire(node.now());
+    node.wake_waiters(wakeups);
+    let reply = PeerMessage::FenceResult { key, state };
+    state_after_write(conn.tx.write(&reply).await)
+}
+
 fn state_after_write(outcome: Result<(), FrameError>) -> ConnState {
     match outcome {
         Ok(()) => ConnState::Reusable,
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -19,8 +19,9 @@
 use slog::{info, warn};
 
 use super::{
-    ConnState, InboundConn,
-    request::{BODY_DRAIN_TIMEOUT_MS, PendingRequest, send_refusal},
+    ConnState,
+    link::{ExchangeLink, LinkEvent},
+    request::{BODY_DRAIN_TIMEOUT_MS, PendingRequest, handle_link_event, send_refusal},
     slot::Slot,
     state_after_write,
     target_headers::record_target_headers,
@@ -55,7 +56,7 @@
 /// Sends a request that was just dispatched to the target, and the response to the entry.
 pub(super) async fn relay_request(
     node: &Rc<Node>,
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     mut req: PendingRequest,
     slot: Slot,
     target_conn: Connection,
@@ -65,7 +66,7 @@
         .clock
         .timeout_at(
             deadline,
-            exchange_with_target(node, conn, &mut req, target_conn),
+            exchange_with_target(node, link, &mut req, target_conn),
         )
         .await;
     let reason = match end {
@@ -79,11 +80,11 @@
                 record_target_headers(node, &head, slot.target_generation());
             }
             if says_not_run(node, &head) {
-                return handle_target_refusal(node, conn, req, slot, &head).await;
+                return handle_target_refusal(node, link, req, slot, &head).await;
             }
-            let sending = send_response(node, conn, &req, slot, head, *body, request_sent);
+            let sending = send_response(node, link, &req, slot, head, *body, request_sent);
             let state = node.clock.timeout_at(deadline, sending).await;
-            return drain_and_finish(node, conn, &req, state).await;
+            return drain_and_finish(node, link, &req, state).await;
         }
         Some(ExchangeEnd::EntryGone) => {
             node.metrics.count("guard.cancelled");
@@ -96,8 +97,8 @@
     warn!(node.logger, "no answer of the target"; "request" => %req.public_id(node),
         "reason" => reason.as_str(), "after_us" => slot.elapsed_us());
     drop(slot);
-    let state = send_failure(node, conn, key, true, reason).await;
-    drain_and_finish(node, conn, &req, Some(state)).await
+    let state = send_failure(node, link, key, true, reason).await;
+    drain_and_finish(node, link, &req, Some(state)).await
 }
 
 /// Returns `true` if the response says that the target did not run the request.
@@ -111,7 +112,7 @@
 /// Ends a request that the target refused to run, and tells the entry so.
 async fn handle_target_refusal(
     node: &Rc<Node>,
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     req: PendingRequest,
     slot: Slot,
     head: &TargetResponseHead,
@@ -126,21 +127,21 @@
     if head.status == MISDIRECTED_REQUEST {
         node.target_pool.close_idle();
     }
-    send_refusal(node, conn, req, RefuseReason::TargetRefused).await
+    send_refusal(node, link, req, RefuseReason::TargetRefused).await
 }
 
 /// Sends the request to the target and waits for the head of the response, on a new connection
 /// if the target closes a reused one.
 async fn exchange_with_target(
     node: &Node,
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     req: &mut PendingRequest,
     target_conn: Connection,
 ) -> ExchangeEnd {
     let may_resend = req.head.idempotent && target_conn.reused && is_replayable(req);
     let target_addr = target_conn.addr();
     let pieces = req.body.pieces.clone();
-    let end = exchange_once(node, conn, req, target_conn).await;
+    let end = exchange_once(node, link, req, target_conn).await;
     if !may_resend || !matches!(end, ExchangeEnd::Closed) {
         return end;
     }
@@ -154,7 +155,7 @@
     };
     node.metrics.count("guard.reopened");
     req.body.pieces = pieces;
-    exchange_once(node, conn, req, target_conn).await
+    exchange_once(node, link, req, target_conn).await
 }
 
 fn is_replayable(req: &PendingRequest) -> bool {
@@ -163,7 +164,7 @@
 
 async fn exchange_once(
     node: &Node,
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     req: &mut PendingRequest,
     mut target_conn: Connection,
 ) -> ExchangeEnd {
@@ -180,7 +181,13 @@
     if needs_continue(req.head.body) {
         let key = req.head.key;
         req.continue_sent = true;
-        if conn.tx.write(&PeerMessage::Continue { key }).await.is_err() {
+        if link
+            .conn
+            .tx
+            .write(&PeerMessage::Continue { key })
+            .await
+            .is_err()
+        {
             return ExchangeEnd::EntryGone;
         }
     }
@@ -200,8 +207,8 @@
             target_accepts_body = target_conn.finish_body(length).await.is_ok();
             request_sent = target_accepts_body;
         }
-        match next_relay_event(conn, req, &mut target_conn, &method).await {
-            RelayEvent::BodyReceived => (),
+        match next_relay_event(link, req, &mut target_conn, &method).await {
+            RelayEvent::Continues => (),
             RelayEvent::EntryGone => return ExchangeEnd::EntryGone,
             RelayEvent::ResponseHead(Ok(head)) => match response_owner(node, req, &head, is_reused)
             {
@@ -278,32 +285,25 @@
 }
 
 enum RelayEvent {
-    /// A frame of the request body was received.
-    BodyReceived,
+    /// The exchange goes on: a frame of the request body was received, or the link was kept alive.
+    Continues,
     EntryGone,
     ResponseHead(Result<TargetResponseHead, ResponseError>),
 }
 
 async fn next_relay_event(
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     req: &mut PendingRequest,
     target_conn: &mut Connection,
     method: &str,
 ) -> RelayEvent {
-    if req.body.is_complete {
-        return tokio::select! {
-            head = target_conn.read_head(method) => RelayEvent::ResponseHead(head),
-            // Nothing may follow the body, so the connection was closed or the protocol
-            // violated.
-            _ = conn.rx.wait_readable() => RelayEvent::EntryGone,
-        };
-    }
-    tokio::select! {
-        head = target_conn.read_head(method) => RelayEvent::ResponseHead(head),
-        msg = conn.rx.read() => match msg.map(|msg| req.body.receive(req.head.body, msg)) {
-            Ok(Ok(())) => RelayEvent::BodyReceived,
-            Ok(Err(())) | Err(_) => RelayEvent::EntryGone,
-        },
+    let event = tokio::select! {
+        head = target_conn.read_head(method) => return RelayEvent::ResponseHead(head),
+        event = link.next_event() => event,
+    };
+    match handle_link_event(link, req, event).await {
+        Ok(()) => RelayEvent::Continues,
+        Err(()) => RelayEvent::EntryGone,
     }
 }
 
@@ -359,7 +359,7 @@
 /// Sends the response to the entry.
 async fn send_response(
     node: &Rc<Node>,
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     req: &PendingRequest,
     slot: Slot,
     target_head: TargetResponseHead,
@@ -371,7 +371,7 @@
     if target_head.framing == Framing::UntilClose && !node.settings.allow_close_delimited_responses
     {
         slot.finish(ExchangeOutcome::Failed);
-        return send_failure(node, conn, key, true, FailReason::Unframed).await;
+        return send_failure(node, link, key, true, FailReason::Unframed).await;
     }
     let length = response_length(target_head.framing);
     let head = PeerResponseHead {
@@ -384,11 +384,11 @@
         body: length,
         load: node.guard.borrow().load_sample(node.now()),
     };
-    if conn.tx.queue(&PeerMessage::Response(head)).is_err() {
+    if link.queue_answer(&PeerMessage::Response(head)).is_err() {
         slot.finish(ExchangeOutcome::Failed);
-        return send_failure(node, conn, key, true, FailReason::Malformed).await;
+        return send_failure(node, link, key, true, FailReason::Malformed).await;
     }
-    let Ok(bytes) = send_body_pieces(conn, req, &mut body).await else {
+    let Ok(bytes) = send_body_pieces(link, req, &mut body).await else {
         // The entry detects the truncated response by the missing end of the body.
         node.metrics.count("guard.answer_cut");
         warn!(node.logger, "answer of the target cut"; "request" => %req.public_id(node));
@@ -417,17 +417,17 @@
             length: bytes,
             load,
         };
-        if conn.tx.queue(&end).is_err() {
+        if link.queue_answer(&end).is_err() {
             return ConnState::MustClose;
         }
     }
-    state_after_write(conn.tx.flush().await)
+    state_after_write(link.finish_answer().await)
 }
 
 /// Sends the body of a response and returns its length in bytes. The last pieces may still be
 /// in the write buffer of the connection.
 async fn send_body_pieces(
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     req: &PendingRequest,
     body: &mut ResponseBody,
 ) -> Result<u64, ()> {
@@ -436,14 +436,14 @@
         let part = match body.next().now_or_never() {
             Some(part) => part,
             None => {
-                conn.tx.flush().await.map_err(|_| ())?;
-                next_body_part(conn, req, body).await?
+                link.flush().await.map_err(|_| ())?;
+                next_body_part(link, req, body).await?
             }
         };
         match part {
             BodyPart::Data(piece) => {
                 bytes += piece.len() as u64;
-                queue_body_piece(conn, piece).await.map_err(|_| ())?;
+                queue_body_piece(link, piece).await.map_err(|_| ())?;
             }
             BodyPart::End => return Ok(bytes),
             BodyPart::Truncated => return Err(()),
@@ -452,25 +452,35 @@
 }
 
 async fn next_body_part(
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     req: &PendingRequest,
     body: &mut ResponseBody,
 ) -> Result<BodyPart, ()> {
     if !req.body.is_complete {
         return Ok(body.next().await);
     }
-    tokio::select! {
-        part = body.next() => Ok(part),
-        _ = conn.rx.wait_readable() => Err(()),
+    loop {
+        let event = tokio::select! {
+            part = body.next() => return Ok(part),
+            event = link.next_event() => event,
+        };
+        match event {
+            LinkEvent::Message(_) => return Err(()),
+            LinkEvent::ProgressDue => (),
+            LinkEvent::Replaced(conn) => {
+                link.replace_conn(*conn).await.map_err(|_| ())?;
+                link.flush().await.map_err(|_| ())?;
+            }
+        }
     }
 }
 
-async fn queue_body_piece(conn: &mut InboundConn, mut piece: Bytes) -> Result<(), FrameError> {
+async fn queue_body_piece(link: &mut ExchangeLink, mut piece: Bytes) -> Result<(), FrameError> {
     while !piece.is_empty() {
         let part = piece.split_to(piece.len().min(MAX_BODY_FRAME_BYTES));
-        conn.tx.queue(&PeerMessage::Body(part))?;
-        if conn.tx.queued_bytes() >= MAX_BODY_FRAME_BYTES {
-            conn.tx.flush().await?;
+        link.queue_answer(&PeerMessage::Body(part))?;
+        if link.conn.tx.queued_bytes() >= MAX_BODY_FRAME_BYTES {
+            link.flush().await?;
         }
     }
     Ok(())
@@ -479,7 +489,7 @@
 /// Tells the entry that there is no response from the target.
 pub(super) async fn send_failure(
     node: &Node,
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     key: RequestKey,
     started: bool,
     reason: FailReason,
@@ -492,8 +502,9 @@
         reason,
         load,
     };
+    link.adopt_new_conn();
     // The connection is not reused, since the entry discards it too.
-    let _ = conn.tx.write(&msg).await;
+    let _ = link.conn.tx.write(&msg).await;
     ConnState::MustClose
 }
 
@@ -503,7 +514,7 @@
 /// could lose the response, so the rest is read first.
 async fn drain_and_finish(
     node: &Node,
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     req: &PendingRequest,
     state: Option<ConnState>,
 ) -> ConnState {
@@ -512,7 +523,7 @@
         return state;
     }
     let drain_deadline = node.now().saturating_add_millis(BODY_DRAIN_TIMEOUT_MS);
-    let drain = async { while conn.rx.read().await.is_ok() {} };
+    let drain = async { while link.conn.rx.read().await.is_ok() {} };
     let _ = node.clock.timeout_at(drain_deadline, drain).await;
     ConnState::MustClose
 }
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -16,7 +16,9 @@
 use tokio::sync::oneshot;
 
 use super::{
-    ConnState, InboundConn, relay,
+    ConnState, InboundConn,
+    link::{ExchangeLink, LinkEvent},
+    relay,
     slot::{Slot, UndispatchedRequest},
     state_after_write, to_local_clock,
 };
@@ -110,17 +112,28 @@
     EntryGone,
 }
 
-/// Admits one request and relays it to the target, or refuses it.
+/// Admits one request and relays it to the target, or refuses it. Returns the connection to use
+/// for further requests, which may be another one.
 pub(super) async fn serve_request(
     node: &Rc<Node>,
-    conn: &mut InboundConn,
+    conn: InboundConn,
+    head: PeerRequestHead,
+) -> (ConnState, InboundConn) {
+    let mut link = ExchangeLink::new(node, head.key, conn);
+    let state = serve_on_link(node, &mut link, head).await;
+    (state, link.conn)
+}
+
+async fn serve_on_link(
+    node: &Rc<Node>,
+    link: &mut ExchangeLink,
     head: PeerRequestHead,
 ) -> ConnState {
     node.metrics.count("guard.request");
-    let deadline = to_local_clock(conn, head.deadline);
+    let deadline = to_local_clock(&link.conn, head.deadline);
     let body = ReceivedBody::new(head.body);
     let urgency = Urgency {
-        due: head.urgency.due.map(|due| to_local_clock(conn, due)),
+        due: head.urgency.due.map(|due| to_local_clock(&link.conn, due)),
         ..head.urgency
     };
     let mut req = PendingRequest {
@@ -134,18 +147,21 @@
     pace::refresh_pace(node).await;
     let admission = offer_request(node, &req);
     let undispatched = match admission {
-        Admission::Refused(reason) => return send_refusal(node, conn, req, reason).await,
+        Admission::Refused(reason) => return send_refusal(node, link, req, reason).await,
         Admission::Start | Admission::Queued => UndispatchedRequest::new(node, key),
     };
+    if req.body.is_complete {
+        link.allow_resume();
+    }
     let wait_result = match admission {
-        Admission::Queued => wait_for_slot(node, conn, &mut req).await,
+        Admission::Queued => wait_for_slot(node, link, &mut req).await,
         _ => SlotWait::Dispatch,
     };
     match wait_result {
-        SlotWait::Dispatch => dispatch_request(node, conn, req, undispatched).await,
+        SlotWait::Dispatch => dispatch_request(node, link, req, undispatched).await,
         SlotWait::Refused(reason) => {
             undispatched.disarm();
-            send_refusal(node, conn, req, reason).await
+            send_refusal(node, link, req, reason).await
         }
         SlotWait::EntryGone => ConnState::MustClose,
     }
@@ -164,23 +180,42 @@
 
 /// Waits until a queued request gets a slot or is refused. Meanwhile receives the body and
 /// detects that the entry closes the connection.
-async fn wait_for_slot(node: &Node, conn: &mut InboundConn, req: &mut PendingRequest) -> SlotWait {
+async fn wait_for_slot(node: &Node, link: &mut ExchangeLink, req: &mut PendingRequest) -> SlotWait {
     let (tx, mut rx) = oneshot::channel();
     node.waiters.borrow_mut().insert(req.head.key, tx);
     node.pace.notify_request_queued();
     loop {
-        tokio::select! {
+        let event = tokio::select! {
             woken = &mut rx => return match woken {
                 Ok(Admission::Start) => SlotWait::Dispatch,
                 Ok(Admission::Refused(reason)) => SlotWait::Refused(reason),
                 Ok(Admission::Queued) | Err(_) => SlotWait::EntryGone,
             },
-            msg = conn.rx.read() => {
-                if receive_body(req, msg).is_err() {
-                    return SlotWait::EntryGone;
-                }
+            event = link.next_event() => event,
+        };
+        if handle_link_event(link, req, event).await.is_err() {
+            return SlotWait::EntryGone;
+        }
+    }
+}
+
+/// Handles an event of a link before the answer has begun. Fails if the entry has gone or violated
+/// the protocol.
+pub(super) async fn handle_link_event(
+    link: &mut ExchangeLink,
+    req: &mut PendingRequest,
+    event: LinkEvent,
+) -> Result<(), ()> {
+    match event {
+        LinkEvent::Message(msg) => {
+            receive_body(req, msg)?;
+            if req.body.is_complete {
+                link.allow_resume();
             }
+            Ok(())
         }
+        LinkEvent::Replaced(conn) => link.replace_conn(*conn).await.map_err(|_| ()),
+        LinkEvent::ProgressDue => link.send_progress().await.map_err(|_| ()),
     }
 }
 
@@ -192,7 +227,7 @@
 /// Connects to the target, makes the final admission check and relays the request.
 async fn dispatch_request(
     node: &Rc<Node>,
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     req: PendingRequest,
     undispatched: UndispatchedRequest,
 ) -> ConnState {
@@ -203,11 +238,11 @@
         Ok(target_conn) => target_conn,
         Err(ConnectFailure::NoTarget) => {
             drop(undispatched);
-            return send_refusal(node, conn, req, RefuseReason::NoTarget).await;
+            return send_refusal(node, link, req, RefuseReason::NoTarget).await;
         }
         Err(ConnectFailure::ConnectError) => {
             drop(undispatched);
-            return relay::send_failure(node, conn, key, false, FailReason::Connect).await;
+            return relay::send_failure(node, link, key, false, FailReason::Connect).await;
         }
     };
     let decision = node.guard.borrow_mut().dispatch(node.now(), key);
@@ -216,10 +251,10 @@
         node.target_pool.release(target_conn, node.now());
         let wakeups = node.guard.borrow_mut().expire(node.now());
         node.wake_waiters(wakeups);
-        return send_refusal(node, conn, req, reason).await;
+        return send_refusal(node, link, req, reason).await;
     }
     let slot = Slot::new(node, key);
-    relay::relay_request(node, conn, req, slot, target_conn).await
+    relay::relay_request(node, link, req, slot, target_conn).await
 }
 
 /// Why the request can't be sent to the target.
@@ -251,7 +286,7 @@
 /// connection can be reused. The part of a body that the entry was not asked for is not sent.
 pub(super) async fn send_refusal(
     node: &Node,
-    conn: &mut InboundConn,
+    link: &mut ExchangeLink,
     mut req: PendingRequest,
     reason: RefuseReason,
 ) -> ConnState {
@@ -263,6 +298,8 @@
         "left_us" => req.deadline.micros_since(node.now()));
     let key = req.head.key;
     let msg = PeerMessage::Refused { key, reason, load };
+    link.adopt_new_conn();
+    let conn = &mut link.conn;
     if state_after_write(conn.tx.write(&msg).await) == ConnState::MustClose {
         return ConnState::MustClose;
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,6 +17,7 @@
     ids::{NodeName, ServiceName},
     measure,
     member::Membership,
+    progress::SilenceMargin,
     retry::RetryBudgets,
     routing::CallerLimits,
     time::Instant,
@@ -31,6 +32,7 @@
     clock::Clock,
     config_sync::StateFetch,
     fleet::AppliedVersions,
+    guard::ExchangeLinks,
     load_report::LoadReportCache,
     log_service::LogService,
     metrics::Metrics,
@@ -60,6 +62,8 @@
     /// count gives the open exchanges. An exchange lasts longer than the slot of its request,
     /// because the last bytes of a response may wait for an entry that reads slowly.
     pub(crate) exchanges: Rc<()>,
+    /// Exchanges of the guard that can be continued on another connection.
+    pub(crate) exchange_links: ExchangeLinks,
     /// Rate limit of the target that was last logged, in requests per second.
     pub(crate) logged_rate_limit: Cell<Option<f64>>,
     /// Contains exactly the requests that the guard has queued.
@@ -70,6 +74,8 @@
     pub(crate) members: RefCell<Membership>,
     pub(crate) config: RefCell<ConfigReplica>,
     pub(crate) peer_pool: PeerPool,
+    /// Time that peers get beyond the schedule of their signs of life.
+    pub(crate) silence_margin: RefCell<SilenceMargin>,
     pub(crate) target_pool: TargetPool,
     pub(crate) metrics: Metrics,
     pub(crate) audit: AuditQueue,
--- a/crates/node/src/peer_pool.rs
+++ b/crates/node/src/peer_pool.rs
@@ -60,6 +60,8 @@
     pub(crate) tx: FrameWriter,
     /// Incarnation of the peer, from its handshake.
     pub(crate) incarnation: Incarnation,
+    /// Duration of the handshake, which takes two round trips, in microseconds.
+    pub(crate) handshake_us: u64,
     addr: SocketAddr,
     /// The connection is not used for new requests after this instant.
     expires_at: Instant,
@@ -67,6 +69,8 @@
 
 struct IdlePeerConn {
     conn: PeerConn,
+    /// Instant at which the last exchange ended.
+    used_at: Instant,
     closes_at: Instant,
 }
 
@@ -130,6 +134,7 @@
     }
 
     async fn handshake(&self, node: &NodeName, addr: SocketAddr) -> Result<PeerConn, ConnectError> {
+        let started_at = self.clock.now();
         let io = TcpStream::connect(addr).await.context(SocketSnafu)?;
         let (mut rx, mut tx) = frame::split(io);
         let now = || self.clock.now();
@@ -147,6 +152,7 @@
             rx,
             tx,
             incarnation: peer.incarnation,
+            handshake_us: self.clock.now().micros_since(started_at),
             addr,
             expires_at: self
                 .clock
@@ -163,10 +169,24 @@
         let mut idle = self.idle.borrow_mut();
         let conns = idle.entry(node.clone()).or_default();
         if conns.len() < MAX_IDLE_PER_PEER {
-            conns.push(IdlePeerConn { conn, closes_at });
+            conns.push(IdlePeerConn {
+                conn,
+                used_at: now,
+                closes_at,
+            });
         }
     }
 
+    /// Closes the idle connections to all peers whose last exchange ended before `at`. Called when
+    /// a connection turns out to carry no data any more, since others may have failed with it.
+    pub(crate) fn close_unused_since(&self, at: Instant) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|_, conns| {
+            conns.retain(|idle| idle.used_at >= at || idle.conn.rx.is_in_process());
+            !conns.is_empty()
+        });
+    }
+
     /// Closes idle connections that have expired.
     pub(crate) fn close_expired(&self) {
         let now = self.clock.now();
@@ -193,6 +213,7 @@
             rx,
             tx,
             incarnation: self.identity.incarnation,
+            handshake_us: 0,
             addr,
             expires_at: self
                 .clock
@@ -206,7 +227,10 @@
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let conns = idle.get_mut(node)?;
-        while let Some(IdlePeerConn { conn, closes_at }) = conns.pop() {
+        while let Some(IdlePeerConn {
+            conn, closes_at, ..
+        }) = conns.pop()
+        {
             if closes_at > now && conn.addr == addr && !conn.rx.is_stale() {
                 return Some(conn);
             }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -15,6 +15,7 @@
     ids::{Incarnation, Region},
     measure,
     member::{MemberRecord, MemberSettings, MemberState, Membership},
+    progress::{SilenceMargin, SilenceMarginSettings},
     retry::RetryBudgets,
     time::Instant,
 };
@@ -279,6 +280,7 @@
         rng: RefCell::new(rand::make_rng()),
         guard: RefCell::new(Guard::new(guard_settings)),
         exchanges: Rc::default(),
+        exchange_links: Default::default(),
         logged_rate_limit: Cell::default(),
         waiters: RefCell::default(),
         service: RefCell::new(settings.service.clone()),
@@ -288,6 +290,7 @@
         members: RefCell::new(new_membership(&settings, incarnation, clock.now())),
         config: RefCell::new(ConfigReplica::new()),
         peer_pool: PeerPool::new(identity.clone(), keys.clone(), clock, &settings.limits),
+        silence_margin: RefCell::new(SilenceMargin::new(SilenceMarginSettings::default())),
         target_pool: TargetPool::default(),
         metrics,
         audit: AuditQueue::default(),
--- a/crates/standin/src/proxy/tcp.rs
+++ b/crates/standin/src/proxy/tcp.rs
@@ -45,6 +45,10 @@
     pub cut_after_bytes_to_server: Option<u64>,
     /// Each connection is cut after this many bytes to the client.
     pub cut_after_bytes_to_client: Option<u64>,
+    /// Each connection stays open, but carries nothing to the server after this many bytes.
+    pub silence_after_bytes_to_server: Option<u64>,
+    /// Each connection stays open, but carries nothing to the client after this many bytes.
+    pub silence_after_bytes_to_client: Option<u64>,
     /// Whether new connections are accepted and closed at once.
     pub close_new_connections: bool,
 }
@@ -63,6 +67,9 @@
     faults: watch::Sender<ProxyFaults>,
     /// Number of calls of [`Proxy::cut_connections`]; a change ends all connections.
     cut_count: watch::Sender<u64>,
+    /// Number of calls of [`Proxy::silence_connections`]. A connection that was opened before the
+    /// last one carries nothing any more.
+    silence_count: watch::Sender<u64>,
     accepted_connections: AtomicU64,
     bytes_to_server: AtomicU64,
     bytes_to_client: AtomicU64,
@@ -89,6 +96,7 @@
             server,
             faults: watch::Sender::new(ProxyFaults::default()),
             cut_count: watch::Sender::new(0),
+            silence_count: watch::Sender::new(0),
             accepted_connections: AtomicU64::new(0),
             bytes_to_server: AtomicU64::new(0),
             bytes_to_client: AtomicU64::new(0),
@@ -123,6 +131,12 @@
             .send_modify(|cut_count| *cut_count += 1);
     }
 
+    /// Makes all open connections silent for good: they stay open, and whatever is sent on them is
+    /// lost. New connections work.
+    pub fn silence_connections(&self) {
+        self.shared.silence_count.send_modify(|count| *count += 1);
+    }
+
     /// Returns the number of connections accepted so far.
     pub fn accepted_connections(&self) -> u64 {
         self.shared.accepted_connections.load(Ordering::Relaxed)
@@ -169,12 +183,16 @@
         faults: shared.faults.subscribe(),
         is_held: |faults| faults.hold_to_server,
         cut_after: |faults| faults.cut_after_bytes_to_server,
+        silence_after: |faults| faults.silence_after_bytes_to_server,
+        silence_count: shared.silence_count.subscribe(),
         forwarded_bytes: &shared.bytes_to_server,
     };
     let to_client = Direction {
         faults: shared.faults.subscribe(),
         is_held: |faults| faults.hold_to_client,
         cut_after: |faults| faults.cut_after_bytes_to_client,
+        silence_after: |faults| faults.silence_after_bytes_to_client,
+        silence_count: shared.silence_count.subscribe(),
         forwarded_bytes: &shared.bytes_to_client,
     };
     let both_directions = try_join(
@@ -194,6 +212,9 @@
     faults: watch::Receiver<ProxyFaults>,
     is_held: fn(&ProxyFaults) -> bool,
     cut_after: fn(&ProxyFaults) -> Option<u64>,
+    silence_after: fn(&ProxyFaults) -> Option<u64>,
+    /// Changes when the connection becomes silent.
+    silence_count: watch::Receiver<u64>,
     forwarded_bytes: &'a AtomicU64,
 }
 
@@ -236,6 +257,19 @@
                 Ok(faults) => faults.clone(),
                 Err(_) => return Err(io::ErrorKind::ConnectionAborted.into()),
             };
+            let is_silenced = self.silence_count.has_changed().unwrap_or(false);
+            let audible = match (self.silence_after)(&faults) {
+                _ if is_silenced => 0,
+                Some(limit) => limit.saturating_sub(forwarded_len),
+                None => u64::MAX,
+            };
+            if audible < chunk.len() as u64 {
+                to.write_all(&chunk[..audible as usize]).await?;
+                to.flush().await?;
+                // The rest is lost, but the connection stays open.
+                while rx.recv().await.is_some() {}
+                return std::future::pending().await;
+            }
             let remaining = (self.cut_after)(&faults)
                 .map_or(u64::MAX, |limit| limit.saturating_sub(forwarded_len));
             let len = chunk
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Returns whether both ends of the connection are in this process.
+    pub fn is_in_process(&self) -> bool {
+        matches!(self.source, Source::InProcess { .. })
+    }
+
     /// Returns whether an idle connection is closed or has unread data, either of which makes
     /// it unusable for another request.
     pub fn is_stale(&self) -> bool {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -15,7 +15,7 @@
 use crate::auth::MAC_BYTES;
 
 /// Version of the peer protocol. The handshake with a peer of another version fails.
-pub const PROTOCOL_VERSION: u16 = 3;
+pub const PROTOCOL_VERSION: u16 = 4;
 
 /// Length of a handshake nonce in bytes.
 pub const NONCE_BYTES: usize = 16;
@@ -227,4 +227,19 @@
         /// read.
         read_to: u64,
     },
+    /// A sign of life: the guard has the request and no answer yet. Sent by the schedule of
+    /// [`plantainpost_core::progress`].
+    Progress {
+        /// Attempt that the guard has.
+        key: RequestKey,
+    },
+    /// Continues an exchange whose connection was lost or fell silent on this connection. The
+    /// reply is `Progress` or the whole answer if the exchange can be continued, and otherwise a
+    /// `FenceResult`, as if this message were a `Fence`.
+    Resume {
+        /// Attempt to continue.
+        key: RequestKey,
+        /// Deadline of the request on the clock of the entry.
+        deadline: Instant,
+    },
 }
--- a/tests/integration/fault_cases.rs
+++ b/tests/integration/fault_cases.rs
@@ -69,6 +69,8 @@
     Connections(ProxyFaults),
     /// All open TCP connections to all nodes are closed at the start of the step.
     CutConnections,
+    /// All open TCP connections to all nodes carry nothing from the start of the step on.
+    SilenceConnections,
     /// UDP datagrams between all nodes have these faults.
     Datagrams(RelayFaults),
 }
@@ -180,6 +182,10 @@
                 .links
                 .iter()
                 .for_each(|link| link.tcp.cut_connections()),
+            Fault::SilenceConnections => self
+                .links
+                .iter()
+                .for_each(|link| link.tcp.silence_connections()),
             Fault::Datagrams(faults) => self.set_relay_faults(faults),
         }
     }
@@ -196,7 +202,7 @@
             Fault::TargetLeaving => fleet.targets[i].set_leaving(false),
             Fault::LogDown => fleet.log.set_faults(LogFaults::default()),
             Fault::Connections(_) => self.set_proxy_faults(&ProxyFaults::default()),
-            Fault::CutConnections => (),
+            Fault::CutConnections | Fault::SilenceConnections => (),
             Fault::Datagrams(_) => self.set_relay_faults(&RelayFaults::default()),
         }
     }
--- a/tests/integration/scripted_entry.rs
+++ b/tests/integration/scripted_entry.rs
@@ -17,7 +17,7 @@
     let mut peer = ScriptedPeer::connect(fleet.nodes[0].peers).await;
     let head = post_head(request_key(id), nonce, headers);
     peer.send(PeerMessage::Request(head)).await;
-    describe(&peer.next_message().await).to_string()
+    describe(&peer.next_reply().await).to_string()
 }
 
 /// Fences a request on a new connection and returns the guard's first message as text.
@@ -26,7 +26,7 @@
     let deadline = now().saturating_add_millis(5_000);
     let key = request_key(id);
     peer.send(PeerMessage::Fence { key, deadline }).await;
-    describe(&peer.next_message().await).to_string()
+    describe(&peer.next_reply().await).to_string()
 }
 
 /// Guards against a second run of a request that arrives again while it runs or after its
@@ -45,7 +45,7 @@
             eq("refused duplicate")
         );
         expect_that!(fence_reply(&fleet, 1).await, eq("fence Started"));
-        expect_that!(&*describe(&first.next_message().await), eq("response 200"));
+        expect_that!(&*describe(&first.next_reply().await), eq("response 200"));
         expect_that!(
             first_reply(&fleet, 1, "twice", &work).await,
             eq("refused duplicate")
@@ -93,7 +93,7 @@
             )))
             .await;
             expect_that!(
-                &*describe(&peer.next_message().await),
+                &*describe(&peer.next_reply().await),
                 eq("response 200"),
                 "{name}"
             );
@@ -106,7 +106,7 @@
                 &[],
             )))
             .await;
-            let reply = describe(&peer.next_message().await);
+            let reply = describe(&peer.next_reply().await);
             expect_that!(&*reply, eq("refused draining"), "{name}");
             expect_that!(fleet.targets[0].execution_count("after"), eq(0), "{name}");
         });
@@ -147,7 +147,7 @@
             let head = PeerRequestHead { body, ..head };
             peer.send(PeerMessage::Request(head)).await;
             peer.send(PeerMessage::Body(b"part"[..].into())).await;
-            let reply = peer.next_message().await;
+            let reply = peer.next_reply().await;
             let started = matches!(reply, Ok(PeerMessage::Continue { .. }));
             expect_true!(started, "{name}: {reply:?}");
             cut_body(&mut peer).await;
@@ -185,7 +185,7 @@
             peer.send(PeerMessage::Request(head)).await;
             actix_rt::time::sleep(Duration::from_millis(1_200)).await;
             process.signal(Signal::Cont).expect("the node runs");
-            let reply = describe(&peer.next_message().await);
+            let reply = describe(&peer.next_reply().await);
             let wanted = ["refused deadline", "response 200"][runs as usize];
             expect_that!(&*reply, eq(wanted), "{nonce}");
         });
--- a/tests/integration/scripted_guard.rs
+++ b/tests/integration/scripted_guard.rs
@@ -29,7 +29,7 @@
 }
 
 impl ScriptedGuardFleet {
-    fn start() -> Self {
+    pub(crate) fn start() -> Self {
         Self::start_with_entry_settings(|_| ())
     }
 
@@ -331,8 +331,8 @@
 #[gtest]
 fn lost_connection_is_reported_as_not_run_only_after_a_fence() {
     async fn answer_fence(mut peer: ScriptedPeer, key: RequestKey, state: FenceState) {
-        // An entry that does not trust the guard closes the connection without a fence.
-        if let Ok(PeerMessage::Fence { .. }) = peer.next_message().await {
+        // An entry that does not trust the guard closes the connection without a message.
+        if let Ok(PeerMessage::Resume { .. }) = peer.next_message().await {
             peer.send(PeerMessage::FenceResult { key, state }).await;
             actix_rt::time::sleep(Duration::from_millis(200)).await;
         }
--- a/tests/integration/scripted_peer.rs
+++ b/tests/integration/scripted_peer.rs
@@ -95,6 +95,16 @@
         read.expect("the node sends something or closes the connection")
     }
 
+    /// Waits for the next message that is no sign of life of a guard, which a busy machine delays.
+    pub(crate) async fn next_reply(&mut self) -> Result<PeerMessage, FrameError> {
+        loop {
+            match self.next_message().await {
+                Ok(PeerMessage::Progress { .. }) => (),
+                reply => return reply,
+            }
+        }
+    }
+
     /// Waits for a request and returns its head. Panics on any other message.
     pub(crate) async fn next_request(&mut self) -> PeerRequestHead {
         match self.next_message().await {
--- a/tests/integration/scripted_stop.rs
+++ b/tests/integration/scripted_stop.rs
@@ -39,7 +39,7 @@
     let mut received = 0;
     loop {
         match timeout(Duration::from_millis(500), peer.rx.read()).await {
-            Ok(Ok(PeerMessage::Response(_))) => (),
+            Ok(Ok(PeerMessage::Response(_) | PeerMessage::Progress { .. })) => (),
             Ok(Ok(PeerMessage::Body(bytes))) => received += bytes.len(),
             Ok(Ok(PeerMessage::BodyEnd { .. })) => return (received, true),
             Ok(other) => {
