guard: start no request that its stopping entry would cut

Report of operators: requests that came late in the grace were passed on and cut at its end. It happens here: an entry on the platform took requests until 45 % of the grace and cut them at 85 %, and the guard on another host knew only its own stop.

Change: a stopping entry tells when it cuts requests. The guard refuses those that would probably take longer, when they are offered, queued and dispatched, as it does for its own stop.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -215,7 +215,8 @@
                 self.in_flight += 1;
                 self.counters.started += 1;
                 self.put_record(offer.key, RequestState::Admitted, offer.deadline);
-                self.records.set_class(offer.key, offer.urgency.class);
+                self.records
+                    .set_terms(offer.key, offer.urgency.class, offer.answer_by);
                 Admission::Start
             }
             Ok(Placement::Queue) => {
@@ -228,7 +229,8 @@
                     predicted_wait_us: self.predicted_wait_us(now, &offer.urgency),
                 });
                 self.put_record(offer.key, RequestState::Queued(ticket), offer.deadline);
-                self.records.set_class(offer.key, offer.urgency.class);
+                self.records
+                    .set_terms(offer.key, offer.urgency.class, offer.answer_by);
                 Admission::Queued
             }
             Err(reason) => {
--- a/crates/core/src/admission/records.rs
+++ b/crates/core/src/admission/records.rs
@@ -48,6 +48,8 @@
     pub(super) concurrency: u32,
     /// See `Urgency::class`.
     pub(super) class: u32,
+    /// See `Offer::answer_by`.
+    pub(super) answer_by: Option<Instant>,
     /// Whether the target's host was slow at the dispatch.
     pub(super) dispatched_while_slow: bool,
 }
@@ -99,10 +101,11 @@
         }
     }
 
-    /// Sets the class of a request; no effect without a record.
-    pub(super) fn set_class(&mut self, key: RequestKey, class: u32) {
+    /// Sets what the dispatch of a request depends on; no effect without a record.
+    pub(super) fn set_terms(&mut self, key: RequestKey, class: u32, answer_by: Option<Instant>) {
         if let Some(record) = self.by_key.get_mut(&key) {
             record.class = class;
+            record.answer_by = answer_by;
         }
     }
 
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -53,7 +53,8 @@
         if target.service.as_str() != offer.service {
             return Err(RefuseReason::WrongService);
         }
-        if self.is_draining() || self.would_outlast_stop(now, offer.urgency.class) {
+        let stop_at = self.earliest_stop(offer.answer_by);
+        if self.is_draining() || self.would_outlast(now, offer.urgency.class, stop_at) {
             return Err(RefuseReason::Draining);
         }
         let is_slow = self.pace.is_slow(now, &self.cfg.pace);
@@ -71,7 +72,7 @@
             return Err(RefuseReason::Overloaded);
         }
         let end = now.saturating_add_micros(self.predicted_time_us(now, &offer.urgency));
-        if self.stop_deadline.is_some_and(|at| end > at) {
+        if stop_at.is_some_and(|at| end > at) {
             return Err(RefuseReason::Draining);
         }
         if end > offer.deadline {
@@ -104,11 +105,15 @@
         }
     }
 
-    /// Returns whether a request that started now would probably be cut when the node stops.
-    fn would_outlast_stop(&self, now: Instant, class: u32) -> bool {
+    /// Returns when a request is cut because this node or its entry stops; `None` if neither does.
+    fn earliest_stop(&self, answer_by: Option<Instant>) -> Option<Instant> {
+        [self.stop_deadline, answer_by].into_iter().flatten().min()
+    }
+
+    /// Returns whether a request that started now would probably be cut at `stop_at`.
+    fn would_outlast(&self, now: Instant, class: u32, stop_at: Option<Instant>) -> bool {
         let high_estimate_us = self.service_times.high_estimate_us(class);
-        self.stop_deadline
-            .is_some_and(|at| now.saturating_add_micros(high_estimate_us) > at)
+        stop_at.is_some_and(|at| now.saturating_add_micros(high_estimate_us) > at)
     }
 
     /// Returns whether the target could hardly answer before the deadline if the request started
@@ -183,7 +188,7 @@
             Some(RefuseReason::Deadline)
         } else if self.target(now).is_none() || record.generation != self.target_generation {
             Some(RefuseReason::NoTarget)
-        } else if self.would_outlast_stop(now, record.class) {
+        } else if self.would_outlast(now, record.class, self.earliest_stop(record.answer_by)) {
             Some(RefuseReason::Draining)
         } else {
             None
@@ -318,6 +323,7 @@
     pub(super) fn put_record(&mut self, key: RequestKey, state: RequestState, deadline: Instant) {
         let record = RequestRecord {
             class: 0,
+            answer_by: None,
             dispatched_while_slow: false,
             state,
             deadline,
@@ -418,8 +424,9 @@
         let record = self.records.get(key).copied();
         let deadline = record.map(|record| record.deadline);
         self.put_record(key, RequestState::Admitted, deadline.unwrap_or_default());
-        self.records
-            .set_class(key, record.map_or(0, |record| record.class));
+        if let Some(record) = record {
+            self.records.set_terms(key, record.class, record.answer_by);
+        }
         self.in_flight += 1;
         self.counters.promoted += 1;
         Wakeup {
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -30,6 +30,9 @@
     /// where it would otherwise delay it until the target's host is fast again, or queue it
     /// past `Urgency::due`.
     pub has_alternative: bool,
+    /// Instant on the guard's clock at which the entry stops and cuts the request; `None` unless it
+    /// is stopping.
+    pub answer_by: Option<Instant>,
     /// How urgent the request is.
     pub urgency: Urgency,
 }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -99,6 +99,7 @@
                 service,
                 deadline,
                 has_alternative: false,
+                answer_by: None,
                 urgency: Urgency::default(),
             },
         ))
@@ -333,6 +334,7 @@
         service: "stock",
         deadline: Instant::from_millis(5_000),
         has_alternative,
+        answer_by: None,
         urgency: Urgency::default(),
     }
 }
@@ -559,6 +561,41 @@
     expect_that!(refused, eq(Admission::Refused(RefuseReason::Draining)));
 }
 
+/// Guards against a request that is cut because its entry stops: a guard that does not stop starts
+/// no request that takes longer than its entry runs, whether it was queued or not.
+#[gtest]
+fn guard_starts_no_request_that_a_stopping_entry_would_cut() {
+    let now = Instant::from_millis(1_000);
+    let mut guard = guard_with_pace(now, 100);
+    let done = ExchangeOutcome::Completed {
+        server_error: false,
+    };
+    let offer = |id, stop_ms: Option<u64>| Offer {
+        answer_by: stop_ms.map(|ms| now.saturating_add_millis(ms)),
+        ..basic_offer(id, false)
+    };
+    for id in 1..=8 {
+        let served = offer(id, None);
+        expect_that!(guard.offer(now, &served), eq(Admission::Start));
+        guard.dispatch(now, served.key);
+        guard.finish(now, served.key, done, 1_000_000);
+    }
+    let refused = eq(Admission::Refused(RefuseReason::Draining));
+    expect_that!(guard.offer(now, &offer(10, Some(500))), refused);
+    expect_that!(
+        guard.offer(now, &offer(11, Some(3_000))),
+        eq(Admission::Start)
+    );
+    // A request that got its slot in time may be dispatched too late.
+    let late = now.saturating_add_millis(2_500);
+    let dispatch = guard.dispatch(late, offer(11, None).key);
+    expect_that!(
+        dispatch,
+        eq(DispatchDecision::Refused(RefuseReason::Draining))
+    );
+    expect_that!(guard.offer(late, &offer(12, None)), eq(Admission::Start));
+}
+
 /// Guards against a refusal for lack of time that is reported as overload: operators would
 /// look for load on the target, but the time was spent before the request arrived there.
 #[gtest]
--- a/crates/core/tests/admission_goodput.rs
+++ b/crates/core/tests/admission_goodput.rs
@@ -157,6 +157,7 @@
             service: "stock",
             deadline,
             has_alternative: false,
+            answer_by: None,
             urgency: Urgency::default(),
         };
         match self.guard.offer(self.now, &offer) {
--- a/crates/core/tests/admission_model/mod.rs
+++ b/crates/core/tests/admission_model/mod.rs
@@ -169,6 +169,7 @@
             service: "stock",
             deadline,
             has_alternative: false,
+            answer_by: None,
             urgency: Urgency::default(),
         };
         let admission = self.guard.offer(self.now, &offer);
--- a/crates/core/tests/admission_pace.rs
+++ b/crates/core/tests/admission_pace.rs
@@ -141,6 +141,7 @@
             service: "stock",
             deadline: self.now.saturating_add_micros(DEADLINE_US),
             has_alternative: false,
+            answer_by: None,
             urgency: Urgency {
                 class: 1,
                 priority: 2,
--- a/crates/core/tests/admission_rate.rs
+++ b/crates/core/tests/admission_rate.rs
@@ -59,6 +59,7 @@
         service: "stock",
         deadline: now.saturating_add_millis(wait_ms),
         has_alternative: false,
+        answer_by: None,
         urgency: Urgency::default(),
     };
     guard.offer(now, &offer)
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -262,7 +262,10 @@
     exchange: &mut Exchange<'_>,
 ) -> Result<GuardReply, ExchangeLoss> {
     let mut prefix_sent = request.body_prefix.len() <= MAX_EAGER_BODY_BYTES;
-    let head = request_head(request, attempt, key, exchange.conn.incarnation);
+    let head = PeerRequestHead {
+        answer_by: exchange.node.stop.deadline(),
+        ..request_head(request, attempt, key, exchange.conn.incarnation)
+    };
     let mut msg = match send_head(request, head, prefix_sent, &mut exchange.conn).await {
         Ok(()) => exchange.next_message().await?,
         Err(_) => exchange.next_message_after_loss().await?,
@@ -409,6 +412,7 @@
         path: request.path.clone(),
         headers: request.headers.clone(),
         deadline: request.deadline,
+        answer_by: None,
         idempotent: request.policy.idempotent,
         urgency: request.urgency(),
         may_refuse_if_slow: attempt.may_refuse_if_slow,
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -85,6 +85,8 @@
     /// Whether the entry was asked for the part of the body that it keeps until the request is
     /// started.
     pub(super) continue_sent: bool,
+    /// When the entry stops, on the local clock; `None` unless it is stopping.
+    pub(super) answer_by: Option<Instant>,
     /// Urgency, with its instants on the local clock.
     pub(super) urgency: Urgency,
     pub(super) body: ReceivedBody,
@@ -136,9 +138,11 @@
         due: head.urgency.due.map(|due| to_local_clock(&link.conn, due)),
         ..head.urgency
     };
+    let answer_by = head.answer_by.map(|at| to_local_clock(&link.conn, at));
     let mut req = PendingRequest {
         head,
         deadline,
+        answer_by,
         continue_sent: false,
         urgency,
         body,
@@ -173,6 +177,7 @@
         service: req.head.service.as_str(),
         deadline: req.deadline,
         has_alternative: req.head.may_refuse_if_slow,
+        answer_by: req.answer_by,
         urgency: req.urgency,
     };
     node.guard.borrow_mut().offer(node.now(), &offer)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -99,7 +99,8 @@
 /// Progress of a graceful stop.
 #[derive(Default)]
 pub(crate) struct StopProgress {
-    started: Cell<bool>,
+    /// When requests in flight are aborted. Set when the stop starts.
+    deadline: Cell<Option<Instant>>,
     /// Whether connections are closed as soon as their requests are answered.
     closing: Cell<bool>,
     /// Wakes the tasks that wait for `closing`.
@@ -111,9 +112,14 @@
 }
 
 impl StopProgress {
-    /// Starts the stop.
-    pub(crate) fn start(&self) {
-        self.started.set(true);
+    /// Starts the stop, which aborts requests that are in flight at `deadline`.
+    pub(crate) fn start(&self, deadline: Instant) {
+        self.deadline.set(Some(deadline));
+    }
+
+    /// Returns when requests in flight are aborted; `None` unless the stop has started.
+    pub(crate) fn deadline(&self) -> Option<Instant> {
+        self.deadline.get()
     }
 
     /// Starts to close connections that have no requests in flight.
@@ -124,7 +130,7 @@
 
     /// Reports whether the stop has started.
     pub(crate) fn has_started(&self) -> bool {
-        self.started.get()
+        self.deadline.get().is_some()
     }
 
     /// Aborts the requests that are still in flight. Each caller gets a response at once.
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -81,13 +81,13 @@
 pub(crate) async fn stop_node(node: &Rc<Node>, caller_connections: &Rc<Cell<usize>>) -> RunSummary {
     info!(node.logger, "stopping");
     audit::record(node, AuditEvent::Stopping);
-    node.stop.start();
-    let is_draining = node.is_draining_for_stop();
-    node.guard.borrow_mut().set_draining(is_draining);
-    fleet::apply_changes(node);
     let limits = &node.settings.limits;
     let started = node.now();
     let deadline = started.saturating_add_millis(limits.stop_timeout_ms);
+    node.stop.start(deadline);
+    let is_draining = node.is_draining_for_stop();
+    node.guard.borrow_mut().set_draining(is_draining);
+    fleet::apply_changes(node);
     let drain_delay_end = started.saturating_add_millis(limits.drain_delay_ms);
     if limits.serves_during_drain_delay {
         node.guard.borrow_mut().set_stop_deadline(deadline);
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -90,6 +90,9 @@
     pub headers: Vec<Header>,
     /// Deadline on the clock of the entry.
     pub deadline: Instant,
+    /// Instant on the clock of the entry at which it stops and cuts the request; `None` unless it is
+    /// stopping. The guard refuses a request that would probably take longer.
+    pub answer_by: Option<Instant>,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Class, priority and due time of the request. Its instants are on the clock of the entry.
--- a/tests/integration/scripted_peer.rs
+++ b/tests/integration/scripted_peer.rs
@@ -152,6 +152,7 @@
         path: "/".to_owned(),
         headers: nonce.iter().chain(headers).map(header).collect(),
         deadline: now().saturating_add_millis(5_000),
+        answer_by: None,
         idempotent: false,
         urgency: Default::default(),
         may_refuse_if_slow: false,
