entry: refuse requests that have arrived when a stopping node closes its connections

Report of operators: requests that had just been accepted were cut off during a planned stop. Here connections that waited to be accepted were reset, and idle ones closed, though a request had arrived.

Change: a stopping node accepts connections and reads from idle ones for 100 ms longer.

Test: stop_answers_requests_that_have_arrived failed before for all 40 connections.

--- a/crates/node/src/entry/conn.rs
+++ b/crates/node/src/entry/conn.rs
@@ -40,6 +40,11 @@
 /// Bytes of a response that are collected before they are written to the socket.
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
 
+/// Time for which a stopping node still reads from idle connections and accepts new ones when it
+/// begins to close them, in milliseconds. Requests that have arrived by then are refused instead of
+/// reset.
+pub(super) const CLOSE_DELAY_MS: u64 = 100;
+
 /// Time for which input is still read and discarded after the write side is closed, in
 /// milliseconds. Closing the socket with unread bytes would reset the connection, and the caller
 /// could lose the last response.
@@ -123,6 +128,8 @@
     head_started_at: Option<Instant>,
     /// When the last response was completed, or the connection opened.
     last_active_at: Instant,
+    /// When the connection is closed if it stays idle, because the node stops.
+    close_at: Option<Instant>,
 }
 
 /// How a connection ended.
@@ -149,6 +156,7 @@
         no_more_requests: false,
         head_started_at: None,
         last_active_at: now,
+        close_at: None,
     };
     match conn.run().await {
         ConnEnd::Graceful => conn.drain_and_close().await,
@@ -169,10 +177,16 @@
         loop {
             let read_wait = self.parse_input();
             if self.responses.is_empty() && self.incoming_body.is_none() {
-                let has_no_input = self.read_buf.is_empty();
-                if self.no_more_requests || (has_no_input && self.node.stop.is_closing()) {
+                if self.no_more_requests {
                     return ConnEnd::Graceful;
                 }
+                if self.node.stop.is_closing() && self.read_buf.is_empty() {
+                    let now = self.node.now();
+                    let close_at = now.saturating_add_millis(CLOSE_DELAY_MS);
+                    if now >= *self.close_at.get_or_insert(close_at) {
+                        return ConnEnd::Graceful;
+                    }
+                }
             }
             match self.next_event(read_wait).await {
                 ConnEvent::Read(Ok(0) | Err(_)) => {
@@ -260,8 +274,10 @@
         }
         let is_idle = self.responses.is_empty() && self.incoming_body.is_none();
         is_idle.then(|| {
-            self.last_active_at
-                .saturating_add_millis(limits.idle_timeout_ms)
+            let idle_until = self
+                .last_active_at
+                .saturating_add_millis(limits.idle_timeout_ms);
+            self.close_at.map_or(idle_until, |at| at.min(idle_until))
         })
     }
 
--- a/crates/node/src/entry/listener.rs
+++ b/crates/node/src/entry/listener.rs
@@ -5,7 +5,7 @@
 use slog::warn;
 use tokio::net::TcpListener;
 
-use super::conn::{RequestHandler, serve_caller_conn};
+use super::conn::{CLOSE_DELAY_MS, RequestHandler, serve_caller_conn};
 use crate::node::Node;
 
 /// Delay after a failed accept, for example when the process is out of file descriptors.
@@ -27,17 +27,25 @@
     }
 }
 
-/// Accepts connections of callers until the node closes its caller connections to stop.
+/// Accepts connections of callers until the node closes its caller connections to stop, and for
+/// [`CLOSE_DELAY_MS`] longer.
 pub(crate) async fn accept_callers(
     node: Rc<Node>,
     listener: TcpListener,
     open: Rc<Cell<usize>>,
     handler: RequestHandler,
 ) {
+    let clock = node.clock;
+    let stopping_node = Rc::clone(&node);
+    let mut closed = std::pin::pin!(async move {
+        stopping_node.stop.wait_for_closing().await;
+        let close_at = clock.now().saturating_add_millis(CLOSE_DELAY_MS);
+        clock.sleep_until(close_at).await;
+    });
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = node.stop.wait_for_closing() => return,
+            () = &mut closed => return,
         };
         match accepted {
             Ok(_) if open.get() >= node.settings.limits.caller_connections => {
--- a/tests/integration/stop.rs
+++ b/tests/integration/stop.rs
@@ -79,6 +79,61 @@
     fleet.check_histories(&[&report], Vec::new());
 }
 
+/// Connections of each kind in [`stop_answers_requests_that_have_arrived`].
+const WAITING_CONNECTIONS: usize = 20;
+
+fn send_get(io: &mut TcpStream) {
+    io.write_all(b"GET / HTTP/1.1\r\nhost: stock\r\n\r\n")
+        .expect("the request is sent");
+}
+
+/// Guards against a planned stop that closes connections whose requests have arrived and were not
+/// read: those that wait to be accepted, and those that are kept alive. The node is suspended, so that
+/// they arrive just when it begins to close its connections.
+#[gtest]
+fn stop_answers_requests_that_have_arrived() {
+    let fleet = Fleet::start(&host_specs("stock", 1));
+    let callers = fleet.nodes[0].callers;
+    let connect = || {
+        let io = TcpStream::connect(callers).expect("the node accepts");
+        io.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a timeout");
+        io
+    };
+    let mut buf = [0; 4_096];
+    let mut connections = Vec::new();
+    for _ in 0..WAITING_CONNECTIONS {
+        let mut io = connect();
+        send_get(&mut io);
+        let count = io.read(&mut buf).expect("an answer");
+        expect_that!(count, gt(0));
+        connections.push(("kept", io));
+    }
+    let process = &fleet.nodes[0].process;
+    process.signal(Signal::Term).expect("the node runs");
+    thread::sleep(Duration::from_millis(500));
+    process.signal(Signal::Stop).expect("the node runs");
+    // By default a stopping node closes its connections after 1 s.
+    thread::sleep(Duration::from_millis(1_000));
+    for (_, io) in &mut connections {
+        send_get(io);
+    }
+    for _ in 0..WAITING_CONNECTIONS {
+        let mut io = connect();
+        send_get(&mut io);
+        connections.push(("new", io));
+    }
+    process.signal(Signal::Cont).expect("the node runs");
+    let mut unanswered = Vec::new();
+    for (kind, mut io) in connections {
+        let mut answer = Vec::new();
+        let _ = io.read_to_end(&mut answer);
+        if !answer.starts_with(b"HTTP/1.1 ") {
+            unanswered.push(kind);
+        }
+    }
+    expect_that!(unanswered, is_empty());
+}
+
 /// Length of a long answer.
 const ANSWER_BYTES: usize = 20_000_000;
 
