node: count the time for which the host is suspended

Report of operators: a process that had been paused acted on a permission that had run out. The clock was CLOCK_MONOTONIC, which stands still while a host is suspended. Afterwards deadlines seemed to lie in the future, and each open connection between nodes converted deadlines with an offset that was wrong by the suspension.

Change: the clock is CLOCK_BOOTTIME. Timers still count without suspensions and may fire late by one.

Processes that are stopped by a signal were counted before and are.

--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -3,26 +3,35 @@
 use std::time;
 
 use actix_rt::time as timer;
-use plantainpost_core::time::Instant;
+use plantainpost_core::time::{Instant, MICROS_PER_SECOND};
+use rustix::time::{ClockId, clock_gettime};
+
+/// Nanoseconds in a microsecond.
+const NANOS_PER_MICRO: i64 = 1_000;
 
 /// A monotonic clock with a fixed origin.
+///
+/// It counts the time for which the host is suspended. Otherwise a node would hold deadlines and
+/// leases for valid that ended while its host was suspended, and the offset to the clock of a peer,
+/// which each connection has from its handshake, would be wrong afterwards. Timers do not count that
+/// time, so they may fire late by it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
-    origin: time::Instant,
+    /// Time since the boot of the host, in microseconds.
+    origin_us: u64,
 }
 
 impl Clock {
     /// Creates a clock whose origin is the current time.
     pub(crate) fn start() -> Self {
         Clock {
-            origin: time::Instant::now(),
+            origin_us: since_boot_us(),
         }
     }
 
     /// Returns the current instant.
     pub(crate) fn now(&self) -> Instant {
-        let micros = self.origin.elapsed().as_micros();
-        Instant::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+        Instant::from_micros(since_boot_us().saturating_sub(self.origin_us))
     }
 
     /// Waits until `at`. Returns at once if it has passed.
@@ -42,6 +51,13 @@
     }
 }
 
+/// Returns the time since the boot of the host, suspended or not, in microseconds.
+fn since_boot_us() -> u64 {
+    let now = clock_gettime(ClockId::Boottime);
+    let micros = now.tv_sec * MICROS_PER_SECOND as i64 + now.tv_nsec / NANOS_PER_MICRO;
+    u64::try_from(micros).unwrap_or_default()
+}
+
 /// Returns the wall clock in milliseconds since the Unix epoch.
 ///
 /// It is used for timestamps shown to operators, for the expiry of plans and to order the
