store_sync: no reads by nodes that don't know their fleet yet

Cause: a node that has just started knows no members and takes itself for a reader of the store. When a fleet starts, every node so opened a waiting read, which counts as a call also when it is given up.

Change: a node may become a reader 1 s after its first read. A change in between is in the answer of its next read or comes from a peer.

--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -23,6 +23,10 @@
 /// every node becomes a stand-in, and the regular readers notice its end.
 const STAND_IN_BACKOFF_MS: u64 = 4_000;
 
+/// Delay after the first read before a node may become a reader, in milliseconds. Until then it knows
+/// few members, and each of many nodes that start together would take itself for one.
+const FIRST_READER_DELAY_MS: u64 = 1_000;
+
 /// Interval between checks whether this node reads the store, in milliseconds.
 const READER_CHECK_INTERVAL_MS: u64 = 200;
 
@@ -125,11 +129,15 @@
         task: "routes",
     };
     let mut from: Option<u64> = None;
+    let mut may_read_from = None;
     loop {
         let mut started_at = node.now();
         let read = match from {
             None => store.newest_routes().await,
             Some(from) => {
+                node.clock
+                    .sleep_until(may_read_from.unwrap_or_default())
+                    .await;
                 let wait_ms = wait_for_reader_role(&node).await;
                 started_at = node.now();
                 let from = from.max(node.config.borrow().read_to());
@@ -146,6 +154,8 @@
                 backoff = Backoff::new();
                 node.members.borrow_mut().set_store_reads_fail(false);
                 from = Some(published.read_to);
+                let first_reader_at = node.now().saturating_add_millis(FIRST_READER_DELAY_MS);
+                may_read_from.get_or_insert(first_reader_at);
                 apply_routes(&node, published).await;
             }
             Err(StoreError::Expired) => from = None,
--- a/tests/integration/late_configuration.rs
+++ b/tests/integration/late_configuration.rs
@@ -104,6 +104,30 @@
     expect_that!(start.elapsed(), lt(MAX_DELAY_AFTER_FAULT));
 }
 
+/// Guards against calls of all nodes to the store when a fleet starts: a node that knows no other yet
+/// would take itself for a reader.
+#[gtest]
+fn nodes_that_start_together_leave_reading_to_the_readers() {
+    const NODES: usize = 20;
+    const READERS: usize = 3;
+    let start = Instant::now();
+    let platform = PlatformFleet::start(NODES);
+    let metrics_request = b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+    let is_no_reader = |i: &usize| {
+        exchange(platform.hosts[*i].metrics, metrics_request)
+            .contains("plantainpost_store_reader 0\n")
+    };
+    process::wait_until("nodes that leave reading to others", WAIT_TIMEOUT, || {
+        (0..NODES).filter(is_no_reader).count() == NODES - READERS
+    })
+    .expect("three readers");
+    let calls = platform.store.call_count();
+    // At its start each node writes its contact and reads the contacts and the routes. Each reader
+    // then reads at most once a second.
+    let reads = READERS as u64 * (2 + start.elapsed().as_secs());
+    expect_that!(calls, le(3 * NODES as u64 + reads));
+}
+
 /// Starts an entry that gets configurations from its peer only.
 fn start_without_log() -> ScriptedGuardFleet {
     ScriptedGuardFleet::start_with_entry_settings(|text| {
