--- a/tests/integration/faulty_targets.rs
+++ b/tests/integration/faulty_targets.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     fleet_fixture::WAIT_TIMEOUT,
-    platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer, body},
+    platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer, body, header},
 };
 
 /// A refusal without a request id.
@@ -110,3 +110,39 @@
         expect_that!(usage.resident_kib, lt(128 * 1024), "{name}");
     }
 }
+
+/// Guards against an answer whose head ends early, at any byte, and that is passed on as a complete
+/// one with an empty or short body; also after an informational response and on a reused connection.
+#[gtest]
+fn answer_cut_within_its_head_is_never_passed_on_as_success() {
+    const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+    let cut_answer = |head: &str| {
+        let id = header(head, "plantainpost-request-id");
+        let (kind, length) = id.split_once('-')?;
+        let whole = answer(head, "200 OK", "");
+        let bytes = match kind {
+            "interim" => [INTERIM.as_bytes(), &whole[..]].concat(),
+            _ => whole,
+        };
+        let length: usize = length.parse().ok()?;
+        (length < bytes.len()).then(|| bytes[..length].to_vec())
+    };
+    let target = ScriptedTarget::start(move |head| match cut_answer(head) {
+        Some(bytes) => ScriptedReply::Close(bytes),
+        None => ScriptedReply::Keep(answer(head, "200 OK", "whole")),
+    });
+    let platform = PlatformFleet::start_with_target(&target);
+    let head_bytes = answer("plantainpost-request-id: plain-100", "200 OK", "").len();
+    let plain = (0..head_bytes).map(|length| format!("plain-{length:03}"));
+    let interim = (0..head_bytes + INTERIM.len()).map(|length| format!("interim-{length:03}"));
+    for id in plain.chain(interim) {
+        // A complete answer, after which the connection is used again.
+        let text = platform.get(0, "/safe/1", "reused");
+        expect_that!(text, starts_with("HTTP/1.1 200"));
+        let text = platform.send(0, "POST", "/once/1", &id);
+        expect_that!(text, starts_with("HTTP/1.1 502"), "{id}: {text}");
+        let heads = target.received_heads();
+        let runs = heads.iter().filter(|head| head.contains(&id)).count();
+        expect_that!(runs, eq(1), "{id}");
+    }
+}
