--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -6,15 +6,17 @@
 use plantainpost_core::{
     config::{Adoption, BatchOutcome, FetchCandidates, LogPosition, State, Verdict},
     ids::NodeName,
+    routing::RouteTable,
 };
 use plantainpost_wire::{frame::FrameError, message::PeerMessage};
 use rand::RngExt;
+use serde_json::{Value, json};
 use slog::{info, warn};
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::{
     audit::{self, AuditEvent},
-    fleet, gossip,
+    clock, fleet, gossip,
     log_service::LogError,
     node::Node,
     peer_pool::ConnectError,
@@ -234,6 +236,51 @@
     }
 }
 
+/// Where the routes in force come from, and since when they are in force.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RoutesOrigin {
+    /// Peer that sent the routes; `None` if the node read them on the store.
+    peer: Option<NodeName>,
+    /// When the routes came into force at this node, in milliseconds since the Unix epoch.
+    in_force_unix_ms: u64,
+}
+
+/// Returns the routes in force for operators; null without routes.
+pub(crate) fn routes_status(node: &Node) -> Value {
+    let config = node.config.borrow();
+    let Some(table) = config.routes() else {
+        return Value::Null;
+    };
+    let origin = node.routes_origin.borrow();
+    json!({
+        "version": table.version(),
+        "routes": table.len(),
+        "source": if origin.peer.is_some() { "peer" } else { "store" },
+        "peer": origin.peer,
+        "in_force_unix_ms": origin.in_force_unix_ms,
+    })
+}
+
+/// Records that `table` has come into force, read on the store or sent by `peer`.
+pub(crate) fn record_routes(
+    node: &Node,
+    table: &RouteTable,
+    read_to: u64,
+    peer: Option<&NodeName>,
+) {
+    let in_force_unix_ms = clock::unix_ms();
+    info!(node.logger, "routes in force"; "version" => table.version(), "routes" => table.len(),
+        "read_to" => read_to, "source" => if peer.is_some() { "peer" } else { "store" },
+        "peer" => peer.map(NodeName::as_str));
+    node.metrics.gauge("routes.version", table.version());
+    node.metrics
+        .gauge("routes.in_force_unix_s", in_force_unix_ms / 1_000);
+    node.routes_origin.replace(RoutesOrigin {
+        peer: peer.cloned(),
+        in_force_unix_ms,
+    });
+}
+
 async fn adopt_state(node: &Rc<Node>, peer: &NodeName, state: State) {
     let (old_version, adoption, new_version) = {
         let mut config = node.config.borrow_mut();
@@ -244,9 +291,7 @@
             .routes()
             .filter(|table| Some(*table) != old_routes.as_ref())
         {
-            info!(node.logger, "routes in force"; "version" => table.version(),
-                "routes" => table.len(), "read_to" => config.read_to(), "source" => "peer",
-                "peer" => %peer);
+            record_routes(node, table, config.read_to(), Some(peer));
         }
         (old_version, adoption, config.version())
     };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,7 +30,7 @@
 use crate::{
     audit::AuditQueue,
     clock::Clock,
-    config_sync::StateFetch,
+    config_sync::{RoutesOrigin, StateFetch},
     fleet::AppliedVersions,
     guard::ExchangeLinks,
     load_report::LoadReportCache,
@@ -39,6 +39,7 @@
     pace::PaceMonitor,
     peer_pool::PeerPool,
     probe::OutstandingProbes,
+    reload::SettingsState,
     settings::{NodeSettings, Routing},
     target_pool::TargetPool,
     trace::TraceRing,
@@ -55,6 +56,10 @@
     pub(crate) identity: NodeIdentity,
     pub(crate) keys: FleetKeys,
     pub(crate) rng: RefCell<StdRng>,
+    /// When the settings in force were loaded, and how the last reload ended.
+    pub(crate) settings_state: SettingsState,
+    /// Where the routes in force come from, and since when they are in force.
+    pub(crate) routes_origin: RefCell<RoutesOrigin>,
     /// Service of the target on this host, if it is set. Changes when the settings are reloaded.
     pub(crate) service: RefCell<Option<ServiceName>>,
     pub(crate) guard: RefCell<Guard>,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -301,6 +301,8 @@
         probes: Default::default(),
         load_report: Default::default(),
         state_fetch: Default::default(),
+        settings_state: Default::default(),
+        routes_origin: Default::default(),
         applied_versions: Default::default(),
         known_services: RefCell::default(),
         config_changed: Default::default(),
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -8,7 +8,7 @@
 use plantainpost_core::{measure::PROBE_COST_US, member::MemberRecord};
 use serde_json::{Value, json};
 
-use crate::{fleet, node::Node};
+use crate::{config_sync, fleet, node::Node, reload};
 
 fn member_json(record: &MemberRecord) -> Value {
     json!({
@@ -46,6 +46,8 @@
             "content": config.content(),
             "recent_versions": config.recent_versions().collect::<Vec<_>>(),
         },
+        "routes": config_sync::routes_status(node),
+        "settings": reload::settings_status(node),
         "guard": {
             "in_flight": guard.in_flight(),
             "queued": guard.queued(),
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -229,14 +229,15 @@
     let Some(table) = published.table else {
         return;
     };
-    let (version, routes) = (table.version(), table.len());
-    let changed = node
-        .config
-        .borrow_mut()
-        .apply_published_routes(published.read_to, table);
+    let changed = {
+        let mut config = node.config.borrow_mut();
+        let changed = config.apply_published_routes(published.read_to, table);
+        if let Some(table) = config.routes().filter(|_| changed) {
+            config_sync::record_routes(node, table, published.read_to, None);
+        }
+        changed
+    };
     if changed {
-        info!(node.logger, "routes in force"; "version" => version, "routes" => routes,
-            "read_to" => published.read_to, "source" => "store");
         config_sync::on_state_changed(node, true, true).await;
     }
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -14,6 +14,7 @@
 mod operator_races;
 mod platform;
 mod platform_fixture;
+mod platform_reload;
 mod platform_stop;
 mod requests;
 mod scripted_entry;
