--- a/tests/integration/target_statements.rs
+++ b/tests/integration/target_statements.rs
@@ -76,6 +76,13 @@
     expect_that!(counted.count(), all![ge(LIMIT_PER_S * 3), le(allowed)]);
     expect_that!(refused.is_empty(), eq(false));
     for text in &refused {
+        // A busy machine may delay the answer of the target past the deadline.
+        let id = header(text, "plantainpost-request-id");
+        let has_id = |head: &&String| header(head, "plantainpost-request-id") == id;
+        if requests.iter().any(|head| has_id(&head)) {
+            expect_that!(header(text, "plantainpost-outcome"), eq("unknown"));
+            continue;
+        }
         expect_that!(text, starts_with("http/1.1 503"));
         expect_that!(header(text, "plantainpost-outcome"), eq("not-run"));
         let retry_after_s: u64 = header(text, "retry-after").parse().expect("a number");
