--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -143,7 +143,8 @@
 struct RequestExecution<'a> {
     node: &'a Rc<Node>,
     request: &'a Rc<CallerRequest>,
-    /// Attempts in flight: one, or two while a hedge is in flight.
+    /// Attempts in flight: one, and further ones for a hedge and for each guard that gives no sign of
+    /// life.
     in_flight: FuturesUnordered<AttemptFuture>,
     /// Nodes that were tried. They are not chosen again.
     tried_nodes: Vec<NodeName>,
