--- a/tests/integration/fleet_fixture.rs
+++ b/tests/integration/fleet_fixture.rs
@@ -191,6 +191,11 @@
         }
     }
 
+    /// Writes a file into the directory that holds the settings and `fleet.key`.
+    pub(crate) fn write_file(&self, name: &str, content: &[u8]) {
+        fs::write(self.dir.path().join(name), content).expect("the file can be written");
+    }
+
     /// Returns the status of a node, or [`Value::Null`] while it does not answer.
     pub(crate) fn status(&self, i: usize) -> Value {
         let output = self.run_command(i, &["status", "--json"]);
--- a/tests/integration/scripted_entry.rs
+++ b/tests/integration/scripted_entry.rs
@@ -1,13 +1,13 @@
 //! A scripted entry and a real guard: which requests the guard refuses or never runs.
 
-use std::{future::Future, io::Read, pin::Pin, time::Duration};
+use std::{fs, future::Future, io::Read, path::Path, pin::Pin, time::Duration};
 
 use googletest::prelude::*;
 use plantainpost_standin::process::Signal;
 use plantainpost_wire::message::{BodyLength, PeerMessage, PeerRequestHead};
 
 use crate::{
-    fleet_fixture::{Fleet, WAIT_TIMEOUT, host_specs},
+    fleet_fixture::{FLEET_KEY, Fleet, WAIT_TIMEOUT, host_specs},
     http_client::announce_listener,
     scripted_peer::{ScriptedPeer, describe, now, post_head, request_key, run_script},
 };
@@ -192,3 +192,29 @@
         expect_that!(fleet.targets[0].execution_count(nonce), eq(runs), "{nonce}");
     }
 }
+
+/// Guards against a key that was withdrawn and is in use again after a restart: a node accepts the keys
+/// of its settings only.
+#[gtest]
+fn restarted_node_accepts_no_withdrawn_key() {
+    const OLD_KEY: [u8; 32] = [0x5a; 32];
+    const NEW_KEY: [u8; 32] = [0xa5; 32];
+    let mut fleet = Fleet::start_with_settings(&host_specs("stock", 1), |_, text| {
+        let key_file = text
+            .lines()
+            .find_map(|line| line.strip_prefix("key_file = "));
+        let second = Path::new(key_file.expect("a key file")).with_file_name("second.key");
+        fs::write(&second, OLD_KEY).expect("the key can be written");
+        text.push_str(&format!("second_key_file = {}\n", second.display()));
+    });
+    let peers = fleet.nodes[0].peers;
+    let accepts = |key: [u8; 32]| run_script(ScriptedPeer::is_accepted(peers, &key));
+    expect_true!(accepts(FLEET_KEY));
+    expect_true!(accepts(OLD_KEY));
+    fleet.write_file("second.key", &NEW_KEY);
+    fleet.nodes[0].kill_and_restart();
+    fleet.wait_ready();
+    expect_true!(accepts(FLEET_KEY));
+    expect_true!(accepts(NEW_KEY));
+    expect_false!(accepts(OLD_KEY));
+}
--- a/tests/integration/scripted_peer.rs
+++ b/tests/integration/scripted_peer.rs
@@ -68,6 +68,16 @@
         }
     }
 
+    /// Returns whether a node completes the handshake with an entry that holds this key.
+    pub(crate) async fn is_accepted(addr: SocketAddr, key: &[u8]) -> bool {
+        let io = TcpStream::connect(addr).await.expect("the node accepts");
+        let (mut rx, mut tx) = frame::split(io);
+        let keys = FleetKeys::new(Key::new(key).expect("the key is long enough"), None);
+        handshake::open(&mut rx, &mut tx, &identity("script"), &keys, &now)
+            .await
+            .is_ok()
+    }
+
     /// Accepts a connection and completes the handshake as the guard with this name.
     pub(crate) async fn accept(listener: &TcpListener, name: &str) -> Self {
         Self::accept_as(listener, identity(name)).await
