--- a/review/standin/cases/body_of_second_send.rs
+++ b/review/standin/cases/body_of_second_send.rs
@@ -16,8 +16,9 @@
 /// Length of the bodies, in bytes.
 const BODY_BYTES: usize = 200_000;
 
-/// Time of the endpoints for a request.
+/// Times of the two endpoints for a request. Endpoints of one service differ in speed.
 const WORK_MS: u64 = 880;
+const SLOWER_WORK_MS: u64 = 1_760;
 
 /// Time for which the node is frozen.
 const FREEZE: Duration = Duration::from_millis(1_100);
@@ -45,14 +46,14 @@
     let entry = start("sidecar-kumasi-a-1", "kumasi-a", "rota-board");
     let frozen = start("sidecar-kumasi-b-1", "kumasi-b", SERVICE);
     let other = start("sidecar-obuasi-1", "obuasi", SERVICE);
-    let at = |id: &str, zone: &str, node: &Node| {
-        let endpoint = Endpoint::start(id, SERVICE, zone, node.control, WORK_MS, record);
+    let at = |id: &str, zone: &str, node: &Node, work_ms: u64| {
+        let endpoint = Endpoint::start(id, SERVICE, zone, node.control, work_ms, record);
         endpoint.start_beats();
         endpoint
     };
     let endpoints = [
-        at("i-kumasi-b", "kumasi-b", &frozen),
-        at("i-obuasi", "obuasi", &other),
+        at("i-kumasi-b", "kumasi-b", &frozen, WORK_MS),
+        at("i-obuasi", "obuasi", &other, SLOWER_WORK_MS),
     ];
     let clients = Clients::new(record);
     for node in [&entry, &frozen, &other] {
--- a/review/standin/cases/head_request.rs
+++ b/review/standin/cases/head_request.rs
@@ -1,4 +1,4 @@
-//! Endpoints lose some of their answers. Clients send a `HEAD` request and then one that may run
+//! Endpoints shed part of their requests. Clients send a `HEAD` request and then one that may run
 //! once only, on the same kept connection.
 
 use std::{
@@ -66,9 +66,8 @@
     thread::sleep(STABILITY_WINDOW);
 
     if has_trouble {
-        // Two of three endpoints lose four of ten answers.
-        for endpoint in &endpoints[..2] {
-            endpoint.set_lost_of_ten(4);
+        for endpoint in &endpoints {
+            endpoint.set_shed_percent(55);
         }
     }
     let mut threads = Vec::new();
--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,7 +1,8 @@
-//! The cases, by number.
+//! The cases, by name.
 
 mod body_of_second_send;
 mod head_request;
+mod pipelined_answers;
 mod queued_before_leave;
 mod restart_beside_leaving;
 
@@ -19,10 +20,11 @@
     let record = Record::create(file)?;
     record.write(&format!("case {case}, disruption: {has_trouble}"));
     match case {
-        "1" => queued_before_leave::run(&record, has_trouble),
-        "3" => body_of_second_send::run(&record, has_trouble),
-        "4" => head_request::run(&record, has_trouble),
-        "2" => restart_beside_leaving::run(&record, has_trouble),
+        "queued-before-leave" => queued_before_leave::run(&record, has_trouble),
+        "body-of-second-send" => body_of_second_send::run(&record, has_trouble),
+        "head-request" => head_request::run(&record, has_trouble),
+        "pipelined-answers" => pipelined_answers::run(&record, has_trouble),
+        "restart-beside-leaving" => restart_beside_leaving::run(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     }
 }
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -35,9 +35,11 @@
     seq: AtomicU64,
     running: AtomicU32,
     work_ms: AtomicU64,
-    /// Requests out of ten whose answers are lost, by the number of the request.
-    lost_of_ten: AtomicU64,
-    run_count: AtomicU64,
+    /// Length of the body of each answer; zero for a short text.
+    answer_bytes: AtomicU64,
+    /// Share of the requests that are shed, in percent.
+    shed_percent: AtomicU64,
+    request_count: AtomicU64,
     is_leaving: AtomicBool,
     beats: AtomicBool,
     has_ended: AtomicBool,
@@ -77,8 +79,9 @@
             seq: AtomicU64::new(0),
             running: AtomicU32::new(0),
             work_ms: AtomicU64::new(work_ms),
-            lost_of_ten: AtomicU64::new(0),
-            run_count: AtomicU64::new(0),
+            answer_bytes: AtomicU64::new(0),
+            shed_percent: AtomicU64::new(0),
+            request_count: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             beats: AtomicBool::new(true),
             has_ended: AtomicBool::new(false),
@@ -188,13 +191,19 @@
             .write(&format!("{id} now works {work_ms} ms on a request"));
     }
 
-    /// Sets how many answers of ten are lost after the request has run.
-    pub fn set_lost_of_ten(&self, lost: u64) {
-        self.0.lost_of_ten.store(lost, Ordering::SeqCst);
+    /// Sets the share of the requests that the endpoint sheds, in percent. It says that it has not
+    /// run them.
+    pub fn set_shed_percent(&self, percent: u64) {
+        self.0.shed_percent.store(percent, Ordering::SeqCst);
         let id = &self.0.id;
         self.0
             .record
-            .write(&format!("{id} now loses {lost} of ten answers"));
+            .write(&format!("{id} now sheds {percent} of a hundred requests"));
+    }
+
+    /// Sets the length of the body of each answer.
+    pub fn set_answer_bytes(&self, bytes: u64) {
+        self.0.answer_bytes.store(bytes, Ordering::SeqCst);
     }
 
     pub fn arrivals(&self) -> Vec<Arrival> {
@@ -244,6 +253,16 @@
             let headers = format!("Plantainpost-Instance: {}\r\n", endpoint.id);
             return Some(response("421 Misdirected Request", &headers, b""));
         }
+        // The requests that are shed are spread evenly.
+        let number = endpoint.request_count.fetch_add(1, Ordering::SeqCst);
+        let percent = endpoint.shed_percent.load(Ordering::SeqCst);
+        if (number + 1) * percent / 100 > number * percent / 100 {
+            endpoint
+                .record
+                .write(&format!("request {id} is shed by {}", endpoint.id));
+            let headers = format!("Plantainpost-Request-Id: {id}\r\nPlantainpost-Not-Run: 1\r\n");
+            return Some(response("503 Service Unavailable", &headers, b""));
+        }
         let body_bytes = req.body.len();
         let at = endpoint.record.write(&format!(
             "request {id} with a body of {body_bytes} bytes reaches {}",
@@ -275,16 +294,6 @@
             ));
             return None;
         }
-        // The lost answers are spread evenly.
-        let number = endpoint.run_count.fetch_add(1, Ordering::SeqCst);
-        let lost = endpoint.lost_of_ten.load(Ordering::SeqCst);
-        if (number + 1) * lost / 10 > number * lost / 10 {
-            endpoint.record.write(&format!(
-                "request {id} ran at {}, its answer is lost",
-                endpoint.id
-            ));
-            return None;
-        }
         let mut headers = format!(
             "Plantainpost-Request-Id: {id}\r\nPlantainpost-Server-Stamp: {}.{id}\r\n{}",
             endpoint.id,
@@ -300,7 +309,11 @@
         endpoint
             .record
             .write(&format!("request {id} ends at {}: {status}", endpoint.id));
-        let body = format!("worked on {body_bytes} bytes");
+        let answer_bytes = endpoint.answer_bytes.load(Ordering::SeqCst);
+        let body = match answer_bytes {
+            0 => format!("worked on {body_bytes} bytes"),
+            bytes => "x".repeat(bytes as usize),
+        };
         let mut answer = response(status, &headers, body.as_bytes());
         if req.start.starts_with("HEAD ") {
             answer.truncate(answer.len() - body.len());
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -6,6 +6,7 @@
     net::{SocketAddr, TcpListener, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -31,12 +32,16 @@
     }
 }
 
-/// Returns a port of 127.0.0.1 that is free for TCP and UDP.
+/// Returns a port of 127.0.0.1 that is free for TCP and UDP, and was not returned before. It is
+/// below the ports that the system gives to outgoing connections.
 pub fn free_port() -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let port = tcp.local_addr().expect("an address").port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let first = std::process::id().wrapping_mul(37);
+        let port = 12_000 + (first.wrapping_add(number) % 18_000) as u16;
+        let tcp = TcpListener::bind(("127.0.0.1", port));
+        if tcp.is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
             return port;
         }
     }
@@ -166,11 +171,6 @@
         }
     }
 
-    /// Returns whether the process runs.
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
     /// Starts the process again with the same settings.
     pub fn start_again(&mut self) {
         self.starts += 1;
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -35,11 +35,4 @@
         writeln!(file, "{:8.3} s  {text}", at.as_secs_f64()).expect("the record can be written");
         at
     }
-
-    pub fn sleep_until(&self, at: Duration) {
-        let now = self.now();
-        if at > now {
-            std::thread::sleep(at - now);
-        }
-    }
 }
