--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -103,12 +103,11 @@
 
 /// Returns the bytes of a response.
 pub fn response(status: &str, headers: &str, body: &[u8]) -> Vec<u8> {
-    let mut out = format!(
+    let head = format!(
         "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n",
         body.len()
     );
-    out.truncate(out.len());
-    let mut out = out.into_bytes();
+    let mut out = head.into_bytes();
     out.extend_from_slice(body);
     out
 }
