core: keep an acknowledged leave of a target that is not known

Cause: the guard stored a leave as a mark on the newest announcement that the process had received. After a restart there is none, so the leave was answered with 200 and dropped, and a heartbeat sent before it put the target into use. The same happened if the target had started again under its id and its first heartbeat was still on the way: the leave was put down to the instance before.

Ruled out: a late heartbeat that overrides a stored leave (its effect was `New`, not `Renewed`), and requests past the guard (all are in its log).

Change: acknowledged leaves are kept by id and time of receipt for 60 s. An instance that started before the leave was received is ignored; one that started later is used at once.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -2,7 +2,8 @@
 
 use super::{
     Admission, AnnouncedTarget, Announcement, AnnouncementEffect, Counters, DispatchDecision,
-    ExchangeOutcome, FenceState, LimitSettings, Offer, RefuseReason, RequestKey, Wakeup,
+    ExchangeOutcome, FenceState, LimitSettings, Offer, RefuseReason, RequestKey, TargetLeave,
+    Wakeup,
     class_service_times::ClassServiceTimes,
     limit::ConcurrencyLimit,
     pace::{HostPace, PaceSettings},
@@ -112,7 +113,7 @@
         self.withdraw_expired_target(now);
         if !self
             .newest_announcement
-            .record_if_newer(&announcement.instance)
+            .record_if_newer(now, &announcement.instance)
         {
             return AnnouncementEffect::Late;
         }
@@ -137,12 +138,13 @@
         effect
     }
 
-    /// Records that the target instance `id` is leaving: it still answers the requests that it
-    /// has, and gets no others. Returns whether it is the announced one or the newest one.
-    pub fn mark_leaving(&mut self, id: &str) -> bool {
-        let is_newest = self.newest_announcement.mark_leaving(id);
+    /// Records that a target instance is leaving: it still answers the requests that it has, and
+    /// gets no others, even if its announcement arrives only after the leave. Returns whether it is
+    /// the announced one or the newest one.
+    pub fn mark_leaving(&mut self, now: Instant, leave: &TargetLeave<'_>) -> bool {
+        let is_newest = self.newest_announcement.record_leave(now, leave);
         match &mut self.target {
-            Some(target) if *target.id == *id => {
+            Some(target) if *target.id == *leave.id => {
                 target.leaving = true;
                 true
             }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -22,6 +22,7 @@
 mod counters;
 mod guard;
 mod kept_answers;
+mod leave;
 mod limit;
 mod pace;
 mod queue;
@@ -37,6 +38,7 @@
     counters::Counters,
     guard::{Guard, GuardSettings},
     kept_answers::{KeptAnswers, KeptAnswersSettings},
+    leave::TargetLeave,
     limit::LimitSettings,
     pace::PaceSettings,
     service_time::ComparisonSettings,
--- a/crates/core/src/admission/target.rs
+++ b/crates/core/src/admission/target.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
+use super::leave::{AcknowledgedLeaves, TargetLeave};
 use crate::{ids::ServiceName, time::Instant};
 
 /// Instance of a target, from its start to its exit, with the number of an announcement.
@@ -118,11 +119,17 @@
     seq: u64,
     /// The target said that it is leaving. Later announcements of this instance are ignored.
     is_leaving: bool,
+    /// Leaves of instances whose start may be unknown here.
+    leaves: AcknowledgedLeaves,
 }
 
 impl NewestAnnouncement {
-    /// Records an announcement if it is newer than all others, and returns whether it is.
-    pub(super) fn record_if_newer(&mut self, instance: &TargetInstance<'_>) -> bool {
+    /// Records an announcement if it is newer than all others and its instance has not left, and
+    /// returns whether it was recorded.
+    pub(super) fn record_if_newer(&mut self, now: Instant, instance: &TargetInstance<'_>) -> bool {
+        if self.leaves.covers(now, instance) {
+            return false;
+        }
         if instance.started_unix_ms == 0 {
             return true;
         }
@@ -135,16 +142,22 @@
         if is_late {
             return false;
         }
-        *self = NewestAnnouncement {
-            id: Box::from(instance.id),
-            started_unix_ms: instance.started_unix_ms,
-            seq: instance.seq,
-            is_leaving: false,
-        };
+        self.id = Box::from(instance.id);
+        self.started_unix_ms = instance.started_unix_ms;
+        self.seq = instance.seq;
+        self.is_leaving = false;
         true
     }
 
-    /// Records that the instance `id` is leaving, and returns whether it is the newest one.
+    /// Records that an instance is leaving, whether it has announced itself here or not. Returns
+    /// whether it is the newest one.
+    pub(super) fn record_leave(&mut self, now: Instant, leave: &TargetLeave<'_>) -> bool {
+        self.leaves.record(now, leave);
+        self.mark_leaving(leave.id)
+    }
+
+    /// Records that the announced instance `id` is leaving, and returns whether it is the newest
+    /// one.
     pub(super) fn mark_leaving(&mut self, id: &str) -> bool {
         let is_newest = *id == *self.id;
         self.is_leaving |= is_newest;
--- /dev/null
+++ b/crates/core/tests/admission_leave.rs
@@ -0,0 +1,108 @@
+//! Leaves of targets that a guard has acknowledged, and announcements that arrive after them.
+
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use plantainpost_core::{
+    admission::{
+        Announcement, AnnouncementEffect, Guard, GuardSettings, TargetInstance, TargetLeave,
+    },
+    time::Instant,
+};
+
+/// Receipt of the leaves in milliseconds since the Unix epoch.
+const LEFT_MS: u64 = 1_000_000;
+
+const LEAVE: TargetLeave<'_> = TargetLeave {
+    id: "i-1",
+    received_unix_ms: LEFT_MS,
+};
+
+/// Announces an instance of `i-1`, which works on one request at once.
+fn announce(guard: &mut Guard, now_ms: u64, started_unix_ms: u64, seq: u64) -> AnnouncementEffect {
+    let now = Instant::from_millis(now_ms);
+    let announcement = Announcement {
+        instance: TargetInstance {
+            id: "i-1",
+            started_unix_ms,
+            seq,
+        },
+        service: "stock",
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        slots: 1,
+        connections: 1,
+        expires: now.saturating_add_millis(9_000),
+        leaving: false,
+    };
+    guard.announce(now, announcement)
+}
+
+/// Guards against an acknowledged leave that is forgotten because the guard has not heard of the
+/// instance before, as after a restart of the node.
+#[gtest]
+fn leave_of_an_unknown_instance_binds_its_late_announcements() {
+    let mut guard = Guard::new(GuardSettings::default());
+    expect_false!(guard.mark_leaving(Instant::from_millis(0), &LEAVE));
+    for (now_ms, started_ms, seq) in [(0, 1, 1), (3_000, 1, 7), (9_000, LEFT_MS, 1), (9_000, 0, 0)]
+    {
+        let effect = announce(&mut guard, now_ms, started_ms, seq);
+        expect_that!(effect, eq(AnnouncementEffect::Late), "start {started_ms}");
+    }
+    expect_that!(guard.target(Instant::from_millis(9_000)), none());
+}
+
+/// Guards against a leave that is put down to an earlier instance with the same id, while the one
+/// that sent it had not announced itself yet.
+#[gtest]
+fn leave_binds_every_instance_that_started_before_it() {
+    let mut guard = Guard::new(GuardSettings::default());
+    announce(&mut guard, 0, 1_000, 5);
+    expect_true!(guard.mark_leaving(Instant::from_millis(100), &LEAVE));
+    let effect = announce(&mut guard, 200, LEFT_MS - 500, 1);
+    expect_that!(effect, eq(AnnouncementEffect::Late));
+    expect_true!(guard.is_draining());
+}
+
+/// Guards against an instance that started after the leave and gets no requests, and against one
+/// that a wrong clock keeps out for good.
+#[gtest]
+fn later_instance_with_the_id_of_one_that_left_is_used() {
+    let mut guard = Guard::new(GuardSettings::default());
+    guard.mark_leaving(Instant::from_millis(0), &LEAVE);
+    let effect = announce(&mut guard, 100, LEFT_MS + 1, 1);
+    expect_that!(effect, eq(AnnouncementEffect::New));
+    expect_false!(guard.is_draining());
+
+    let mut guard = Guard::new(GuardSettings::default());
+    guard.mark_leaving(Instant::from_millis(0), &LEAVE);
+    let effect = announce(&mut guard, 59_900, LEFT_MS - 1, 40);
+    expect_that!(effect, eq(AnnouncementEffect::Late));
+    let effect = announce(&mut guard, 61_400, LEFT_MS - 1, 41);
+    expect_that!(effect, eq(AnnouncementEffect::New));
+}
+
+/// Guards against an instance whose leave is known by its own announcement and that is used again
+/// once the leave is no longer kept.
+#[gtest]
+fn known_instance_that_left_is_never_used_again() {
+    let mut guard = Guard::new(GuardSettings::default());
+    announce(&mut guard, 0, 1_000, 5);
+    guard.mark_leaving(Instant::from_millis(100), &LEAVE);
+    let effect = announce(&mut guard, 600_000, 1_000, 6);
+    expect_that!(effect, eq(AnnouncementEffect::Late));
+}
+
+/// Guards against leaves that use memory without bound.
+#[gtest]
+fn leaves_are_bounded_and_the_latest_ones_are_kept() {
+    let mut guard = Guard::new(GuardSettings::default());
+    for i in 0..10_000 {
+        let id = format!("other-{i}");
+        let leave = TargetLeave { id: &id, ..LEAVE };
+        guard.mark_leaving(Instant::from_millis(0), &leave);
+    }
+    guard.mark_leaving(Instant::from_millis(0), &LEAVE);
+    expect_that!(format!("{guard:?}").matches("other-").count(), le(64));
+    let effect = announce(&mut guard, 100, 1, 1);
+    expect_that!(effect, eq(AnnouncementEffect::Late));
+}
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -60,8 +60,9 @@
 
 /// Returns the wall clock in milliseconds since the Unix epoch.
 ///
-/// It is used for timestamps shown to operators, for the expiry of plans and to order the
-/// incarnations of a node. No decision about a request depends on it.
+/// It is used for timestamps shown to operators, for the expiry of plans, to order the incarnations
+/// of a node, and to tell an instance of a target that started after a leave from the one that left.
+/// No decision about a single request depends on it.
 pub(crate) fn unix_ms() -> u64 {
     time::SystemTime::now()
         .duration_since(time::UNIX_EPOCH)
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 
 use actix_http::{Request, Response, StatusCode, body::BoxBody};
-use plantainpost_core::admission::{Announcement, AnnouncementEffect, TargetInstance};
+use plantainpost_core::admission::{Announcement, AnnouncementEffect, TargetInstance, TargetLeave};
 use slog::{info, warn};
 
 use crate::{
-    admin,
+    admin, clock,
     external::{ControlCall, ControlProtocol, TargetHeartbeat},
     node::Node,
 };
@@ -93,8 +93,13 @@
 }
 
 fn on_leave(node: &Rc<Node>, id: &str) -> StatusCode {
-    let is_known = node.guard.borrow_mut().mark_leaving(id);
-    info!(node.logger, "target leaves"; "target" => id, "known" => is_known);
+    let leave = TargetLeave {
+        id,
+        received_unix_ms: clock::unix_ms(),
+    };
+    let is_known = node.guard.borrow_mut().mark_leaving(node.now(), &leave);
+    info!(node.logger, "target leaves"; "target" => id, "known" => is_known,
+        "received_ms" => leave.received_unix_ms);
     admin::on_target_changed(node);
     StatusCode::OK
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests that start the `plantainpost` binary.
 
+mod acknowledged_leave;
 mod audit;
 mod bad_input;
 mod configuration;
--- a/tests/integration/platform.rs
+++ b/tests/integration/platform.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::{
+    acknowledged_leave::unix_ms,
     fleet_fixture::WAIT_TIMEOUT,
     platform_fixture::{
         FIRST_BORN_MS, PlatformFleet, ScriptedReply, ScriptedTarget, answer, body, exchange,
@@ -100,7 +101,8 @@
         platform.get(0, "/safe/1", "b4"),
         starts_with("HTTP/1.1 503")
     );
-    platform.announce_incarnation(0, &target, "i-1", FIRST_BORN_MS + 5_000, 1, "ready");
+    let born = unix_ms() + 1;
+    platform.announce_incarnation(0, &target, "i-1", born, 1, "ready");
     expect_that!(
         platform.get(0, "/safe/1", "b5"),
         starts_with("HTTP/1.1 200")
