node: give the rest of a request body to one attempt only

Cause: the entry took the rest of a body away when an attempt began to send it, and "no rest" also meant "the prefix is the whole body". If two guards had the request before either asked for the body, which happens since the entry sends a safe request on when a guard is silent, the one that asked later got the prefix and the end of the body.

Ruled out: a guard that ends a chunked request on a broken connection (the connection was open, and `BodyEnd { length: 65536 }` came on it), and two readers of the caller's body (the other guard got all 200,000 bytes).

Change: the rest is empty, unclaimed or claimed. An attempt that is asked for a claimed rest closes its connection without the end of the body and is reported as unknown. What is left after an early refusal is not put back, since another attempt would have sent it with a gap. Whether a connection may be used again now depends on what this attempt has sent.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     entry::{
-        caller_request::{BadRequest, BodyRemainder, CallerRequest},
+        caller_request::{BadRequest, BodyRemainder, BodyRestClaim, CallerRequest},
         exchange::{Exchange, ExchangeLoss},
         in_flight::InFlightAttempt,
         response::CallerOutcome,
@@ -159,7 +159,9 @@
     let reply = exchange_with_guard(request, attempt, key, &mut exchange);
     match node.clock.timeout_at(reply_deadline, reply).await {
         Some(Ok(reply)) => {
-            let conn = exchange.conn;
+            // Otherwise the guard may still wait for the rest of the body.
+            let reusable = request.is_buffered() || exchange.is_body_rest_sent;
+            let conn = (exchange.conn, reusable);
             finish_attempt(node, request, attempt, conn, in_flight, reply).await
         }
         Some(Err(loss)) => {
@@ -167,6 +169,7 @@
             match loss {
                 ExchangeLoss::Fenced => not_run_unreached("connection-lost"),
                 ExchangeLoss::Unknown => AttemptEnd::Unknown("connection-lost"),
+                ExchangeLoss::BodyUnavailable => AttemptEnd::Unknown("body-sent-elsewhere"),
             }
         }
         None => {
@@ -201,7 +204,7 @@
     node: &Rc<Node>,
     request: &Rc<CallerRequest>,
     attempt: &Attempt,
-    conn: PeerConn,
+    (conn, reusable): (PeerConn, bool),
     mut in_flight: InFlightAttempt,
     reply: GuardReply,
 ) -> AttemptEnd {
@@ -213,7 +216,7 @@
                 head,
                 conn,
                 in_flight,
-                reusable: request.is_buffered(),
+                reusable,
                 buffered: Vec::new(),
                 received_bytes: 0,
                 end_load: None,
@@ -228,7 +231,7 @@
         }
         GuardReply::Refused { refusal, load } => {
             in_flight.report(balance::RequestOutcome::Refused, Some(load));
-            if request.is_buffered() {
+            if reusable {
                 node.peer_pool.release(&attempt.peer, conn);
             }
             match refusal.is_not_run() {
@@ -274,11 +277,30 @@
         if let Some(reply) = guard_reply(key, msg) {
             return Ok(reply);
         }
-        // The guard has started the request and asks for the rest of its body.
+        // The guard has started the request and asks for the part of its body that it lacks.
         let is_prefix_due = !std::mem::replace(&mut prefix_sent, true);
-        msg = match send_body(request, key, is_prefix_due, &mut exchange.conn).await {
+        let claim = match exchange.is_body_rest_sent {
+            true => BodyRestClaim::Empty,
+            false => request.claim_body_rest(),
+        };
+        let mut body_rest = match claim {
+            BodyRestClaim::Empty => None,
+            BodyRestClaim::Granted(body_rest) => Some(body_rest),
+            // Closing the connection without the end of the body tells the guard, and through it
+            // the target, that the body is not complete.
+            BodyRestClaim::AlreadyClaimed => return Err(ExchangeLoss::BodyUnavailable),
+        };
+        let sent = send_body(
+            request,
+            key,
+            is_prefix_due,
+            body_rest.as_mut(),
+            &mut exchange.conn,
+        );
+        msg = match sent.await {
             Ok(Some(reply)) => return Ok(reply),
             Ok(None) => {
+                exchange.is_body_rest_sent |= body_rest.is_some();
                 exchange.on_sent();
                 exchange.next_message().await?
             }
@@ -306,23 +328,17 @@
     request: &CallerRequest,
     key: RequestKey,
     is_prefix_due: bool,
+    body_rest: Option<&mut BodyRemainder>,
     conn: &mut PeerConn,
 ) -> Result<Option<GuardReply>, FrameError> {
     if is_prefix_due {
         queue_body_prefix(request, conn)?;
         conn.tx.flush().await?;
     }
-    let Some(mut body_rest) = request.body_rest.borrow_mut().take() else {
-        return Ok(None);
-    };
-    request.set_body_rest_started();
-    let reply = send_body_rest(key, conn, &mut body_rest).await?;
-    if reply.is_some() {
-        // The unsent rest is put back, so that `is_buffered` is false and the connection is not
-        // reused.
-        request.body_rest.borrow_mut().replace(body_rest);
+    match body_rest {
+        Some(body_rest) => send_body_rest(key, conn, body_rest).await,
+        None => Ok(None),
     }
-    Ok(reply)
 }
 
 fn queue_body_prefix(request: &CallerRequest, conn: &mut PeerConn) -> Result<(), FrameError> {
--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -1,9 +1,6 @@
 //! A caller's request as the entry handles it: validation, routing policy and body buffering.
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-};
+use std::{cell::RefCell, rc::Rc};
 
 use bytes::{Bytes, BytesMut};
 use plantainpost_core::{
@@ -100,29 +97,52 @@
     /// First bytes of the body, at most [`MAX_BODY_FRAME_BYTES`]. They are kept until a guard
     /// has started the request, so that a refused request can be sent to another guard.
     pub(crate) body_prefix: Bytes,
-    /// The rest of the body. `None` if `body_prefix` is the whole body, or once an attempt has
-    /// taken the rest to send it.
-    pub(crate) body_rest: RefCell<Option<BodyRemainder>>,
-    /// Whether bytes after `body_prefix` were sent. They are not kept, so the request can't be
-    /// sent again.
-    body_rest_started: Cell<bool>,
+    body_rest: RefCell<BodyRest>,
+}
+
+/// The part of a body after the prefix. Its bytes are not kept, so only one attempt can send it.
+enum BodyRest {
+    /// The prefix is the whole body.
+    Empty,
+    /// No attempt has asked for the rest.
+    Unclaimed(BodyRemainder),
+    /// An attempt has taken the rest to send it. The request can't be sent again.
+    Claimed,
+}
+
+/// Result of [`CallerRequest::claim_body_rest`].
+pub(crate) enum BodyRestClaim {
+    /// There is nothing after the prefix.
+    Empty,
+    /// The rest, for the attempt that claimed it first.
+    Granted(BodyRemainder),
+    /// The rest was claimed before.
+    AlreadyClaimed,
 }
 
 impl CallerRequest {
-    /// Returns `true` if `body_prefix` is the whole body, or an attempt has taken the rest to send
-    /// it.
+    /// Returns whether `body_prefix` is the whole body.
     pub(crate) fn is_buffered(&self) -> bool {
-        self.body_rest.borrow().is_none()
+        matches!(*self.body_rest.borrow(), BodyRest::Empty)
     }
 
-    /// Records that bytes after `body_prefix` are being sent.
-    pub(crate) fn set_body_rest_started(&self) {
-        self.body_rest_started.set(true);
+    /// Returns whether an attempt has claimed the rest of the body, so that the request can't be
+    /// sent again.
+    pub(crate) fn is_body_rest_claimed(&self) -> bool {
+        matches!(*self.body_rest.borrow(), BodyRest::Claimed)
     }
 
-    /// Returns `true` if bytes after `body_prefix` were sent.
-    pub(crate) fn body_rest_started(&self) -> bool {
-        self.body_rest_started.get()
+    /// Takes the rest of the body for an attempt that is about to send it.
+    pub(crate) fn claim_body_rest(&self) -> BodyRestClaim {
+        let mut rest = self.body_rest.borrow_mut();
+        match std::mem::replace(&mut *rest, BodyRest::Claimed) {
+            BodyRest::Empty => {
+                *rest = BodyRest::Empty;
+                BodyRestClaim::Empty
+            }
+            BodyRest::Unclaimed(remainder) => BodyRestClaim::Granted(remainder),
+            BodyRest::Claimed => BodyRestClaim::AlreadyClaimed,
+        }
     }
 
     /// Returns the class, priority and latency target that order the queue of the guard.
@@ -307,8 +327,10 @@
         method: head.method,
         path: head.path,
         body_prefix,
-        body_rest: RefCell::new((!is_complete).then_some(body_rest)),
-        body_rest_started: Cell::new(false),
+        body_rest: RefCell::new(match is_complete {
+            true => BodyRest::Empty,
+            false => BodyRest::Unclaimed(body_rest),
+        }),
     })
 }
 
--- a/crates/node/src/entry/exchange.rs
+++ b/crates/node/src/entry/exchange.rs
@@ -37,6 +37,9 @@
     Fenced,
     /// The request may have run.
     Unknown,
+    /// The guard has asked for a body whose rest another attempt sends. It has started the request,
+    /// which ends without the rest.
+    BodyUnavailable,
 }
 
 /// The exchange of one attempt with its guard.
@@ -49,6 +52,8 @@
     addr: SocketAddr,
     key: RequestKey,
     pub(super) conn: PeerConn,
+    /// Whether the guard has asked for the rest of the body and received all of it.
+    pub(super) is_body_rest_sent: bool,
     /// When the last message was sent to or received from the guard.
     last_active_at: Instant,
     /// `None` if silence means nothing: the guard is in this process, or it has said that the
@@ -86,6 +91,7 @@
             addr,
             key,
             conn,
+            is_body_rest_sent: false,
             last_active_at: node.now(),
             watch: None,
         };
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -324,9 +324,9 @@
             service: self.request.policy.service.as_str(),
             outcome,
             idempotent: self.request.policy.idempotent,
-            // No response was forwarded yet. But a request whose body was partly streamed can't be
-            // sent again either, because the streamed bytes are not kept.
-            answer_started: self.request.body_rest_started(),
+            // No response was forwarded yet. But a request whose body is streamed by an attempt
+            // can't be sent again either, because the streamed bytes are not kept.
+            answer_started: self.request.is_body_rest_claimed(),
             attempts: self.tried_nodes.len() as u32,
             targets_reached,
             last_reached_target,
--- a/tests/integration/late_configuration.rs
+++ b/tests/integration/late_configuration.rs
@@ -142,7 +142,7 @@
     let scripted = start_without_log();
     scripted.fleet.plan_and_confirm(1, &["measure", "3"]);
     let delay = run_script(async {
-        let listener = TcpListener::bind(scripted.guard_address)
+        let listener = TcpListener::bind(scripted.guard_addresses[0])
             .await
             .expect("a listener");
         let _silent = accept_configuration_fetch(&listener).await;
@@ -161,7 +161,7 @@
     let scripted = start_without_log();
     scripted.fleet.plan_and_confirm(1, &["measure", "3"]);
     let delay = run_script(async {
-        let listener = TcpListener::bind(scripted.guard_address)
+        let listener = TcpListener::bind(scripted.guard_addresses[0])
             .await
             .expect("a listener");
         let start = Instant::now();
@@ -181,7 +181,7 @@
 fn configuration_is_fetched_over_a_new_connection() {
     let scripted = start_without_log();
     run_script(async {
-        let listener = TcpListener::bind(scripted.guard_address)
+        let listener = TcpListener::bind(scripted.guard_addresses[0])
             .await
             .expect("a listener");
         let caller = scripted.send_post(2_000);
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,7 @@
 mod acknowledged_leave;
 mod audit;
 mod bad_input;
+mod body_claims;
 mod configuration;
 mod failure_outcomes;
 mod fault_cases;
--- a/tests/integration/scripted_guard.rs
+++ b/tests/integration/scripted_guard.rs
@@ -1,7 +1,14 @@
 //! A real entry and a scripted guard: which frames the entry trusts, and which connections
 //! it reuses.
 
-use std::{future::Future, net::SocketAddr, pin::Pin, sync::Mutex, thread, time::Duration};
+use std::{
+    future::Future,
+    net::{IpAddr, SocketAddr},
+    pin::Pin,
+    sync::Mutex,
+    thread,
+    time::Duration,
+};
 
 use actix_rt::net::TcpListener;
 use googletest::prelude::*;
@@ -19,13 +26,14 @@
     scripted_peer::{ScriptedPeer, run_script},
 };
 
-/// A fleet of an entry `desk-0` and of a node `stock-0` whose peer address the test listens
-/// on, so that a script acts as its guard.
+/// A fleet of an entry `desk-0` and of nodes `stock-0`, `stock-1` and so on, whose peer addresses
+/// the test listens on, so that scripts act as their guards.
 pub(crate) struct ScriptedGuardFleet {
     pub(crate) fleet: Fleet,
-    /// Address on which the script accepts connections as the guard `stock-0`.
-    pub(crate) guard_address: SocketAddr,
-    _relay: Relay,
+    /// Addresses on which the scripts accept connections as the guards `stock-0`, `stock-1` and so
+    /// on.
+    pub(crate) guard_addresses: Vec<SocketAddr>,
+    _relays: Vec<Relay>,
 }
 
 impl ScriptedGuardFleet {
@@ -33,39 +41,44 @@
         Self::start_with_entry_settings(|_| ())
     }
 
-    /// Starts the fleet with changed settings of the entry.
+    /// Starts a fleet with one guard and changed settings of the entry.
     pub(crate) fn start_with_entry_settings(edit_entry: impl Fn(&mut String)) -> Self {
+        Self::start_with_guards(1, edit_entry)
+    }
+
+    /// Starts a fleet with this number of guards and changed settings of the entry.
+    pub(crate) fn start_with_guards(count: usize, edit_entry: impl Fn(&mut String)) -> Self {
         let mut specs = host_specs("desk", 1);
-        specs.extend(host_specs("stock", 1));
-        let guard_relay = Mutex::new(None);
+        specs.extend(host_specs("stock", count));
+        let relays = Mutex::new(Vec::new());
         let fleet = Fleet::start_with_settings(&specs, |i, text| {
             // The default of 250 ms is sometimes too short on a busy machine.
             text.push_str("[limits]\nconnect_timeout = 5 s\n");
             if i == 0 {
                 edit_entry(text);
+                return;
             }
-            if i == 1 {
-                *text = text.replace("\nip = 127.0.0.1", "\nip = 127.0.0.2");
-                let peer_tcp = text
-                    .lines()
-                    .find_map(|line| line.strip_prefix("peer_tcp = "));
-                let server: SocketAddr = peer_tcp.and_then(|p| p.parse().ok()).expect("an address");
-                let listen = SocketAddr::from(([127, 0, 0, 2], server.port()));
-                let settings = RelaySettings {
-                    listen,
-                    server,
-                    ..Default::default()
-                };
-                let relay = Relay::start(&settings).expect("the relay starts");
-                *guard_relay.lock().expect("no panic") = Some((listen, relay));
-            }
+            let ip = [127, 0, 0, 1 + i as u8];
+            *text = text.replace("\nip = 127.0.0.1", &format!("\nip = {}", IpAddr::from(ip)));
+            let peer_tcp = text
+                .lines()
+                .find_map(|line| line.strip_prefix("peer_tcp = "));
+            let server: SocketAddr = peer_tcp.and_then(|p| p.parse().ok()).expect("an address");
+            let listen = SocketAddr::from((ip, server.port()));
+            let settings = RelaySettings {
+                listen,
+                server,
+                ..Default::default()
+            };
+            let relay = Relay::start(&settings).expect("the relay starts");
+            relays.lock().expect("no panic").push((listen, relay));
         });
-        let guard_relay = guard_relay.into_inner().expect("no panic");
-        let (guard_address, _relay) = guard_relay.expect("the guard was started");
+        let relays = relays.into_inner().expect("no panic");
+        let (guard_addresses, _relays) = relays.into_iter().unzip();
         ScriptedGuardFleet {
             fleet,
-            guard_address,
-            _relay,
+            guard_addresses,
+            _relays,
         }
     }
 
@@ -226,7 +239,7 @@
     ];
     let scripted = ScriptedGuardFleet::start();
     run_script(async {
-        let listener = TcpListener::bind(scripted.guard_address)
+        let listener = TcpListener::bind(scripted.guard_addresses[0])
             .await
             .expect("a listener");
         for (name, answer, wanted, closes) in rows {
@@ -291,7 +304,7 @@
     ];
     let scripted = ScriptedGuardFleet::start();
     run_script(async {
-        let listener = TcpListener::bind(scripted.guard_address)
+        let listener = TcpListener::bind(scripted.guard_addresses[0])
             .await
             .expect("a listener");
         for (name, length, rest) in rows {
@@ -394,7 +407,7 @@
     ];
     let scripted = ScriptedGuardFleet::start();
     run_script(async {
-        let listener = TcpListener::bind(scripted.guard_address)
+        let listener = TcpListener::bind(scripted.guard_addresses[0])
             .await
             .expect("a listener");
         for (name, reconnect, wanted) in rows {
--- a/tests/integration/scripted_resume.rs
+++ b/tests/integration/scripted_resume.rs
@@ -75,7 +75,7 @@
     ];
     let scripted = ScriptedGuardFleet::start();
     run_script(async {
-        let listener = TcpListener::bind(scripted.guard_address)
+        let listener = TcpListener::bind(scripted.guard_addresses[0])
             .await
             .expect("a listener");
         for (name, replies, wanted) in rows {
