node: bound the memory of answers that come in small pieces

Report of other operators: a faulty endpoint sent bytes without end, and the machine that had called it kept them all and ran out of memory.

The smallest nodes of the deployments have 160 MB.

Cause: the guard kept the beginning of an answer as one message a piece, and the entry gathered it as one buffer a piece. Both bounds counted the bytes of the pieces only, and each piece kept the 16 KiB buffer it was read into.

Ruled out: heads, trailers, informational and other answers without end grow a node by under 1 MB.

Change: pieces that arrive together share a frame; the kept and the gathered part of an answer are one buffer each. Headers count with their length. A connection handed over just before an answer became too long to be kept no longer replaces the first one in the middle of the body (by reading only).

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
+use bytes::BytesMut;
 use plantainpost_core::{
     admission::{RefuseReason, RequestKey},
     balance,
@@ -217,7 +218,7 @@
                 conn,
                 in_flight,
                 reusable,
-                buffered: Vec::new(),
+                buffered: BytesMut::new(),
                 received_bytes: 0,
                 end_load: None,
             };
--- a/crates/node/src/entry/target_response.rs
+++ b/crates/node/src/entry/target_response.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use plantainpost_core::{balance::RequestOutcome, ids::NodeName, load::LoadSample};
 use plantainpost_wire::message::{BodyLength, PeerMessage, PeerResponseHead};
 use snafu::Snafu;
@@ -34,8 +34,9 @@
     /// Whether the connection may be reused after a complete response. `false` if part of the
     /// request was not sent.
     pub(crate) reusable: bool,
-    /// Pieces of the body that were received but not forwarded.
-    pub(crate) buffered: Vec<Bytes>,
+    /// Part of the body that was received but not forwarded. It is copied into one buffer, because a
+    /// target can send any number of small pieces.
+    pub(crate) buffered: BytesMut,
     /// Bytes of the body received so far.
     pub(crate) received_bytes: u64,
     /// Load of the target at the end of the response. `None` until the body is complete.
@@ -53,7 +54,7 @@
         }
         while self.end_load.is_none() && self.received_bytes < RETRY_BUFFER_BYTES {
             if let Some(piece) = self.read_part(request).await? {
-                self.buffered.push(piece);
+                self.buffered.extend_from_slice(&piece);
             }
         }
         Ok(())
@@ -76,8 +77,9 @@
         writer
             .send_head(response::target_response_head(names, request, head))
             .await?;
-        for piece in std::mem::take(&mut self.buffered) {
-            writer.send_data(piece).await?;
+        if !self.buffered.is_empty() {
+            let buffered = std::mem::take(&mut self.buffered);
+            writer.send_data(buffered.freeze()).await?;
         }
         while self.end_load.is_none() {
             match self.read_part(request).await {
--- a/crates/node/src/guard/link.rs
+++ b/crates/node/src/guard/link.rs
@@ -5,6 +5,7 @@
 
 use std::{cell::RefCell, rc::Rc};
 
+use bytes::BytesMut;
 use plantainpost_core::{
     admission::{KeptAnswers, KeptAnswersSettings, RequestKey},
     collections::HashMap,
@@ -20,11 +21,12 @@
 use super::{ConnState, InboundConn, state_after_write};
 use crate::node::Node;
 
-/// Maximum size of an answer that can be sent again on another connection, in bytes of its body.
+/// Maximum size of an answer that can be sent again on another connection, in bytes. Its body fits
+/// into one frame.
 const MAX_KEPT_ANSWER_BYTES: usize = MAX_BODY_FRAME_BYTES;
 
-/// Assumed size of the head of an answer, in bytes.
-const ASSUMED_HEAD_BYTES: usize = 1_024;
+/// Assumed size of an answer without its body and the text of its headers, in bytes.
+const ASSUMED_OVERHEAD_BYTES: usize = 1_024;
 
 /// Exchanges of the guard that can be continued on another connection.
 pub(crate) struct ExchangeLinks {
@@ -117,6 +119,76 @@
     }
 }
 
+/// The part of an answer that was queued, for an entry that continues on another connection.
+#[derive(Default)]
+enum SentAnswer {
+    #[default]
+    NotBegun,
+    /// Small enough to be sent again.
+    Kept(Box<KeptParts>),
+    /// The answer exceeds [`MAX_KEPT_ANSWER_BYTES`]. It can be sent on its first connection only.
+    TooLong,
+}
+
+/// The body is copied into one buffer: a target can send it in any number of small pieces, and each
+/// message of its own would take far more memory than its bytes.
+struct KeptParts {
+    head: PeerMessage,
+    body: BytesMut,
+    end: Option<PeerMessage>,
+    /// Size of the answer. At most [`MAX_KEPT_ANSWER_BYTES`].
+    bytes: usize,
+}
+
+impl SentAnswer {
+    /// Adds a message that was queued.
+    fn add(&mut self, msg: &PeerMessage) {
+        let added_bytes = match msg {
+            PeerMessage::Response(head) => {
+                let headers = head.headers.iter();
+                let text: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+                text + ASSUMED_OVERHEAD_BYTES
+            }
+            PeerMessage::Body(piece) => piece.len(),
+            _ => 0,
+        };
+        match self {
+            SentAnswer::NotBegun if added_bytes <= MAX_KEPT_ANSWER_BYTES => {
+                *self = SentAnswer::Kept(Box::new(KeptParts {
+                    head: msg.clone(),
+                    body: BytesMut::new(),
+                    end: None,
+                    bytes: added_bytes,
+                }));
+            }
+            SentAnswer::Kept(parts) if parts.bytes + added_bytes <= MAX_KEPT_ANSWER_BYTES => {
+                parts.bytes += added_bytes;
+                match msg {
+                    PeerMessage::Body(piece) => parts.body.extend_from_slice(piece),
+                    end => parts.end = Some(end.clone()),
+                }
+            }
+            _ => *self = SentAnswer::TooLong,
+        }
+    }
+
+    fn is_too_long(&self) -> bool {
+        matches!(self, SentAnswer::TooLong)
+    }
+}
+
+impl KeptParts {
+    /// Returns the messages to send again.
+    fn messages(&self) -> Vec<PeerMessage> {
+        let mut messages = vec![self.head.clone()];
+        if !self.body.is_empty() {
+            messages.push(PeerMessage::Body(self.body.clone().freeze()));
+        }
+        messages.extend(self.end.clone());
+        messages
+    }
+}
+
 /// The connection of one exchange.
 pub(super) struct ExchangeLink {
     node: Rc<Node>,
@@ -126,10 +198,8 @@
     open: OpenExchange,
     /// `None` for an entry in this process, and once the answer has begun.
     schedule: Option<ProgressSchedule>,
-    /// Messages of the answer so far. Empty once the answer exceeds [`MAX_KEPT_ANSWER_BYTES`].
-    answer: Vec<PeerMessage>,
-    /// Size of all messages of the answer, whether kept or not, in bytes.
-    answer_bytes: usize,
+    /// Always `NotBegun` for an entry in this process, which needs no other connection.
+    answer: SentAnswer,
 }
 
 impl ExchangeLink {
@@ -149,8 +219,7 @@
             conn,
             new_conns,
             open,
-            answer: Vec::new(),
-            answer_bytes: 0,
+            answer: SentAnswer::default(),
         }
     }
 
@@ -177,7 +246,9 @@
         };
         tokio::select! {
             biased;
-            Some(conn) = self.new_conns.recv() => LinkEvent::Replaced(conn),
+            Some(conn) = self.new_conns.recv(), if !self.answer.is_too_long() => {
+                LinkEvent::Replaced(conn)
+            }
             msg = self.conn.rx.read() => LinkEvent::Message(msg),
             () = progress_due => LinkEvent::ProgressDue,
         }
@@ -191,14 +262,15 @@
     pub(super) async fn replace_conn(&mut self, conn: InboundConn) -> Result<(), FrameError> {
         self.node.metrics.count("guard.resumed");
         info!(self.node.logger, "request continued on another connection";
-            "peer" => conn.peer.identity.node.as_str(), "answered" => !self.answer.is_empty());
+            "peer" => conn.peer.identity.node.as_str(),
+            "answered" => !matches!(self.answer, SentAnswer::NotBegun));
         self.conn = conn;
-        if self.answer.is_empty() {
+        let SentAnswer::Kept(parts) = &self.answer else {
             self.schedule = Some(ProgressSchedule::start(self.node.now()));
             return self.write_progress().await;
-        }
-        for msg in &self.answer {
-            self.conn.tx.queue(msg)?;
+        };
+        for msg in parts.messages() {
+            self.conn.tx.queue(&msg)?;
         }
         Ok(())
     }
@@ -231,14 +303,8 @@
         if self.conn.rx.is_in_process() {
             return Ok(());
         }
-        self.answer_bytes += match msg {
-            PeerMessage::Body(piece) => piece.len(),
-            _ => ASSUMED_HEAD_BYTES,
-        };
-        if self.answer_bytes <= MAX_KEPT_ANSWER_BYTES {
-            self.answer.push(msg.clone());
-        } else {
-            self.answer.clear();
+        self.answer.add(msg);
+        if self.answer.is_too_long() {
             self.open.forbid_resume();
         }
         Ok(())
@@ -255,7 +321,9 @@
             // The write is not cancel safe, but a replaced connection is not used any more.
             tokio::select! {
                 result = self.conn.tx.flush() => return result,
-                Some(conn) = self.new_conns.recv() => self.replace_conn(*conn).await?,
+                Some(conn) = self.new_conns.recv(), if !self.answer.is_too_long() => {
+                    self.replace_conn(*conn).await?;
+                }
             }
         }
     }
@@ -276,18 +344,19 @@
     /// Returns an error if the connection fails.
     pub(super) async fn finish_answer(&mut self) -> Result<(), FrameError> {
         let mut result = self.flush().await;
-        while let Ok(conn) = self.new_conns.try_recv() {
+        while !self.answer.is_too_long()
+            && let Ok(conn) = self.new_conns.try_recv()
+        {
             result = match self.replace_conn(*conn).await {
                 Ok(()) => self.flush().await,
                 Err(e) => Err(e),
             };
         }
         self.open.forbid_resume();
-        let messages = std::mem::take(&mut self.answer);
-        if !messages.is_empty() {
+        if let SentAnswer::Kept(parts) = std::mem::take(&mut self.answer) {
             let mut answers = self.node.exchange_links.answers.borrow_mut();
             let now = self.node.now();
-            answers.put(now, self.key, messages.into(), self.answer_bytes);
+            answers.put(now, self.key, parts.messages().into(), parts.bytes);
         }
         result
     }
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
 use plantainpost_core::admission::{ExchangeOutcome, RefuseReason, RequestKey};
 use plantainpost_http1::{
@@ -432,10 +432,13 @@
     body: &mut ResponseBody,
 ) -> Result<u64, ()> {
     let mut bytes = 0;
+    // Small pieces that arrive together are sent in one frame.
+    let mut batch = BytesMut::new();
     loop {
         let part = match body.next().now_or_never() {
             Some(part) => part,
             None => {
+                queue_body(link, &mut batch).await.map_err(|_| ())?;
                 link.flush().await.map_err(|_| ())?;
                 next_body_part(link, req, body).await?
             }
@@ -443,9 +446,15 @@
         match part {
             BodyPart::Data(piece) => {
                 bytes += piece.len() as u64;
-                queue_body_piece(link, piece).await.map_err(|_| ())?;
+                batch.extend_from_slice(&piece);
+                if batch.len() >= MAX_BODY_FRAME_BYTES {
+                    queue_body(link, &mut batch).await.map_err(|_| ())?;
+                }
+            }
+            BodyPart::End => {
+                queue_body(link, &mut batch).await.map_err(|_| ())?;
+                return Ok(bytes);
             }
-            BodyPart::End => return Ok(bytes),
             BodyPart::Truncated => return Err(()),
         }
     }
@@ -475,10 +484,11 @@
     }
 }
 
-async fn queue_body_piece(link: &mut ExchangeLink, mut piece: Bytes) -> Result<(), FrameError> {
-    while !piece.is_empty() {
-        let part = piece.split_to(piece.len().min(MAX_BODY_FRAME_BYTES));
-        link.queue_answer(&PeerMessage::Body(part))?;
+/// Queues the bytes in `batch`, and sends what is queued once it is long enough.
+async fn queue_body(link: &mut ExchangeLink, batch: &mut BytesMut) -> Result<(), FrameError> {
+    while !batch.is_empty() {
+        let part = batch.split_to(batch.len().min(MAX_BODY_FRAME_BYTES));
+        link.queue_answer(&PeerMessage::Body(part.freeze()))?;
         if link.conn.tx.queued_bytes() >= MAX_BODY_FRAME_BYTES {
             link.flush().await?;
         }
--- /dev/null
+++ b/tests/integration/endless_answers.rs
@@ -0,0 +1,134 @@
+//! Memory and service of nodes while many answers of a target have no end.
+
+use std::{
+    io::Write,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
+
+use googletest::prelude::*;
+
+use plantainpost_standin::process;
+
+use crate::{
+    fleet_fixture::WAIT_TIMEOUT,
+    platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer, request_head},
+    uploads::process_memory_bytes,
+};
+
+/// Requests at the same time, as many as the target has slots.
+const REQUESTS: usize = 12;
+
+/// Timeout of the route to the endless answers, in milliseconds.
+const TIMEOUT_MS: u64 = 2_000;
+
+/// Largest growth of a node's memory, in bytes. The smallest nodes have 160 MB.
+const MAX_GROWTH_BYTES: u64 = 64 * 1024 * 1024;
+
+/// Head of a chunked answer to the requests of this test.
+const CHUNKED_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nPlantainpost-Request-Id: e\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Returns the beginning of an endless answer and the bytes that follow it again and again.
+fn endless_bytes(path: &str) -> (Vec<u8>, &'static [u8]) {
+    let (first, repeated) = match path {
+        "header" => ("HTTP/1.1 200 OK\r\nX-Long: ".to_owned(), "x"),
+        "headers" => ("HTTP/1.1 200 OK\r\n".to_owned(), "X-More: 1\r\n"),
+        "informational" => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
+        "newlines" => (String::new(), "\r\n"),
+        "other-answers" => (
+            String::new(),
+            "HTTP/1.1 200 OK\r\nPlantainpost-Request-Id: other\r\nContent-Length: 1\r\n\r\nx",
+        ),
+        "trailer" => (format!("{CHUNKED_HEAD}0\r\n"), "x: 1\r\n"),
+        "small-chunks" => (CHUNKED_HEAD.to_owned(), "1\r\nx\r\n"),
+        "extensions" => (
+            CHUNKED_HEAD.to_owned(),
+            "1;x=yyyyyyyyyyyyyyyyyyyyyyyy\r\nx\r\n",
+        ),
+        _ => (CHUNKED_HEAD.to_owned(), "8\r\nendless \r\n"),
+    };
+    (first.into_bytes(), repeated.repeat(2_000).leak().as_bytes())
+}
+
+/// Guards against a node that keeps what a faulty target sends without end, in a head or in a body,
+/// until it runs out of memory, and against one that has no time for other callers meanwhile: beside
+/// the target, and at an entry on another host. The callers of the endless answers read nothing.
+#[gtest]
+fn memory_is_bounded_while_answers_have_no_end() {
+    let rows = [
+        "header",
+        "headers",
+        "informational",
+        "newlines",
+        "other-answers",
+        "trailer",
+        "small-chunks",
+        "extensions",
+        "body",
+    ];
+    let target = ScriptedTarget::start(move |head| {
+        let path = head.strip_prefix("post /flood/");
+        match path.and_then(|rest| rest.split(' ').next()) {
+            Some(path) => {
+                let (first, repeated) = endless_bytes(path);
+                ScriptedReply::Endless(first, repeated)
+            }
+            None => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
+        }
+    });
+    for row in rows {
+        // Memory that was used once may stay with the process, so each row has its own.
+        let platform = PlatformFleet::start(2);
+        let flood = ("/flood/", "unsafe", TIMEOUT_MS);
+        platform.publish_route_list(4, &[flood, ("/safe/", "safe", 5_000)]);
+        platform.announce(0, &target, "i-1", 1, "ready");
+        for i in 0..2 {
+            platform.wait_readyz(i, "200");
+            expect_that!(
+                platform.get(i, "/safe/1", "f"),
+                starts_with("HTTP/1.1 200"),
+                "{row}"
+            );
+        }
+        let ids = [0, 1].map(|i| platform.hosts[i].process.id());
+        let before = ids.map(|id| process_memory_bytes(id, "VmRSS:"));
+        let received_before = target.received_heads().len();
+        let ends_at = Instant::now() + Duration::from_millis(TIMEOUT_MS);
+        let send_request = |number: usize| {
+            let addr = platform.hosts[number % 2].callers;
+            let mut io = TcpStream::connect(addr).expect("the entry accepts");
+            let head = request_head("POST", &format!("/flood/{row}"), "e", "");
+            io.write_all(&head).expect("the entry reads");
+            io
+        };
+        let callers: Vec<_> = (0..REQUESTS).map(send_request).collect();
+        thread::sleep(Duration::from_millis(TIMEOUT_MS / 2));
+        for i in 0..2 {
+            let asked = Instant::now();
+            let text = platform.get(i, "/none/1", "n");
+            println!("{row}: node {i} answered after {:?}", asked.elapsed());
+            expect_that!(text, starts_with("HTTP/1.1 404"), "{row}, node {i}");
+            expect_that!(
+                asked.elapsed(),
+                lt(Duration::from_secs(1)),
+                "{row}, node {i}"
+            );
+        }
+        thread::sleep(ends_at.saturating_duration_since(Instant::now()));
+        for (i, id) in ids.into_iter().enumerate() {
+            let growth = process_memory_bytes(id, "VmHWM:").saturating_sub(before[i]);
+            println!("{row}: node {i} grew by {} KiB", growth / 1_024);
+            expect_that!(growth, lt(MAX_GROWTH_BYTES), "{row}, node {i}");
+        }
+        let received = target.received_heads().len() - received_before;
+        println!("{row}: {received} requests at the target");
+        expect_that!(received, ge(REQUESTS / 2), "{row}");
+        drop(callers);
+        process::wait_until("an answer of the target", WAIT_TIMEOUT, || {
+            platform.get(1, "/safe/1", "g").starts_with("HTTP/1.1 200")
+        })
+        .expect(row);
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod bad_input;
 mod body_claims;
 mod configuration;
+mod endless_answers;
 mod failure_outcomes;
 mod fault_cases;
 mod faulty_targets;
--- a/tests/integration/uploads.rs
+++ b/tests/integration/uploads.rs
@@ -177,7 +177,7 @@
 }
 
 /// Returns the value of a line of `/proc/ID/status` in bytes, such as `VmRSS:` or `VmHWM:`.
-fn process_memory_bytes(id: u32, name: &str) -> u64 {
+pub(crate) fn process_memory_bytes(id: u32, name: &str) -> u64 {
     let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the process runs");
     let line = status.lines().find_map(|line| line.strip_prefix(name));
     let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
