http1, node: end a request whose target sends no answer without end

What callers saw: 504 at the deadline, 3 s here, and a slot of the target taken for as long, when the target sent informational responses, the body of an answer to another request, or a trailer without end.

Cause: heads and lines were bounded, but not the number of informational responses before a head, the lines of a trailer, or the length of a stray body that the guard discards. Ruled out: headers, newlines and short stray answers without end, which ended at once before as well.

Change: at most 64 KiB of informational responses, 64 KiB of trailer, and 1 MiB of a stray body. The bound on trailers holds for callers too.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -7,6 +7,9 @@
 /// Maximum length of a chunk size line or a trailer line, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 4 * 1024;
 
+/// Maximum length of a trailer, in bytes.
+const MAX_TRAILER_BYTES: usize = 64 * 1024;
+
 /// Incremental decoder of one message body.
 #[derive(Debug)]
 pub struct BodyDecoder {
@@ -23,8 +26,8 @@
     Chunk(u64),
     /// Before the CRLF that ends a chunk.
     ChunkEnd,
-    /// After the last chunk, within the trailer.
-    Trailer,
+    /// After the last chunk, within the trailer, with the number of its bytes so far.
+    Trailer(usize),
     /// Within a body that ends when the connection is closed.
     UntilClose,
     /// After the end of the body.
@@ -97,7 +100,7 @@
                     Ok(httparse::Status::Complete((length, size))) => {
                         buf.advance(length);
                         self.state = match size {
-                            0 => State::Trailer,
+                            0 => State::Trailer(0),
                             size => State::Chunk(size),
                         };
                     }
@@ -116,7 +119,7 @@
                     buf.advance(2);
                     self.state = State::ChunkSize;
                 }
-                State::Trailer => {
+                State::Trailer(bytes) => {
                     let Some(end) = buf.windows(2).position(|pair| pair == b"\r\n") else {
                         return match buf.len() <= MAX_CHUNK_LINE_BYTES {
                             true => Ok(Decoded::NeedMore),
@@ -124,9 +127,11 @@
                         };
                     };
                     buf.advance(end + 2);
-                    if end == 0 {
-                        self.state = State::Done;
-                    }
+                    self.state = match bytes + end + 2 {
+                        _ if end == 0 => State::Done,
+                        bytes if bytes > MAX_TRAILER_BYTES => return Err(BodyFramingError),
+                        bytes => State::Trailer(bytes),
+                    };
                 }
             }
         }
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -18,7 +18,7 @@
 /// Free buffer space reserved before each read from the socket, in bytes.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Maximum length of a response head, in bytes.
+/// Maximum length of a response head, and of all informational responses before it, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// An open connection to a server.
@@ -26,6 +26,8 @@
     io: TcpStream,
     buf: BytesMut,
     addr: SocketAddr,
+    /// Length of the informational responses since the last head that was returned, in bytes.
+    informational_bytes: usize,
     /// Whether the connection carried an earlier request; set by the code that pools
     /// connections.
     pub reused: bool,
@@ -73,6 +75,7 @@
             io,
             buf: BytesMut::new(),
             addr,
+            informational_bytes: 0,
             reused: false,
         })
     }
@@ -160,13 +163,23 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection ends first, or the bytes are not a valid response
-    /// head.
+    /// Returns an error if the connection ends first, the bytes are not a valid response head, or
+    /// the server sends informational responses without end.
     pub async fn read_head(&mut self, method: &str) -> Result<ResponseHead, ResponseError> {
         loop {
+            let buffered_bytes = self.buf.len();
             match head::parse_response_head(&mut self.buf, method, MAX_HEAD_BYTES) {
-                Ok(Some(head)) if head.status < 200 => continue,
-                Ok(Some(head)) => return Ok(head),
+                Ok(Some(head)) if head.status < 200 => {
+                    self.informational_bytes += buffered_bytes - self.buf.len();
+                    if self.informational_bytes > MAX_HEAD_BYTES {
+                        return Err(ResponseError::Malformed);
+                    }
+                    continue;
+                }
+                Ok(Some(head)) => {
+                    self.informational_bytes = 0;
+                    return Ok(head);
+                }
                 Ok(None) => (),
                 Err(_) => return Err(ResponseError::Malformed),
             }
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -37,6 +37,10 @@
 /// Responses to earlier requests that are discarded on one connection.
 const MAX_STRAY_RESPONSES: usize = 4;
 
+/// Longest body of a response to an earlier request that is discarded, in bytes. The connection is
+/// closed if it is longer.
+const MAX_STRAY_BODY_BYTES: usize = 1024 * 1024;
+
 /// Result of sending a request to the target and waiting for the head of its response.
 enum ExchangeEnd {
     Response {
@@ -275,11 +279,12 @@
 
 async fn discard_body(target_conn: Connection, head: &TargetResponseHead) -> Option<Connection> {
     let mut body = target_conn.into_body(head);
+    let mut remaining = MAX_STRAY_BODY_BYTES;
     loop {
         match body.next().await {
-            BodyPart::Data(_) => (),
+            BodyPart::Data(piece) if piece.len() <= remaining => remaining -= piece.len(),
             BodyPart::End => return body.into_reusable_conn(),
-            BodyPart::Truncated => return None,
+            BodyPart::Data(_) | BodyPart::Truncated => return None,
         }
     }
 }
--- a/tests/integration/endless_answers.rs
+++ b/tests/integration/endless_answers.rs
@@ -41,6 +41,10 @@
             String::new(),
             "HTTP/1.1 200 OK\r\nPlantainpost-Request-Id: other\r\nContent-Length: 1\r\n\r\nx",
         ),
+        "other-body" => (
+            CHUNKED_HEAD.replace("Id: e", "Id: other"),
+            "8\r\nendless \r\n",
+        ),
         "trailer" => (format!("{CHUNKED_HEAD}0\r\n"), "x: 1\r\n"),
         "small-chunks" => (CHUNKED_HEAD.to_owned(), "1\r\nx\r\n"),
         "extensions" => (
@@ -132,3 +136,37 @@
         .expect(row);
     }
 }
+
+/// Guards against a request that waits until its deadline, and holds a slot for so long, for a target
+/// that sends without end what is no answer.
+#[gtest]
+fn bytes_that_are_no_answer_end_the_request_before_its_deadline() {
+    let rows = [
+        "header",
+        "headers",
+        "informational",
+        "newlines",
+        "other-answers",
+        "other-body",
+        "trailer",
+    ];
+    let target = ScriptedTarget::start(move |head| {
+        let path = head.strip_prefix("post /once/");
+        match path.and_then(|rest| rest.split(' ').next()) {
+            Some(path) => {
+                let (first, repeated) = endless_bytes(path);
+                ScriptedReply::Endless(first, repeated)
+            }
+            None => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
+        }
+    });
+    let platform = PlatformFleet::start_with_target(&target);
+    for row in rows {
+        let asked = Instant::now();
+        let text = platform.send(0, "POST", &format!("/once/{row}"), "e");
+        expect_that!(text, starts_with("HTTP/1.1 502"), "{row}");
+        // The deadline of the request is 3 s.
+        let limit = Duration::from_millis(1_500);
+        expect_that!(asked.elapsed(), lt(limit), "{row}");
+    }
+}
