node: use a failed health check to tell a target that left before a restart

What callers saw: with a leave that the process before a restart had acknowledged, a heartbeat that was sent before it put the target into use at the new process.

Cause: what a node acknowledges lives in its process only, and the result of the health check before the first request was ignored.

Change: for 10 s after the start of the process, a target whose check says 503 gets no requests until a check passes or a heartbeat comes that is too late to have been sent before the start. A check that is refused for want of a slot tells nothing. Later a failed check has no effect, as before.

Ruled out: writing leaves to the store. Each acknowledgement would wait for the store, and fail with it.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -36,6 +36,9 @@
     pub pace: PaceSettings,
     /// Settings of the concurrency limit.
     pub limit: LimitSettings,
+    /// Instant until which an announcement may have been sent before a leave that an earlier process
+    /// of this node acknowledged. Until then, a target whose health check fails gets no requests.
+    pub announcements_settle_at: Instant,
 }
 
 impl Default for GuardSettings {
@@ -46,6 +49,7 @@
             max_deadline_skew_us: 1_100_000,
             pace: PaceSettings::default(),
             limit: LimitSettings::default(),
+            announcements_settle_at: Instant::default(),
         }
     }
 }
@@ -59,6 +63,9 @@
     pub(super) newest_announcement: NewestAnnouncement,
     /// Incremented whenever the announcement ends or the target is replaced.
     pub(super) target_generation: u64,
+    /// Whether the target in `target` may have left before this process started, as its health check
+    /// failed before [`GuardSettings::announcements_settle_at`].
+    pub(super) may_have_left: bool,
     /// Set by the configuration or before a planned stop.
     pub(super) draining: bool,
     /// Instant at which the node stops and cuts the requests still in progress; `None` unless
@@ -91,6 +98,7 @@
             target: None,
             newest_announcement: NewestAnnouncement::default(),
             target_generation: 0,
+            may_have_left: false,
             draining: false,
             stop_deadline: None,
             limit: ConcurrencyLimit::new(cfg.limit, 0),
@@ -126,6 +134,9 @@
         if effect == AnnouncementEffect::Replaced {
             self.withdraw_target(now);
         }
+        // A target that has left sends no announcements, so those that are still on the way end.
+        self.may_have_left &=
+            effect == AnnouncementEffect::Renewed && now < self.cfg.announcements_settle_at;
         if effect == AnnouncementEffect::Renewed {
             self.limit.set_announced_capacity(target.capacity());
         } else {
@@ -169,12 +180,34 @@
         }
     }
 
+    /// Records whether a health check of the target has passed. `generation` is the value of
+    /// [`Guard::target_generation`] when it was sent. Returns whether this changes
+    /// [`Guard::is_draining`].
+    ///
+    /// After a restart this tells a target that has left from one that is ready. Later, a failed
+    /// check has no effect, because a target can serve requests while its health check fails.
+    pub fn record_health(&mut self, now: Instant, generation: u64, has_passed: bool) -> bool {
+        if generation != self.target_generation {
+            return false;
+        }
+        let was_draining = self.is_draining();
+        let is_early = now < self.cfg.announcements_settle_at;
+        self.may_have_left = !has_passed && (self.may_have_left || is_early);
+        self.is_draining() != was_draining
+    }
+
+    /// Returns whether the target gets no requests because of a failed health check.
+    pub fn may_have_left(&self) -> bool {
+        self.may_have_left
+    }
+
     /// Ends the announcement and refuses the queued requests.
     pub fn withdraw_target(&mut self, now: Instant) {
         if self.target.take().is_none() {
             return;
         }
         self.target_generation += 1;
+        self.may_have_left = false;
         while let Some(key) = self.queue.pop_any() {
             self.refuse_queued(key, RefuseReason::NoTarget);
         }
@@ -202,9 +235,10 @@
     }
 
     /// Returns whether new requests are refused because the guard is draining or the target is
-    /// leaving.
+    /// leaving, or may have left.
     pub fn is_draining(&self) -> bool {
-        self.draining || self.target.as_ref().is_some_and(|target| target.leaving)
+        let is_leaving = self.target.as_ref().is_some_and(|target| target.leaving);
+        self.draining || is_leaving || self.may_have_left
     }
 
     /// Admits, queues or refuses a new request.
@@ -416,7 +450,8 @@
     /// Returns whether the pace of the target's host should be measured now, before the next
     /// request starts, and records that a measurement was started.
     pub fn start_pace_measurement(&mut self, now: Instant) -> bool {
-        self.pace.start_measurement(now, &self.cfg.pace)
+        self.pace
+            .start_measurement(now, &self.cfg.pace, self.may_have_left)
     }
 
     /// Returns whether requests are queued only because the target's host is slow.
--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/pace.rs
@@ -124,19 +124,27 @@
     }
 
     /// Returns whether the pace should be measured before the next request starts, and
-    /// records that a measurement was started. A target that reports no pace is measured once.
-    pub(super) fn start_measurement(&mut self, now: Instant, cfg: &PaceSettings) -> bool {
+    /// records that a measurement was started. A target that reports no pace is measured once, or
+    /// again and again while `may_have_left` is true, because its health check also tells whether it
+    /// has left.
+    pub(super) fn start_measurement(
+        &mut self,
+        now: Instant,
+        cfg: &PaceSettings,
+        may_have_left: bool,
+    ) -> bool {
         let Some(min_interval_us) = cfg.min_interval_us else {
             return false;
         };
+        let is_too_soon = self
+            .last_measured
+            .is_some_and(|last_measured| now.micros_since(last_measured) < min_interval_us);
         let is_due = match (self.last_measured, self.last_report) {
+            _ if is_too_soon => false,
+            _ if may_have_left => true,
             (None, None) => true,
             (Some(_), None) => false,
-            (last_measured, Some((at, _))) => {
-                let is_too_soon = last_measured
-                    .is_some_and(|last_measured| now.micros_since(last_measured) < min_interval_us);
-                !is_too_soon && now.micros_since(at) >= cfg.remeasure_after_us
-            }
+            (_, Some((at, _))) => now.micros_since(at) >= cfg.remeasure_after_us,
         };
         if !is_due {
             return false;
--- a/crates/core/tests/admission_leave.rs
+++ b/crates/core/tests/admission_leave.rs
@@ -106,3 +106,50 @@
     let effect = announce(&mut guard, 100, 1, 1);
     expect_that!(effect, eq(AnnouncementEffect::Late));
 }
+
+/// Returns a guard with a target that may have left before the guard started, 10 s ago at most.
+fn guard_with_failed_health_check() -> Guard {
+    let mut guard = Guard::new(GuardSettings {
+        announcements_settle_at: Instant::from_millis(10_000),
+        ..GuardSettings::default()
+    });
+    announce(&mut guard, 100, 1, 7);
+    let generation = guard.target_generation();
+    expect_true!(guard.record_health(Instant::from_millis(110), generation, false));
+    expect_true!(guard.is_draining());
+    guard
+}
+
+/// Guards against a target that left before a restart and is used again because of a late heartbeat,
+/// and against one that fails its health check for another reason and is never used again.
+#[gtest]
+fn target_that_may_have_left_is_not_used_until_it_is_known_to_be_there() {
+    let mut guard = guard_with_failed_health_check();
+    announce(&mut guard, 3_000, 1, 8);
+    expect_true!(guard.is_draining(), "another late heartbeat");
+    let generation = guard.target_generation();
+    expect_true!(guard.record_health(Instant::from_millis(3_010), generation, true));
+    expect_false!(guard.is_draining(), "the health check passes");
+
+    let mut guard = guard_with_failed_health_check();
+    announce(&mut guard, 9_000, 1, 8);
+    guard.record_health(Instant::from_millis(11_000), generation, false);
+    expect_true!(guard.is_draining(), "it is still not known");
+    announce(&mut guard, 11_100, 1, 9);
+    expect_false!(guard.is_draining(), "no heartbeat is that late");
+
+    let mut guard = guard_with_failed_health_check();
+    announce(&mut guard, 200, 5_000, 1);
+    expect_false!(guard.is_draining(), "another instance");
+}
+
+/// Guards against a health check that takes a target out of use at any time: a target can serve
+/// requests while it fails.
+#[gtest]
+fn failed_health_check_has_no_effect_later() {
+    let mut guard = Guard::new(GuardSettings::default());
+    announce(&mut guard, 100, 1, 7);
+    let generation = guard.target_generation();
+    expect_false!(guard.record_health(Instant::from_millis(110), generation, false));
+    expect_false!(guard.is_draining());
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -10,6 +10,7 @@
     admin, clock,
     external::{ControlCall, ControlProtocol, TargetHeartbeat},
     node::Node,
+    pace,
 };
 
 /// Number of announcement intervals without a heartbeat after which a target is treated as gone.
@@ -89,6 +90,11 @@
             "effect" => ?effect);
     }
     admin::on_target_changed(node);
+    if node.guard.borrow().may_have_left() {
+        // It gets no requests, before which its health would be checked again.
+        let node = Rc::clone(node);
+        actix_rt::spawn(async move { pace::refresh_pace(&node).await });
+    }
     StatusCode::OK
 }
 
--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -7,7 +7,7 @@
 mod slot;
 mod target_headers;
 
-pub(crate) use self::{link::ExchangeLinks, target_headers::record_health_headers};
+pub(crate) use self::{link::ExchangeLinks, target_headers::record_health};
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -28,8 +28,8 @@
 };
 use crate::{headers, node::Node};
 
-/// Status with which a target sheds load.
-const SERVICE_UNAVAILABLE: u16 = 503;
+/// Status with which a target sheds load, and of a health check that fails.
+pub(super) const SERVICE_UNAVAILABLE: u16 = 503;
 
 /// Status with which a target refuses a request that is meant for another target.
 const MISDIRECTED_REQUEST: u16 = 421;
--- a/crates/node/src/guard/target_headers.rs
+++ b/crates/node/src/guard/target_headers.rs
@@ -6,6 +6,7 @@
 use plantainpost_http1::{self as http1, ResponseHead};
 use slog::info;
 
+use super::relay::SERVICE_UNAVAILABLE;
 use crate::{admin, node::Node};
 
 /// Change of a rate limit, as a share of the old one, from which on it is logged. A limit may differ
@@ -21,9 +22,28 @@
     record_rate_limit(node, head, generation);
 }
 
-/// Like [`record_target_headers`], for the response to a health check, which need not state a rate
-/// limit.
-pub(crate) fn record_health_headers(node: &Rc<Node>, head: &ResponseHead, generation: u64) {
+/// Records the response to a health check, which need not state a rate limit.
+pub(crate) fn record_health(node: &Rc<Node>, head: &ResponseHead, generation: u64) {
+    record_health_headers(node, head, generation);
+    // A target that is full refuses health checks like other requests.
+    let names = &node.settings.headers;
+    let is_refused = names
+        .not_run
+        .is_some_and(|name| http1::header_value(&head.headers, name).is_some());
+    let has_passed = is_refused || head.status != SERVICE_UNAVAILABLE;
+    let now = node.now();
+    if node
+        .guard
+        .borrow_mut()
+        .record_health(now, generation, has_passed)
+    {
+        info!(node.logger, "health check of the target"; "status" => head.status,
+            "may_have_left" => !has_passed);
+        admin::on_target_changed(node);
+    }
+}
+
+fn record_health_headers(node: &Rc<Node>, head: &ResponseHead, generation: u64) {
     record_load(node, head);
     let leaving = node.settings.headers.leaving;
     let is_leaving =
--- a/crates/node/src/pace.rs
+++ b/crates/node/src/pace.rs
@@ -66,7 +66,7 @@
     match head.flatten() {
         Some(head) => {
             node.metrics.count("pace.measured");
-            guard::record_health_headers(node, &head, generation);
+            guard::record_health(node, &head, generation);
             let percent = node.guard.borrow().load_sample(node.now()).pace_percent;
             debug!(node.logger, "pace measured"; "pace" => percent);
         }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -48,6 +48,10 @@
 /// them.
 const RECONNECT_INTERVAL_MS: u64 = 1_000;
 
+/// Time after the start of the process for which an announcement of a target may have been on its way
+/// since before the start, in milliseconds. Announcements can be seconds late.
+const MAX_ANNOUNCEMENT_DELAY_MS: u64 = 10_000;
+
 /// Error at the start of a node.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -272,6 +276,7 @@
     let guard_settings = GuardSettings {
         queue_factor: settings.limits.queue_factor,
         pace: PaceSettings::with_max_rate(settings.max_health_checks_per_second),
+        announcements_settle_at: clock.now().saturating_add_millis(MAX_ANNOUNCEMENT_DELAY_MS),
         ..Default::default()
     };
     let metrics = Metrics::new(settings.statsd).context(SetupSnafu { what: "metrics" })?;
