core: end the start of queued requests at a target that leaves

Cause: a leave ended new offers, but the queue was worked off until the deadline of each request, and a request could be sent once more on a new connection. Ruled out: other nodes, which pass the guard as well.

Change: nothing starts later than target_drain less 100 ms after the first message that says that the target leaves. Queued requests whose turn comes later by prediction are refused at the leave, the others at its end, so that their entries can send them elsewhere.

--- a/crates/cli/keys.rs
+++ b/crates/cli/keys.rs
@@ -132,6 +132,8 @@
 
     key("platform", "announce_every", SettingKind::Duration(100, 60_000), Presence::Default("1500 ms"),
         "Interval between two announcements of the target."),
+    key("platform", "target_drain", SettingKind::Duration(100, 60_000), Presence::Default("2 s"),
+        "Time after a target has said that it leaves within which requests may still reach it."),
     key("platform", "probes", SettingKind::RoundedCount(0, 1_000), Presence::Default("60"),
         "Maximum number of health checks per second that are sent to the target to measure the speed of its host."),
     key("platform", "grace", SettingKind::Duration(1_000, 600_000), Presence::Optional("6 s"),
--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -91,6 +91,7 @@
         },
         allow_close_delimited_responses: is_on_platform,
         announce_interval_ms: as_millis(settings.platform.announce_every),
+        target_drain_ms: as_millis(settings.platform.target_drain),
         max_health_checks_per_second: settings.platform.probes_per_second,
         transfer_cost_us_per_kib: as_millis(settings.transfer_cost) * 1_000,
         retry_budgets: retry_budget_settings(settings),
--- a/crates/cli/settings.rs
+++ b/crates/cli/settings.rs
@@ -150,6 +150,8 @@
     pub(crate) announce_every: Duration,
     /// Time after which the platform kills a stopping node. Replaces `stop_timeout` if it is set.
     pub(crate) grace: Option<Duration>,
+    /// Time after a target has said that it leaves within which requests may reach it.
+    pub(crate) target_drain: Duration,
     /// Maximum number of health checks of the target per second.
     pub(crate) probes_per_second: u64,
 }
@@ -285,6 +287,7 @@
             limits: self.limits(),
             platform: PlatformSection {
                 announce_every: self.duration("platform", "announce_every"),
+                target_drain: self.duration("platform", "target_drain"),
                 probes_per_second: self.count("platform", "probes"),
                 grace: match self.values.get("platform", "grace") {
                     Some(SettingValue::Duration(grace)) => Some(*grace),
--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -36,6 +36,9 @@
     pub pace: PaceSettings,
     /// Settings of the concurrency limit.
     pub limit: LimitSettings,
+    /// Time after a target has said that it leaves during which queued requests still start there, in
+    /// microseconds.
+    pub start_after_leave_us: u64,
     /// Instant until which an announcement may have been sent before a leave that an earlier process
     /// of this node acknowledged. Until then, a target whose health check fails gets no requests.
     pub announcements_settle_at: Instant,
@@ -49,6 +52,7 @@
             max_deadline_skew_us: 1_100_000,
             pace: PaceSettings::default(),
             limit: LimitSettings::default(),
+            start_after_leave_us: 1_900_000,
             announcements_settle_at: Instant::default(),
         }
     }
@@ -63,6 +67,9 @@
     pub(super) newest_announcement: NewestAnnouncement,
     /// Incremented whenever the announcement ends or the target is replaced.
     pub(super) target_generation: u64,
+    /// Instant from which on no request starts, because the target in `target` is leaving; `None`
+    /// unless it is.
+    pub(super) starts_end_at: Option<Instant>,
     /// Whether the target in `target` may have left before this process started, as its health check
     /// failed before [`GuardSettings::announcements_settle_at`].
     pub(super) may_have_left: bool,
@@ -98,6 +105,7 @@
             target: None,
             newest_announcement: NewestAnnouncement::default(),
             target_generation: 0,
+            starts_end_at: None,
             may_have_left: false,
             draining: false,
             stop_deadline: None,
@@ -145,6 +153,7 @@
             self.rate_limit = RateLimit::default();
         }
         self.target = Some(target);
+        self.update_end_of_starts(now);
         self.schedule_wakeups(now);
         effect
     }
@@ -157,6 +166,7 @@
         match &mut self.target {
             Some(target) if *target.id == *leave.id => {
                 target.leaving = true;
+                self.update_end_of_starts(now);
                 true
             }
             _ => is_newest,
@@ -166,7 +176,7 @@
     /// Records that an answer of the target says that it is leaving, like
     /// [`Guard::mark_leaving`]. `generation` is the value of [`Guard::target_generation`] when the
     /// request was sent. Returns whether this was not known.
-    pub fn mark_leaving_by_answer(&mut self, generation: u64) -> bool {
+    pub fn mark_leaving_by_answer(&mut self, now: Instant, generation: u64) -> bool {
         if generation != self.target_generation {
             return false;
         }
@@ -174,6 +184,7 @@
             Some(target) if !target.leaving => {
                 target.leaving = true;
                 self.newest_announcement.mark_leaving(&target.id);
+                self.update_end_of_starts(now);
                 true
             }
             _ => false,
@@ -208,6 +219,7 @@
         }
         self.target_generation += 1;
         self.may_have_left = false;
+        self.starts_end_at = None;
         while let Some(key) = self.queue.pop_any() {
             self.refuse_queued(key, RefuseReason::NoTarget);
         }
@@ -401,6 +413,7 @@
             target_expiry,
             delayed_start,
             self.queue.first_deadline(),
+            self.starts_end_at.filter(|_| self.queue.len() > 0),
             self.records.next_removal(),
         ]
         .into_iter()
@@ -435,7 +448,7 @@
     /// Returns whether the rate limit lets a request that was dispatched be sent once more, and
     /// counts it against the limit.
     pub fn try_resend(&mut self, now: Instant) -> bool {
-        let is_allowed = self.rate_limit.next_start() <= now;
+        let is_allowed = self.rate_limit.next_start() <= now && !self.have_starts_ended(now);
         if is_allowed {
             self.rate_limit.record_start(now);
         }
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -157,15 +157,10 @@
         interval_us: u64,
         service_times: &ClassServiceTimes,
     ) -> Vec<Ticket> {
-        let mut in_order: Vec<(Ticket, &QueuedRequest)> = self
-            .by_ticket
-            .iter()
-            .map(|(ticket, queued)| (*ticket, queued))
-            .collect();
-        in_order.sort_by_key(|(ticket, queued)| queued.start_order(now, *ticket, service_times));
         let mut start = first_start;
         let mut unservable = Vec::new();
-        for (ticket, queued) in in_order {
+        for ticket in self.tickets_in_start_order(now, service_times) {
+            let queued = &self.by_ticket[&ticket];
             let low_estimate_us = service_times.low_estimate_us(queued.urgency.class);
             if start.saturating_add_micros(low_estimate_us) >= queued.deadline {
                 unservable.push(ticket);
@@ -176,6 +171,21 @@
         unservable
     }
 
+    /// Returns the tickets of all requests, the one that starts next first.
+    pub(super) fn tickets_in_start_order(
+        &self,
+        now: Instant,
+        service_times: &ClassServiceTimes,
+    ) -> Vec<Ticket> {
+        let mut in_order: Vec<_> = self
+            .by_ticket
+            .iter()
+            .map(|(ticket, queued)| (queued.start_order(now, *ticket, service_times), *ticket))
+            .collect();
+        in_order.sort();
+        in_order.into_iter().map(|(_, ticket)| ticket).collect()
+    }
+
     /// Returns the number of requests that can no longer meet their latency target.
     pub(super) fn late_count(&self, now: Instant, service_times: &ClassServiceTimes) -> usize {
         let queued = self.by_ticket.iter();
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -188,7 +188,9 @@
             Some(RefuseReason::Deadline)
         } else if self.target(now).is_none() || record.generation != self.target_generation {
             Some(RefuseReason::NoTarget)
-        } else if self.would_outlast(now, record.class, self.earliest_stop(record.answer_by)) {
+        } else if self.have_starts_ended(now)
+            || self.would_outlast(now, record.class, self.earliest_stop(record.answer_by))
+        {
             Some(RefuseReason::Draining)
         } else {
             None
@@ -380,6 +382,7 @@
             self.refuse_queued(queued.key, RefuseReason::Deadline);
         }
         self.refuse_beyond_rate_limit(now);
+        self.refuse_beyond_leave(now);
         let mut wakeups = std::mem::take(&mut self.pending_refusals);
         while self.can_start(now) {
             let Some(ticket) = self.next_startable(now) else {
@@ -413,6 +416,38 @@
         }
     }
 
+    /// Starts, or ends, the time in which queued requests still start at a target that is leaving.
+    pub(super) fn update_end_of_starts(&mut self, now: Instant) {
+        let is_leaving = self.target.as_ref().is_some_and(|target| target.leaving);
+        let starts_end_at = now.saturating_add_micros(self.cfg.start_after_leave_us);
+        // The time begins with the first message that says so.
+        self.starts_end_at = is_leaving.then(|| self.starts_end_at.unwrap_or(starts_end_at));
+    }
+
+    /// Returns whether the target has been leaving for so long that no request starts any more.
+    pub(super) fn have_starts_ended(&self, now: Instant) -> bool {
+        self.starts_end_at.is_some_and(|at| at <= now)
+    }
+
+    /// Refuses queued requests whose turn probably comes too late at a target that is leaving, so that
+    /// their entries can send them to other targets at once.
+    fn refuse_beyond_leave(&mut self, now: Instant) {
+        let Some(starts_end_at) = self.starts_end_at else {
+            return;
+        };
+        let slots = u64::from(self.limit.effective_limit()).max(1);
+        let interval_us = self.service_times.overall_mean_us() / slots;
+        let mut start = now;
+        for ticket in self.queue.tickets_in_start_order(now, &self.service_times) {
+            // A slot that is free now takes the first request.
+            if start < starts_end_at {
+                start = start.saturating_add_micros(interval_us);
+            } else if let Some(queued) = self.queue.remove(ticket) {
+                self.refuse_queued(queued.key, RefuseReason::Draining);
+            }
+        }
+    }
+
     /// Returns the ticket of the request that starts next; `None` if the queue is empty or the
     /// start is delayed because the target's host is slow.
     fn next_startable(&self, now: Instant) -> Option<Ticket> {
--- a/crates/core/tests/admission_leave.rs
+++ b/crates/core/tests/admission_leave.rs
@@ -5,8 +5,11 @@
 use googletest::prelude::*;
 use plantainpost_core::{
     admission::{
-        Announcement, AnnouncementEffect, Guard, GuardSettings, TargetInstance, TargetLeave,
+        Admission, Announcement, AnnouncementEffect, DispatchDecision, ExchangeOutcome, Guard,
+        GuardSettings, Offer, RefuseReason, RequestKey, TargetInstance, TargetLeave, Urgency,
+        Wakeup,
     },
+    ids::RequestId,
     time::Instant,
 };
 
@@ -153,3 +156,95 @@
     expect_false!(guard.record_health(Instant::from_millis(110), generation, false));
     expect_false!(guard.is_draining());
 }
+
+fn key(id: u128) -> RequestKey {
+    RequestKey {
+        id: RequestId(id),
+        attempt: 0,
+    }
+}
+
+fn offer(guard: &mut Guard, now_ms: u64, id: u128) -> Admission {
+    let offer = Offer {
+        key: key(id),
+        service: "stock",
+        deadline: Instant::from_millis(20_000),
+        has_alternative: false,
+        answer_by: None,
+        urgency: Urgency::default(),
+    };
+    guard.offer(Instant::from_millis(now_ms), &offer)
+}
+
+/// Returns a guard with one slot, in which request 1 runs, and with requests 2 and 3 in its queue. The
+/// target has said at 1 s that it leaves. Its requests take 10 ms as far as the guard knows.
+fn guard_with_queue_and_leaving_target(start_after_leave_us: u64) -> Guard {
+    let mut guard = Guard::new(GuardSettings {
+        start_after_leave_us,
+        ..GuardSettings::default()
+    });
+    announce(&mut guard, 0, 1, 1);
+    for id in 10..40 {
+        let now = Instant::from_millis(id as u64 * 10);
+        expect_that!(offer(&mut guard, id as u64 * 10, id), eq(Admission::Start));
+        guard.dispatch(now, key(id));
+        let outcome = ExchangeOutcome::Completed {
+            server_error: false,
+        };
+        guard.finish(now.saturating_add_millis(10), key(id), outcome, 10_000);
+    }
+    expect_that!(offer(&mut guard, 900, 1), eq(Admission::Start));
+    guard.dispatch(Instant::from_millis(900), key(1));
+    for id in [2, 3] {
+        expect_that!(offer(&mut guard, 900, id), eq(Admission::Queued));
+    }
+    guard.mark_leaving(Instant::from_millis(1_000), &LEAVE);
+    guard
+}
+
+fn finish_first(guard: &mut Guard, now_ms: u64) -> Vec<Wakeup> {
+    let outcome = ExchangeOutcome::Completed {
+        server_error: false,
+    };
+    guard.finish(Instant::from_millis(now_ms), key(1), outcome, 10_000)
+}
+
+/// Guards against a request that was queued before its target said that it leaves, and that starts
+/// there when the target may be about to exit.
+#[gtest]
+fn queued_requests_start_for_a_limited_time_after_a_leave() {
+    let refused = |id| Wakeup {
+        key: key(id),
+        admission: Admission::Refused(RefuseReason::Draining),
+    };
+    let mut guard = guard_with_queue_and_leaving_target(2_000_000);
+    let wakeups = finish_first(&mut guard, 2_900);
+    let started = Wakeup {
+        key: key(2),
+        admission: Admission::Start,
+    };
+    expect_that!(wakeups, elements_are![eq(&started)]);
+    let late = guard.dispatch(Instant::from_millis(3_001), key(2));
+    let draining = DispatchDecision::Refused(RefuseReason::Draining);
+    expect_that!(late, eq(draining), "its connection was opened too late");
+
+    let mut guard = guard_with_queue_and_leaving_target(2_000_000);
+    // A further heartbeat that says so does not extend the time.
+    guard.mark_leaving(Instant::from_millis(2_500), &LEAVE);
+    expect_that!(guard.next_expiry(), some(le(Instant::from_millis(3_000))));
+    let wakeups = guard.expire(Instant::from_millis(3_000));
+    expect_that!(wakeups, elements_are![eq(&refused(2)), eq(&refused(3))]);
+    expect_that!(finish_first(&mut guard, 3_100), is_empty());
+    expect_false!(guard.try_resend(Instant::from_millis(3_100)));
+}
+
+/// Guards against a queued request that waits in vain for a target which leaves before its turn.
+#[gtest]
+fn queued_requests_whose_turn_comes_too_late_are_refused_at_the_leave() {
+    for (start_after_leave_us, refused) in [(2_000_000, vec![]), (5_000, vec![key(3)])] {
+        let mut guard = guard_with_queue_and_leaving_target(start_after_leave_us);
+        let wakeups = guard.expire(Instant::from_millis(1_000));
+        let keys: Vec<_> = wakeups.iter().map(|wakeup| wakeup.key).collect();
+        expect_that!(keys, eq(&refused), "{start_after_leave_us}");
+    }
+}
--- a/crates/node/src/guard/target_headers.rs
+++ b/crates/node/src/guard/target_headers.rs
@@ -48,7 +48,13 @@
     let leaving = node.settings.headers.leaving;
     let is_leaving =
         leaving.is_some_and(|name| http1::header_text(&head.headers, name) == Some("1"));
-    if is_leaving && node.guard.borrow_mut().mark_leaving_by_answer(generation) {
+    let now = node.now();
+    if is_leaving
+        && node
+            .guard
+            .borrow_mut()
+            .mark_leaving_by_answer(now, generation)
+    {
         info!(node.logger, "target leaves"; "source" => "answer");
         admin::on_target_changed(node);
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -105,6 +105,9 @@
     pub allow_close_delimited_responses: bool,
     /// Interval between heartbeats of a target on the platform, in milliseconds.
     pub announce_interval_ms: u64,
+    /// Time after a target has said that it leaves within which requests may reach it, in
+    /// milliseconds.
+    pub target_drain_ms: u64,
     /// Largest number of health checks sent to the target per second.
     pub max_health_checks_per_second: u64,
     /// Cost of sending one KiB to another data centre, expressed as latency, in microseconds.
@@ -156,6 +159,7 @@
             headers: HeaderNames::default(),
             allow_close_delimited_responses: false,
             announce_interval_ms: 1_500,
+            target_drain_ms: 2_000,
             max_health_checks_per_second: 60,
             transfer_cost_us_per_kib: 0,
             retry_budgets: RetryBudgetSettings::default(),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -52,6 +52,9 @@
 /// since before the start, in milliseconds. Announcements can be seconds late.
 const MAX_ANNOUNCEMENT_DELAY_MS: u64 = 10_000;
 
+/// Time that a request may take from its start to its arrival at the target, in milliseconds.
+const START_MARGIN_MS: u64 = 100;
+
 /// Error at the start of a node.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -276,6 +279,7 @@
     let guard_settings = GuardSettings {
         queue_factor: settings.limits.queue_factor,
         pace: PaceSettings::with_max_rate(settings.max_health_checks_per_second),
+        start_after_leave_us: settings.target_drain_ms.saturating_sub(START_MARGIN_MS) * 1_000,
         announcements_settle_at: clock.now().saturating_add_millis(MAX_ANNOUNCEMENT_DELAY_MS),
         ..Default::default()
     };
