core: give a guard's second sends to its target a budget

Cause: when a target closes a used connection without an answer, the guard sends an idempotent request once more on a new one. That is meant for idle connections which are closed in this moment, but a target that lost the answer has run the request. Entries charge their retry budgets for their own attempts only. Ruled out: hedges and retries of entries, which are charged.

Change: a guard sends at most 5 % of its requests once more, and saves one. Otherwise the entry is told that the connection was closed, and may retry within its own budget.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -10,6 +10,7 @@
     queue::{Queue, QueuedRequest},
     rate_limit::RateLimit,
     records::{RecordTable, RequestState},
+    resend::{ResendBudget, ResendSettings},
     target::NewestAnnouncement,
     transitions::Placement,
     wait_correction::WaitCorrection,
@@ -36,6 +37,8 @@
     pub pace: PaceSettings,
     /// Settings of the concurrency limit.
     pub limit: LimitSettings,
+    /// Limit on requests that are sent to the target once more.
+    pub resends: ResendSettings,
     /// Time after a target has said that it leaves during which queued requests still start there, in
     /// microseconds.
     pub start_after_leave_us: u64,
@@ -52,6 +55,7 @@
             max_deadline_skew_us: 1_100_000,
             pace: PaceSettings::default(),
             limit: LimitSettings::default(),
+            resends: ResendSettings::default(),
             start_after_leave_us: 1_900_000,
             announcements_settle_at: Instant::default(),
         }
@@ -81,6 +85,7 @@
     pub(super) limit: ConcurrencyLimit,
     /// Limit that the target in `target` has stated.
     pub(super) rate_limit: RateLimit,
+    pub(super) resends: ResendBudget,
     pub(super) pace: HostPace,
     pub(super) service_times: ClassServiceTimes,
     pub(super) wait_correction: WaitCorrection,
@@ -111,6 +116,7 @@
             stop_deadline: None,
             limit: ConcurrencyLimit::new(cfg.limit, 0),
             rate_limit: RateLimit::default(),
+            resends: ResendBudget::new(cfg.resends),
             pace: HostPace::default(),
             service_times: ClassServiceTimes::default(),
             wait_correction: WaitCorrection::default(),
@@ -445,10 +451,12 @@
         true
     }
 
-    /// Returns whether the rate limit lets a request that was dispatched be sent once more, and
-    /// counts it against the limit.
+    /// Returns whether a request that was dispatched may be sent once more, and counts it against
+    /// the rate limit and the budget for such sends.
     pub fn try_resend(&mut self, now: Instant) -> bool {
-        let is_allowed = self.rate_limit.next_start() <= now && !self.have_starts_ended(now);
+        let is_allowed = self.rate_limit.next_start() <= now
+            && !self.have_starts_ended(now)
+            && self.resends.try_take();
         if is_allowed {
             self.rate_limit.record_start(now);
         }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -28,6 +28,7 @@
 mod queue;
 mod rate_limit;
 mod records;
+mod resend;
 mod service_time;
 mod target;
 mod transitions;
@@ -41,6 +42,7 @@
     leave::TargetLeave,
     limit::LimitSettings,
     pace::PaceSettings,
+    resend::ResendSettings,
     service_time::ComparisonSettings,
     target::{AnnouncedTarget, Announcement, AnnouncementEffect, TargetInstance},
     types::{
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -201,6 +201,7 @@
             return DispatchDecision::Refused(reason);
         }
         self.counters.dispatched += 1;
+        self.resends.on_dispatch();
         let started = RequestRecord {
             dispatched_while_slow: self.pace.is_slow(now, &self.cfg.pace),
             state: RequestState::Started,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -9,7 +9,7 @@
 
 use actix_rt::net::{TcpListener, UdpSocket};
 use plantainpost_core::{
-    admission::{Guard, GuardSettings, PaceSettings},
+    admission::{Guard, GuardSettings, PaceSettings, ResendSettings},
     balance::{Balancer, BalancerSettings, policy_by_name},
     config::ConfigReplica,
     ids::{Incarnation, Region},
@@ -52,6 +52,11 @@
 /// since before the start, in milliseconds. Announcements can be seconds late.
 const MAX_ANNOUNCEMENT_DELAY_MS: u64 = 10_000;
 
+/// Requests that a guard may send to its target once more, in percent of the requests that it sends
+/// there. A target closes an idle connection rarely while a request is being sent on it; more of them
+/// are a sign that it loses answers, and would add to its load.
+const RESEND_CREDIT_PERCENT: u64 = 5;
+
 /// Time that a request may take from its start to its arrival at the target, in milliseconds.
 const START_MARGIN_MS: u64 = 100;
 
@@ -279,6 +284,10 @@
     let guard_settings = GuardSettings {
         queue_factor: settings.limits.queue_factor,
         pace: PaceSettings::with_max_rate(settings.max_health_checks_per_second),
+        resends: ResendSettings {
+            credit_percent: RESEND_CREDIT_PERCENT,
+            max_saved_percent: 100,
+        },
         start_after_leave_us: settings.target_drain_ms.saturating_sub(START_MARGIN_MS) * 1_000,
         announcements_settle_at: clock.now().saturating_add_millis(MAX_ANNOUNCEMENT_DELAY_MS),
         ..Default::default()
