node: send no body in own answers to HEAD requests

Cause: the writer of responses knew that the request was a HEAD, but left out the body of answers without a stated length only. Ruled out: answers of targets, which have no body part for a HEAD.

Change: body bytes and the last chunk are not written for a HEAD; the stated length stays.

--- a/crates/node/src/entry/response_writer.rs
+++ b/crates/node/src/entry/response_writer.rs
@@ -119,13 +119,17 @@
             (ResponsePart::Data(piece), Some(length)) => {
                 self.body_bytes_written += piece.len() as u64;
                 match length {
+                    // The head states the length that the body of a `GET` would have.
+                    BodyLength::Chunked | BodyLength::Sized(_) if self.is_head_request => (),
                     BodyLength::Chunked if !self.is_http10 => push_chunk(out, &piece),
                     BodyLength::None => return Err(InvalidPart),
                     _ => out.extend_from_slice(&piece),
                 }
             }
             (ResponsePart::End, Some(length)) => match length {
-                BodyLength::Chunked if !self.is_http10 => out.extend_from_slice(b"0\r\n\r\n"),
+                BodyLength::Chunked if !self.is_http10 && !self.is_head_request => {
+                    out.extend_from_slice(b"0\r\n\r\n")
+                }
                 BodyLength::Sized(length) if length != self.body_bytes_written => {
                     return Err(InvalidPart);
                 }
--- a/tests/integration/platform.rs
+++ b/tests/integration/platform.rs
@@ -113,6 +113,27 @@
     expect_that!(target.received_heads().len(), eq(3));
 }
 
+/// Guards against a body in an answer of the node itself to a `HEAD` request: on a kept connection its
+/// bytes would be taken for the beginning of the next answer.
+#[gtest]
+fn own_answers_to_head_requests_have_no_body() {
+    let target = ScriptedTarget::start(|head| {
+        ScriptedReply::Keep(match head.starts_with("head /safe/refused") {
+            true => answer(head, "503 Shed\r\nPlantainpost-Not-Run: 1", ""),
+            false => answer(head, "200 OK", "stock"),
+        })
+    });
+    let platform = PlatformFleet::start_with_target(&target);
+    for (path, status) in [("/none/1", "404"), ("/safe/refused", "503")] {
+        let first = request_head("HEAD", path, "h1", "");
+        let second = request_head("GET", "/safe/1", "h2", "Connection: close\r\n");
+        let text = exchange(platform.hosts[0].callers, &[first, second].concat());
+        expect_that!(text, starts_with(format!("HTTP/1.1 {status}")), "{path}");
+        expect_that!(body(&text), starts_with("HTTP/1.1 200"), "{path}: {text}");
+        expect_that!(text, ends_with("\r\n\r\nstock"), "{path}");
+    }
+}
+
 /// Guards against answers to pipelined requests that come out of order, and against
 /// pipelined requests that run one after the other.
 #[gtest]
