--- a/tests/integration/endless_answers.rs
+++ b/tests/integration/endless_answers.rs
@@ -56,6 +56,21 @@
     (first.into_bytes(), repeated.repeat(2_000).leak().as_bytes())
 }
 
+/// Starts a target that answers `POST` requests below `prefix` without end, and others properly.
+fn start_target(prefix: &'static str) -> ScriptedTarget {
+    ScriptedTarget::start(move |head| {
+        let rest = head.strip_prefix("post ");
+        let path = rest.and_then(|rest| rest.strip_prefix(prefix));
+        match path.and_then(|path| path.split(' ').next()) {
+            Some(path) => {
+                let (first, repeated) = endless_bytes(path);
+                ScriptedReply::Endless(first, repeated)
+            }
+            None => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
+        }
+    })
+}
+
 /// Guards against a node that keeps what a faulty target sends without end, in a head or in a body,
 /// until it runs out of memory, and against one that has no time for other callers meanwhile: beside
 /// the target, and at an entry on another host. The callers of the endless answers read nothing.
@@ -72,16 +87,7 @@
         "extensions",
         "body",
     ];
-    let target = ScriptedTarget::start(move |head| {
-        let path = head.strip_prefix("post /flood/");
-        match path.and_then(|rest| rest.split(' ').next()) {
-            Some(path) => {
-                let (first, repeated) = endless_bytes(path);
-                ScriptedReply::Endless(first, repeated)
-            }
-            None => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
-        }
-    });
+    let target = start_target("/flood/");
     for row in rows {
         // Memory that was used once may stay with the process, so each row has its own.
         let platform = PlatformFleet::start(2);
@@ -150,16 +156,7 @@
         "other-body",
         "trailer",
     ];
-    let target = ScriptedTarget::start(move |head| {
-        let path = head.strip_prefix("post /once/");
-        match path.and_then(|rest| rest.split(' ').next()) {
-            Some(path) => {
-                let (first, repeated) = endless_bytes(path);
-                ScriptedReply::Endless(first, repeated)
-            }
-            None => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
-        }
-    });
+    let target = start_target("/once/");
     let platform = PlatformFleet::start_with_target(&target);
     for row in rows {
         let asked = Instant::now();
