Configuration: workspaces, regions and warm-up rates

Cause: the users' configuration names tenants with keys and quotas, routes with allowed regions, and the requests that a cold target can start. None of it was decoded.

A key of two workspaces, an empty key or a negative rate refuses the whole configuration, and no error message shows a key (a derived decoder did, which the new test found). Nothing uses the fields yet.

Tests: workspace.rs in core, two tests in platform/tests/store.rs.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod retry;
 pub mod routing;
 pub mod time;
+pub mod workspace;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -8,7 +8,10 @@
 use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 
-use crate::ids::ServiceName;
+use crate::{
+    ids::{Region, ServiceName},
+    workspace::WorkspaceTable,
+};
 
 /// Factor from weights in the operator's configuration to integer weights, which keeps three
 /// decimal places.
@@ -53,6 +56,19 @@
     pub attempts: u32,
     /// Priority level; 0 is the most urgent.
     pub priority: u32,
+    /// Whether requests need no key of a workspace.
+    pub public: bool,
+    /// Regions whose targets may get requests of the route; empty for all.
+    pub allowed_regions: Vec<Region>,
+}
+
+/// What the targets of a service can do while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// Time for which a target is cold after its start, in milliseconds.
+    pub duration_ms: u64,
+    /// Requests that a cold target can start in 1,000 seconds.
+    pub per_1000_s: u64,
 }
 
 /// Health check path and connection limit of a service's targets.
@@ -64,6 +80,8 @@
     pub health_path: Rc<str>,
     /// Maximum number of connections to one target, from all callers together.
     pub max_connections: u32,
+    /// Limit on cold targets; `None` if targets are never cold.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// Limits on requests and connections of callers.
@@ -89,6 +107,8 @@
     /// Sorted by name.
     services: Vec<ServiceRule>,
     limits: CallerLimits,
+    /// `None` if requests need no key.
+    workspaces: Option<WorkspaceTable>,
 }
 
 impl RouteTable {
@@ -109,9 +129,23 @@
             routes: routes.into_iter().map(Rc::new).collect(),
             services,
             limits,
+            workspaces: None,
         }
     }
 
+    /// Returns the table with workspaces. Requests on routes that are not public need a key then.
+    pub fn with_workspaces(self, workspaces: WorkspaceTable) -> Self {
+        RouteTable {
+            workspaces: Some(workspaces),
+            ..self
+        }
+    }
+
+    /// Returns the workspaces; `None` if requests need no key.
+    pub fn workspaces(&self) -> Option<&WorkspaceTable> {
+        self.workspaces.as_ref()
+    }
+
     /// Returns the version number that the operator gave the table.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -24,6 +24,8 @@
         latency_target_ms: 500,
         attempts: 2,
         priority: 0,
+        public: false,
+        allowed_regions: Vec::new(),
     }
 }
 
