--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -44,6 +44,8 @@
     pub class: u32,
     /// Priority; 0 is the highest.
     pub priority: u32,
+    /// Workspace that the request belongs to, as a hash of its name; 0 for none.
+    pub workspace: u32,
     /// Instant at which the latency target is missed; `None` without a latency target.
     pub due: Option<Instant>,
 }
@@ -90,11 +92,20 @@
     /// The rate limit that the target states leaves no room before the deadline or the latency
     /// target.
     RateLimited,
+    /// The operators have evacuated the data centre of the target.
+    Evacuated,
+    /// The key of the request was withdrawn after the entry had checked it.
+    KeyWithdrawn,
+    /// The request waited, and more valuable requests need its place in the queue.
+    Displaced,
+    /// The target is cold, and its warm-up rate leaves no room before the deadline or the latency
+    /// target.
+    Cold,
 }
 
 impl RefuseReason {
     /// All reasons, in the order of declaration.
-    pub const ALL: [RefuseReason; 11] = [
+    pub const ALL: [RefuseReason; 15] = [
         RefuseReason::Overloaded,
         RefuseReason::Deadline,
         RefuseReason::Draining,
@@ -106,6 +117,10 @@
         RefuseReason::TargetRefused,
         RefuseReason::Slow,
         RefuseReason::RateLimited,
+        RefuseReason::Evacuated,
+        RefuseReason::KeyWithdrawn,
+        RefuseReason::Displaced,
+        RefuseReason::Cold,
     ];
 
     /// Returns whether the refusal guarantees that the request was not run and never
@@ -128,6 +143,10 @@
             RefuseReason::TargetRefused => "target-refused",
             RefuseReason::Slow => "slow",
             RefuseReason::RateLimited => "rate-limited",
+            RefuseReason::Evacuated => "evacuated",
+            RefuseReason::KeyWithdrawn => "key-withdrawn",
+            RefuseReason::Displaced => "displaced",
+            RefuseReason::Cold => "cold",
         }
     }
 }
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    hash::fnv1a,
     ids::{Region, ServiceName},
     workspace::WorkspaceTable,
 };
@@ -207,9 +208,7 @@
     ///
     /// Guards keep service times per class. A collision of two routes is harmless.
     pub fn request_class(&self) -> u32 {
-        // FNV-1a returns the same class on every node.
-        let fold = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(16_777_619);
-        self.name.bytes().fold(2_166_136_261, fold)
+        fnv1a(self.name.as_bytes())
     }
 
     /// Returns whether a request may run more than once.
--- a/crates/core/src/workspace/mod.rs
+++ b/crates/core/src/workspace/mod.rs
@@ -9,7 +9,7 @@
 use sha2::{Digest, Sha256};
 use snafu::{Snafu, ensure};
 
-use crate::ids::Region;
+use crate::{hash::fnv1a, ids::Region};
 
 /// SHA-256 hash of an API key.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -132,3 +132,11 @@
         self.workspaces.get(workspace as usize)
     }
 }
+
+impl Workspace {
+    /// Returns a hash of the name, which is never zero. A collision of two workspaces makes them share
+    /// their part of the capacity.
+    pub fn share_id(&self) -> u32 {
+        fnv1a(self.name.as_bytes()).max(1)
+    }
+}
--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -153,6 +153,7 @@
         Urgency {
             class: route.request_class(),
             priority: route.priority,
+            workspace: 0,
             due: Some(
                 self.received_at
                     .saturating_add_millis(route.latency_target_ms),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -15,7 +15,7 @@
 use crate::auth::MAC_BYTES;
 
 /// Version of the peer protocol. The handshake with a peer of another version fails.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 
 /// Length of a handshake nonce in bytes.
 pub const NONCE_BYTES: usize = 16;
