--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -9,6 +9,7 @@
     retry,
     routing::Route,
     time::Instant,
+    workspace::Workspace,
 };
 use plantainpost_http1::{self as http1, Framing, RequestHead};
 use plantainpost_wire::message::{BodyLength, Header, MAX_BODY_FRAME_BYTES};
@@ -77,6 +78,8 @@
     pub(crate) timeout_ms: u64,
     /// Matched route. `None` when requests are routed by service name.
     pub(crate) route: Option<Rc<Route>>,
+    /// Workspace that the request belongs to; `None` if it needs no key.
+    pub(crate) workspace: Option<Rc<Workspace>>,
     /// Version of the configuration that the policy comes from; zero if none is known.
     pub(crate) version: u64,
 }
@@ -150,10 +153,12 @@
         let Some(route) = &self.policy.route else {
             return Urgency::default();
         };
+        let workspace = self.policy.workspace.as_deref();
+        let own_priority = workspace.and_then(|workspace| workspace.priority);
         Urgency {
             class: route.request_class(),
-            priority: route.priority,
-            workspace: 0,
+            priority: own_priority.unwrap_or(route.priority),
+            workspace: workspace.map_or(0, Workspace::share_id),
             due: Some(
                 self.received_at
                     .saturating_add_millis(route.latency_target_ms),
@@ -265,6 +270,7 @@
         max_targets_reached: retry::MAX_RETRIES + 1,
         timeout_ms: node.settings.limits.max_timeout_ms,
         route: None,
+        workspace: None,
         version: register.version().unwrap_or_default(),
     }
 }
@@ -279,6 +285,7 @@
         max_targets_reached: route.attempts,
         timeout_ms: route.timeout_ms,
         route: Some(Rc::clone(route)),
+        workspace: None,
         version: table.version(),
     })
 }
