node: give way to other tasks while a body comes in small pieces

What callers saw: while a target sent a body without end in chunks of one byte, the node beside it answered other callers late.

Cause: the guard took all pieces of the body that were there in one go, without a point at which other tasks run.

Change: it yields after each 256 pieces.

--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -41,6 +41,10 @@
 /// closed if it is longer.
 const MAX_STRAY_BODY_BYTES: usize = 1024 * 1024;
 
+/// Pieces of a body that are taken before other tasks get a turn. A target can send a body without
+/// end in pieces of one byte, each of which takes about a microsecond.
+const PIECES_PER_TURN: u32 = 256;
+
 /// Result of sending a request to the target and waiting for the head of its response.
 enum ExchangeEnd {
     Response {
@@ -439,7 +443,13 @@
     let mut bytes = 0;
     // Small pieces that arrive together are sent in one frame.
     let mut batch = BytesMut::new();
+    let mut pieces_left = PIECES_PER_TURN;
     loop {
+        if pieces_left == 0 {
+            pieces_left = PIECES_PER_TURN;
+            actix_rt::task::yield_now().await;
+        }
+        pieces_left -= 1;
         let part = match body.next().now_or_never() {
             Some(part) => part,
             None => {
