wire, http1, node: hold read buffers only while there is data

Cause: each connection that waits, for a request or for a response, reserved 16 KiB for the next read before it waited. A node has hundreds of them, and memory at its peak is dear to the users with workspaces.

Change: a reader waits until the socket is readable, then reserves; an empty buffer is freed before the wait.

--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -3,10 +3,7 @@
 use std::{io, net::SocketAddr};
 
 use bytes::{Bytes, BytesMut};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use crate::{
     Framing, Header,
@@ -183,8 +180,7 @@
                 Ok(None) => (),
                 Err(_) => return Err(ResponseError::Malformed),
             }
-            self.buf.reserve(READ_BUFFER_BYTES);
-            match self.io.read_buf(&mut self.buf).await {
+            match self.read_when_ready().await {
                 Ok(count) if count > 0 => (),
                 _ if self.buf.is_empty() => return Err(ResponseError::Closed),
                 _ => return Err(ResponseError::Malformed),
@@ -192,6 +188,22 @@
         }
     }
 
+    /// Reads what the socket has received. An empty buffer is freed while the connection waits, because
+    /// many connections wait for responses at the same time. This method is cancel safe.
+    async fn read_when_ready(&mut self) -> io::Result<usize> {
+        loop {
+            if self.buf.is_empty() {
+                self.buf = BytesMut::new();
+            }
+            self.io.readable().await?;
+            self.buf.reserve(READ_BUFFER_BYTES);
+            match self.io.try_read_buf(&mut self.buf) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => (),
+                result => return result,
+            }
+        }
+    }
+
     /// Starts reading the body that follows `head`.
     pub fn into_body(self, head: &ResponseHead) -> ResponseBody {
         ResponseBody {
@@ -214,8 +226,7 @@
                 Ok(Decoded::NeedMore) => (),
                 Err(_) => return BodyPart::Truncated,
             }
-            self.conn.buf.reserve(READ_BUFFER_BYTES);
-            match self.conn.io.read_buf(&mut self.conn.buf).await {
+            match self.conn.read_when_ready().await {
                 Ok(0) if self.decoder.ends_with_connection() => return BodyPart::End,
                 // A connection reset truncates even a body that ends with the connection.
                 Ok(0) | Err(_) => return BodyPart::Truncated,
--- a/crates/node/src/entry/conn.rs
+++ b/crates/node/src/entry/conn.rs
@@ -13,7 +13,7 @@
 use plantainpost_http1::{
     BodyDecoder, Decoded, Framing, HeadError, RequestHead, parse_request_head,
 };
-use plantainpost_wire::message::BodyLength;
+use plantainpost_wire::{frame, message::BodyLength};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -34,9 +34,6 @@
 /// Pieces of a request body that are queued for the task of the request.
 const MAX_QUEUED_BODY_PIECES: usize = 4;
 
-/// Space reserved for each read from the socket.
-const READ_RESERVE_BYTES: usize = 16 * 1024;
-
 /// Bytes of a response that are collected before they are written to the socket.
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
 
@@ -221,8 +218,7 @@
         let read = async {
             match read_wait {
                 ReadWait::SocketBytes | ReadWait::Closed => {
-                    read_buf.reserve(READ_RESERVE_BYTES);
-                    rx.read_buf(read_buf).await
+                    frame::read_when_ready(rx, read_buf).await
                 }
                 ReadWait::BodyReader | ReadWait::Responses => std::future::pending().await,
             }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -8,7 +8,7 @@
 use bytes::{Buf, BytesMut};
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     sync::mpsc,
 };
@@ -139,15 +139,36 @@
     }
 }
 
+/// Reads what the socket has received. Returns zero at the end of the connection.
+///
+/// An empty buffer is freed while the connection waits, because a node has hundreds of connections
+/// that are idle or wait for a response. This function is cancel safe.
+///
+/// # Errors
+///
+/// Returns an error if the connection fails.
+pub async fn read_when_ready(io: &OwnedReadHalf, buf: &mut BytesMut) -> io::Result<usize> {
+    loop {
+        if buf.is_empty() {
+            *buf = BytesMut::new();
+        }
+        io.readable().await?;
+        buf.reserve(READ_BUFFER_BYTES);
+        match io.try_read_buf(buf) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => (),
+            result => return result,
+        }
+    }
+}
+
 impl SocketReader {
     async fn read(&mut self) -> Result<PeerMessage, FrameError> {
         loop {
             if let Some(msg) = self.decode_buffered()? {
                 return Ok(msg);
             }
-            self.buf.reserve(READ_BUFFER_BYTES);
-            let count = self.io.read_buf(&mut self.buf).await.context(IoSnafu)?;
-            ensure!(count > 0, ClosedSnafu);
+            let count = read_when_ready(&self.io, &mut self.buf).await;
+            ensure!(count.context(IoSnafu)? > 0, ClosedSnafu);
         }
     }
 
@@ -155,9 +176,8 @@
         if !self.buf.is_empty() {
             return Ok(true);
         }
-        self.buf.reserve(READ_BUFFER_BYTES);
-        let count = self.io.read_buf(&mut self.buf).await.context(IoSnafu)?;
-        Ok(count > 0)
+        let count = read_when_ready(&self.io, &mut self.buf).await;
+        Ok(count.context(IoSnafu)? > 0)
     }
 
     fn is_stale(&self) -> bool {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod faulty_targets;
 mod fleet_fixture;
 mod http_client;
+mod idle_connections;
 mod late_configuration;
 mod network_faults;
 mod node_faults;
