config, platform: a register of evacuated data centres

Operators request the evacuation of a data centre by a record evacuate/ZONE in the store. Nodes ignored these records, and did not advance their offset past reads without routes.

The client of the store now returns the records with their offsets, from the newest records and from the stream. The state of the configuration merges them by offset, and passes them to peers also when the routes have not changed. A read without routes advances the offset only if it continues at it: otherwise a node that has found only an invalid configuration would refuse the valid one of its peers.

Tests: crates/core/tests/config/evacuations.rs, and evacuations_are_read_with_their_offsets in platform/tests/store.rs.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -10,6 +10,7 @@
 mod content;
 mod delta;
 mod describe;
+mod evacuations;
 mod fetch;
 mod gap_scan;
 mod intent;
@@ -23,6 +24,7 @@
     Content, ContentError, DEFAULT_MEASURING_PERMILLE, DEFAULT_SHARE, Leaving, MAX_CONTENT_BYTES,
     MAX_MEASURING_PERMILLE, MAX_NAME_BYTES, MAX_SHARE, ServiceRules, ShareKey, ShareKeyError,
 };
+pub use evacuations::{EvacuationChange, EvacuationState, Evacuations, MAX_EVACUATION_RECORDS};
 pub use fetch::FetchCandidates;
 pub use intent::Intent;
 pub use plan::{KnownTarget, Plan, PlanError, VerifyError};
@@ -30,4 +32,7 @@
     Batch, Confirm, LogRecord, MAX_LOG_RECORD_BYTES, MAX_SUMMARY_BYTES, Record, RecordError,
 };
 pub use replica::{Adoption, BatchOutcome, ConfigReplica, Counters};
-pub use state::{Decision, MAX_DECISIONS, MAX_VERSIONS, State, StateError, Verdict, VersionInfo};
+pub use state::{
+    Decision, MAX_DECISIONS, MAX_VERSIONS, PublishedEffect, PublishedRecords, State, StateError,
+    Verdict, VersionInfo,
+};
--- a/crates/core/src/config/replica.rs
+++ b/crates/core/src/config/replica.rs
@@ -9,11 +9,12 @@
     checkpoint::{CheckpointSettings, CheckpointTimer, LogPosition},
     content::{Content, validate_name},
     describe,
+    evacuations::Evacuations,
     gap_scan::{GapScan, ScanResult},
     intent::Intent,
     plan::{KnownTarget, NoChangeSnafu, Plan, PlanError},
     record::{Batch, Confirm, MAX_SUMMARY_BYTES, Record},
-    state::{Decision, State, VersionInfo},
+    state::{Decision, PublishedEffect, PublishedRecords, State, VersionInfo},
 };
 use crate::{config::content::ContentError, routing::RouteTable, time::Instant};
 
@@ -112,12 +113,15 @@
         self.state.routes()
     }
 
-    /// Applies routes that the operator has published in the store, and returns whether they
-    /// came into force. They need no separate confirmation.
-    ///
-    /// `read_to` is the offset after the record of the routes.
-    pub fn apply_published_routes(&mut self, read_to: u64, table: RouteTable) -> bool {
-        self.state.apply_routes(read_to, table)
+    /// Returns the evacuations of data centres that the operator has published in the store.
+    pub fn evacuations(&self) -> &Evacuations {
+        self.state.evacuations()
+    }
+
+    /// Applies records that the operator has published in the store, and returns what they
+    /// changed. They need no separate confirmation.
+    pub fn apply_published(&mut self, published: PublishedRecords) -> PublishedEffect {
+        self.state.apply_published(published)
     }
 
     /// Returns the version in force, or `None` before the first confirmation.
@@ -286,7 +290,7 @@
 
     /// Replaces the state by that of a peer or a checkpoint if that is valid and has read
     /// further.
-    pub fn adopt_state(&mut self, state: State) -> Adoption {
+    pub fn adopt_state(&mut self, mut state: State) -> Adoption {
         if state.read_to() <= self.read_to() {
             return Adoption::NotNewer;
         }
@@ -298,6 +302,7 @@
             self.counters.conflicts += 1;
             return Adoption::Conflict;
         }
+        state.merge_evacuations(self.evacuations());
         self.state = state;
         self.drop_finished_scan();
         Adoption::Adopted
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -9,6 +9,7 @@
 use super::{
     content::{Content, ContentError, json_len, validate_name},
     delta::Delta,
+    evacuations::{EvacuationChange, Evacuations, MAX_EVACUATION_RECORDS},
     record::{Confirm, MAX_SUMMARY_BYTES},
 };
 use crate::routing::RouteTable;
@@ -112,6 +113,41 @@
     /// Their version never decreases.
     #[serde(default)]
     routes: Option<Rc<RouteTable>>,
+    /// Evacuations that the operator has requested or ended. May contain records from `read_to` on.
+    #[serde(default)]
+    evacuations: Evacuations,
+}
+
+/// Records that the operator has published in the store, as one read returned them.
+#[derive(Clone, Debug)]
+pub struct PublishedRecords {
+    /// Offset of the first record that was read; `None` for a snapshot of the newest records of all
+    /// keys.
+    pub from: Option<u64>,
+    /// Offset after the last record that was read.
+    pub read_to: u64,
+    /// The newest routes; `None` if there are none among the records.
+    pub table: Option<RouteTable>,
+    /// Records about evacuations.
+    pub evacuations: Vec<EvacuationChange>,
+}
+
+/// Effect of published records.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PublishedEffect {
+    /// Whether other routes are in force than before.
+    pub routes_changed: bool,
+    /// Whether the register of evacuations has changed.
+    pub evacuations_changed: bool,
+    /// Whether the register has no room for one of the evacuations, which was ignored.
+    pub is_register_full: bool,
+}
+
+impl PublishedEffect {
+    /// Returns whether peers should learn of the records.
+    pub fn is_change(self) -> bool {
+        self.routes_changed || self.evacuations_changed
+    }
 }
 
 /// Why a state is invalid.
@@ -150,17 +186,48 @@
         self.routes.as_ref()
     }
 
-    /// Advances to `read_to` and applies published routes, and returns whether they came
-    /// into force.
+    /// Returns the evacuations of data centres.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Applies published records. Routes that are not newer than those in force are ignored.
     ///
-    /// Routes that are not newer than those in force are ignored.
-    pub(super) fn apply_routes(&mut self, read_to: u64, table: RouteTable) -> bool {
-        self.read_to = self.read_to.max(read_to);
-        if self.routes_version() >= Some(table.version()) {
-            return false;
+    /// Without valid routes, `read_to` rises only if the records continue at it. Peers may have routes
+    /// that were published before the records, and a state is replaced only by one that has read further.
+    pub(super) fn apply_published(&mut self, published: PublishedRecords) -> PublishedEffect {
+        let evacuations = &published.evacuations;
+        let evacuations_changed = match published.from {
+            None => self
+                .evacuations
+                .apply_snapshot(published.read_to, evacuations),
+            Some(_) => self.evacuations.apply_all(evacuations),
+        };
+        let is_known =
+            |change: &EvacuationChange| self.evacuations.contains(change.data_centre.as_str());
+        let is_register_full = !evacuations.iter().all(is_known);
+        let continues = published.from.is_some_and(|from| from <= self.read_to);
+        if continues || published.table.is_some() {
+            self.read_to = self.read_to.max(published.read_to);
         }
-        self.routes = Some(Rc::new(table));
-        true
+        PublishedEffect {
+            routes_changed: published.table.is_some_and(|table| self.put_routes(table)),
+            evacuations_changed,
+            is_register_full,
+        }
+    }
+
+    fn put_routes(&mut self, table: RouteTable) -> bool {
+        let is_newer = self.routes_version() < Some(table.version());
+        if is_newer {
+            self.routes = Some(Rc::new(table));
+        }
+        is_newer
+    }
+
+    /// Adds the evacuations that an earlier state knew. Returns whether the register has changed.
+    pub(super) fn merge_evacuations(&mut self, earlier: &Evacuations) -> bool {
+        self.evacuations.merge(earlier)
     }
 
     /// Returns the version of the routes in force.
@@ -203,6 +270,8 @@
     /// Returns the first check that failed.
     pub fn validate(&self) -> Result<(), StateError> {
         self.content.validate()?;
+        self.evacuations.validate_names()?;
+        ensure!(self.evacuations.len() <= MAX_EVACUATION_RECORDS, SizeSnafu);
         ensure!(self.versions.len() <= MAX_VERSIONS, SizeSnafu);
         ensure!(self.decisions.len() <= MAX_DECISIONS, SizeSnafu);
         ensure!(self.history_bytes() <= MAX_HISTORY_BYTES, SizeSnafu);
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -9,6 +9,8 @@
 mod agreement;
 #[path = "config/checkpoint.rs"]
 mod checkpoint;
+#[path = "config/evacuations.rs"]
+mod evacuations;
 #[path = "config/fetch.rs"]
 mod fetch;
 #[path = "config/harness.rs"]
--- a/crates/node/src/external.rs
+++ b/crates/node/src/external.rs
@@ -8,7 +8,7 @@
 };
 
 use futures_util::future::LocalBoxFuture;
-use plantainpost_core::routing::RouteTable;
+use plantainpost_core::{config::EvacuationChange, routing::RouteTable};
 use snafu::Snafu;
 
 use crate::{log_service::LogService, settings::NodeSettings};
@@ -51,13 +51,17 @@
     pub rejected_records: Vec<String>,
 }
 
-/// Routes that operators published in the store.
+/// Routes and evacuations that operators published in the store.
 #[derive(Clone, Debug)]
 pub struct PublishedRoutes {
+    /// Offset of the first record that was read; `None` for the newest records of all keys.
+    pub from: Option<u64>,
     /// Offset after the last record that was read.
     pub read_to: u64,
     /// The newest routes; `None` if the records that were read contain none.
     pub table: Option<RouteTable>,
+    /// Records that request or end the evacuation of a data centre, in the order of their offsets.
+    pub evacuations: Vec<EvacuationChange>,
     /// Reasons of the records that could not be decoded, one for each.
     pub rejected_records: Vec<String>,
 }
@@ -85,12 +89,13 @@
     /// Returns the contacts of all nodes.
     fn contacts(&self) -> LocalBoxFuture<'_, Result<Contacts, StoreError>>;
 
-    /// Returns the newest routes.
+    /// Returns the newest routes, and the newest record about each evacuation.
     fn newest_routes(&self) -> LocalBoxFuture<'_, Result<PublishedRoutes, StoreError>>;
 
-    /// Waits for records from offset `from` on, and returns the newest routes among them.
+    /// Waits for records from offset `from` on, and returns the newest routes and all evacuations among
+    /// them.
     ///
-    /// Returns without routes if none are published within `wait_ms` milliseconds.
+    /// Returns without either if none are published within `wait_ms` milliseconds.
     fn wait_for_routes(
         &self,
         from: u64,
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use plantainpost_core::time::Instant;
+use plantainpost_core::{config::PublishedRecords, time::Instant};
 use rand::RngExt;
 use slog::{info, warn};
 
@@ -156,7 +156,7 @@
                 from = Some(published.read_to);
                 let first_reader_at = node.now().saturating_add_millis(FIRST_READER_DELAY_MS);
                 may_read_from.get_or_insert(first_reader_at);
-                apply_routes(&node, published).await;
+                apply_published(&node, published).await;
             }
             Err(StoreError::Expired) => from = None,
             Err(e) => {
@@ -224,20 +224,29 @@
     }
 }
 
-async fn apply_routes(node: &Rc<Node>, published: PublishedRoutes) {
+async fn apply_published(node: &Rc<Node>, published: PublishedRoutes) {
     count_rejected_records(node, &published.rejected_records);
-    let Some(table) = published.table else {
-        return;
+    let read_to = published.read_to;
+    let records = PublishedRecords {
+        from: published.from,
+        read_to,
+        table: published.table,
+        evacuations: published.evacuations,
     };
-    let changed = {
+    let effect = {
         let mut config = node.config.borrow_mut();
-        let changed = config.apply_published_routes(published.read_to, table);
-        if let Some(table) = config.routes().filter(|_| changed) {
-            config_sync::record_routes(node, table, published.read_to, None);
+        let effect = config.apply_published(records);
+        if let Some(table) = config.routes().filter(|_| effect.routes_changed) {
+            config_sync::record_routes(node, table, read_to, None);
         }
-        changed
+        effect
     };
-    if changed {
-        config_sync::on_state_changed(node, true, true).await;
+    if effect.is_register_full {
+        node.metrics.count("store.bad_record");
+        warn!(node.logger, "evacuation ignored"; "read_to" => read_to,
+            "reason" => "there are too many evacuated data centres");
+    }
+    if effect.is_change() {
+        config_sync::on_state_changed(node, effect.routes_changed, true).await;
     }
 }
