admission: guards that are closed by an evacuation

A guard refused new requests only by draining, which lets queued requests start. A closed guard also refuses the queued ones, those with a slot that are not dispatched yet, and resends. Requests in flight run to completion.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -1,9 +1,9 @@
 //! The guard, which controls admission to one target.
 
 use super::{
-    Admission, AnnouncedTarget, Announcement, AnnouncementEffect, Counters, DispatchDecision,
-    ExchangeOutcome, FenceState, LimitSettings, Offer, RefuseReason, RequestKey, TargetLeave,
-    Wakeup,
+    Admission, AnnouncedTarget, Announcement, AnnouncementEffect, ClosedReason, Counters,
+    DispatchDecision, ExchangeOutcome, FenceState, LimitSettings, Offer, RefuseReason, RequestKey,
+    TargetLeave, Wakeup,
     class_service_times::ClassServiceTimes,
     limit::ConcurrencyLimit,
     pace::{HostPace, PaceSettings},
@@ -79,6 +79,8 @@
     pub(super) may_have_left: bool,
     /// Set by the configuration or before a planned stop.
     pub(super) draining: bool,
+    /// See [`Guard::set_closed`]. Nothing is queued while it is set.
+    pub(super) closed: Option<ClosedReason>,
     /// Instant at which the node stops and cuts the requests still in progress; `None` unless
     /// it is stopping.
     pub(super) stop_deadline: Option<Instant>,
@@ -113,6 +115,7 @@
             starts_end_at: None,
             may_have_left: false,
             draining: false,
+            closed: None,
             stop_deadline: None,
             limit: ConcurrencyLimit::new(cfg.limit, 0),
             rate_limit: RateLimit::default(),
@@ -455,6 +458,7 @@
     /// the rate limit and the budget for such sends.
     pub fn try_resend(&mut self, now: Instant) -> bool {
         let is_allowed = self.rate_limit.next_start() <= now
+            && self.closed.is_none()
             && !self.have_starts_ended(now)
             && self.resends.try_take();
         if is_allowed {
@@ -497,7 +501,9 @@
             slots: if is_in_force { self.limit.slots() } else { 0 },
             service_time_us: service_time_us.try_into().unwrap_or(u32::MAX),
             pace_percent: self.pace.percent(),
-            draining: self.is_draining() || !is_in_force,
+            draining: self.is_draining()
+                || !is_in_force
+                || self.closed == Some(ClosedReason::Evacuated),
         }
     }
 
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -19,6 +19,7 @@
 //! [`Guard::fence`]: a request that has not been started is then never run.
 
 mod class_service_times;
+mod closed;
 mod counters;
 mod guard;
 mod kept_answers;
@@ -36,6 +37,7 @@
 mod wait_correction;
 
 pub use self::{
+    closed::ClosedReason,
     counters::Counters,
     guard::{Guard, GuardSettings},
     kept_answers::{KeptAnswers, KeptAnswersSettings},
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -53,6 +53,9 @@
         if target.service.as_str() != offer.service {
             return Err(RefuseReason::WrongService);
         }
+        if let Some(closed) = self.closed {
+            return Err(closed.refuse_reason());
+        }
         let stop_at = self.earliest_stop(offer.answer_by);
         if self.is_draining() || self.would_outlast(now, offer.urgency.class, stop_at) {
             return Err(RefuseReason::Draining);
@@ -188,6 +191,8 @@
             Some(RefuseReason::Deadline)
         } else if self.target(now).is_none() || record.generation != self.target_generation {
             Some(RefuseReason::NoTarget)
+        } else if let Some(closed) = self.closed {
+            Some(closed.refuse_reason())
         } else if self.have_starts_ended(now)
             || self.would_outlast(now, record.class, self.earliest_stop(record.answer_by))
         {
--- a/crates/core/tests/admission_model/mod.rs
+++ b/crates/core/tests/admission_model/mod.rs
@@ -4,8 +4,8 @@
 
 use plantainpost_core::{
     admission::{
-        Admission, Announcement, DispatchDecision, ExchangeOutcome, FenceState, Guard,
-        GuardSettings, Offer, RefuseReason, RequestKey, TargetInstance, Urgency, Wakeup,
+        Admission, Announcement, ClosedReason, DispatchDecision, ExchangeOutcome, FenceState,
+        Guard, GuardSettings, Offer, RefuseReason, RequestKey, TargetInstance, Urgency, Wakeup,
     },
     ids::RequestId,
     time::Instant,
@@ -35,6 +35,7 @@
     },
     Withdraw,
     Drain(bool),
+    Close(bool),
     /// `early_ms` is how much too early the connection converted the deadline.
     Offer {
         key: u8,
@@ -183,6 +184,10 @@
             return;
         }
         assert!(deadline > self.now, "{key} is admitted after its deadline");
+        assert!(
+            self.guard.closed().is_none(),
+            "{key} is admitted by a closed guard"
+        );
         let history = self.history(key);
         assert_eq!(
             (history.accepted, history.reported_not_run),
@@ -204,6 +209,10 @@
                     holds_slot && has_target,
                     "{key} is dispatched without slot or target"
                 );
+                assert!(
+                    self.guard.closed().is_none(),
+                    "{key} is dispatched by a closed guard"
+                );
                 assert!(
                     self.now < converted_deadline(key, 0),
                     "{key} is dispatched too late"
@@ -296,6 +305,10 @@
             }
             Event::Withdraw => self.guard.withdraw_target(self.now),
             Event::Drain(on) => self.guard.set_draining(on),
+            Event::Close(on) => {
+                let closed = on.then_some(ClosedReason::Evacuated);
+                self.guard.set_closed(self.now, closed);
+            }
             Event::Offer { key, early_ms } => self.offer(key, early_ms),
             Event::Dispatch { key } => self.dispatch(key),
             Event::Finish {
--- a/crates/core/tests/admission_pairs.rs
+++ b/crates/core/tests/admission_pairs.rs
@@ -33,6 +33,8 @@
         },
         Event::Withdraw,
         Event::Drain(true),
+        Event::Close(true),
+        Event::Close(false),
         Event::Offer { key, early_ms: 0 },
         Event::Offer { key, early_ms: 900 },
         Event::Dispatch { key },
