eligibility, node: evacuations and allowed regions in force

Requests went to targets in evacuated data centres and in regions that their route or workspace does not allow.

The module eligibility decides which targets a request may go to, with a reason for each other one. The balancer leaves evacuated targets out of its subset. The guard is closed while its data centre is evacuated, and on the platform until the node has a configuration. An entry sends a request that was refused as evacuated to another target, which counts as no attempt. Status, explain, metrics and log lines show evacuations.

--- a/crates/core/examples/compare/model.rs
+++ b/crates/core/examples/compare/model.rs
@@ -146,9 +146,11 @@
     let view = |index: usize| TargetView {
         node: NODES[index],
         data_centre: NODES[index % topology.2],
+        region: "tt",
         slots: SLOTS,
         weight: 1,
         draining: false,
+        evacuated: false,
         stopping: false,
     };
     let views: Vec<TargetView<'_>> = (first..topology.1).map(view).collect();
--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -501,9 +501,7 @@
             slots: if is_in_force { self.limit.slots() } else { 0 },
             service_time_us: service_time_us.try_into().unwrap_or(u32::MAX),
             pace_percent: self.pace.percent(),
-            draining: self.is_draining()
-                || !is_in_force
-                || self.closed == Some(ClosedReason::Evacuated),
+            draining: self.is_draining() || !is_in_force,
         }
     }
 
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -6,18 +6,18 @@
 use snafu::Snafu;
 
 use super::{
-    BalancerSettings, Candidate, ChoiceRequest, EjectionChange, EjectionEvent, Explanation,
-    LoadReport, Policy, RequestObservation, Score,
+    BalancerSettings, Candidate, ChoiceRequest, EjectionChange, EjectionEvent, LoadReport, Policy,
+    RequestObservation, Score, TargetQuery,
     ejection::{EjectionState, EjectionTransition},
     service_targets::{
         NodeState, ServiceTarget, ServiceTargets, build_candidate, eligible_candidates,
-        target_usage,
     },
-    subset::{entry_position, rendezvous_subset},
+    subset::entry_position,
 };
 use crate::{
     collections::{HashMap, HashSet},
-    ids::{DataCentre, NodeName, ServiceName},
+    eligibility::{AllowedRegions, RequestScope},
+    ids::{DataCentre, NodeName, Region, ServiceName},
     load::LoadSample,
     time::Instant,
 };
@@ -44,6 +44,13 @@
     /// All targets with a share above zero are leaving.
     #[snafu(display("all targets of the service are leaving"))]
     AllDraining,
+    /// The data centres of all targets that the request could be sent to are evacuated, or these
+    /// targets are leaving.
+    #[snafu(display("the data centres of the targets are evacuated"))]
+    Evacuated,
+    /// No target with a share above zero is in a region that the request may be sent to.
+    #[snafu(display("no target of the service is in an allowed region"))]
+    NoRegion,
     /// The request has already been sent to all targets that could take it.
     #[snafu(display("all targets of the service have been tried"))]
     AllExcluded,
@@ -56,12 +63,16 @@
     pub node: &'a str,
     /// Data centre of the target.
     pub data_centre: &'a str,
+    /// Region of the target.
+    pub region: &'a str,
     /// Maximum concurrency that the target announced.
     pub slots: u32,
     /// Share of requests from the configuration; zero for no requests.
     pub weight: u32,
     /// Whether the target is leaving.
     pub draining: bool,
+    /// Whether the data centre of the target is evacuated.
+    pub evacuated: bool,
     /// Whether the node on the target's host is about to stop. Such a target is used only if
     /// there is no other.
     pub stopping: bool,
@@ -74,14 +85,14 @@
 
 /// Chooses targets for the requests of one entry.
 pub struct Balancer {
-    cfg: BalancerSettings,
+    pub(super) cfg: BalancerSettings,
     policy: Box<dyn Policy>,
     /// See [`ChoiceRequest::first_request_position`].
     entry_position: f64,
-    services: HashMap<ServiceName, ServiceTargets>,
+    pub(super) services: HashMap<ServiceName, ServiceTargets>,
     /// Has an entry for each target in `services`. At most half of the subset of a service is
     /// ejected.
-    nodes: HashMap<NodeName, NodeState>,
+    pub(super) nodes: HashMap<NodeName, NodeState>,
     /// Minimum time between two probes; zero for no minimum.
     probe_interval_us: u64,
     /// Earliest time of the next probe.
@@ -117,21 +128,29 @@
         for target in targets {
             self.add_node(now, &name, target);
         }
-        let subset = self.subset_nodes(targets);
-        let targets = targets.iter().map(|target| ServiceTarget {
-            node: NodeName::from(target.node),
-            data_centre: DataCentre::from(target.data_centre),
-            weight: target.weight,
-            draining: target.draining,
-            stopping: target.stopping,
-            in_subset: subset.contains(target.node),
+        let ranks = self.rank_nodes(targets);
+        let targets = targets.iter().map(|target| {
+            let rank = ranks.get(target.node).copied();
+            ServiceTarget {
+                node: NodeName::from(target.node),
+                data_centre: DataCentre::from(target.data_centre),
+                region: Region::from(target.region),
+                weight: target.weight,
+                draining: target.draining,
+                evacuated: target.evacuated,
+                stopping: target.stopping,
+                rank,
+                in_subset: rank.is_some_and(|rank| rank < self.cfg.subset_size),
+            }
         });
-        self.services.entry(name).or_default().targets = targets.collect();
+        let service_targets = self.services.entry(name).or_default();
+        let previous = std::mem::replace(&mut service_targets.targets, targets.collect());
+        self.begin_slow_starts(now, service, &previous);
         self.restore_excess_ejections(now, service);
     }
 
-    /// Chooses a target without regard to the size of the request; see
-    /// [`Balancer::choose_target_for_size`].
+    /// Chooses a target without regard to the size of the request and its allowed regions; see
+    /// [`Balancer::choose_target_for`]. `exclude` holds the nodes that the request was already sent to.
     ///
     /// # Errors
     ///
@@ -143,11 +162,18 @@
         exclude: &[NodeName],
         rng: &mut dyn Rng,
     ) -> Result<NodeName, ChoiceError> {
-        self.choose_target_for_size(now, service, 0, exclude, rng)
+        let query = TargetQuery {
+            service,
+            scope: RequestScope {
+                tried: exclude,
+                ..RequestScope::default()
+            },
+            ..TargetQuery::default()
+        };
+        self.choose_target_for(now, &query, rng)
     }
 
-    /// Chooses a target for a request whose body and answer have about `bytes` bytes together.
-    /// `exclude` holds the nodes that this request was already sent to.
+    /// Chooses a target for a request.
     ///
     /// At the first attempt of a request, an ejected target that is due for a trial request takes
     /// precedence over the choice of the policy.
@@ -155,29 +181,28 @@
     /// # Errors
     ///
     /// Fails if the service has no target, or none that is left to try.
-    pub fn choose_target_for_size(
+    pub fn choose_target_for(
         &mut self,
         now: Instant,
-        service: &str,
-        bytes: u64,
-        exclude: &[NodeName],
+        query: &TargetQuery<'_>,
         rng: &mut dyn Rng,
     ) -> Result<NodeName, ChoiceError> {
-        let transfer_cost_us = self.cfg.transfer_cost_us(bytes);
+        let transfer_cost_us = self.cfg.transfer_cost_us(query.bytes);
         let service_targets = self
             .services
-            .get_mut(service)
+            .get_mut(query.service)
             .ok_or(ChoiceError::UnknownService)?;
         let is_first = service_targets.last_request.replace(now).is_none();
         let nodes = &self.nodes;
-        let mut candidates = eligible_candidates(&self.cfg, nodes, now, service_targets, exclude)?;
+        let mut candidates =
+            eligible_candidates(&self.cfg, nodes, now, service_targets, &query.scope)?;
         for candidate in candidates
             .iter_mut()
             .filter(|candidate| !candidate.is_local)
         {
             candidate.transfer_cost_us = transfer_cost_us;
         }
-        if exclude.is_empty() {
+        if query.scope.tried.is_empty() {
             let due = candidates.iter().find(|c| {
                 nodes[c.node].ejection.is_trial_due(now) && c.estimate.own_in_flight() == 0
             });
@@ -220,38 +245,41 @@
         Ok(NodeName::from(candidates[index].node))
     }
 
-    /// Returns the nodes of the targets of a service in the subset of this entry whose stated rate
-    /// limit, if any, lets a request start at once. Ejected targets are included.
-    pub fn startable_targets(
-        &self,
+    /// Returns the nodes of the targets of a service in the subset of this entry for the allowed regions
+    /// whose stated rate limit, if any, lets a request start at once. Ejected targets are included.
+    pub fn startable_targets<'a>(
+        &'a self,
         now: Instant,
         service: &str,
-    ) -> impl Iterator<Item = &NodeName> {
-        self.subset_nodes_with_wait(now, service)
+        regions: AllowedRegions<'a>,
+    ) -> impl Iterator<Item = &'a NodeName> {
+        self.subset_nodes_with_wait(now, service, regions)
             .filter(|(_, wait_us)| *wait_us == 0)
             .map(|(node, _)| node)
     }
 
     /// Returns the nodes in the subset of this entry with how long a stated rate limit delays a
     /// request there, in microseconds.
-    fn subset_nodes_with_wait(
-        &self,
+    fn subset_nodes_with_wait<'a>(
+        &'a self,
         now: Instant,
         service: &str,
-    ) -> impl Iterator<Item = (&NodeName, u64)> {
+        regions: AllowedRegions<'a>,
+    ) -> impl Iterator<Item = (&'a NodeName, u64)> {
+        let size = self.cfg.subset_size;
         let targets = self.services.get(service).into_iter();
         targets
-            .flat_map(ServiceTargets::subset_targets)
+            .flat_map(move |targets| targets.subset_in(regions, size))
             .filter_map(move |target| {
                 let state = self.nodes.get(&target.node)?;
                 Some((&target.node, state.estimate.start_wait_us(now)))
             })
     }
 
-    /// Returns how long the rate limits that the targets of a service state delay a request, in
-    /// microseconds; zero if a target can start it at once, or none is known.
-    pub fn start_wait_us(&self, now: Instant, service: &str) -> u64 {
-        let waits = self.subset_nodes_with_wait(now, service);
+    /// Returns how long the rate limits that the targets of a service in the allowed regions state delay
+    /// a request, in microseconds; zero if a target can start it at once, or none is known.
+    pub fn start_wait_us(&self, now: Instant, service: &str, regions: AllowedRegions<'_>) -> u64 {
+        let waits = self.subset_nodes_with_wait(now, service, regions);
         waits.map(|(_, wait_us)| wait_us).min().unwrap_or_default()
     }
 
@@ -356,16 +384,16 @@
         Some(node)
     }
 
-    /// Returns whether another target would probably answer much sooner than `node`, so that a
-    /// hedged request is worth its cost.
-    pub fn is_slow(&self, now: Instant, node: &str) -> bool {
-        let Some(service) = self.nodes.get(node).map(|state| &state.service) else {
+    /// Returns whether another target in the allowed regions would probably answer much sooner than
+    /// `node`, so that a hedged request is worth its cost.
+    pub fn is_slow(&self, now: Instant, node: &str, regions: AllowedRegions<'_>) -> bool {
+        let state = self.nodes.get(node);
+        let Some(service) = state.and_then(|state| self.services.get(&state.service)) else {
             return false;
         };
-        let targets = self.services.get(service).map(|service| &service.targets);
         let mut own_us = 0.0;
         let mut best_us = f64::INFINITY;
-        for target in targets.into_iter().flatten().filter(|t| t.in_subset) {
+        for target in service.subset_in(regions, self.cfg.subset_size) {
             let state = &self.nodes[&target.node];
             let candidate = build_candidate(&self.cfg, target, state);
             let score_us = Score::new(now, &candidate, &self.cfg.score).total_us();
@@ -378,28 +406,6 @@
         own_us >= best_us * SLOW_TARGET_RATIO
     }
 
-    /// Returns, for each target of a service, whether it is used and the parts of its score.
-    pub fn explain(&self, now: Instant, service: &str) -> Vec<Explanation> {
-        let targets = self.services.get(service).map(|service| &service.targets);
-        targets
-            .into_iter()
-            .flatten()
-            .filter_map(|target| {
-                let state = self.nodes.get(&target.node)?;
-                let candidate = build_candidate(&self.cfg, target, state);
-                Some(Explanation {
-                    node: target.node.clone(),
-                    data_centre: target.data_centre.clone(),
-                    weight: target.weight,
-                    score: Score::new(now, &candidate, &self.cfg.score),
-                    own_in_flight: state.estimate.own_in_flight(),
-                    sampled_at: state.estimate.sampled_at(),
-                    usage: target_usage(now, target, state),
-                })
-            })
-            .collect()
-    }
-
     /// Removes and returns the events since the last call.
     pub fn take_events(&mut self) -> Vec<EjectionEvent> {
         self.events.drain(..).collect()
@@ -422,20 +428,6 @@
         }
     }
 
-    /// Returns the nodes in the subset of this entry. Targets that take no requests are left out
-    /// first, so that they do not occupy places in the subset.
-    fn subset_nodes<'a>(&self, targets: &[TargetView<'a>]) -> HashSet<&'a str> {
-        let usable: Vec<&str> = targets
-            .iter()
-            .filter(|target| target.weight > 0 && !target.draining)
-            .map(|target| target.node)
-            .collect();
-        rendezvous_subset(self.cfg.entry.as_str(), &usable, self.cfg.subset_size)
-            .into_iter()
-            .map(|index| usable[index])
-            .collect()
-    }
-
     fn may_eject(&self, node: &str) -> bool {
         let service = self
             .nodes
--- a/crates/core/src/balance/explain.rs
+++ b/crates/core/src/balance/explain.rs
@@ -2,9 +2,13 @@
 
 use std::fmt;
 
-use super::{EjectionReason, Score};
+use super::{
+    Balancer, EjectionReason, Score,
+    service_targets::{build_candidate, target_usage},
+};
 use crate::{
-    ids::{DataCentre, NodeName, ServiceName},
+    eligibility::Ineligibility,
+    ids::{DataCentre, NodeName, Region, ServiceName},
     time::Instant,
 };
 
@@ -27,10 +31,8 @@
         /// Why the target was ejected.
         reason: EjectionReason,
     },
-    /// The target is leaving.
-    Draining,
-    /// The share of the target in the configuration is zero.
-    ZeroWeight,
+    /// The target gets no requests, whatever they demand.
+    Ineligible(Ineligibility),
     /// The target is not in the subset of this entry.
     OutsideSubset,
 }
@@ -43,8 +45,7 @@
             TargetUsage::HalfOpen { successes, reason } => {
                 write!(f, "on trial, {successes} answered, after {reason}")
             }
-            TargetUsage::Draining => f.write_str("leaving"),
-            TargetUsage::ZeroWeight => f.write_str("share is zero"),
+            TargetUsage::Ineligible(reason) => write!(f, "{reason}"),
             TargetUsage::OutsideSubset => f.write_str("not in the subset of this entry"),
         }
     }
@@ -57,6 +58,8 @@
     pub node: NodeName,
     /// Data centre of the target.
     pub data_centre: DataCentre,
+    /// Region of the target.
+    pub region: Region,
     /// Share of requests from the configuration.
     pub weight: u32,
     /// Parts of the predicted completion time.
@@ -69,6 +72,31 @@
     pub usage: TargetUsage,
 }
 
+impl Balancer {
+    /// Returns, for each target of a service, whether it is used and the parts of its score.
+    pub fn explain(&self, now: Instant, service: &str) -> Vec<Explanation> {
+        let targets = self.services.get(service).map(|service| &service.targets);
+        targets
+            .into_iter()
+            .flatten()
+            .filter_map(|target| {
+                let state = self.nodes.get(&target.node)?;
+                let candidate = build_candidate(&self.cfg, target, state);
+                Some(Explanation {
+                    node: target.node.clone(),
+                    data_centre: target.data_centre.clone(),
+                    region: target.region.clone(),
+                    weight: target.weight,
+                    score: Score::new(now, &candidate, &self.cfg.score),
+                    own_in_flight: state.estimate.own_in_flight(),
+                    sampled_at: state.estimate.sampled_at(),
+                    usage: target_usage(now, target, state),
+                })
+            })
+            .collect()
+    }
+}
+
 /// Ejection of a target or its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EjectionChange {
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -1,12 +1,13 @@
 //! Load balancing: chooses a target for each request from estimates of load, latency and failures.
 //!
 //! The [`Balancer`] keeps the estimates of one entry and decides which targets are
-//! candidates: those of its subset that have a share, are not leaving and are not
+//! candidates: those of its subset that are eligible (see [`crate::eligibility`]) and not
 //! ejected. A [`Policy`] chooses one of the candidates.
 
 mod balancer;
 mod baseline;
 mod ejection;
+mod eligible;
 mod estimate;
 mod explain;
 mod observation;
@@ -20,6 +21,7 @@
 pub use balancer::{Balancer, ChoiceError, TargetView};
 pub use baseline::{LeastInFlight, RandomChoice, RoundRobin, TwoChoicesReported};
 pub use ejection::EjectionReason;
+pub use eligible::TargetQuery;
 pub use estimate::{LoadReport, TargetEstimate};
 pub use explain::{EjectionChange, EjectionEvent, Explanation, TargetUsage};
 pub use observation::{RequestObservation, RequestOutcome};
--- a/crates/core/src/balance/service_targets.rs
+++ b/crates/core/src/balance/service_targets.rs
@@ -6,7 +6,8 @@
 };
 use crate::{
     collections::HashMap,
-    ids::{DataCentre, NodeName, ServiceName},
+    eligibility::{self, Absence, AllowedRegions, Ineligibility, RequestScope, TargetFacts},
+    ids::{DataCentre, NodeName, Region, ServiceName},
     load::LoadSample,
     time::{Instant, MICROS_PER_MILLI},
 };
@@ -15,17 +16,38 @@
 /// same information, and it also tells if the target is no longer leaving.
 const DRAINING_SAMPLE_TTL_US: u64 = 5_000 * MICROS_PER_MILLI;
 
+/// Time for which a target is avoided after its guard has refused a request because of an evacuation.
+/// By then this entry knows of the evacuation, or the guard knows of its end.
+const EVACUATED_REFUSAL_TTL_US: u64 = 1_000 * MICROS_PER_MILLI;
+
 #[derive(Debug)]
 pub(super) struct ServiceTarget {
     pub(super) node: NodeName,
     pub(super) data_centre: DataCentre,
+    pub(super) region: Region,
     pub(super) weight: u32,
     pub(super) draining: bool,
+    pub(super) evacuated: bool,
     pub(super) stopping: bool,
-    /// True only if the target has a share and is not leaving.
+    /// Position in the order of preference of this entry; `None` if the target is not eligible for any
+    /// request.
+    pub(super) rank: Option<usize>,
+    /// True only if `rank` is below the size of the subset.
     pub(super) in_subset: bool,
 }
 
+impl ServiceTarget {
+    pub(super) fn facts(&self) -> TargetFacts<'_> {
+        TargetFacts {
+            node: self.node.as_str(),
+            region: self.region.as_str(),
+            weight: self.weight,
+            is_leaving: self.draining,
+            is_evacuated: self.evacuated,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 pub(super) struct ServiceTargets {
     pub(super) targets: Vec<ServiceTarget>,
@@ -38,6 +60,33 @@
         self.targets.iter().filter(|target| target.in_subset)
     }
 
+    /// Returns the targets that this entry uses for requests with these allowed regions: the first
+    /// `size` allowed ones in its order of preference.
+    pub(super) fn subset_in<'a>(
+        &'a self,
+        regions: AllowedRegions<'a>,
+        size: usize,
+    ) -> impl Iterator<Item = &'a ServiceTarget> {
+        let end = match regions.is_unrestricted() {
+            true => size,
+            false => self.subset_end(regions, size),
+        };
+        self.targets.iter().filter(move |target| {
+            target.rank.is_some_and(|rank| rank < end) && regions.allows(target.region.as_str())
+        })
+    }
+
+    /// Returns the rank below which there are `size` targets in allowed regions, or all of them.
+    fn subset_end(&self, regions: AllowedRegions<'_>, size: usize) -> usize {
+        let allowed = self.targets.iter();
+        let allowed = allowed.filter(|target| regions.allows(target.region.as_str()));
+        let mut ranks: Vec<usize> = allowed.filter_map(|target| target.rank).collect();
+        if ranks.len() <= size {
+            return usize::MAX;
+        }
+        *ranks.select_nth_unstable(size).1
+    }
+
     pub(super) fn has_recent_traffic(&self, now: Instant, cfg: &BalancerSettings) -> bool {
         let recent_us = cfg.recent_traffic_ms * MICROS_PER_MILLI;
         self.last_request
@@ -53,6 +102,8 @@
     pub(super) ejection: EjectionTracker,
     /// Arrival time of the last load sample if it had `draining` set, otherwise `None`.
     pub(super) draining_seen_at: Option<Instant>,
+    /// When the guard last refused a request because of an evacuation.
+    pub(super) evacuation_seen_at: Option<Instant>,
     /// When a probe was last requested; `None` after its reply.
     pub(super) probe_requested_at: Option<Instant>,
 }
@@ -64,6 +115,7 @@
             estimate: TargetEstimate::new(now, slots),
             ejection: EjectionTracker::new(),
             draining_seen_at: None,
+            evacuation_seen_at: None,
             probe_requested_at: None,
         }
     }
@@ -73,6 +125,14 @@
             .is_some_and(|at| now.micros_since(at) < DRAINING_SAMPLE_TTL_US)
     }
 
+    /// Returns whether the guard has said that it refuses all requests.
+    pub(super) fn is_refusing(&self, now: Instant) -> bool {
+        let is_evacuated = self
+            .evacuation_seen_at
+            .is_some_and(|at| now.micros_since(at) < EVACUATED_REFUSAL_TTL_US);
+        is_evacuated || self.is_draining(now)
+    }
+
     pub(super) fn on_load_sample(&mut self, now: Instant, sample: LoadSample) {
         self.estimate.update_load(now, sample);
         self.draining_seen_at = sample.draining.then_some(now);
@@ -85,24 +145,25 @@
     nodes: &'a HashMap<NodeName, NodeState>,
     now: Instant,
     service: &'a ServiceTargets,
-    exclude: &[NodeName],
+    scope: &RequestScope<'a>,
 ) -> Result<Vec<Candidate<'a>>, ChoiceError> {
     let not_draining: Vec<(&ServiceTarget, &NodeState)> = service
-        .subset_targets()
+        .subset_in(scope.regions, cfg.subset_size)
         .map(|target| (target, &nodes[&target.node]))
-        .filter(|(_, state)| !state.is_draining(now))
+        .filter(|(_, state)| !state.is_refusing(now))
         .collect();
     if not_draining.is_empty() {
-        let any_leaving = service.targets.iter().any(|target| target.weight > 0);
-        return Err(if any_leaving {
-            ChoiceError::AllDraining
-        } else {
-            ChoiceError::NoTarget
+        let facts = service.targets.iter().map(ServiceTarget::facts);
+        return Err(match eligibility::explain_absence(facts, scope.regions) {
+            Absence::NoTarget => ChoiceError::NoTarget,
+            Absence::NoRegion => ChoiceError::NoRegion,
+            Absence::Evacuated => ChoiceError::Evacuated,
+            Absence::Leaving => ChoiceError::AllDraining,
         });
     }
     let (stopping, running): (Vec<_>, Vec<_>) = not_draining
         .into_iter()
-        .filter(|(target, _)| !exclude.contains(&target.node))
+        .filter(|(target, _)| target.facts().check_for(scope).is_ok())
         .partition(|(target, _)| target.stopping);
     // A stopping node still serves for a while, which is better than no target at all.
     let eligible = if running.is_empty() {
@@ -142,11 +203,11 @@
 }
 
 pub(super) fn target_usage(now: Instant, target: &ServiceTarget, state: &NodeState) -> TargetUsage {
-    if target.draining || state.is_draining(now) {
-        return TargetUsage::Draining;
-    }
-    if target.weight == 0 {
-        return TargetUsage::ZeroWeight;
+    match target.facts().check() {
+        Err(reason @ Ineligibility::Evacuated) => return TargetUsage::Ineligible(reason),
+        _ if state.is_draining(now) => return TargetUsage::Ineligible(Ineligibility::Leaving),
+        Err(reason) => return TargetUsage::Ineligible(reason),
+        Ok(()) => (),
     }
     if !target.in_subset {
         return TargetUsage::OutsideSubset;
--- a/crates/core/src/balance/subset.rs
+++ b/crates/core/src/balance/subset.rs
@@ -14,20 +14,27 @@
 /// Adding or removing a target changes at most one other target of the subset. The hash may
 /// differ between nodes, because each entry computes only its own subset.
 pub fn rendezvous_subset(entry: &str, targets: &[&str], size: usize) -> Vec<usize> {
-    let mut ranked: Vec<(u64, usize)> = targets
-        .iter()
-        .enumerate()
-        .map(|(index, target)| (rendezvous_hash(entry, target), index))
-        .collect();
-    if ranked.len() > size {
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.truncate(size);
-    }
-    let mut indices: Vec<usize> = ranked.into_iter().map(|(_, index)| index).collect();
+    let mut indices = rendezvous_order(entry, targets, size);
+    indices.truncate(size);
     indices.sort_unstable();
     indices
 }
 
+/// Returns the indices of all targets by decreasing hash of (entry, target). Targets that all fit into a
+/// subset of `size` are returned in their own order, because nothing has to be left out.
+pub(super) fn rendezvous_order(entry: &str, targets: &[&str], size: usize) -> Vec<usize> {
+    if targets.len() <= size {
+        return (0..targets.len()).collect();
+    }
+    let hashes = targets
+        .iter()
+        .enumerate()
+        .map(|(index, target)| (rendezvous_hash(entry, target), index));
+    let mut ranked: Vec<(u64, usize)> = hashes.collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().map(|(_, index)| index).collect()
+}
+
 /// Fractional part of the golden ratio. Its multiples modulo 1 are spread evenly for any range of
 /// consecutive numbers, and for nearly any stride.
 const GOLDEN_RATIO_FRACTION: f64 = 0.618_033_988_749_894_9;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -25,6 +25,6 @@
     /// Time between two starts under that limit, in microseconds; zero without a limit.
     pub start_interval_us: u32,
     /// Whether the guard refuses all new requests: the target is leaving, no target is announced,
-    /// the guard is draining, or its data centre is evacuated.
+    /// or the guard is draining. An evacuation is not included.
     pub draining: bool,
 }
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -167,6 +167,11 @@
         self.routes.is_empty()
     }
 
+    /// Returns the routes in the order in which they are matched.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.routes.iter()
+    }
+
     /// Returns the rule of a service, or `None` if the table does not have the service.
     pub fn service_rule(&self, name: &str) -> Option<&ServiceRule> {
         let index = self
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -26,6 +26,7 @@
     "two-choices-reported",
 ];
 const DATA_CENTRES: [&str; 4] = ["pos", "arima", "chaguanas", "sando"];
+const REGION: &str = "tt";
 const NODES: [&str; 4] = ["n0", "n1", "n2", "n3"];
 /// Long after the slow start of targets that were announced at time zero.
 const LATER: Instant = Instant::from_millis(60_000);
@@ -35,9 +36,11 @@
     TargetView {
         node,
         data_centre: DATA_CENTRES[index],
+        region: REGION,
         slots: 12,
         weight: 1,
         draining: false,
+        evacuated: false,
         stopping: false,
     }
 }
@@ -442,9 +445,11 @@
     let target_view = |node, stopping| TargetView {
         node,
         data_centre: "pos",
+        region: REGION,
         slots: 12,
         weight: 100,
         draining: false,
+        evacuated: false,
         stopping,
     };
     let mut balancer = new_balancer("entry", "pos", DEFAULT_POLICY);
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Returns whether the guard refused the request because of an evacuation.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        let evacuated = RefuseReason::Evacuated.as_str();
+        matches!(self, AttemptEnd::NotRun { reason, .. } if *reason == evacuated)
+    }
+
     /// Returns the result and its reason for logs and traces.
     pub(crate) fn describe(&self) -> String {
         match self {
@@ -232,6 +238,10 @@
         }
         GuardReply::Refused { refusal, load } => {
             in_flight.report(balance::RequestOutcome::Refused, Some(load));
+            if refusal == RefuseReason::Evacuated {
+                let mut balancer = node.balancer.borrow_mut();
+                balancer.on_evacuated_refusal(node.now(), attempt.peer.as_str());
+            }
             if reusable {
                 node.peer_pool.release(&attempt.peer, conn);
             }
--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use plantainpost_core::{
     admission::Urgency,
+    eligibility::AllowedRegions,
     ids::{RequestId, ServiceName},
     retry,
     routing::Route,
@@ -84,6 +85,18 @@
     pub(crate) version: u64,
 }
 
+impl RequestPolicy {
+    /// Returns the regions whose targets may get the request.
+    pub(crate) fn allowed_regions(&self) -> AllowedRegions<'_> {
+        let route = self.route.as_ref();
+        let workspace = self.workspace.as_ref();
+        AllowedRegions {
+            route: route.map_or(&[], |route| &route.allowed_regions),
+            workspace: workspace.map_or(&[], |workspace| &workspace.allowed_regions),
+        }
+    }
+}
+
 /// A validated request, ready to be sent to a guard.
 pub(crate) struct CallerRequest {
     pub(crate) id: RequestId,
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -18,6 +18,8 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use plantainpost_core::{
+    balance::{ChoiceError, TargetQuery},
+    eligibility::RequestScope,
     ids::{NodeName, RequestId},
     retry::{AttemptOutcome, RetryDecision, RetryQuery},
     time::Instant,
@@ -156,6 +158,9 @@
     unknown_reason: Option<&'static str>,
     /// Number of attempts that reached a target.
     targets_reached: u32,
+    /// Number of attempts that a guard refused because of an evacuation. They count as none, because this
+    /// entry may learn of an evacuation later than the guards.
+    evacuated_refusals: usize,
     traces: Vec<AttemptTrace>,
     /// Notified by an attempt whose guard gives no sign of life.
     unresponsive: Rc<Notify>,
@@ -171,6 +176,7 @@
             hedge_plan: HedgePlan::new(node, request),
             unknown_reason: None,
             targets_reached: 0,
+            evacuated_refusals: 0,
             traces: Vec::new(),
             unresponsive: Rc::default(),
         }
@@ -206,6 +212,7 @@
                 self.unknown_reason.get_or_insert(reason);
             }
             self.targets_reached += u32::from(end.has_reached_target());
+            self.evacuated_refusals += usize::from(end.is_evacuated());
             let is_last = self.in_flight.is_empty();
             if matches!(end, AttemptEnd::Response(_)) || (is_last && !self.try_retry(&end)) {
                 return self.combine_outcomes(end);
@@ -223,14 +230,20 @@
 
     fn start_attempt(&mut self, cause: AttemptCause) -> Result<(), &'static str> {
         let now = self.node.now();
-        let chosen = self.node.balancer.borrow_mut().choose_target_for_size(
+        let query = TargetQuery {
+            service: self.request.policy.service.as_str(),
+            bytes: self.request.estimated_transfer_bytes(),
+            scope: RequestScope {
+                regions: self.request.policy.allowed_regions(),
+                tried: &self.tried_nodes,
+            },
+        };
+        let chosen = self.node.balancer.borrow_mut().choose_target_for(
             now,
-            self.request.policy.service.as_str(),
-            self.request.estimated_transfer_bytes(),
-            &self.tried_nodes,
+            &query,
             &mut *self.node.rng.borrow_mut(),
         );
-        let peer = chosen.map_err(|_| "no-target")?;
+        let peer = chosen.map_err(ChoiceError::reason)?;
         if cause == AttemptCause::First {
             // Only services with targets get a retry budget, since callers can send any number
             // of made-up names.
@@ -257,13 +270,20 @@
         Ok(())
     }
 
+    /// Returns the number of attempts without those that were refused because of an evacuation.
+    fn attempts(&self) -> usize {
+        self.tried_nodes.len() - self.evacuated_refusals
+    }
+
     /// Returns whether the guard on `peer` may refuse the request because its host is slow.
     fn may_refuse_if_slow(&self, now: Instant, peer: &NodeName) -> bool {
         let service = self.request.policy.service.as_str();
         let is_untried = |node: &NodeName| node != peer && !self.tried_nodes.contains(node);
         let balancer = self.node.balancer.borrow();
-        self.tried_nodes.len() < MAX_SLOW_HOST_REFUSALS
-            && balancer.startable_targets(now, service).any(is_untried)
+        self.attempts() < MAX_SLOW_HOST_REFUSALS
+            && balancer
+                .startable_targets(now, service, self.request.policy.allowed_regions())
+                .any(is_untried)
     }
 
     /// Sends a hedge if the target is slow or the request is past `overdue_at`. Hedges for
@@ -275,7 +295,9 @@
         };
         let first_node = self.tried_nodes.first();
         let balancer = self.node.balancer.borrow();
-        let is_slow = first_node.is_some_and(|peer| balancer.is_slow(now, peer.as_str()));
+        let is_slow = first_node.is_some_and(|peer| {
+            balancer.is_slow(now, peer.as_str(), self.request.policy.allowed_regions())
+        });
         drop(balancer);
         let service = self.request.policy.service.as_str();
         if !is_slow && now < plan.overdue_at {
@@ -327,7 +349,7 @@
             // No response was forwarded yet. But a request whose body is streamed by an attempt
             // can't be sent again either, because the streamed bytes are not kept.
             answer_started: self.request.is_body_rest_claimed(),
-            attempts: self.tried_nodes.len() as u32,
+            attempts: self.attempts() as u32,
             targets_reached,
             last_reached_target,
             max_targets_reached: self.request.policy.max_targets_reached,
@@ -365,7 +387,10 @@
             AttemptEnd::Response(response) => return response.forward(request, writer).await,
             AttemptEnd::NotRun { reason, .. } => {
                 let service = request.policy.service.as_str();
-                let start_wait_us = node.balancer.borrow().start_wait_us(node.now(), service);
+                let regions = request.policy.allowed_regions();
+                let balancer = node.balancer.borrow();
+                let start_wait_us = balancer.start_wait_us(node.now(), service, regions);
+                drop(balancer);
                 LocalResponse::not_run(reason).with_retry_after(start_wait_us)
             }
             AttemptEnd::Unknown(reason) => {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -4,12 +4,12 @@
 
 use plantainpost_core::{
     balance::TargetView,
-    ids::{DataCentre, NodeName, ServiceName},
+    ids::{DataCentre, NodeName, Region, ServiceName},
     measure::PROBE_COST_US,
     member::{MemberRecord, MemberState, TargetInfo},
 };
 
-use crate::node::Node;
+use crate::{evacuation, node::Node};
 
 /// Versions that were last applied to the balancer and the guard.
 #[derive(Default)]
@@ -23,6 +23,7 @@
     pub(crate) service: ServiceName,
     pub(crate) node: NodeName,
     pub(crate) data_centre: DataCentre,
+    pub(crate) region: Region,
     pub(crate) ip: IpAddr,
     pub(crate) slots: u32,
     pub(crate) draining: bool,
@@ -33,10 +34,13 @@
 /// Applies changes in the fleet and the configuration since the last call.
 pub(crate) fn apply_changes(node: &Rc<Node>) {
     publish_local_target(node);
+    evacuation::update_guard(node);
+    let have_evacuations_changed = evacuation::take_changes(node);
     let generation = node.members.borrow().generation();
     let version = node.config.borrow().version();
     let current = Some((generation, version));
-    if node.applied_versions.last.replace(current) == current {
+    let have_versions_changed = node.applied_versions.last.replace(current) != current;
+    if !have_versions_changed && !have_evacuations_changed {
         return;
     }
     apply_local_config(node);
@@ -117,6 +121,7 @@
             service: target.service.clone(),
             node: record.name.clone(),
             data_centre: record.data_centre.clone(),
+            region: record.region.clone(),
             ip: record.ip,
             slots: target.slots,
             // A leaving node always announces its target as draining. Whether it still accepts
@@ -138,9 +143,11 @@
         let view = TargetView {
             node: name,
             data_centre,
+            region: target.region.as_str(),
             slots: target.slots,
             weight: content.weight(target.service.as_str(), name, data_centre),
             draining: target.draining || content.is_leaving(name, target.ip, data_centre),
+            evacuated: config.evacuations().is_evacuated(data_centre),
             stopping: target.stopping,
         };
         services
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     audit::{self, AuditEvent},
-    config_sync, fleet,
+    config_sync, evacuation, fleet,
     node::Node,
     probe,
 };
@@ -174,6 +174,7 @@
     node.peer_pool.close_expired();
     node.target_pool.close_expired(now);
     probe::expire_unanswered(node, now);
+    evacuation::log_unusual(node);
     let guard = node.guard.borrow();
     node.metrics
         .gauge("guard.in_flight", guard.in_flight().into());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod confirm;
 mod control;
 mod entry;
+mod evacuation;
 pub mod external;
 mod fleet;
 mod gossip;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -31,6 +31,7 @@
     audit::AuditQueue,
     clock::Clock,
     config_sync::{RoutesOrigin, StateFetch},
+    evacuation::AppliedEvacuations,
     fleet::AppliedVersions,
     guard::ExchangeLinks,
     load_report::LoadReportCache,
@@ -94,6 +95,8 @@
     pub(crate) state_fetch: StateFetch,
     /// Versions of the fleet and the configuration that the balancer and the guard know.
     pub(crate) applied_versions: AppliedVersions,
+    /// Evacuations that the balancer and the guard know.
+    pub(crate) evacuations: AppliedEvacuations,
     /// Services that the balancer has targets for.
     pub(crate) known_services: RefCell<Vec<ServiceName>>,
     /// Wakes the tasks that wait for the decision on a confirmation.
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -27,7 +27,7 @@
     admin,
     audit::{self, AuditEvent, AuditQueue},
     clock::{self, Clock},
-    config_sync, control, entry,
+    config_sync, control, entry, evacuation,
     external::{ExternalSystems, Platform},
     gossip, guard, http, load_report,
     log_service::LogService,
@@ -178,6 +178,8 @@
         listeners.admin,
     );
     actix_rt::spawn(guard::accept_peers(Rc::clone(&node), listeners.peer_tcp));
+    // Before the first configuration the guard admits nothing.
+    evacuation::update_guard(&node);
     spawn_tasks(&node);
     if let Some(listener) = listeners.metrics {
         let handler = |node: Rc<Node>, _| async move { status::metrics_text(&node) };
@@ -322,6 +324,7 @@
         settings_state: Default::default(),
         routes_origin: Default::default(),
         applied_versions: Default::default(),
+        evacuations: Default::default(),
         known_services: RefCell::default(),
         config_changed: Default::default(),
         stop: StopProgress::default(),
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -5,16 +5,17 @@
     body::BoxBody,
     header::{CONTENT_TYPE, HeaderValue},
 };
-use plantainpost_core::{measure::PROBE_COST_US, member::MemberRecord};
+use plantainpost_core::{ids::Region, measure::PROBE_COST_US, member::MemberRecord};
 use serde_json::{Value, json};
 
-use crate::{config_sync, fleet, node::Node, reload};
+use crate::{config_sync, evacuation, fleet, node::Node, reload};
 
 fn member_json(record: &MemberRecord) -> Value {
     json!({
         "name": record.name,
         "state": format!("{:?}", record.state).to_lowercase(),
         "data_centre": record.data_centre,
+        "region": record.region,
         "ip": record.ip,
         "incarnation": record.incarnation.0,
         // Members announce the version plus one, or zero if they have no version.
@@ -47,6 +48,7 @@
             "recent_versions": config.recent_versions().collect::<Vec<_>>(),
         },
         "routes": config_sync::routes_status(node),
+        "data_centres": evacuation::data_centres_status(node),
         "settings": reload::settings_status(node),
         "guard": {
             "in_flight": guard.in_flight(),
@@ -54,6 +56,7 @@
             "limit": guard.concurrency_limit(),
             "records": guard.record_count(),
             "draining": guard.is_draining(),
+            "closed": guard.closed().map(|reason| format!("{reason:?}")),
         },
         "measuring": {
             "share_permille": share_permille,
@@ -123,6 +126,7 @@
             "service": service,
             "weight": e.weight,
             "usage": e.usage.to_string(),
+            "not_allowed_for": rules_that_exclude(node, e.region.as_str()),
             "own_in_flight": e.own_in_flight,
             "evidence_age_us": e.sampled_at.map(|at| now.micros_since(at)),
             "predicted_us": e.score.total_us(),
@@ -130,3 +134,23 @@
         }),
     })
 }
+
+/// Returns the routes and workspaces whose allowed regions do not contain `region`.
+fn rules_that_exclude(node: &Node, region: &str) -> Vec<String> {
+    let config = node.config.borrow();
+    let Some(table) = config.routes() else {
+        return Vec::new();
+    };
+    let excludes = |allowed: &[Region]| {
+        !allowed.is_empty() && allowed.iter().all(|other| other.as_str() != region)
+    };
+    let routes = table
+        .iter()
+        .filter(|route| excludes(&route.allowed_regions))
+        .map(|route| format!("route {}", route.name));
+    let workspaces = table.workspaces().into_iter().flat_map(|all| all.iter());
+    let workspaces = workspaces
+        .filter(|workspace| excludes(&workspace.allowed_regions))
+        .map(|workspace| format!("workspace {}", workspace.name));
+    routes.chain(workspaces).collect()
+}
