tests, docs: evacuations and allowed regions with real nodes

Six integration tests: an evacuation is in force within 2 s while callers send, at a node that the store refuses and at one that restarts; it ends after a removal during an outage of the store, also when the record of the removal has expired; queued requests are moved; an entry that was suspended runs nothing there; requests stay in their allowed regions.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod body_claims;
 mod configuration;
 mod endless_answers;
+mod evacuation;
 mod failure_outcomes;
 mod fault_cases;
 mod faulty_targets;
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -152,6 +152,7 @@
 /// One node of a [`PlatformFleet`] with its listeners.
 pub(crate) struct PlatformHost {
     pub(crate) callers: SocketAddr,
+    pub(crate) admin: SocketAddr,
     pub(crate) control: SocketAddr,
     pub(crate) metrics: SocketAddr,
     pub(crate) settings: std::path::PathBuf,
@@ -192,8 +193,17 @@
     /// Like [`PlatformFleet::start`], with a store address for each node: `address_of` gets the
     /// index of the node and the address of the store.
     pub(crate) fn start_with_store_addresses(
+        count: usize,
+        address_of: impl FnMut(usize, SocketAddr) -> SocketAddr,
+    ) -> Self {
+        Self::start_with_settings(count, address_of, |_, _| ())
+    }
+
+    /// Like [`PlatformFleet::start_with_store_addresses`]; `edit` may change the settings of each node.
+    pub(crate) fn start_with_settings(
         count: usize,
         mut address_of: impl FnMut(usize, SocketAddr) -> SocketAddr,
+        mut edit: impl FnMut(usize, &mut String),
     ) -> Self {
         let store = log::start(&LogSettings::default()).expect("the store starts");
         let dir = TempDir::new().expect("a temporary directory");
@@ -203,7 +213,7 @@
         let hosts = addresses.chunks(ADDRESSES_PER_NODE).enumerate().map(|(i, at)| {
             let [callers, admin, peers, control] = [at[0], at[1], at[2], at[3]];
             let metrics = at[4];
-            let text = format!(
+            let mut text = format!(
                 "[node]\nname = host-{i}\ndata_centre = pos\nregion = tt\nip = 127.0.0.1\n\
                  service = counter\ninterface = platform\n[listen]\ncallers = {callers}\nadmin = {admin}\n\
                  peer_tcp = {peers}\npeer_udp = {peers}\ncontrol = {control}\nmetrics = {metrics}\n\
@@ -212,10 +222,12 @@
                 address_of(i, store.address()),
                 key.display()
             );
+            edit(i, &mut text);
             let settings = dir.path().join(format!("host-{i}.ini"));
             fs::write(&settings, text).expect("settings can be written");
             PlatformHost {
                 callers,
+                admin,
                 control,
                 metrics,
                 process: start_process(&settings),
