--- a/crates/node/src/evacuation.rs
+++ b/crates/node/src/evacuation.rs
@@ -19,7 +19,7 @@
 
 /// Time after which an evacuated data centre without members is taken for unknown, in milliseconds. A
 /// node that has just started does not know all members yet.
-const UNKNOWN_AFTER_MS: u64 = 10_000;
+const UNKNOWN_AFTER_MS: u64 = 5_000;
 
 /// When this node has put the evacuation of a data centre in force or ended it.
 #[derive(Clone, Copy)]
@@ -36,7 +36,7 @@
     register: RefCell<Evacuations>,
     /// Has an entry for each data centre in `register`.
     since: RefCell<HashMap<DataCentre, InForceSince>>,
-    /// Whether all data centres with members were evacuated at the last check.
+    /// Whether all data centres with running members were evacuated at the last check.
     are_all_evacuated: Cell<bool>,
 }
 
@@ -96,7 +96,7 @@
     (needs_routes && config.routes().is_none()).then_some(ClosedReason::NoConfiguration)
 }
 
-/// Logs evacuations of data centres without members, and when all data centres with members are
+/// Logs evacuations of data centres without members, and when all data centres with running members are
 /// evacuated. Called once a second.
 pub(crate) fn log_unusual(node: &Node) {
     let applied = &node.evacuations;
@@ -107,8 +107,9 @@
     }
     let members = node.members.borrow();
     let known: HashSet<&DataCentre> = members.members().map(|m| &m.data_centre).collect();
-    let is_evacuated = |data_centre: &&DataCentre| register.is_evacuated(data_centre.as_str());
-    let are_all_evacuated = known.iter().all(is_evacuated);
+    let is_evacuated = |data_centre: &DataCentre| register.is_evacuated(data_centre.as_str());
+    let running = members.members().filter(|m| !m.state.is_terminal());
+    let are_all_evacuated = running.map(|m| &m.data_centre).all(is_evacuated);
     if applied.are_all_evacuated.replace(are_all_evacuated) != are_all_evacuated {
         warn!(node.logger, "evacuation of all data centres"; "in_force" => are_all_evacuated);
     }
--- a/tests/integration/eligible_targets.rs
+++ b/tests/integration/eligible_targets.rs
@@ -16,6 +16,7 @@
     evacuation_fixture::{
         EvacuationFleet, ROUTES, admin, publish_routes, set_evacuated, start_nodes, wait_evacuated,
     },
+    fleet_fixture::WAIT_TIMEOUT,
     http_client::outcome_header,
     platform_fixture::{ScriptedReply, ScriptedTarget, answer, header},
     scripted_guard::{ScriptedGuardFleet, refused_message, response_message},
@@ -95,7 +96,8 @@
 }
 
 /// Guards against requests that reach a region which their route does not allow, also when the allowed
-/// region is evacuated, and against requests without an eligible target that wait.
+/// region is evacuated, and against requests without an eligible target that wait. Operators learn of
+/// evacuations that leave no data centre, or name none.
 #[gtest]
 fn requests_stay_in_allowed_regions() {
     let routes = &[
@@ -127,6 +129,7 @@
         }
         expect_that!(start.elapsed(), lt(Duration::from_secs(2)));
     };
+    fleet.evacuate("nowhere");
     let before = fleet.received();
     for text in send("/gh/a") {
         expect_that!(text, starts_with("HTTP/1.1 200"));
@@ -162,4 +165,13 @@
     let before = fleet.received();
     expect_reason("/safe/a", "evacuated");
     expect_that!(fleet.received(), eq(&before));
+    let process = &fleet.platform.hosts[0].process;
+    for text in [
+        "evacuation of all data centres",
+        "evacuation of an unknown data centre",
+    ] {
+        let line = process.wait_line(text, WAIT_TIMEOUT).expect("a log line");
+        let is_unknown = line.contains("nowhere");
+        expect_that!(is_unknown, eq(text.contains("unknown")), "{line}");
+    }
 }
--- a/tests/integration/evacuation.rs
+++ b/tests/integration/evacuation.rs
@@ -70,6 +70,9 @@
             let usage = usage(&fleet.platform, i, 0);
             expect_true!(usage == "its data centre is evacuated", "{usage}");
         }
+        let process = &fleet.platform.hosts[1].process;
+        let line = process.wait_line("evacuation of a data centre", WAIT_TIMEOUT);
+        expect_that!(line, ok(contains_substring("offset: 1,")));
         fleet.end_evacuation("pos");
         fleet.wait_for_requests_at(&[0, 2]);
         expect_that!(
