balance: recent refusals for an evacuation count as one

An entry that had only heard of an evacuation from refusing guards told callers no-target, and explain showed their targets as in use. The facts about a target now include what its guard has said recently.

--- a/crates/core/src/balance/service_targets.rs
+++ b/crates/core/src/balance/service_targets.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     collections::HashMap,
-    eligibility::{self, Absence, AllowedRegions, Ineligibility, RequestScope, TargetFacts},
+    eligibility::{self, Absence, AllowedRegions, RequestScope, TargetFacts},
     ids::{DataCentre, NodeName, Region, ServiceName},
     load::LoadSample,
     time::{Instant, MICROS_PER_MILLI},
@@ -37,13 +37,14 @@
 }
 
 impl ServiceTarget {
-    pub(super) fn facts(&self) -> TargetFacts<'_> {
+    /// Returns what membership, the configuration and recent answers of the guard say about the target.
+    fn facts(&self, now: Instant, state: &NodeState) -> TargetFacts<'_> {
         TargetFacts {
             node: self.node.as_str(),
             region: self.region.as_str(),
             weight: self.weight,
-            is_leaving: self.draining,
-            is_evacuated: self.evacuated,
+            is_leaving: self.draining || state.is_draining(now),
+            is_evacuated: self.evacuated || state.refuses_for_evacuation(now),
         }
     }
 }
@@ -120,17 +121,14 @@
         }
     }
 
-    pub(super) fn is_draining(&self, now: Instant) -> bool {
+    fn is_draining(&self, now: Instant) -> bool {
         self.draining_seen_at
             .is_some_and(|at| now.micros_since(at) < DRAINING_SAMPLE_TTL_US)
     }
 
-    /// Returns whether the guard has said that it refuses all requests.
-    pub(super) fn is_refusing(&self, now: Instant) -> bool {
-        let is_evacuated = self
-            .evacuation_seen_at
-            .is_some_and(|at| now.micros_since(at) < EVACUATED_REFUSAL_TTL_US);
-        is_evacuated || self.is_draining(now)
+    fn refuses_for_evacuation(&self, now: Instant) -> bool {
+        self.evacuation_seen_at
+            .is_some_and(|at| now.micros_since(at) < EVACUATED_REFUSAL_TTL_US)
     }
 
     pub(super) fn on_load_sample(&mut self, now: Instant, sample: LoadSample) {
@@ -147,13 +145,15 @@
     service: &'a ServiceTargets,
     scope: &RequestScope<'a>,
 ) -> Result<Vec<Candidate<'a>>, ChoiceError> {
-    let not_draining: Vec<(&ServiceTarget, &NodeState)> = service
+    let with_state = |target: &'a ServiceTarget| (target, &nodes[&target.node]);
+    let usable: Vec<(&ServiceTarget, &NodeState)> = service
         .subset_in(scope.regions, cfg.subset_size)
-        .map(|target| (target, &nodes[&target.node]))
-        .filter(|(_, state)| !state.is_refusing(now))
+        .map(with_state)
+        .filter(|(target, state)| target.facts(now, state).check().is_ok())
         .collect();
-    if not_draining.is_empty() {
-        let facts = service.targets.iter().map(ServiceTarget::facts);
+    if usable.is_empty() {
+        let all = service.targets.iter().map(with_state);
+        let facts = all.map(|(target, state)| target.facts(now, state));
         return Err(match eligibility::explain_absence(facts, scope.regions) {
             Absence::NoTarget => ChoiceError::NoTarget,
             Absence::NoRegion => ChoiceError::NoRegion,
@@ -161,9 +161,9 @@
             Absence::Leaving => ChoiceError::AllDraining,
         });
     }
-    let (stopping, running): (Vec<_>, Vec<_>) = not_draining
+    let (stopping, running): (Vec<_>, Vec<_>) = usable
         .into_iter()
-        .filter(|(target, _)| target.facts().check_for(scope).is_ok())
+        .filter(|(target, state)| target.facts(now, state).check_for(scope).is_ok())
         .partition(|(target, _)| target.stopping);
     // A stopping node still serves for a while, which is better than no target at all.
     let eligible = if running.is_empty() {
@@ -203,11 +203,8 @@
 }
 
 pub(super) fn target_usage(now: Instant, target: &ServiceTarget, state: &NodeState) -> TargetUsage {
-    match target.facts().check() {
-        Err(reason @ Ineligibility::Evacuated) => return TargetUsage::Ineligible(reason),
-        _ if state.is_draining(now) => return TargetUsage::Ineligible(Ineligibility::Leaving),
-        Err(reason) => return TargetUsage::Ineligible(reason),
-        Ok(()) => (),
+    if let Err(reason) = target.facts(now, state).check() {
+        return TargetUsage::Ineligible(reason);
     }
     if !target.in_subset {
         return TargetUsage::OutsideSubset;
--- a/crates/core/tests/eligibility.rs
+++ b/crates/core/tests/eligibility.rs
@@ -249,6 +249,11 @@
     balancer.set_targets(Instant::default(), SERVICE, &views(&fleet, ""));
     balancer.on_evacuated_refusal(LATER, "n0");
     let at = |millis| LATER.saturating_add_millis(millis);
+    let only_a = regions(&["a"]);
+    expect_that!(
+        choose(&mut balancer, at(999), (&only_a, &[]), 0),
+        err(eq(&ChoiceError::Evacuated))
+    );
     for seed in 0..100 {
         let chosen = choose(&mut balancer, at(999), (&[], &[]), seed);
         expect_that!(chosen, ok(eq(&NodeName::from("n1"))));
