--- a/crates/node/src/evacuation.rs
+++ b/crates/node/src/evacuation.rs
@@ -101,15 +101,16 @@
 pub(crate) fn log_unusual(node: &Node) {
     let applied = &node.evacuations;
     let register = applied.register.borrow();
-    if register.evacuated().next().is_none() {
-        applied.are_all_evacuated.set(false);
+    let is_any_evacuated = register.evacuated().next().is_some();
+    if !is_any_evacuated && !applied.are_all_evacuated.get() {
         return;
     }
     let members = node.members.borrow();
     let known: HashSet<&DataCentre> = members.members().map(|m| &m.data_centre).collect();
     let is_evacuated = |data_centre: &DataCentre| register.is_evacuated(data_centre.as_str());
     let running = members.members().filter(|m| !m.state.is_terminal());
-    let are_all_evacuated = running.map(|m| &m.data_centre).all(is_evacuated);
+    let mut running = running.map(|m| &m.data_centre);
+    let are_all_evacuated = is_any_evacuated && running.all(is_evacuated);
     if applied.are_all_evacuated.replace(are_all_evacuated) != are_all_evacuated {
         warn!(node.logger, "evacuation of all data centres"; "in_force" => are_all_evacuated);
     }
--- a/tests/integration/eligible_targets.rs
+++ b/tests/integration/eligible_targets.rs
@@ -174,4 +174,7 @@
         let is_unknown = line.contains("nowhere");
         expect_that!(is_unknown, eq(text.contains("unknown")), "{line}");
     }
+    fleet.end_evacuation("pos");
+    let line = process.wait_line("data centres, in_force: false", WAIT_TIMEOUT);
+    expect_that!(line, ok(anything()));
 }
