core: limit the starts at cold targets

A target that has started during traffic sustains only the warm-up rate of its service and crashes well above it, but the guard beside it knew no limit besides the one that the target states in its answers.

The guard now spaces the starts at a cold target, and for one further period at a rate that doubles four times. The lower of this rate and the stated one binds. Requests that cannot start in time are refused as cold. Becoming cold leaves no allowance, so that restarts of the node and the time until a check tells stay within the bound.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -14,6 +14,7 @@
     target::NewestAnnouncement,
     transitions::Placement,
     wait_correction::WaitCorrection,
+    warm_up::WarmUpLimit,
 };
 use crate::{load::LoadSample, time::Instant};
 
@@ -85,6 +86,8 @@
     pub(super) limit: ConcurrencyLimit,
     /// Limit that the target in `target` has stated.
     pub(super) rate_limit: RateLimit,
+    /// Limit while the target in `target` is cold, and shortly afterwards.
+    pub(super) warm_up: WarmUpLimit,
     pub(super) resends: ResendBudget,
     pub(super) pace: HostPace,
     pub(super) service_times: ClassServiceTimes,
@@ -116,6 +119,7 @@
             stop_deadline: None,
             limit: ConcurrencyLimit::new(cfg.limit, 0),
             rate_limit: RateLimit::default(),
+            warm_up: WarmUpLimit::default(),
             resends: ResendBudget::new(cfg.resends),
             pace: HostPace::default(),
             service_times: ClassServiceTimes::default(),
@@ -157,6 +161,7 @@
             self.limit = ConcurrencyLimit::new(self.cfg.limit, target.capacity());
             self.pace = HostPace::default();
             self.rate_limit = RateLimit::default();
+            self.warm_up.on_new_target();
         }
         self.target = Some(target);
         self.update_end_of_starts(now);
@@ -265,7 +270,7 @@
         self.counters.offered += 1;
         match self.decide_and_fence(now, offer) {
             Ok(Placement::Slot) => {
-                self.rate_limit.record_start(now);
+                self.record_limited_start(now);
                 self.in_flight += 1;
                 self.counters.started += 1;
                 self.put_record(offer.key, RequestState::Admitted, offer.deadline);
@@ -408,7 +413,7 @@
                 let first = self
                     .queue
                     .next_to_start(Instant::default(), &self.service_times);
-                let earliest = self.rate_limit.next_start();
+                let earliest = self.next_limited_start();
                 first.map(|(_, queued)| self.delay_start_until(queued).max(earliest))
             }
             false => None,
@@ -434,35 +439,6 @@
         self.schedule_wakeups(now);
     }
 
-    /// Records the rate limit in an answer, in requests per second; `None` if the answer states
-    /// none. `generation` is the value of [`Guard::target_generation`] when the request was sent.
-    /// Returns whether the answer came from the present target.
-    pub fn record_rate_limit(
-        &mut self,
-        now: Instant,
-        generation: u64,
-        per_second: Option<f64>,
-    ) -> bool {
-        if generation != self.target_generation {
-            return false;
-        }
-        self.rate_limit.set(now, per_second);
-        self.schedule_wakeups(now);
-        true
-    }
-
-    /// Returns whether a request that was dispatched may be sent once more, and counts it against
-    /// the rate limit and the budget for such sends.
-    pub fn try_resend(&mut self, now: Instant) -> bool {
-        let is_allowed = self.rate_limit.next_start() <= now
-            && !self.have_starts_ended(now)
-            && self.resends.try_take();
-        if is_allowed {
-            self.rate_limit.record_start(now);
-        }
-        is_allowed
-    }
-
     /// Returns a number that changes whenever the target is replaced or its announcement ends.
     pub fn target_generation(&self) -> u64 {
         self.target_generation
@@ -471,8 +447,8 @@
     /// Returns whether the pace of the target's host should be measured now, before the next
     /// request starts, and records that a measurement was started.
     pub fn start_pace_measurement(&mut self, now: Instant) -> bool {
-        self.pace
-            .start_measurement(now, &self.cfg.pace, self.may_have_left)
+        let must_check = self.may_have_left || self.is_cold_check_due(now);
+        self.pace.start_measurement(now, &self.cfg.pace, must_check)
     }
 
     /// Returns whether requests are queued only because the target's host is slow.
@@ -486,9 +462,8 @@
     pub fn load_sample(&self, now: Instant) -> LoadSample {
         let is_in_force = self.target(now).is_some();
         let service_time_us = self.service_times.overall_mean_us();
-        let start_interval_us = self.rate_limit.interval_us().unwrap_or_default();
-        let start_wait_us =
-            self.rate_limit.wait_us(now) + self.queue.len() as u64 * start_interval_us;
+        let start_interval_us = self.start_interval_us(now);
+        let start_wait_us = self.start_wait_us(now, self.queue.len());
         LoadSample {
             start_wait_us: start_wait_us.try_into().unwrap_or(u32::MAX),
             start_interval_us: start_interval_us.try_into().unwrap_or(u32::MAX),
@@ -498,6 +473,7 @@
             service_time_us: service_time_us.try_into().unwrap_or(u32::MAX),
             pace_percent: self.pace.percent(),
             draining: self.is_draining() || !is_in_force,
+            cold: is_in_force && self.warm_up.is_in_effect(now),
         }
     }
 
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -30,10 +30,12 @@
 mod records;
 mod resend;
 mod service_time;
+mod start_rate;
 mod target;
 mod transitions;
 mod types;
 mod wait_correction;
+mod warm_up;
 
 pub use self::{
     counters::Counters,
@@ -49,4 +51,5 @@
         Admission, DispatchDecision, ExchangeOutcome, FenceState, Offer, RefuseReason, RequestKey,
         Urgency, Wakeup,
     },
+    warm_up::ColdReport,
 };
--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/pace.rs
@@ -125,13 +125,13 @@
 
     /// Returns whether the pace should be measured before the next request starts, and
     /// records that a measurement was started. A target that reports no pace is measured once, or
-    /// again and again while `may_have_left` is true, because its health check also tells whether it
-    /// has left.
+    /// again and again while `must_check` is true, because its health check also tells whether it
+    /// has left or is cold.
     pub(super) fn start_measurement(
         &mut self,
         now: Instant,
         cfg: &PaceSettings,
-        may_have_left: bool,
+        must_check: bool,
     ) -> bool {
         let Some(min_interval_us) = cfg.min_interval_us else {
             return false;
@@ -141,7 +141,7 @@
             .is_some_and(|last_measured| now.micros_since(last_measured) < min_interval_us);
         let is_due = match (self.last_measured, self.last_report) {
             _ if is_too_soon => false,
-            _ if may_have_left => true,
+            _ if must_check => true,
             (None, None) => true,
             (Some(_), None) => false,
             (_, Some((at, _))) => now.micros_since(at) >= cfg.remeasure_after_us,
@@ -153,6 +153,12 @@
         true
     }
 
+    /// Returns whether no health check was sent in the last `interval_us` microseconds.
+    pub(super) fn is_check_older_than(&self, now: Instant, interval_us: u64) -> bool {
+        self.last_measured
+            .is_none_or(|last_measured| now.micros_since(last_measured) >= interval_us)
+    }
+
     /// Returns the instant until which it is worth delaying the start of a request that was
     /// queued at `queued_at`.
     ///
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -148,24 +148,23 @@
         self.requests_ahead(now, urgency, service_times).count()
     }
 
-    /// Returns the tickets of the requests that the target can hardly answer before their deadline
-    /// if the first request starts at `first_start` and the others at intervals of `interval_us`.
+    /// Returns the tickets of the requests that the target can hardly answer before their deadline.
+    /// `start_after` gives the start of a request by the number of requests that start before it.
     pub(super) fn unservable_at_rate(
         &self,
         now: Instant,
-        first_start: Instant,
-        interval_us: u64,
+        start_after: impl Fn(usize) -> Instant,
         service_times: &ClassServiceTimes,
     ) -> Vec<Ticket> {
-        let mut start = first_start;
+        let mut started = 0;
         let mut unservable = Vec::new();
         for ticket in self.tickets_in_start_order(now, service_times) {
             let queued = &self.by_ticket[&ticket];
             let low_estimate_us = service_times.low_estimate_us(queued.urgency.class);
-            if start.saturating_add_micros(low_estimate_us) >= queued.deadline {
+            if start_after(started).saturating_add_micros(low_estimate_us) >= queued.deadline {
                 unservable.push(ticket);
             } else {
-                start = start.saturating_add_micros(interval_us);
+                started += 1;
             }
         }
         unservable
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -69,7 +69,7 @@
         }
         let max_queued = u64::from(target.slots) * u64::from(self.cfg.queue_factor);
         if self.queue.len() as u64 >= max_queued {
-            return Err(RefuseReason::Overloaded);
+            return Err(self.full_queue_reason(now));
         }
         let end = now.saturating_add_micros(self.predicted_time_us(now, &offer.urgency));
         if stop_at.is_some_and(|at| end > at) {
@@ -91,16 +91,16 @@
         }
     }
 
-    /// Returns whether a slot is free and the rate limit lets a request start.
+    /// Returns whether a slot is free and the rate limits let a request start.
     fn can_start(&self, now: Instant) -> bool {
-        self.in_flight < self.limit.effective_limit() && self.rate_limit.next_start() <= now
+        self.in_flight < self.limit.effective_limit() && self.next_limited_start() <= now
     }
 
-    /// Returns whether a request would wait longer for the rate limit than for a slot.
+    /// Returns the refusal of a request that would wait too long, for a slot or for a rate limit.
     fn overload_reason(&self, now: Instant, urgency: &Urgency) -> RefuseReason {
         let rate_wait_us = self.rate_wait_us(now, urgency);
         match rate_wait_us > 0 && rate_wait_us >= self.slot_wait_us(now, urgency) {
-            true => RefuseReason::RateLimited,
+            true => self.rate_refusal(now, self.count_ahead(now, urgency)),
             false => RefuseReason::Overloaded,
         }
     }
@@ -154,17 +154,6 @@
             .max(self.rate_wait_us(now, urgency))
     }
 
-    /// Returns how long the rate limit delays a request that is queued now, in microseconds.
-    fn rate_wait_us(&self, now: Instant, urgency: &Urgency) -> u64 {
-        let Some(interval_us) = self.rate_limit.interval_us() else {
-            return 0;
-        };
-        let ahead = self.queue.count_ahead(now, urgency, &self.service_times);
-        self.rate_limit
-            .wait_us(now)
-            .saturating_add(interval_us.saturating_mul(ahead as u64))
-    }
-
     /// Predicts how long a request that is queued now waits for a slot, in microseconds.
     ///
     /// The slots must work off the requests ahead, and then one slot must become free for the
@@ -393,30 +382,13 @@
                 break;
             };
             self.wait_correction.record_wait(now, &queued);
-            self.rate_limit.record_start(now);
+            self.record_limited_start(now);
             wakeups.push(self.promote(queued.key));
         }
         self.wakeups_due_at = None;
         wakeups
     }
 
-    /// Refuses queued requests whose turn under the rate limit comes too late for their deadline,
-    /// so that they do not wait in vain after a limit was stated or lowered.
-    fn refuse_beyond_rate_limit(&mut self, now: Instant) {
-        let Some(interval_us) = self.rate_limit.interval_us() else {
-            return;
-        };
-        let first_start = now.max(self.rate_limit.next_start());
-        let tickets =
-            self.queue
-                .unservable_at_rate(now, first_start, interval_us, &self.service_times);
-        for ticket in tickets {
-            if let Some(queued) = self.queue.remove(ticket) {
-                self.refuse_queued(queued.key, RefuseReason::RateLimited);
-            }
-        }
-    }
-
     /// Starts, or ends, the time in which queued requests still start at a target that is leaving.
     pub(super) fn update_end_of_starts(&mut self, now: Instant) {
         let is_leaving = self.target.as_ref().is_some_and(|target| target.leaving);
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -19,12 +19,15 @@
     /// How long work takes on the target's host at the moment, in percent of the usual time;
     /// zero if the target does not report it.
     pub pace_percent: u32,
-    /// Time until a new request can start under the rate limit that the target states, in
-    /// microseconds; zero without a limit.
+    /// Time until a new request can start under the rate limit that the target states and the limit
+    /// of a cold target, in microseconds; zero without a limit.
     pub start_wait_us: u32,
-    /// Time between two starts under that limit, in microseconds; zero without a limit.
+    /// Time between two starts under the lower limit, in microseconds; zero without a limit.
     pub start_interval_us: u32,
     /// Whether the guard refuses all new requests: the target is leaving, no target is announced,
     /// or the guard is draining.
     pub draining: bool,
+    /// Whether the limit of a cold target is in effect, which includes the time after the cold period
+    /// in which the rate rises.
+    pub cold: bool,
 }
--- a/crates/node/src/pace.rs
+++ b/crates/node/src/pace.rs
@@ -14,7 +14,8 @@
 /// once. A later response is of no use to the request that waits for it.
 const MEASUREMENT_TIMEOUT_MS: u64 = 20;
 
-/// Interval between measurements while requests are delayed, in milliseconds.
+/// Interval between measurements while requests are delayed, in milliseconds. The guard may ask for
+/// fewer.
 const DELAYED_INTERVAL_MS: u64 = 10;
 
 /// Longest response body of a health check that is read, in bytes.
@@ -115,11 +116,12 @@
     Some(head)
 }
 
-/// Measures the pace while requests are delayed by a slow host, until the process exits.
+/// Measures the pace while requests are delayed by a slow host, or queued at a target that may become
+/// cold, until the process exits.
 pub(crate) async fn monitor_delayed_requests(node: Rc<Node>) {
     loop {
         node.pace.request_queued.notified().await;
-        while node.guard.borrow().is_delayed_by_slow_host(node.now()) {
+        while node.guard.borrow().needs_checks_while_queued(node.now()) {
             let next = node.now().saturating_add_millis(DELAYED_INTERVAL_MS);
             node.clock.sleep_until(next).await;
             refresh_pace(&node).await;
