core, node: entries hold back from cold targets

An entry knew a cold target only by the wait in its load samples. A target that became cold got requests of each entry without a sample, requests beyond the capacity were refused by one guard after the other, and failures ejected targets.

Member records and load samples now say that a target is cold. The record counts until a newer sample. After a refusal as cold an entry backs off, and it knows when no target can start a request in time (Balancer::is_too_cold). Failures of a cold target do not count towards ejection.

--- a/crates/core/examples/membership/sim/hosts.rs
+++ b/crates/core/examples/membership/sim/hosts.rs
@@ -30,6 +30,7 @@
             service: ServiceName::from(format!("service-{}.example", i % 49).as_str()),
             slots: 12,
             draining: false,
+            cold: false,
         }),
         store_reads_fail: false,
         config_version: 100_000,
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -7,12 +7,13 @@
 
 use super::{
     BalancerSettings, Candidate, ChoiceRequest, EjectionChange, EjectionEvent, Explanation,
-    LoadReport, Policy, RequestObservation, Score,
+    LoadReport, Policy, RequestObservation, RequestOutcome, Score,
     ejection::{EjectionState, EjectionTransition},
     service_targets::{
         NodeState, ServiceTarget, ServiceTargets, build_candidate, eligible_candidates,
         target_usage,
     },
+    start_limits::not_backed_off,
     subset::{entry_position, rendezvous_subset},
 };
 use crate::{
@@ -74,14 +75,18 @@
 
 /// Chooses targets for the requests of one entry.
 pub struct Balancer {
-    cfg: BalancerSettings,
+    pub(super) cfg: BalancerSettings,
     policy: Box<dyn Policy>,
     /// See [`ChoiceRequest::first_request_position`].
     entry_position: f64,
-    services: HashMap<ServiceName, ServiceTargets>,
+    pub(super) services: HashMap<ServiceName, ServiceTargets>,
     /// Has an entry for each target in `services`. At most half of the subset of a service is
     /// ejected.
-    nodes: HashMap<NodeName, NodeState>,
+    pub(super) nodes: HashMap<NodeName, NodeState>,
+    /// Whether a member record says that a target is cold.
+    pub(super) has_announced_cold: bool,
+    /// Instant from which on no load sample says that a target is cold.
+    pub(super) cold_samples_until: Instant,
     /// Minimum time between two probes; zero for no minimum.
     probe_interval_us: u64,
     /// Earliest time of the next probe.
@@ -99,6 +104,8 @@
             policy,
             services: HashMap::default(),
             nodes: HashMap::default(),
+            has_announced_cold: false,
+            cold_samples_until: Instant::default(),
             probe_interval_us: 0,
             next_probe_at: Instant::default(),
             events: VecDeque::new(),
@@ -203,6 +210,11 @@
             .filter(|candidate| candidate.estimate.start_wait_us(now) == 0)
             .copied()
             .collect();
+        let startable = if startable.is_empty() {
+            not_backed_off(now, candidates)
+        } else {
+            startable
+        };
         let candidates = if startable.is_empty() {
             candidates
         } else {
@@ -220,41 +232,6 @@
         Ok(NodeName::from(candidates[index].node))
     }
 
-    /// Returns the nodes of the targets of a service in the subset of this entry whose stated rate
-    /// limit, if any, lets a request start at once. Ejected targets are included.
-    pub fn startable_targets(
-        &self,
-        now: Instant,
-        service: &str,
-    ) -> impl Iterator<Item = &NodeName> {
-        self.subset_nodes_with_wait(now, service)
-            .filter(|(_, wait_us)| *wait_us == 0)
-            .map(|(node, _)| node)
-    }
-
-    /// Returns the nodes in the subset of this entry with how long a stated rate limit delays a
-    /// request there, in microseconds.
-    fn subset_nodes_with_wait(
-        &self,
-        now: Instant,
-        service: &str,
-    ) -> impl Iterator<Item = (&NodeName, u64)> {
-        let targets = self.services.get(service).into_iter();
-        targets
-            .flat_map(ServiceTargets::subset_targets)
-            .filter_map(move |target| {
-                let state = self.nodes.get(&target.node)?;
-                Some((&target.node, state.estimate.start_wait_us(now)))
-            })
-    }
-
-    /// Returns how long the rate limits that the targets of a service state delay a request, in
-    /// microseconds; zero if a target can start it at once, or none is known.
-    pub fn start_wait_us(&self, now: Instant, service: &str) -> u64 {
-        let waits = self.subset_nodes_with_wait(now, service);
-        waits.map(|(_, wait_us)| wait_us).min().unwrap_or_default()
-    }
-
     /// Records that a request was sent to a node.
     pub fn on_request_sent(&mut self, now: Instant, node: &str) {
         if let Some(state) = self.nodes.get_mut(node) {
@@ -265,6 +242,9 @@
     /// Records the end of a request. Must be called once per [`Balancer::on_request_sent`].
     pub fn on_request_ended(&mut self, now: Instant, node: &str, observation: &RequestObservation) {
         let may_eject = self.may_eject(node);
+        if let Some(sample) = &observation.load {
+            self.note_cold_sample(now, sample);
+        }
         let Some(state) = self.nodes.get_mut(node) else {
             return;
         };
@@ -277,9 +257,15 @@
         state
             .estimate
             .update_failure_rate(now, observation.outcome, FAILURE_EWMA_WEIGHT, decay_us);
+        // A cold target may fail more often, and gets few requests as it is.
+        let is_excused = observation.outcome.is_failure() && state.estimate.is_cold(now);
+        let outcome = match is_excused {
+            true => RequestOutcome::Refused,
+            false => observation.outcome,
+        };
         let transition = state
             .ejection
-            .on_outcome(now, observation.outcome, may_eject, &self.cfg);
+            .on_outcome(now, outcome, may_eject, &self.cfg);
         if transition == Some(EjectionTransition::Restored) {
             state.estimate.begin_slow_start(now);
         }
@@ -290,6 +276,7 @@
 
     /// Records the reply to a probe.
     pub fn on_probe_reply(&mut self, now: Instant, node: &str, rtt_us: u32, sample: LoadSample) {
+        self.note_cold_sample(now, &sample);
         if let Some(state) = self.nodes.get_mut(node) {
             state.probe_requested_at = None;
             state.estimate.update_rtt(rtt_us);
--- a/crates/core/src/balance/estimate.rs
+++ b/crates/core/src/balance/estimate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use super::RequestOutcome;
+use super::{RequestOutcome, coldness::Coldness};
 use crate::{load::LoadSample, time::Instant};
 
 /// Maximum number of outstanding requests per target whose send times are kept; the oldest are
@@ -54,6 +54,8 @@
     pub failure_rate_at: Instant,
     /// Time of the last refusal by the guard.
     pub last_refusal_at: Option<Instant>,
+    /// What is known about coldness besides `sample`.
+    pub(super) coldness: Coldness,
     /// Send times of the outstanding requests of this entry, oldest first.
     outstanding: VecDeque<Instant>,
 }
@@ -74,6 +76,7 @@
             failure_rate: 0.0,
             failure_rate_at: now,
             last_refusal_at: None,
+            coldness: Coldness::default(),
             outstanding: VecDeque::new(),
         }
     }
@@ -106,9 +109,14 @@
         self.sent_since_sample += 1;
     }
 
-    /// Returns how long the rate limit that the target states would delay a request, in
-    /// microseconds; zero without a limit.
+    /// Returns how long the rate limits of the target would delay a request, or a refusal by a cold
+    /// one keeps requests from it, in microseconds; zero if a request can start at once.
     pub fn start_wait_us(&self, now: Instant) -> u64 {
+        self.limit_wait_us(now).max(self.cold_wait_us(now))
+    }
+
+    /// Returns how long the rate limits in the last sample would delay a request, in microseconds.
+    pub(super) fn limit_wait_us(&self, now: Instant) -> u64 {
         let Some((at, sample)) = self.sample else {
             return 0;
         };
@@ -172,6 +180,9 @@
             self.long_term_service_us =
                 Some(average_us + (observed_us - average_us) * LONG_TERM_SERVICE_EWMA_WEIGHT);
         }
+        if !sample.cold {
+            self.forget_cold_refusal();
+        }
         self.sample = Some((now, sample));
         self.own_in_flight_at_sample = self.own_in_flight();
         self.sent_since_sample = 0;
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -6,6 +6,7 @@
 
 mod balancer;
 mod baseline;
+mod coldness;
 mod ejection;
 mod estimate;
 mod explain;
@@ -15,10 +16,12 @@
 mod score;
 mod service_targets;
 mod settings;
+mod start_limits;
 mod subset;
 
 pub use balancer::{Balancer, ChoiceError, TargetView};
 pub use baseline::{LeastInFlight, RandomChoice, RoundRobin, TwoChoicesReported};
+pub use coldness::WaitingRequest;
 pub use ejection::EjectionReason;
 pub use estimate::{LoadReport, TargetEstimate};
 pub use explain::{EjectionChange, EjectionEvent, Explanation, TargetUsage};
--- a/crates/core/src/member/record.rs
+++ b/crates/core/src/member/record.rs
@@ -45,6 +45,8 @@
     pub slots: u32,
     /// Whether the target takes no new work.
     pub draining: bool,
+    /// Whether the target is cold, so that it can start only few requests.
+    pub cold: bool,
 }
 
 /// What the members know about one member.
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -13,6 +13,8 @@
 };
 use rand::{SeedableRng, rngs::StdRng};
 
+#[path = "balance/cold.rs"]
+mod cold;
 #[path = "balance/ejection.rs"]
 mod ejection;
 
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -52,6 +52,7 @@
         service: target.service.clone(),
         slots: target.slots.min(target.connections),
         draining: guard.is_draining(),
+        cold: guard.is_cold(now),
     });
     drop(guard);
     node.members.borrow_mut().set_target(target);
