node: cold targets

Nodes decoded the warm-up time in heartbeats and used it nowhere, and did not read the header of health checks. The guard got no rule, and no entry was told.

The node beside a target now passes the warm-up rule of its service, the heartbeats and the header Plantainpost-Cold-Ms to the guard, announces coldness in its member record, logs when it begins and ends, and counts refusals. Entries refuse at once, without a message, when they know that no target can start a request in time, and send no hedge that would have to wait.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -9,6 +9,7 @@
 use crate::{
     admin, clock,
     external::{ControlCall, ControlProtocol, TargetHeartbeat},
+    guard::cold,
     node::Node,
     pace,
 };
@@ -81,6 +82,9 @@
     };
     let was_draining = node.guard.borrow().is_draining();
     let effect = node.guard.borrow_mut().announce(now, announcement);
+    if effect != AnnouncementEffect::Late {
+        cold::record_heartbeat(node, heartbeat.warmup_ms);
+    }
     if effect == AnnouncementEffect::Replaced {
         node.target_pool.close_idle();
     }
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 use plantainpost_core::{
     admission::{RefuseReason, RequestKey},
-    balance,
+    balance::{self, WaitingRequest},
     ids::{Incarnation, NodeName},
     load::LoadSample,
     time::Instant,
@@ -232,6 +232,9 @@
         }
         GuardReply::Refused { refusal, load } => {
             in_flight.report(balance::RequestOutcome::Refused, Some(load));
+            if refusal == RefuseReason::Cold {
+                back_off(node, request, &attempt.peer);
+            }
             if reusable {
                 node.peer_pool.release(&attempt.peer, conn);
             }
@@ -258,6 +261,17 @@
     }
 }
 
+/// Tells the balancer that the target is too cold for requests like this one.
+fn back_off(node: &Node, request: &CallerRequest, peer: &NodeName) {
+    let waiting = WaitingRequest {
+        deadline: request.deadline,
+        priority: request.urgency().priority,
+    };
+    let now = node.now();
+    let mut balancer = node.balancer.borrow_mut();
+    balancer.on_cold_refusal(now, peer.as_str(), &waiting);
+}
+
 /// Sends the request and waits for the guard's response, refusal or failure message.
 async fn exchange_with_guard(
     request: &CallerRequest,
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -18,6 +18,8 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use plantainpost_core::{
+    admission::RefuseReason,
+    balance::WaitingRequest,
     ids::{NodeName, RequestId},
     retry::{AttemptOutcome, RetryDecision, RetryQuery},
     time::Instant,
@@ -178,6 +180,13 @@
 
     /// Runs attempts until one receives a response or no further attempt is allowed.
     async fn run_attempts(&mut self) -> AttemptEnd {
+        if self.is_too_cold(self.request.deadline) {
+            self.node.metrics.count("entry.refused_cold");
+            return AttemptEnd::NotRun {
+                reason: RefuseReason::Cold.as_str(),
+                reached_target: false,
+            };
+        }
         if let Err(reason) = self.start_attempt(AttemptCause::First) {
             return AttemptEnd::NotRun {
                 reason,
@@ -257,6 +266,18 @@
         Ok(())
     }
 
+    /// Returns whether all targets are known to be cold, and none can start the request before
+    /// `deadline`.
+    fn is_too_cold(&self, deadline: Instant) -> bool {
+        let waiting = WaitingRequest {
+            deadline,
+            priority: self.request.urgency().priority,
+        };
+        let (now, service) = (self.node.now(), self.request.policy.service.as_str());
+        let balancer = self.node.balancer.borrow();
+        balancer.is_too_cold(now, service, &self.tried_nodes, &waiting)
+    }
+
     /// Returns whether the guard on `peer` may refuse the request because its host is slow.
     fn may_refuse_if_slow(&self, now: Instant, peer: &NodeName) -> bool {
         let service = self.request.policy.service.as_str();
@@ -289,6 +310,11 @@
             return;
         }
         self.hedge_plan = None;
+        // A hedge that has to wait at a cold target would come too late, and take a start from another
+        // request.
+        if self.is_too_cold(now.saturating_add_millis(1)) {
+            return;
+        }
         let allowed = self.node.retry_budgets.borrow_mut().try_hedge(now, service);
         if allowed && self.start_attempt(AttemptCause::Hedge).is_ok() {
             self.node.metrics.count("entry.hedge");
@@ -320,6 +346,10 @@
         targets_reached: u32,
         last_reached_target: bool,
     ) -> bool {
+        if self.is_too_cold(self.request.deadline) {
+            self.node.metrics.count("entry.refused_cold");
+            return false;
+        }
         let query = RetryQuery {
             service: self.request.policy.service.as_str(),
             outcome,
--- a/crates/node/src/external.rs
+++ b/crates/node/src/external.rs
@@ -115,7 +115,7 @@
     pub slots: u32,
     /// Whether it will stop soon.
     pub leaving: bool,
-    /// Warm-up time after its start during which it is slower, in milliseconds.
+    /// Remaining time for which it is cold, in milliseconds; zero if it is not.
     pub warmup_ms: u64,
 }
 
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -9,7 +9,7 @@
     member::{MemberRecord, MemberState, TargetInfo},
 };
 
-use crate::node::Node;
+use crate::{guard::cold, node::Node};
 
 /// Versions that were last applied to the balancer and the guard.
 #[derive(Default)]
@@ -26,6 +26,7 @@
     pub(crate) ip: IpAddr,
     pub(crate) slots: u32,
     pub(crate) draining: bool,
+    pub(crate) cold: bool,
     /// Whether the node on the target's host is about to stop.
     pub(crate) stopping: bool,
 }
@@ -46,6 +47,7 @@
 
 /// Passes the state of the target on this host from the guard to the membership.
 fn publish_local_target(node: &Node) {
+    cold::update(node);
     let now = node.now();
     let guard = node.guard.borrow();
     let target = guard.target(now).map(|target| TargetInfo {
@@ -123,6 +125,7 @@
             // A leaving node always announces its target as draining. Whether it still accepts
             // requests is decided by its guard.
             draining: target.draining && record.state != MemberState::Leaving,
+            cold: target.cold,
             stopping: record.state == MemberState::Leaving,
         });
     }
@@ -158,5 +161,8 @@
     for (service, views) in &services {
         balancer.set_targets(now, service.as_str(), views);
     }
+    let cold = targets.iter().filter(|target| target.cold);
+    let cold: Vec<NodeName> = cold.map(|target| target.node.clone()).collect();
+    balancer.set_cold_nodes(now, &cold);
     node.known_services.replace(services.into_keys().collect());
 }
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -296,6 +296,9 @@
     reason: RefuseReason,
 ) -> ConnState {
     node.metrics.count("guard.refused");
+    if reason == RefuseReason::Cold {
+        node.metrics.count("guard.refused_cold");
+    }
     let load = node.guard.borrow().load_sample(node.now());
     info!(node.logger, "request refused"; "request" => %req.public_id(node),
         "reason" => reason.as_str(), "in_flight" => load.in_flight, "queued" => load.queued,
--- a/crates/node/src/guard/target_headers.rs
+++ b/crates/node/src/guard/target_headers.rs
@@ -1,12 +1,12 @@
-//! What a target says about itself in the headers of its responses: its load, a rate limit, and
-//! that it is leaving.
+//! What a target says about itself in the headers of its responses: its load, a rate limit, that it
+//! is cold, and that it is leaving.
 
 use std::rc::Rc;
 
 use plantainpost_http1::{self as http1, ResponseHead};
 use slog::info;
 
-use super::relay::SERVICE_UNAVAILABLE;
+use super::{cold, relay::SERVICE_UNAVAILABLE};
 use crate::{admin, node::Node};
 
 /// Change of a rate limit, as a share of the old one, from which on it is logged. A limit may differ
@@ -45,6 +45,7 @@
 
 fn record_health_headers(node: &Rc<Node>, head: &ResponseHead, generation: u64) {
     record_load(node, head);
+    cold::record_header(node, head, generation);
     let leaving = node.settings.headers.leaving;
     let is_leaving =
         leaving.is_some_and(|name| http1::header_text(&head.headers, name) == Some("1"));
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -32,6 +32,8 @@
     pub rate_limit: Option<&'static str>,
     /// Marks the responses of a target that is leaving, with the value 1.
     pub leaving: Option<&'static str>,
+    /// Remaining time for which a target is cold, in milliseconds, in its responses to health checks.
+    pub cold: Option<&'static str>,
     /// Marks responses of a target that did not run the request.
     pub not_run: Option<&'static str>,
     /// Headers with this prefix that are not listed above are internal to the nodes and never
@@ -52,6 +54,7 @@
             load: None,
             rate_limit: None,
             leaving: None,
+            cold: None,
             not_run: None,
             private_prefix: Some("plantainpost-"),
             callers_choose_id: false,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -32,7 +32,7 @@
     clock::Clock,
     config_sync::{RoutesOrigin, StateFetch},
     fleet::AppliedVersions,
-    guard::ExchangeLinks,
+    guard::{ExchangeLinks, cold::ColdLog},
     load_report::LoadReportCache,
     log_service::LogService,
     metrics::Metrics,
@@ -71,6 +71,8 @@
     pub(crate) exchange_links: ExchangeLinks,
     /// Rate limit of the target that was last logged, in requests per second.
     pub(crate) logged_rate_limit: Cell<Option<f64>>,
+    /// Whether the target was last logged as cold.
+    pub(crate) cold_log: ColdLog,
     /// Contains exactly the requests that the guard has queued.
     pub(crate) waiters: RefCell<Waiters>,
     pub(crate) balancer: RefCell<Balancer>,
--- a/tests/integration/platform_reload.rs
+++ b/tests/integration/platform_reload.rs
@@ -11,7 +11,7 @@
 };
 
 /// Returns the value of a metric of a node, or zero if it has never been counted.
-fn metric(platform: &PlatformFleet, i: usize, name: &str) -> u64 {
+pub(crate) fn metric(platform: &PlatformFleet, i: usize, name: &str) -> u64 {
     let request = b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
     let text = exchange(platform.hosts[i].metrics, request);
     let value = text
