core, node: a health check replaces what heartbeats said about coldness

A heartbeat that arrived after the target had become warm made it cold again, and the next check began the rise of the rate anew at the warm-up rate. A check without a response postponed the next one by 50 ms.

The end of the cold period that heartbeats state now counts until the next response, and only checks with a response postpone the next one. The header is not looked up where the service has no warm-up rate.

Tests: late_heartbeat_does_not_end_the_cold_period, extended; seen to fail without the change. admission_warm_up, cold_start and integration cold_targets pass.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -212,6 +212,7 @@
         if generation != self.target_generation {
             return false;
         }
+        self.pace.record_check(now);
         let was_draining = self.is_draining();
         let is_early = now < self.cfg.announcements_settle_at;
         self.may_have_left = !has_passed && (self.may_have_left || is_early);
--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/pace.rs
@@ -73,6 +73,8 @@
     slow_since: Option<Instant>,
     /// Instant at which the last measurement was started.
     last_measured: Option<Instant>,
+    /// Instant of the last response to a measurement.
+    last_checked: Option<Instant>,
 }
 
 impl HostPace {
@@ -153,10 +155,15 @@
         true
     }
 
-    /// Returns whether no health check was sent in the last `interval_us` microseconds.
+    /// Records the response to a measurement.
+    pub(super) fn record_check(&mut self, now: Instant) {
+        self.last_checked = Some(now);
+    }
+
+    /// Returns whether no measurement had a response in the last `interval_us` microseconds.
     pub(super) fn is_check_older_than(&self, now: Instant, interval_us: u64) -> bool {
-        self.last_measured
-            .is_none_or(|last_measured| now.micros_since(last_measured) >= interval_us)
+        self.last_checked
+            .is_none_or(|last_checked| now.micros_since(last_checked) >= interval_us)
     }
 
     /// Returns the instant until which it is worth delaying the start of a request that was
--- a/crates/core/src/admission/start_rate.rs
+++ b/crates/core/src/admission/start_rate.rs
@@ -33,6 +33,11 @@
         self.is_cold(now) != was_cold
     }
 
+    /// Returns whether there is a limit on cold targets of the target's service.
+    pub fn may_become_cold(&self) -> bool {
+        self.warm_up.has_rule()
+    }
+
     /// Returns whether the target is cold.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.target(now).is_some() && self.warm_up.is_cold(now)
--- a/crates/core/src/admission/warm_up.rs
+++ b/crates/core/src/admission/warm_up.rs
@@ -34,10 +34,20 @@
     /// A response of the target, which states the present remaining time in milliseconds.
     Response(u64),
     /// A heartbeat with a remaining time in milliseconds. Heartbeats may arrive late, so they never
-    /// shorten the cold period.
+    /// shorten the cold period, and the next response replaces what they stated.
     Heartbeat(u64),
 }
 
+impl ColdReport {
+    fn remaining_ms(self) -> u64 {
+        match self {
+            ColdReport::Response(remaining_ms) | ColdReport::Heartbeat(remaining_ms) => {
+                remaining_ms
+            }
+        }
+    }
+}
+
 /// Spaces the starts of requests at a target that is or was cold.
 ///
 /// In any period of `t` seconds of the cold time at most `(t + 0.5) * rate + 1` requests start, and
@@ -50,8 +60,12 @@
 pub(super) struct WarmUpLimit {
     /// Rule of the target's service; `None` if its targets are never cold.
     rule: Option<WarmUp>,
-    /// End of the cold period, which may have passed; `None` if the target has not been cold.
-    cold_until: Option<Instant>,
+    /// End of the cold period as responses state it, which may have passed; `None` if none has stated
+    /// one.
+    stated_until: Option<Instant>,
+    /// End of the cold period as heartbeats state it that arrived after the last response; `None` if
+    /// none has stated one.
+    heartbeat_until: Option<Instant>,
     /// Allowance in use at `as_of`. A request may start when at most [`MAX_AHEAD_US`] is in use.
     used_us: f64,
     as_of: Instant,
@@ -81,26 +95,30 @@
     /// Forgets the cold period, because another target was announced. Starts at the previous one
     /// still count, which is on the safe side.
     pub(super) fn on_new_target(&mut self) {
-        self.cold_until = None;
+        self.stated_until = None;
+        self.heartbeat_until = None;
         self.used_us = 0.0;
     }
 
     /// Records what the target says about its cold period.
     pub(super) fn record(&mut self, now: Instant, report: ColdReport) {
-        let until = |ms: u64| now.saturating_add_millis(ms.min(MAX_COLD_MS));
+        let until = now.saturating_add_millis(report.remaining_ms().min(MAX_COLD_MS));
         let was_cold = self.is_cold(now);
-        let cold_until = match report {
-            ColdReport::Heartbeat(0) => return,
-            ColdReport::Heartbeat(ms) => self.cold_until.unwrap_or_default().max(until(ms)),
-            // The ramp begins now if the cold period ends early, and when it ended otherwise.
-            ColdReport::Response(0) => match self.cold_until {
-                Some(cold_until) => cold_until.min(now),
-                None => return,
-            },
-            ColdReport::Response(ms) => until(ms),
-        };
         self.settle(now);
-        self.cold_until = Some(cold_until);
+        match report {
+            ColdReport::Heartbeat(0) => (),
+            ColdReport::Heartbeat(_) => {
+                self.heartbeat_until = self.heartbeat_until.max(Some(until));
+            }
+            ColdReport::Response(remaining_ms) => {
+                self.heartbeat_until = None;
+                // Zero ends a cold period now, or confirms that it has ended.
+                self.stated_until = match remaining_ms {
+                    0 => self.stated_until.map(|stated_until| stated_until.min(now)),
+                    _ => Some(until),
+                };
+            }
+        }
         if !was_cold && self.is_cold(now) {
             self.use_allowance(now);
         }
@@ -108,7 +126,7 @@
 
     /// Returns whether the target is cold.
     pub(super) fn is_cold(&self, now: Instant) -> bool {
-        self.rule.is_some() && self.cold_until.is_some_and(|at| now < at)
+        self.limit().is_some_and(|(_, cold_until)| now < cold_until)
     }
 
     /// Returns whether the limit is in effect: the target is cold, or was until recently.
@@ -162,8 +180,9 @@
         }
     }
 
+    /// Returns the rule and the end of the cold period, which may have passed; `None` without either.
     fn limit(&self) -> Option<(WarmUp, Instant)> {
-        self.rule.zip(self.cold_until)
+        self.rule.zip(self.stated_until.max(self.heartbeat_until))
     }
 
     /// Deducts the allowance that has accrued since `as_of`.
--- a/crates/core/tests/admission_warm_up.rs
+++ b/crates/core/tests/admission_warm_up.rs
@@ -96,6 +96,7 @@
         let report = ColdReport::Response(self.cold_left_ms(ms));
         let generation = self.guard.target_generation();
         self.guard.record_pace(at(ms), 100);
+        self.guard.record_health(at(ms), generation, true);
         self.guard.record_cold(at(ms), generation, report);
     }
 
@@ -371,7 +372,8 @@
     expect_that!(host.guard.is_cold(at(2)), eq(false));
 }
 
-/// Guards against a late heartbeat, from before a target became cold again, that ends the limit.
+/// Guards against a late heartbeat, from before a target became cold again, that ends the limit, and
+/// against one from before it became warm that limits it again.
 #[gtest]
 fn late_heartbeat_does_not_end_the_cold_period() {
     let mut host = Host::new(warm_up(5));
@@ -381,6 +383,18 @@
     expect_that!(host.guard.is_cold(at(100)), eq(true));
     host.heartbeat(200, 50);
     expect_that!(host.guard.is_cold(at(2_999)), eq(true));
+    host.check_health(3_000, false);
+    let interval_us = host.guard.load_sample(at(4_000)).start_interval_us;
+    expect_that!(interval_us, gt(0));
+    host.heartbeat(4_000, 500);
+    expect_that!(host.guard.is_cold(at(4_000)), eq(true));
+    host.check_health(4_000, false);
+    let sample = host.guard.load_sample(at(4_000));
+    expect_that!(sample.start_interval_us, eq(interval_us));
+    host.check_health(7_000, false);
+    host.heartbeat(7_000, 500);
+    host.check_health(7_050, false);
+    expect_that!(host.guard.load_sample(at(7_050)).cold, eq(false));
 }
 
 /// Guards against a target whose coldness is not noticed because its ordinary answers report the pace
--- a/crates/core/tests/cold_start.rs
+++ b/crates/core/tests/cold_start.rs
@@ -261,6 +261,7 @@
             let left_ms = host.cold_until_ms.saturating_sub(self.now_ms);
             let generation = host.guard.target_generation();
             host.guard.record_pace(now, 100);
+            host.guard.record_health(now, generation, true);
             let report = ColdReport::Response(left_ms);
             host.guard.record_cold(now, generation, report);
         }
--- a/crates/node/src/guard/cold.rs
+++ b/crates/node/src/guard/cold.rs
@@ -65,6 +65,9 @@
 ///
 /// [`Guard::target_generation`]: plantainpost_core::admission::Guard::target_generation
 pub(super) fn record_header(node: &Rc<Node>, head: &ResponseHead, generation: u64) {
+    if !node.guard.borrow().may_become_cold() {
+        return;
+    }
     let header = node.settings.headers.cold;
     let Some(text) = header.and_then(|name| http1::header_text(&head.headers, name)) else {
         return;
