--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -31,10 +31,12 @@
 mod records;
 mod resend;
 mod service_time;
+mod start_rate;
 mod target;
 mod transitions;
 mod types;
 mod wait_correction;
+mod warm_up;
 
 pub use self::{
     closed::ClosedReason,
@@ -51,4 +53,5 @@
         Admission, DispatchDecision, ExchangeOutcome, FenceState, Offer, RefuseReason, RequestKey,
         Urgency, Wakeup,
     },
+    warm_up::ColdReport,
 };
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -9,7 +9,7 @@
     member::{MemberRecord, MemberState, TargetInfo},
 };
 
-use crate::{evacuation, node::Node};
+use crate::{evacuation, guard::cold, node::Node};
 
 /// Versions that were last applied to the balancer and the guard.
 #[derive(Default)]
@@ -27,6 +27,7 @@
     pub(crate) ip: IpAddr,
     pub(crate) slots: u32,
     pub(crate) draining: bool,
+    pub(crate) cold: bool,
     /// Whether the node on the target's host is about to stop.
     pub(crate) stopping: bool,
 }
@@ -50,12 +51,14 @@
 
 /// Passes the state of the target on this host from the guard to the membership.
 fn publish_local_target(node: &Node) {
+    cold::update(node);
     let now = node.now();
     let guard = node.guard.borrow();
     let target = guard.target(now).map(|target| TargetInfo {
         service: target.service.clone(),
         slots: target.slots.min(target.connections),
         draining: guard.is_draining(),
+        cold: guard.is_cold(now),
     });
     drop(guard);
     node.members.borrow_mut().set_target(target);
@@ -127,6 +130,7 @@
             // A leaving node always announces its target as draining. Whether it still accepts
             // requests is decided by its guard.
             draining: target.draining && record.state != MemberState::Leaving,
+            cold: target.cold,
             stopping: record.state == MemberState::Leaving,
         });
     }
@@ -164,5 +168,8 @@
     for (service, views) in &services {
         balancer.set_targets(now, service.as_str(), views);
     }
+    let cold = targets.iter().filter(|target| target.cold);
+    let cold: Vec<NodeName> = cold.map(|target| target.node.clone()).collect();
+    balancer.set_cold_nodes(now, &cold);
     node.known_services.replace(services.into_keys().collect());
 }
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -296,8 +296,10 @@
     reason: RefuseReason,
 ) -> ConnState {
     node.metrics.count("guard.refused");
-    if reason == RefuseReason::Evacuated {
-        node.metrics.count("guard.refused_evacuated");
+    match reason {
+        RefuseReason::Evacuated => node.metrics.count("guard.refused_evacuated"),
+        RefuseReason::Cold => node.metrics.count("guard.refused_cold"),
+        _ => (),
     }
     let load = node.guard.borrow().load_sample(node.now());
     info!(node.logger, "request refused"; "request" => %req.public_id(node),
