core: refusals of a guard that are decided outside of it

Cause: a guard is to refuse requests whose key was withdrawn. The table of keys is no part of the guard, and a refusal without a fence would not hold for a copy of the request, for example after the key was added again.

Change: Guard::refuse fences a request in any state before its dispatch and counts the refusal. A new reason, no-configuration, is for guards that can't check a key yet.

--- a/crates/core/src/admission/counters.rs
+++ b/crates/core/src/admission/counters.rs
@@ -27,7 +27,8 @@
     pub target_refused: u64,
     /// Cancelled requests that were queued or held a slot.
     pub cancelled: u64,
-    /// Requests fenced at the request of an entry.
+    /// Requests fenced at the request of an entry, and known ones that were refused by
+    /// [`Guard::refuse`](super::Guard::refuse).
     pub fenced: u64,
     /// Reductions of the concurrency limit.
     pub limit_lowered: u64,
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -28,6 +28,7 @@
 mod queue;
 mod rate_limit;
 mod records;
+mod refuse;
 mod resend;
 mod service_time;
 mod target;
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -101,11 +101,13 @@
     /// The target is cold, and its warm-up rate leaves no room before the deadline or the latency
     /// target.
     Cold,
+    /// The guard's node has no configuration, so it can't check the key of the request.
+    NoConfiguration,
 }
 
 impl RefuseReason {
     /// All reasons, in the order of declaration.
-    pub const ALL: [RefuseReason; 15] = [
+    pub const ALL: [RefuseReason; 16] = [
         RefuseReason::Overloaded,
         RefuseReason::Deadline,
         RefuseReason::Draining,
@@ -121,6 +123,7 @@
         RefuseReason::KeyWithdrawn,
         RefuseReason::Displaced,
         RefuseReason::Cold,
+        RefuseReason::NoConfiguration,
     ];
 
     /// Returns whether the refusal guarantees that the request was not run and never
@@ -147,6 +150,7 @@
             RefuseReason::KeyWithdrawn => "key-withdrawn",
             RefuseReason::Displaced => "displaced",
             RefuseReason::Cold => "cold",
+            RefuseReason::NoConfiguration => "no-configuration",
         }
     }
 }
