core: the workspace of a request, and claims for guards to check

Cause: nothing decided which workspace a request belongs to.

A KeyClaim states what an entry has found, so that another node can check it against its own version. Names of workspaces that don't fit into a header, such as ones with line breaks, make a configuration invalid.

--- a/crates/core/src/workspace/mod.rs
+++ b/crates/core/src/workspace/mod.rs
@@ -3,6 +3,14 @@
 //! A [`WorkspaceTable`] is part of one version of the configuration. It holds hashes of the keys, so that
 //! nodes neither store nor exchange the keys themselves.
 
+mod access;
+mod usage;
+
+pub use self::{
+    access::{Identity, KeyClaim, KeyError, SentKey, identify},
+    usage::{RequestCounts, WorkspaceUsage},
+};
+
 use std::{fmt, rc::Rc};
 
 use serde::{Deserialize, Serialize};
@@ -60,6 +68,9 @@
     /// Requests with the key would belong to two workspaces.
     #[snafu(display("workspaces {first} and {second} have a key in common"))]
     SharedKey { first: String, second: String },
+    /// The name can't be sent in a header.
+    #[snafu(display("the name {name:?} of a workspace is not valid in a header"))]
+    InvalidName { name: String },
     /// Two workspaces have the same name.
     #[snafu(display("there are two workspaces with the name {name:?}"))]
     SharedName { name: String },
@@ -79,8 +90,11 @@
     ///
     /// # Errors
     ///
-    /// Fails if two workspaces have a name or a key in common.
+    /// Fails if two workspaces have a name or a key in common, or a name is not valid in a header.
     pub fn new(mut workspaces: Vec<Workspace>) -> Result<Self, WorkspaceError> {
+        for Workspace { name, .. } in &workspaces {
+            ensure!(is_valid_name(name), InvalidNameSnafu { name: &**name });
+        }
         workspaces.sort_by(|a, b| a.name.cmp(&b.name));
         for pair in workspaces.windows(2) {
             let name = &pair[0].name;
@@ -114,6 +128,21 @@
         })
     }
 
+    /// Returns the number of workspaces.
+    pub fn len(&self) -> usize {
+        self.workspaces.len()
+    }
+
+    /// Returns whether there are no workspaces.
+    pub fn is_empty(&self) -> bool {
+        self.workspaces.is_empty()
+    }
+
+    /// Returns the number of keys of all workspaces.
+    pub fn key_count(&self) -> usize {
+        self.by_key.len()
+    }
+
     /// Returns the workspaces in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<Workspace>> {
         self.workspaces.iter()
@@ -140,3 +169,8 @@
         fnv1a(self.name.as_bytes()).max(1)
     }
 }
+
+/// Returns whether a name can be sent in a header: a line break in it would begin another header.
+fn is_valid_name(name: &str) -> bool {
+    !name.is_empty() && name.trim() == name && !name.chars().any(char::is_control)
+}
