node: keys of workspaces at the entry and the guard

Cause: the table of workspaces was decoded, but requests were neither identified nor refused, and keys were passed on to targets.

Change: the entry finds the workspace of a request from its head and refuses a missing or unknown key with 401. It removes the headers of the key and of the workspace from what callers send, also with underscores for hyphens, and adds the name of the workspace. The request head between nodes carries a claim: the entry checks it before each attempt, the guard when the request arrives, when the configuration changes while it waits, and before its dispatch.

LinkEvent exceeds a limit of clippy with the larger head. Its values are not stored, so the lint is expected there; the claim itself is boxed.

--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -7,6 +7,7 @@
     config::{Adoption, BatchOutcome, FetchCandidates, LogPosition, State, Verdict},
     ids::NodeName,
     routing::RouteTable,
+    workspace::WorkspaceTable,
 };
 use plantainpost_wire::{frame::FrameError, message::PeerMessage};
 use rand::RngExt;
@@ -252,9 +253,12 @@
         return Value::Null;
     };
     let origin = node.routes_origin.borrow();
+    let workspaces = table.workspaces();
     json!({
         "version": table.version(),
         "routes": table.len(),
+        "workspaces": workspaces.map(WorkspaceTable::len),
+        "keys": workspaces.map(WorkspaceTable::key_count),
         "source": if origin.peer.is_some() { "peer" } else { "store" },
         "peer": origin.peer,
         "in_force_unix_ms": origin.in_force_unix_ms,
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -9,6 +9,7 @@
     ids::{Incarnation, NodeName},
     load::LoadSample,
     time::Instant,
+    workspace::KeyClaim,
 };
 use plantainpost_wire::{
     frame::FrameError,
@@ -65,6 +66,9 @@
     pub(crate) cause: AttemptCause,
     /// Whether the guard may refuse the request because the target's host is temporarily slow.
     pub(crate) may_refuse_if_slow: bool,
+    /// Workspace and key of the request, as checked when the attempt started; `None` if it needs no
+    /// key.
+    pub(crate) claim: Option<KeyClaim>,
     pub(crate) started_at: Instant,
     /// Notified when the guard gives no sign of life, so that the request may be sent to another
     /// one while this attempt goes on.
@@ -425,6 +429,7 @@
         key,
         incarnation,
         service: request.policy.service.clone(),
+        claim: attempt.claim.clone().map(Box::new),
         method: request.method.clone(),
         path: request.path.clone(),
         headers: request.headers.clone(),
--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -4,12 +4,12 @@
 
 use bytes::{Bytes, BytesMut};
 use plantainpost_core::{
-    admission::Urgency,
+    admission::{RefuseReason, Urgency},
     ids::{RequestId, ServiceName},
     retry,
     routing::Route,
     time::Instant,
-    workspace::Workspace,
+    workspace::{self, KeyClaim, KeyError, Workspace},
 };
 use plantainpost_http1::{self as http1, Framing, RequestHead};
 use plantainpost_wire::message::{BodyLength, Header, MAX_BODY_FRAME_BYTES};
@@ -41,6 +41,8 @@
     NoRoute,
     /// The route table has not been received yet.
     NoConfiguration,
+    /// The route needs a key of a workspace.
+    Key(KeyError),
 }
 
 impl BadRequest {
@@ -53,6 +55,7 @@
             BadRequest::BodyIncomplete => "body-incomplete",
             BadRequest::NoRoute => "no-route",
             BadRequest::NoConfiguration => "no-configuration",
+            BadRequest::Key(e) => e.as_str(),
         }
     }
 }
@@ -80,6 +83,8 @@
     pub(crate) route: Option<Rc<Route>>,
     /// Workspace that the request belongs to; `None` if it needs no key.
     pub(crate) workspace: Option<Rc<Workspace>>,
+    /// Key by which the request belongs to `workspace`; `None` without one.
+    pub(crate) claim: Option<KeyClaim>,
     /// Version of the configuration that the policy comes from; zero if none is known.
     pub(crate) version: u64,
 }
@@ -166,6 +171,22 @@
         }
     }
 
+    /// Checks the key of the request against the configuration in force. Returns the claim for a guard;
+    /// `None` if the request needed no key.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request must not start.
+    pub(crate) fn check_key(&self, node: &Node) -> Result<Option<KeyClaim>, RefuseReason> {
+        let Some(claim) = &self.policy.claim else {
+            return Ok(None);
+        };
+        let config = node.config.borrow();
+        let table = config.routes().map(Rc::as_ref);
+        claim.check(table)?;
+        Ok(table.map(|table| claim.with_version_of(table)))
+    }
+
     /// Estimates the bytes that the request and its response take between two nodes.
     pub(crate) fn estimated_transfer_bytes(&self) -> u64 {
         let body = match self.body_length {
@@ -257,7 +278,7 @@
             ServiceName::from(&*host),
             &head.method,
         )),
-        Routing::ByRouteTable => policy_by_route_table(node, &host, &head.path),
+        Routing::ByRouteTable => policy_by_route_table(node, &host, head),
     }
 }
 
@@ -271,21 +292,32 @@
         timeout_ms: node.settings.limits.max_timeout_ms,
         route: None,
         workspace: None,
+        claim: None,
         version: register.version().unwrap_or_default(),
     }
 }
 
-fn policy_by_route_table(node: &Node, host: &str, path: &str) -> Result<RequestPolicy, BadRequest> {
+fn policy_by_route_table(
+    node: &Node,
+    host: &str,
+    head: &RequestHead,
+) -> Result<RequestPolicy, BadRequest> {
     let register = node.config.borrow();
     let table = register.routes().ok_or(BadRequest::NoConfiguration)?;
-    let route = table.find_route(host, path).ok_or(BadRequest::NoRoute)?;
+    let route = table
+        .find_route(host, &head.path)
+        .ok_or(BadRequest::NoRoute)?;
+    let key = node.settings.headers.sent_key(&head.headers);
+    let identity = workspace::identify(table, route, key).map_err(BadRequest::Key)?;
+    let (workspace, claim) = identity.map(|i| (i.workspace, i.claim)).unzip();
     Ok(RequestPolicy {
         service: route.choose_service(&mut *node.rng.borrow_mut()).clone(),
         idempotent: route.is_idempotent(),
         max_targets_reached: route.attempts,
         timeout_ms: route.timeout_ms,
         route: Some(Rc::clone(route)),
-        workspace: None,
+        workspace,
+        claim,
         version: table.version(),
     })
 }
@@ -318,6 +350,10 @@
     let names = &node.settings.headers;
     let mut headers = names.forwarded_request_headers(&head.headers);
     headers.push(headers::header(names.request_id, public_id.clone()));
+    if let (Some(name), Some(workspace)) = (names.workspace, &policy.workspace) {
+        let workspace = Bytes::copy_from_slice(workspace.name.as_bytes());
+        headers.push(headers::header(name, workspace));
+    }
     let service = node.service.borrow();
     if let (Some(name), Some(service)) = (names.origin_service, &*service) {
         let service = Bytes::copy_from_slice(service.as_str().as_bytes());
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use plantainpost_core::{
+    admission::RefuseReason,
     ids::{NodeName, RequestId},
     retry::{AttemptOutcome, RetryDecision, RetryQuery},
     time::Instant,
@@ -25,11 +26,13 @@
 use plantainpost_http1::RequestHead;
 use plantainpost_wire::message::FailReason;
 
+pub(crate) use self::response::CallerOutcome;
+
 use self::{
     attempt::{Attempt, AttemptCause, AttemptEnd},
     caller_request::{BadRequest, CallerRequest},
     conn::{IncomingRequest, RequestBody},
-    response::{CallerOutcome, LocalResponse},
+    response::LocalResponse,
     response_writer::{CallerGone, ResponseWriter},
 };
 use slog::info;
@@ -38,6 +41,7 @@
 use crate::{
     node::Node,
     trace::{AttemptTrace, RequestTrace},
+    workspace_usage,
 };
 
 /// Spawns the task that responds to one request of a caller.
@@ -69,6 +73,9 @@
         }
         Err(response) => {
             node.metrics.count("entry.bad_request");
+            if response.status == StatusCode::UNAUTHORIZED {
+                node.metrics.count("entry.unauthorized");
+            }
             info!(node.logger, "request refused"; "request" => %String::from_utf8_lossy(&public_id),
                 "status" => response.status.as_u16(), "reason" => response.reason,
                 "version" => node.config.borrow().routes().map(|table| table.version()));
@@ -223,6 +230,10 @@
 
     fn start_attempt(&mut self, cause: AttemptCause) -> Result<(), &'static str> {
         let now = self.node.now();
+        let claim = self
+            .request
+            .check_key(self.node)
+            .map_err(RefuseReason::as_str)?;
         let chosen = self.node.balancer.borrow_mut().choose_target_for_size(
             now,
             self.request.policy.service.as_str(),
@@ -245,6 +256,7 @@
             number: self.tried_nodes.len() as u32,
             cause,
             may_refuse_if_slow: self.may_refuse_if_slow(now, &peer),
+            claim,
             started_at: now,
             unresponsive: Rc::clone(&self.unresponsive),
         };
@@ -298,6 +310,10 @@
     /// Starts another attempt if the outcome and the retry budget allow it.
     fn try_retry(&mut self, end: &AttemptEnd) -> bool {
         let outcome = match end {
+            // The other guards get the configuration without the key as well.
+            AttemptEnd::NotRun { reason, .. } if *reason == RefuseReason::KeyWithdrawn.as_str() => {
+                return false;
+            }
             AttemptEnd::NotRun { .. } => AttemptOutcome::NotRun,
             AttemptEnd::Unknown(_) => AttemptOutcome::Unknown,
             AttemptEnd::Response(_) | AttemptEnd::BadRequest(_) => return false,
@@ -363,6 +379,10 @@
         let names = &node.settings.headers;
         let response = match end {
             AttemptEnd::Response(response) => return response.forward(request, writer).await,
+            AttemptEnd::NotRun { .. } if request.check_key(node).is_err() => {
+                node.metrics.count("entry.unauthorized");
+                LocalResponse::key_withdrawn()
+            }
             AttemptEnd::NotRun { reason, .. } => {
                 let service = request.policy.service.as_str();
                 let start_wait_us = node.balancer.borrow().start_wait_us(node.now(), service);
@@ -390,10 +410,14 @@
             CallerOutcome::Unknown => "entry.unknown",
         });
         node.metrics.latency("entry.head_us", micros);
+        if let Some(workspace) = &request.policy.workspace {
+            workspace_usage::record(node, &workspace.name, outcome);
+        }
         let attempts: Vec<String> = self.traces.iter().map(AttemptTrace::describe).collect();
         info!(node.logger, "request ended"; "request" => %request.public_id_text(),
             "service" => request.policy.service.as_str(),
             "route" => request.policy.route.as_ref().map(|route| route.name.to_string()),
+            "workspace" => request.policy.workspace.as_ref().map(|w| w.name.to_string()),
             "version" => request.policy.version, "outcome" => outcome.as_str(),
             "result" => end.describe(), "attempts" => attempts.join(", "), "us" => micros);
         node.traces.borrow_mut().push(RequestTrace {
--- a/crates/node/src/entry/response.rs
+++ b/crates/node/src/entry/response.rs
@@ -2,7 +2,7 @@
 
 use actix_http::StatusCode;
 use bytes::Bytes;
-use plantainpost_core::time::MICROS_PER_SECOND;
+use plantainpost_core::{admission::RefuseReason, time::MICROS_PER_SECOND};
 use plantainpost_wire::message::{BodyLength, Header, PeerResponseHead};
 
 use crate::{
@@ -56,6 +56,7 @@
         let status = match reason {
             BadRequest::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             BadRequest::NoRoute => StatusCode::NOT_FOUND,
+            BadRequest::Key(_) => StatusCode::UNAUTHORIZED,
             BadRequest::NoConfiguration => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
         };
@@ -69,6 +70,15 @@
         }
     }
 
+    /// Returns the response to a request whose key was withdrawn before it started.
+    pub(crate) fn key_withdrawn() -> Self {
+        LocalResponse {
+            status: StatusCode::UNAUTHORIZED,
+            retry_after_s: None,
+            ..Self::not_run(RefuseReason::KeyWithdrawn.as_str())
+        }
+    }
+
     /// Returns the response to a request that was not run.
     pub(crate) fn not_run(reason: &'static str) -> Self {
         LocalResponse {
@@ -120,6 +130,11 @@
         if let Some(seconds) = self.retry_after_s {
             headers.push(headers::header("retry-after", seconds.to_string()));
         }
+        if let (StatusCode::UNAUTHORIZED, Some(name)) = (self.status, names.workspace_key) {
+            // RFC 9110, section 15.5.2, wants a challenge.
+            let challenge = format!("ApiKey header=\"{name}\"");
+            headers.push(headers::header("www-authenticate", challenge));
+        }
         let body = Bytes::from(format!("{}\n", self.reason));
         let head = CallerResponseHead {
             status: self.status.as_u16(),
--- a/crates/node/src/guard/link.rs
+++ b/crates/node/src/guard/link.rs
@@ -79,6 +79,10 @@
 }
 
 /// What happened to a link while its exchange waited.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "An event is handled immediately and not stored."
+)]
 pub(super) enum LinkEvent {
     /// A message of the entry arrived.
     Message(Result<PeerMessage, FrameError>),
--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -1,6 +1,7 @@
 //! The guard: admits requests that entries of other nodes and of this one send, queues or
 //! refuses them, and relays them to the target on this host.
 
+mod key_check;
 mod link;
 mod relay;
 mod request;
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -401,7 +401,7 @@
     };
     let load = node.guard.borrow().load_sample(node.now());
     info!(node.logger, "request served"; "request" => %req.public_id(node), "status" => status,
-        "service_us" => slot.elapsed_us(), "bytes" => bytes, "in_flight" => load.in_flight,
+        "workspace" => req.workspace(), "service_us" => slot.elapsed_us(), "bytes" => bytes, "in_flight" => load.in_flight,
         "queued" => load.queued, "slots" => load.slots, "pace" => load.pace_percent,
         "pace_at_start" => slot.pace_percent());
     slot.finish(match status {
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -17,6 +17,7 @@
 
 use super::{
     ConnState, InboundConn,
+    key_check::{refuse_if_withdrawn, wait_for_key_change},
     link::{ExchangeLink, LinkEvent},
     relay,
     slot::{Slot, UndispatchedRequest},
@@ -98,6 +99,12 @@
         self.continue_sent || !relay::needs_continue(self.head.body)
     }
 
+    /// Returns the name of the workspace for logs.
+    pub(super) fn workspace(&self) -> Option<String> {
+        let claim = self.head.claim.as_ref();
+        claim.map(|claim| claim.workspace.to_string())
+    }
+
     /// Returns the id of the request for logs.
     pub(super) fn public_id(&self, node: &Node) -> String {
         let name = node.settings.headers.request_id;
@@ -149,7 +156,10 @@
     };
     let key = req.head.key;
     pace::refresh_pace(node).await;
-    let admission = offer_request(node, &req);
+    let admission = match refuse_if_withdrawn(node, &req) {
+        Some(reason) => Admission::Refused(reason),
+        None => offer_request(node, &req),
+    };
     let undispatched = match admission {
         Admission::Refused(reason) => return send_refusal(node, link, req, reason).await,
         Admission::Start | Admission::Queued => UndispatchedRequest::new(node, key),
@@ -189,6 +199,7 @@
     let (tx, mut rx) = oneshot::channel();
     node.waiters.borrow_mut().insert(req.head.key, tx);
     node.pace.notify_request_queued();
+    let has_claim = req.head.claim.is_some();
     loop {
         let event = tokio::select! {
             woken = &mut rx => return match woken {
@@ -197,6 +208,10 @@
                 Ok(Admission::Queued) | Err(_) => SlotWait::EntryGone,
             },
             event = link.next_event() => event,
+            () = wait_for_key_change(node, has_claim) => match refuse_if_withdrawn(node, req) {
+                Some(reason) => return SlotWait::Refused(reason),
+                None => continue,
+            },
         };
         if handle_link_event(link, req, event).await.is_err() {
             return SlotWait::EntryGone;
@@ -250,7 +265,10 @@
             return relay::send_failure(node, link, key, false, FailReason::Connect).await;
         }
     };
-    let decision = node.guard.borrow_mut().dispatch(node.now(), key);
+    let decision = match refuse_if_withdrawn(node, &req) {
+        Some(reason) => DispatchDecision::Refused(reason),
+        None => node.guard.borrow_mut().dispatch(node.now(), key),
+    };
     undispatched.disarm();
     if let DispatchDecision::Refused(reason) = decision {
         node.target_pool.release(target_conn, node.now());
@@ -298,7 +316,7 @@
     node.metrics.count("guard.refused");
     let load = node.guard.borrow().load_sample(node.now());
     info!(node.logger, "request refused"; "request" => %req.public_id(node),
-        "reason" => reason.as_str(), "in_flight" => load.in_flight, "queued" => load.queued,
+        "workspace" => req.workspace(), "reason" => reason.as_str(), "in_flight" => load.in_flight, "queued" => load.queued,
         "slots" => load.slots, "pace" => load.pace_percent, "draining" => load.draining,
         "left_us" => req.deadline.micros_since(node.now()));
     let key = req.head.key;
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -2,6 +2,7 @@
 
 use actix_http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
+use plantainpost_core::workspace::SentKey;
 use plantainpost_http1::{Header, connection_options};
 
 /// Outcome of a request, in responses to callers.
@@ -37,6 +38,11 @@
     /// Headers with this prefix that are not listed above are internal to the nodes and never
     /// forwarded.
     pub private_prefix: Option<&'static str>,
+    /// Key of the workspace that a request belongs to, sent by callers. Never forwarded.
+    pub workspace_key: Option<&'static str>,
+    /// Name of the workspace that a request belongs to. Sent to targets, and removed from what callers
+    /// send.
+    pub workspace: Option<&'static str>,
     /// Whether callers choose the id of a request, and targets repeat it in each response to a
     /// request that they ran.
     pub callers_choose_id: bool,
@@ -54,6 +60,8 @@
             leaving: None,
             not_run: None,
             private_prefix: Some("plantainpost-"),
+            workspace_key: None,
+            workspace: None,
             callers_choose_id: false,
         }
     }
@@ -84,10 +92,42 @@
             self.expected_target,
         ];
         let mut kept = self.end_to_end_headers(headers);
-        kept.retain(|(name, _)| !set_by_node.contains(&Some(name.as_str())));
+        kept.retain(|(name, _)| {
+            !set_by_node.contains(&Some(name.as_str())) && !self.is_about_workspace(name)
+        });
         kept
     }
 
+    /// Returns the key that a caller sent.
+    pub(crate) fn sent_key<'a>(&self, headers: &'a [Header]) -> SentKey<'a> {
+        let is_key = |name: &str| self.workspace_key == Some(name);
+        let mut keys = headers
+            .iter()
+            .filter(|(name, value)| is_key(name) && !value.is_empty())
+            .map(|(_, value)| value);
+        let Some(key) = keys.next() else {
+            return SentKey::None;
+        };
+        match keys.all(|other| other == key) {
+            true => SentKey::One(key),
+            false => SentKey::Ambiguous,
+        }
+    }
+
+    /// Returns whether a header tells the workspace of a request or its key. Underscores count as
+    /// hyphens, because common gateway interfaces of targets do not distinguish them.
+    fn is_about_workspace(&self, name: &str) -> bool {
+        let normalize = |byte: u8| if byte == b'_' { b'-' } else { byte };
+        let is_same = |own: &str| {
+            let bytes = name.bytes().map(normalize);
+            own.len() == name.len() && bytes.eq(own.bytes())
+        };
+        [self.workspace_key, self.workspace]
+            .into_iter()
+            .flatten()
+            .any(is_same)
+    }
+
     /// Returns the headers of a response that are forwarded to the caller.
     pub(crate) fn forwarded_response_headers(&self, headers: &[Header]) -> Vec<Header> {
         self.end_to_end_headers(headers)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 mod store_sync;
 mod target_pool;
 mod trace;
+mod workspace_usage;
 
 pub use crate::{
     settings::{Limits, NodeSettings, Routing},
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,6 +21,7 @@
     retry::RetryBudgets,
     routing::CallerLimits,
     time::Instant,
+    workspace::WorkspaceUsage,
 };
 use plantainpost_wire::{auth::FleetKeys, handshake::NodeIdentity};
 use rand::rngs::StdRng;
@@ -85,6 +86,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) audit: AuditQueue,
     pub(crate) traces: RefCell<TraceRing>,
+    /// Counts of the requests that this node has taken, by workspace.
+    pub(crate) workspace_usage: RefCell<WorkspaceUsage>,
     pub(crate) log_service: Rc<dyn LogService>,
     pub(crate) udp: UdpSocket,
     pub(crate) pace: PaceMonitor,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -313,6 +313,7 @@
         metrics,
         audit: AuditQueue::default(),
         traces: RefCell::default(),
+        workspace_usage: RefCell::default(),
         log_service,
         udp,
         pace: Default::default(),
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -8,7 +8,7 @@
 use plantainpost_core::{measure::PROBE_COST_US, member::MemberRecord};
 use serde_json::{Value, json};
 
-use crate::{config_sync, fleet, node::Node, reload};
+use crate::{config_sync, fleet, node::Node, reload, workspace_usage};
 
 fn member_json(record: &MemberRecord) -> Value {
     json!({
@@ -75,6 +75,7 @@
         "membership": format!("{:?}", members.counters()),
         "guard": format!("{:?}", node.guard.borrow().counters()),
         "configuration": format!("{:?}", node.config.borrow().counters()),
+        "workspaces": workspace_usage::usage_json(node),
     })
 }
 
@@ -89,6 +90,10 @@
             text.push_str(&format!("{}{{{label}}} {value}\n", prometheus_name(name)));
         }
     }
+    text.push_str(&workspace_usage::usage_text(
+        node,
+        &prometheus_name("workspace.request"),
+    ));
     let mut res = Response::with_body(StatusCode::OK, BoxBody::new(text));
     let plain = HeaderValue::from_static("text/plain; charset=utf-8");
     res.headers_mut().insert(CONTENT_TYPE, plain);
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -9,6 +9,7 @@
     ids::{Incarnation, NodeName, ServiceName},
     load::LoadSample,
     time::Instant,
+    workspace::KeyClaim,
 };
 use serde::{Deserialize, Serialize};
 
@@ -82,6 +83,9 @@
     pub incarnation: Incarnation,
     /// Service that the caller asked for.
     pub service: ServiceName,
+    /// Workspace of the request and its key, for the guard to check; `None` if the request needs no
+    /// key.
+    pub claim: Option<Box<KeyClaim>>,
     /// HTTP method.
     pub method: String,
     /// Path and query.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -31,3 +31,5 @@
 mod stop;
 mod target_statements;
 mod uploads;
+mod workspace_withdrawal;
+mod workspaces;
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -152,6 +152,8 @@
 /// One node of a [`PlatformFleet`] with its listeners.
 pub(crate) struct PlatformHost {
     pub(crate) callers: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) peers: SocketAddr,
     pub(crate) control: SocketAddr,
     pub(crate) metrics: SocketAddr,
     pub(crate) settings: std::path::PathBuf,
@@ -216,6 +218,8 @@
             fs::write(&settings, text).expect("settings can be written");
             PlatformHost {
                 callers,
+                admin,
+                peers,
                 control,
                 metrics,
                 process: start_process(&settings),
--- a/tests/integration/scripted_peer.rs
+++ b/tests/integration/scripted_peer.rs
@@ -165,6 +165,7 @@
         key,
         incarnation: Incarnation(0),
         service: ServiceName::from("stock"),
+        claim: None,
         method: "POST".to_owned(),
         path: "/".to_owned(),
         headers: nonce.iter().chain(headers).map(header).collect(),
