node: ask peers for the configuration after a suspension

Cause: a node that was suspended while a key was withdrawn started requests with the key that had arrived meanwhile, if the target was beside it: the requests were read before the news from the store or from peers.

Change: a node that was not seen running for more than 1 s asks three peers for a newer configuration. Requests with a claim wait at its guard for the first reply, at most 1 s. Nothing happens where the configuration has no workspaces. The rule is config::Freshness in core.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -11,6 +11,7 @@
 mod delta;
 mod describe;
 mod fetch;
+mod freshness;
 mod gap_scan;
 mod intent;
 mod plan;
@@ -24,6 +25,7 @@
     MAX_MEASURING_PERMILLE, MAX_NAME_BYTES, MAX_SHARE, ServiceRules, ShareKey, ShareKeyError,
 };
 pub use fetch::FetchCandidates;
+pub use freshness::Freshness;
 pub use intent::Intent;
 pub use plan::{KnownTarget, Plan, PlanError, VerifyError};
 pub use record::{
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -285,6 +285,22 @@
     });
 }
 
+/// Fetches the state of a peer if that has read further. Returns whether this node has read as far as
+/// the peer then.
+pub(crate) async fn refresh_from(node: &Rc<Node>, peer: &NodeName) -> bool {
+    let read_to = node.config.borrow().read_to();
+    match fetch_state(node, peer, read_to).await {
+        Ok(Some(state)) => adopt_state(node, peer, state).await,
+        Ok(None) => (),
+        Err(e) => {
+            node.metrics.count("config.fetch_error");
+            warn!(node.logger, "configuration not fetched"; "peer" => %peer, "error" => %e);
+            return false;
+        }
+    }
+    true
+}
+
 async fn adopt_state(node: &Rc<Node>, peer: &NodeName, state: State) {
     let (old_version, adoption, new_version) = {
         let mut config = node.config.borrow_mut();
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     audit::{self, AuditEvent},
-    config_sync, fleet,
+    config_recheck, config_sync, fleet,
     node::Node,
     probe,
 };
@@ -144,6 +144,7 @@
     loop {
         next_tick = next_tick.saturating_add_millis(TICK_MS).max(node.now());
         node.clock.sleep_until(next_tick).await;
+        config_recheck::observe(&node);
         let now = node.now();
         let actions = {
             let mut rng = node.rng.borrow_mut();
--- a/crates/node/src/guard/key_check.rs
+++ b/crates/node/src/guard/key_check.rs
@@ -7,7 +7,15 @@
 use plantainpost_core::admission::RefuseReason;
 
 use super::request::PendingRequest;
-use crate::node::Node;
+use crate::{config_recheck, node::Node};
+
+/// Like [`refuse_if_withdrawn`], but waits first until the configuration may be relied on.
+pub(super) async fn check_key(node: &Rc<Node>, req: &PendingRequest) -> Option<RefuseReason> {
+    if req.head.claim.is_some() {
+        config_recheck::wait_until_current(node).await;
+    }
+    refuse_if_withdrawn(node, req)
+}
 
 /// Refuses a request that was not dispatched, and returns why, if its key is no longer valid. Does
 /// nothing for requests that need no key.
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -17,7 +17,7 @@
 
 use super::{
     ConnState, InboundConn,
-    key_check::{refuse_if_withdrawn, wait_for_key_change},
+    key_check::{check_key, refuse_if_withdrawn, wait_for_key_change},
     link::{ExchangeLink, LinkEvent},
     relay,
     slot::{Slot, UndispatchedRequest},
@@ -156,7 +156,7 @@
     };
     let key = req.head.key;
     pace::refresh_pace(node).await;
-    let admission = match refuse_if_withdrawn(node, &req) {
+    let admission = match check_key(node, &req).await {
         Some(reason) => Admission::Refused(reason),
         None => offer_request(node, &req),
     };
@@ -265,7 +265,7 @@
             return relay::send_failure(node, link, key, false, FailReason::Connect).await;
         }
     };
-    let decision = match refuse_if_withdrawn(node, &req) {
+    let decision = match check_key(node, &req).await {
         Some(reason) => DispatchDecision::Refused(reason),
         None => node.guard.borrow_mut().dispatch(node.now(), key),
     };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod audit;
 mod clock;
+mod config_recheck;
 mod config_sync;
 mod confirm;
 mod control;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -31,6 +31,7 @@
 use crate::{
     audit::AuditQueue,
     clock::Clock,
+    config_recheck::ConfigRecheck,
     config_sync::{RoutesOrigin, StateFetch},
     fleet::AppliedVersions,
     guard::ExchangeLinks,
@@ -95,6 +96,8 @@
     pub(crate) load_report: LoadReportCache,
     /// Pending fetch of the configuration state of a peer.
     pub(crate) state_fetch: StateFetch,
+    /// Whether the configuration may have changed while this node was suspended.
+    pub(crate) config_recheck: ConfigRecheck,
     /// Versions of the fleet and the configuration that the balancer and the guard know.
     pub(crate) applied_versions: AppliedVersions,
     /// Services that the balancer has targets for.
--- a/tests/integration/workspace_withdrawal.rs
+++ b/tests/integration/workspace_withdrawal.rs
@@ -269,3 +269,58 @@
     let heads = target.received_heads();
     expect_that!(heads.iter().any(|head| head.contains("late")), eq(false));
 }
+
+/// Guards against a withdrawn key that works at a node which was suspended during the withdrawal and has
+/// the target beside it, so that no other node checks the request.
+#[gtest]
+fn resumed_node_asks_for_the_configuration_before_it_accepts_keys() {
+    let target = ScriptedTarget::start(|head| ScriptedReply::Keep(answer(head, "200 OK", "stock")));
+    let mut proxies = Vec::new();
+    let platform = PlatformFleet::start_with_store_addresses(2, |_, store| {
+        proxies.push(Proxy::start(store).expect("the proxy starts"));
+        proxies.last().expect("a proxy").address()
+    });
+    publish_workspaces(&platform, 4, BOTH_KEYS);
+    platform.announce(0, &target, "i-1", 1, "ready");
+    for i in 0..2 {
+        process::wait_until("an answer", WAIT_TIMEOUT, || {
+            get_with_key(&platform, i, "/safe/1", "k1").starts_with("HTTP/1.1 200")
+        })
+        .expect("the target is known");
+    }
+    // Otherwise the news may wait in a connection to the store, which is sometimes read first.
+    proxies[0].set_faults(ProxyFaults {
+        close_new_connections: true,
+        ..Default::default()
+    });
+    proxies[0].cut_connections();
+    let mut conns: Vec<CallerConn> = (0..5).map(|_| CallerConn::open(&platform, 0)).collect();
+    let process = &platform.hosts[0].process;
+    process.signal(Signal::Stop).expect("the node runs");
+    publish_workspaces(&platform, 5, ONE_KEY);
+    process::wait_until("the version at the other node", WAIT_TIMEOUT, || {
+        get_with_key(&platform, 1, "/safe/1", "k1").starts_with("HTTP/1.1 401")
+    })
+    .expect("the other node knows of the withdrawal");
+    thread::scope(|scope| {
+        let send = |conn| {
+            let conn: &mut CallerConn = conn;
+            scope.spawn(move || conn.get("/safe/late", "k1"))
+        };
+        let waiting: Vec<_> = conns.iter_mut().map(send).collect();
+        thread::sleep(WITHDRAWAL_LIMIT);
+        process.signal(Signal::Cont).expect("the node runs");
+        for waiting in waiting {
+            expect_that!(
+                waiting.join().expect("no panic"),
+                any![eq("401"), eq("503")]
+            );
+        }
+    });
+    process::wait_until("an answer to a valid key", WAIT_TIMEOUT, || {
+        get_with_key(&platform, 0, "/safe/1", "k2").starts_with("HTTP/1.1 200")
+    })
+    .expect("the node serves valid keys");
+    let heads = target.received_heads();
+    expect_that!(heads.iter().any(|head| head.contains("late")), eq(false));
+}
