node: wait for the configuration before a key is refused after a suspension

Cause: a node that was suspended while a key was added answered 401 to requests with it that arrived meanwhile. Callers do not repeat a request after 401.

--- a/crates/node/src/config_recheck.rs
+++ b/crates/node/src/config_recheck.rs
@@ -50,16 +50,19 @@
     }
 }
 
-/// Waits until the configuration may be relied on: at once unless the node was suspended.
-pub(crate) async fn wait_until_current(node: &Rc<Node>) {
+/// Waits until the configuration may be relied on: not at all unless the node was suspended. Returns
+/// whether it has waited.
+pub(crate) async fn wait_until_current(node: &Rc<Node>) -> bool {
     observe(node);
+    let mut has_waited = false;
     loop {
         let confirmed = node.config_recheck.confirmed.notified();
         let now = node.now();
         let until = node.config_recheck.freshness.borrow().doubted_until(now);
         let Some(until) = until else {
-            return;
+            return has_waited;
         };
+        has_waited = true;
         // At the end of the time the next turn returns.
         let _ = node.clock.timeout_at(until, confirmed).await;
     }
--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -16,6 +16,7 @@
 use uuid::Uuid;
 
 use crate::{
+    config_recheck,
     entry::conn::{BodyError, RequestBody},
     headers,
     node::Node,
@@ -269,8 +270,21 @@
     RequestId(Uuid::new_v4().as_u128())
 }
 
-/// Determines the policy of a request from its head alone.
-pub(crate) fn request_policy(node: &Node, head: &RequestHead) -> Result<RequestPolicy, BadRequest> {
+/// Determines the policy of a request from its head alone. Before it refuses a key, it waits until the
+/// configuration may be relied on: the key may have been added while this node was suspended, and
+/// callers do not send a request again after 401.
+pub(crate) async fn request_policy(
+    node: &Rc<Node>,
+    head: &RequestHead,
+) -> Result<RequestPolicy, BadRequest> {
+    let policy = known_policy(node, head);
+    if matches!(policy, Err(BadRequest::Key(_))) && config_recheck::wait_until_current(node).await {
+        return known_policy(node, head);
+    }
+    policy
+}
+
+fn known_policy(node: &Node, head: &RequestHead) -> Result<RequestPolicy, BadRequest> {
     let host = requested_host(head).ok_or(BadRequest::InvalidHost)?;
     match node.settings.routing {
         Routing::ByHostName => Ok(policy_by_host_name(
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -118,7 +118,8 @@
     body: RequestBody,
 ) -> Result<CallerRequest, LocalResponse> {
     let to_response = |reason| LocalResponse::bad_request(reason, CallerOutcome::NotRun);
-    let policy = caller_request::request_policy(node, &head).map_err(to_response)?;
+    let policy = caller_request::request_policy(node, &head).await;
+    let policy = policy.map_err(to_response)?;
     let body_deadline = received_at.saturating_add_millis(policy.timeout_ms);
     let request = caller_request::receive_request(
         node,
--- a/tests/integration/workspace_withdrawal.rs
+++ b/tests/integration/workspace_withdrawal.rs
@@ -271,7 +271,8 @@
 }
 
 /// Guards against a withdrawn key that works at a node which was suspended during the withdrawal and has
-/// the target beside it, so that no other node checks the request.
+/// the target beside it, so that no other node checks the request, and against a key that it refuses
+/// although it was added meanwhile.
 #[gtest]
 fn resumed_node_asks_for_the_configuration_before_it_accepts_keys() {
     let target = ScriptedTarget::start(|head| ScriptedReply::Keep(answer(head, "200 OK", "stock")));
@@ -297,25 +298,29 @@
     let mut conns: Vec<CallerConn> = (0..5).map(|_| CallerConn::open(&platform, 0)).collect();
     let process = &platform.hosts[0].process;
     process.signal(Signal::Stop).expect("the node runs");
-    publish_workspaces(&platform, 5, ONE_KEY);
+    publish_workspaces(&platform, 5, &[("acme", &["k2", "k4"])]);
     process::wait_until("the version at the other node", WAIT_TIMEOUT, || {
         get_with_key(&platform, 1, "/safe/1", "k1").starts_with("HTTP/1.1 401")
     })
     .expect("the other node knows of the withdrawal");
     thread::scope(|scope| {
-        let send = |conn| {
-            let conn: &mut CallerConn = conn;
-            scope.spawn(move || conn.get("/safe/late", "k1"))
+        let mut send = |path, key| {
+            let mut conn = conns.pop().expect("a connection");
+            scope.spawn(move || conn.get(path, key))
         };
-        let waiting: Vec<_> = conns.iter_mut().map(send).collect();
+        let withdrawn = [0; 3].map(|_| send("/safe/late", "k1"));
+        let added = [0; 2].map(|_| send("/safe/added", "k4"));
         thread::sleep(WITHDRAWAL_LIMIT);
         process.signal(Signal::Cont).expect("the node runs");
-        for waiting in waiting {
+        for withdrawn in withdrawn {
             expect_that!(
-                waiting.join().expect("no panic"),
+                withdrawn.join().expect("no panic"),
                 any![eq("401"), eq("503")]
             );
         }
+        for added in added {
+            expect_that!(added.join().expect("no panic"), eq("200"));
+        }
     });
     process::wait_until("an answer to a valid key", WAIT_TIMEOUT, || {
         get_with_key(&platform, 0, "/safe/1", "k2").starts_with("HTTP/1.1 200")
