--- a/tests/integration/workspace_withdrawal.rs
+++ b/tests/integration/workspace_withdrawal.rs
@@ -182,6 +182,37 @@
     expect_that!(heads.iter().any(|head| head.contains("valid")), eq(true));
 }
 
+/// Guards against an attempt for a request whose key was withdrawn while its body was on the way.
+#[gtest]
+fn request_is_checked_again_when_its_body_has_arrived() {
+    let target = ScriptedTarget::start(|head| ScriptedReply::Keep(answer(head, "200 OK", "stock")));
+    let platform = PlatformFleet::start(1);
+    publish_workspaces(&platform, 4, BOTH_KEYS);
+    platform.announce(0, &target, "i-1", 1, "ready");
+    platform.wait_readyz(0, "200");
+    let mut conn = CallerConn::open(&platform, 0);
+    let headers = "Plantainpost-Key: k1\r\nContent-Length: 4\r\n";
+    let request = request_head("POST", "/safe/body", "b1", headers);
+    conn.0.write_all(&request).expect("the node reads");
+    thread::sleep(Duration::from_millis(300));
+    publish_workspaces(&platform, 5, ONE_KEY);
+    let metrics = || {
+        let request = b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+        exchange(platform.hosts[0].metrics, request)
+    };
+    process::wait_until("the withdrawal", WAIT_TIMEOUT, || {
+        metrics().contains("plantainpost_routes_version 5\n")
+    })
+    .expect("the configuration is in force");
+    conn.0.write_all(b"abcd").expect("the node reads");
+    let head = read_head(&mut conn.0).expect("an answer");
+    expect_that!(head, starts_with("http/1.1 401"));
+    let reason = header(&head, "plantainpost-reason");
+    expect_that!(reason, eq("key-withdrawn"));
+    expect_that!(metrics(), not(contains_substring("guard_request")));
+    expect_that!(target.received_heads().is_empty(), eq(true));
+}
+
 /// Sends a request with a claim to the guard of node 0 and returns its reply.
 async fn guard_reply(platform: &PlatformFleet, id: u128, claim: Option<KeyClaim>) -> String {
     let mut peer = ScriptedPeer::connect(platform.hosts[0].peers).await;
