node: ask a peer for newer routes after the start

Cause: if an older version of the routes is appended to the store after a newer one, running nodes ignore it, but a node that starts reads it as the newest record. It kept it, as its peers had read no further, and a withdrawn key was valid again there until the next version; a test waited 20 s in vain.

Change: a node that starts asks one peer for its whole state, once it has routes with workspaces, and takes newer routes also from a state that has read no further. Requests with a claim wait at its guard for the reply, for 1 s after the start at most. Nothing happens without workspaces.

Tests: newer_routes_are_taken_from_a_state_that_has_read_no_further in core.

--- a/crates/core/src/config/freshness.rs
+++ b/crates/core/src/config/freshness.rs
@@ -1,4 +1,4 @@
-//! Whether a node may rely on its configuration after it was suspended.
+//! Whether a node may rely on its configuration after its start or a suspension.
 
 use crate::time::{Instant, MICROS_PER_MILLI};
 
@@ -6,25 +6,25 @@
 /// is still relied on. A withdrawal may take 2.5 s, and its news reach a running node in under 1 s.
 const MAX_PAUSE_MS: u64 = 1_000;
 
-/// Time for which a node that was suspended waits for the replies of peers, in milliseconds. A node that
-/// no peer answers goes on with the configuration that it has, like one that was cut off.
+/// Time for which a node that has started or was suspended waits for the replies of peers, in
+/// milliseconds. A node that no peer answers goes on with the configuration that it has, like one that was cut off.
 const MAX_DOUBT_MS: u64 = 1_000;
 
-/// Tells whether a node's configuration may have been replaced while the node was suspended.
+/// Tells whether the fleet may have another configuration than a node that has started or was suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct Freshness {
     /// When the process was last known to run.
     last_seen: Instant,
-    /// End of the last pause; `None` once a peer has replied after it.
+    /// Start of the process or end of the last pause; `None` once a peer has replied after it.
     doubted_since: Option<Instant>,
 }
 
 impl Freshness {
-    /// Creates the state of a process that runs at `now`.
+    /// Creates the state of a process that starts at `now`.
     pub fn new(now: Instant) -> Self {
         Freshness {
             last_seen: now,
-            doubted_since: None,
+            doubted_since: Some(now),
         }
     }
 
--- a/crates/core/src/config/replica.rs
+++ b/crates/core/src/config/replica.rs
@@ -285,10 +285,11 @@
     }
 
     /// Replaces the state by that of a peer or a checkpoint if that is valid and has read
-    /// further.
+    /// further. Of another valid one only newer routes are taken: the last record of the store, which a
+    /// node reads when it starts, may hold an older version.
     pub fn adopt_state(&mut self, state: State) -> Adoption {
         if state.read_to() <= self.read_to() {
-            return Adoption::NotNewer;
+            return self.adopt_newer_routes(&state);
         }
         if state.validate().is_err() {
             self.counters.invalid_states += 1;
@@ -303,6 +304,14 @@
         Adoption::Adopted
     }
 
+    fn adopt_newer_routes(&mut self, state: &State) -> Adoption {
+        let read_to = self.read_to();
+        match state.routes() {
+            Some(table) if self.state.apply_routes(read_to, (**table).clone()) => Adoption::Adopted,
+            _ => Adoption::NotNewer,
+        }
+    }
+
     /// Returns whether a state that has read further can't come from the log that was read
     /// here. This happens when the log lost its records and started again.
     fn conflicts_with(&self, state: &State) -> bool {
--- a/crates/core/tests/config_freshness.rs
+++ b/crates/core/tests/config_freshness.rs
@@ -1,17 +1,23 @@
-//! Reliance on the configuration after a suspension.
+//! Reliance on the configuration after a start or a suspension.
 
 use googletest::prelude::*;
-use plantainpost_core::{config::Freshness, time::Instant};
+use plantainpost_core::{
+    config::{Adoption, ConfigReplica, Freshness},
+    routing::{CallerLimits, RouteTable},
+    time::Instant,
+};
 
 fn at(ms: u64) -> Instant {
     Instant::from_millis(ms)
 }
 
-/// Guards against a node that decides by an old configuration after a suspension, against one that waits
-/// although it was not suspended or no peer answers, and against a reply from before a second suspension.
+/// Guards against a node that decides by an old configuration after its start or a suspension, against
+/// one that waits although it was not suspended or no peer answers, and against a reply from before a second suspension.
 #[gtest]
-fn configuration_is_doubted_after_a_pause_until_a_peer_replies() {
+fn configuration_is_doubted_until_a_peer_replies() {
     let mut state = Freshness::new(at(0));
+    expect_that!(state.doubted_until(at(10)), some(eq(at(1_000))));
+    state.confirm(at(10));
     for ms in [100, 1_100, 1_200] {
         expect_that!(state.observe(at(ms)), none(), "{ms}");
         expect_that!(state.doubted_until(at(ms)), none(), "{ms}");
@@ -32,3 +38,45 @@
     expect_that!(state.doubted_until(at(20_999)), some(eq(at(21_000))));
     expect_that!(state.doubted_until(at(21_000)), none());
 }
+
+fn table(version: u64) -> RouteTable {
+    let limits = CallerLimits {
+        header_bytes: 1,
+        body_bytes: 1,
+        head_timeout_ms: 1,
+        idle_timeout_ms: 1,
+    };
+    RouteTable::new(version, Vec::new(), Vec::new(), limits)
+}
+
+/// Guards against a node that keeps an older version than the fleet because it has read only the last
+/// record of the store, which running nodes have ignored.
+#[gtest]
+fn newer_routes_are_taken_from_a_state_that_has_read_no_further() {
+    let mut running = ConfigReplica::new();
+    let mut started = ConfigReplica::new();
+    expect_that!(running.apply_published_routes(9, table(5)), eq(true));
+    expect_that!(running.apply_published_routes(10, table(4)), eq(false));
+    expect_that!(started.apply_published_routes(10, table(4)), eq(true));
+    let rows = [("first", Adoption::Adopted), ("second", Adoption::NotNewer)];
+    for (name, expected) in rows {
+        expect_that!(
+            running.adopt_state(started.snapshot()),
+            eq(Adoption::NotNewer),
+            "{name}"
+        );
+        expect_that!(
+            started.adopt_state(running.snapshot()),
+            eq(expected),
+            "{name}"
+        );
+        for replica in [&running, &started] {
+            expect_that!(
+                replica.routes().map(|table| table.version()),
+                some(eq(5)),
+                "{name}"
+            );
+            expect_that!(replica.read_to(), eq(10), "{name}");
+        }
+    }
+}
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -285,10 +285,9 @@
     });
 }
 
-/// Fetches the state of a peer if that has read further. Returns whether this node has read as far as
-/// the peer then.
-pub(crate) async fn refresh_from(node: &Rc<Node>, peer: &NodeName) -> bool {
-    let read_to = node.config.borrow().read_to();
+/// Fetches the state of a peer if that has read further than `read_to`, and takes what is newer in it.
+/// Returns whether the peer has replied.
+pub(crate) async fn refresh_from(node: &Rc<Node>, peer: &NodeName, read_to: u64) -> bool {
     match fetch_state(node, peer, read_to).await {
         Ok(Some(state)) => adopt_state(node, peer, state).await,
         Ok(None) => (),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -27,7 +27,7 @@
     admin,
     audit::{self, AuditEvent, AuditQueue},
     clock::{self, Clock},
-    config_recheck::ConfigRecheck,
+    config_recheck::{self, ConfigRecheck},
     config_sync, control, entry,
     external::{ExternalSystems, Platform},
     gossip, guard, http, load_report,
@@ -243,6 +243,7 @@
         Rc::clone(node),
         Rc::clone(&platform.store),
     ));
+    actix_rt::spawn(config_recheck::check_at_start(Rc::clone(node)));
     actix_rt::spawn(store_sync::follow_routes(
         Rc::clone(node),
         Rc::clone(&platform.store),
--- a/tests/integration/workspace_withdrawal.rs
+++ b/tests/integration/workspace_withdrawal.rs
@@ -110,13 +110,13 @@
         expect_that!(conn.get("/safe/1", "k1"), eq("401"), "node {i}");
         expect_that!(conn.get("/safe/1", "k2"), eq("200"), "node {i}");
     }
+    // An older configuration that arrives late must not bring the key back, neither at running nodes nor
+    // at those that read it when they start.
+    publish_workspaces(&platform, 4, BOTH_KEYS);
     for i in [1, 2] {
         let statuses = restart_and_try(&mut platform, i, "k1");
         expect_that!(statuses, each(any![eq("401"), eq("503")]), "node {i}");
     }
-    // An older configuration that arrives late must not bring the key back.
-    publish_workspaces(&platform, 4, BOTH_KEYS);
-    thread::sleep(Duration::from_millis(500));
     expect_that!(conns[0].get("/safe/1", "k1"), eq("401"));
 }
 
