node: no wait before a missing key is refused

Cause: in the first second after its start a node waited for a peer before it answered 401 to a request without a key, for which no configuration can matter.

Change: only unknown keys are looked up again.

No test fails without this change; it only saves time.

--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -278,10 +278,11 @@
     head: &RequestHead,
 ) -> Result<RequestPolicy, BadRequest> {
     let policy = known_policy(node, head);
-    if matches!(policy, Err(BadRequest::Key(_))) && config_recheck::wait_until_current(node).await {
-        return known_policy(node, head);
+    let is_unknown = matches!(policy, Err(BadRequest::Key(KeyError::Unknown)));
+    match is_unknown && config_recheck::wait_until_current(node).await {
+        true => known_policy(node, head),
+        false => policy,
     }
-    policy
 }
 
 fn known_policy(node: &Node, head: &RequestHead) -> Result<RequestPolicy, BadRequest> {
