--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -12,6 +12,7 @@
 mod describe;
 mod evacuations;
 mod fetch;
+mod freshness;
 mod gap_scan;
 mod intent;
 mod plan;
@@ -26,6 +27,7 @@
 };
 pub use evacuations::{EvacuationChange, EvacuationState, Evacuations, MAX_EVACUATION_RECORDS};
 pub use fetch::FetchCandidates;
+pub use freshness::Freshness;
 pub use intent::Intent;
 pub use plan::{KnownTarget, Plan, PlanError, VerifyError};
 pub use record::{
--- a/crates/core/src/config/replica.rs
+++ b/crates/core/src/config/replica.rs
@@ -289,10 +289,11 @@
     }
 
     /// Replaces the state by that of a peer or a checkpoint if that is valid and has read
-    /// further.
+    /// further. Of another one only newer routes and evacuations are taken: the last record of the store,
+    /// which a node reads when it starts, may hold an older version.
     pub fn adopt_state(&mut self, mut state: State) -> Adoption {
         if state.read_to() <= self.read_to() {
-            return Adoption::NotNewer;
+            return self.adopt_newer_records(&state);
         }
         if state.validate().is_err() {
             self.counters.invalid_states += 1;
@@ -308,6 +309,16 @@
         Adoption::Adopted
     }
 
+    fn adopt_newer_records(&mut self, state: &State) -> Adoption {
+        let table = state.routes();
+        let has_newer_routes = table.is_some_and(|table| self.state.put_routes((**table).clone()));
+        let has_newer_evacuations = self.state.merge_evacuations(state.evacuations());
+        match has_newer_routes || has_newer_evacuations {
+            true => Adoption::Adopted,
+            false => Adoption::NotNewer,
+        }
+    }
+
     /// Returns whether a state that has read further can't come from the log that was read
     /// here. This happens when the log lost its records and started again.
     fn conflicts_with(&self, state: &State) -> bool {
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -217,7 +217,8 @@
         }
     }
 
-    fn put_routes(&mut self, table: RouteTable) -> bool {
+    /// Puts routes in force if they are newer, and returns whether they were.
+    pub(super) fn put_routes(&mut self, table: RouteTable) -> bool {
         let is_newer = self.routes_version() < Some(table.version());
         if is_newer {
             self.routes = Some(Rc::new(table));
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -7,6 +7,7 @@
     config::{Adoption, BatchOutcome, FetchCandidates, LogPosition, State, Verdict},
     ids::NodeName,
     routing::RouteTable,
+    workspace::WorkspaceTable,
 };
 use plantainpost_wire::{frame::FrameError, message::PeerMessage};
 use rand::RngExt;
@@ -252,9 +253,12 @@
         return Value::Null;
     };
     let origin = node.routes_origin.borrow();
+    let workspaces = table.workspaces();
     json!({
         "version": table.version(),
         "routes": table.len(),
+        "workspaces": workspaces.map(WorkspaceTable::len),
+        "keys": workspaces.map(WorkspaceTable::key_count),
         "source": if origin.peer.is_some() { "peer" } else { "store" },
         "peer": origin.peer,
         "in_force_unix_ms": origin.in_force_unix_ms,
@@ -281,6 +285,21 @@
     });
 }
 
+/// Fetches the state of a peer if that has read further than `read_to`, and takes what is newer in it.
+/// Returns whether the peer has replied.
+pub(crate) async fn refresh_from(node: &Rc<Node>, peer: &NodeName, read_to: u64) -> bool {
+    match fetch_state(node, peer, read_to).await {
+        Ok(Some(state)) => adopt_state(node, peer, state).await,
+        Ok(None) => (),
+        Err(e) => {
+            node.metrics.count("config.fetch_error");
+            warn!(node.logger, "configuration not fetched"; "peer" => %peer, "error" => %e);
+            return false;
+        }
+    }
+    true
+}
+
 async fn adopt_state(node: &Rc<Node>, peer: &NodeName, state: State) {
     let (old_version, adoption, new_version) = {
         let mut config = node.config.borrow_mut();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod audit;
 mod clock;
+mod config_recheck;
 mod config_sync;
 mod confirm;
 mod control;
@@ -32,6 +33,7 @@
 mod store_sync;
 mod target_pool;
 mod trace;
+mod workspace_usage;
 
 pub use crate::{
     settings::{Limits, NodeSettings, Routing},
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,6 +21,7 @@
     retry::RetryBudgets,
     routing::CallerLimits,
     time::Instant,
+    workspace::WorkspaceUsage,
 };
 use plantainpost_wire::{auth::FleetKeys, handshake::NodeIdentity};
 use rand::rngs::StdRng;
@@ -30,6 +31,7 @@
 use crate::{
     audit::AuditQueue,
     clock::Clock,
+    config_recheck::ConfigRecheck,
     config_sync::{RoutesOrigin, StateFetch},
     evacuation::AppliedEvacuations,
     fleet::AppliedVersions,
@@ -88,6 +90,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) audit: AuditQueue,
     pub(crate) traces: RefCell<TraceRing>,
+    /// Counts of the requests that this node has taken, by workspace.
+    pub(crate) workspace_usage: RefCell<WorkspaceUsage>,
     pub(crate) log_service: Rc<dyn LogService>,
     pub(crate) udp: UdpSocket,
     pub(crate) pace: PaceMonitor,
@@ -95,6 +99,8 @@
     pub(crate) load_report: LoadReportCache,
     /// Pending fetch of the configuration state of a peer.
     pub(crate) state_fetch: StateFetch,
+    /// Whether the configuration may have changed while this node was suspended.
+    pub(crate) config_recheck: ConfigRecheck,
     /// Versions of the fleet and the configuration that the balancer and the guard know.
     pub(crate) applied_versions: AppliedVersions,
     /// Evacuations that the balancer and the guard know.
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -27,6 +27,7 @@
     admin,
     audit::{self, AuditEvent, AuditQueue},
     clock::{self, Clock},
+    config_recheck::{self, ConfigRecheck},
     config_sync, control, entry, evacuation,
     external::{ExternalSystems, Platform},
     gossip,
@@ -246,6 +247,7 @@
         Rc::clone(node),
         Rc::clone(&platform.store),
     ));
+    actix_rt::spawn(config_recheck::check_at_start(Rc::clone(node)));
     actix_rt::spawn(store_sync::follow_routes(
         Rc::clone(node),
         Rc::clone(&platform.store),
@@ -318,6 +320,8 @@
         metrics,
         audit: AuditQueue::default(),
         traces: RefCell::default(),
+        workspace_usage: RefCell::default(),
+        config_recheck: ConfigRecheck::new(clock.now()),
         log_service,
         udp,
         pace: Default::default(),
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -36,3 +36,5 @@
 mod stop;
 mod target_statements;
 mod uploads;
+mod workspace_withdrawal;
+mod workspaces;
