balance: prefer near targets while they answer in time

Cause: an entry drew its 20 targets of a service over all data centres, and distance only added to the predicted completion time.

Change: a near and a far part of the subset, a larger near sample, learnt response sizes, and a preference of the best near target while its predicted completion time is at most half of the time left to the latency target. Services whose targets fit into a subset, and data centres with fewer than four targets, are as before.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -7,7 +7,7 @@
 
 use super::{
     BalancerSettings, Candidate, ChoiceRequest, EjectionChange, EjectionEvent, LoadReport, Policy,
-    RequestObservation, RequestOutcome, Score, TargetQuery,
+    RequestObservation, RequestOutcome, ResponseSizes, Score, TargetQuery,
     ejection::{EjectionState, EjectionTransition},
     service_targets::{
         NodeState, ServiceTarget, ServiceTargets, build_candidate, eligible_candidates,
@@ -84,6 +84,10 @@
 /// twice as slow as another, so a ratio of 2 would hedge requests at healthy targets.
 const SLOW_TARGET_RATIO: f64 = 3.0;
 
+/// Divisor that gives, of the time until a latency target is missed, the predicted completion time up to
+/// which a near target is preferred. The other half is for errors of the prediction.
+const NEAR_LIMIT_DIVISOR: u64 = 2;
+
 /// Chooses targets for the requests of one entry.
 pub struct Balancer {
     pub(super) cfg: BalancerSettings,
@@ -98,6 +102,7 @@
     pub(super) has_announced_cold: bool,
     /// Instant from which on no load sample says that a target is cold.
     pub(super) cold_samples_until: Instant,
+    response_sizes: ResponseSizes,
     /// Minimum time between two probes; zero for no minimum.
     probe_interval_us: u64,
     /// Earliest time of the next probe.
@@ -117,6 +122,7 @@
             nodes: HashMap::default(),
             has_announced_cold: false,
             cold_samples_until: Instant::default(),
+            response_sizes: ResponseSizes::default(),
             probe_interval_us: 0,
             next_probe_at: Instant::default(),
             events: VecDeque::new(),
@@ -248,6 +254,9 @@
         let choice_request = ChoiceRequest {
             now,
             candidates,
+            near_limit_us: query
+                .due
+                .map(|due| due.micros_since(now) / NEAR_LIMIT_DIVISOR),
             first_request_position: is_first.then_some(self.entry_position),
         };
         let index = self
@@ -257,6 +266,16 @@
         Ok(NodeName::from(candidates[index].node))
     }
 
+    /// Records the size of a complete response to a request of `class`, in bytes.
+    pub fn record_response_size(&mut self, class: u32, bytes: u64) {
+        self.response_sizes.record(class, bytes);
+    }
+
+    /// Returns the expected size of a response to a request of `class`, in bytes.
+    pub fn expected_response_bytes(&self, class: u32) -> u64 {
+        self.response_sizes.expected_bytes(class)
+    }
+
     /// Records that a request was sent to a node.
     pub fn on_request_sent(&mut self, now: Instant, node: &str) {
         if let Some(state) = self.nodes.get_mut(node) {
--- a/crates/core/src/balance/eligible.rs
+++ b/crates/core/src/balance/eligible.rs
@@ -2,7 +2,9 @@
 //! of an entry, and evacuated targets.
 
 use super::{
-    Balancer, ChoiceError, TargetView, service_targets::ServiceTarget, subset::rendezvous_order,
+    Balancer, ChoiceError, TargetView,
+    service_targets::ServiceTarget,
+    subset::{rendezvous_order, with_near_part},
 };
 use crate::{
     admission::RefuseReason,
@@ -18,6 +20,8 @@
     pub service: &'a str,
     /// Estimated size of the body and the answer together, in bytes.
     pub bytes: u64,
+    /// Instant at which the latency target is missed; `None` without a latency target.
+    pub due: Option<Instant>,
     /// Nodes that the request was already sent to, and the regions that it may be sent to.
     pub scope: RequestScope<'a>,
 }
@@ -61,14 +65,18 @@
     /// ones are its subset. Targets that take no requests are left out first, so that they do not
     /// occupy places in the subset.
     pub(super) fn rank_nodes<'a>(&self, targets: &[TargetView<'a>]) -> HashMap<&'a str, usize> {
-        let usable: Vec<&str> = targets
+        let usable: Vec<&TargetView<'a>> = targets
             .iter()
             .filter(|target| target.facts().check().is_ok())
-            .map(|target| target.node)
             .collect();
-        let order = rendezvous_order(self.cfg.entry.as_str(), &usable, self.cfg.subset_size);
-        let ranks = order.into_iter().enumerate();
-        ranks.map(|(rank, index)| (usable[index], rank)).collect()
+        let names: Vec<&str> = usable.iter().map(|target| target.node).collect();
+        let size = self.cfg.subset_size;
+        let order = rendezvous_order(self.cfg.entry.as_str(), &names, size);
+        let is_near = |index: usize| usable[index].data_centre == self.cfg.data_centre.as_str();
+        let ranks = with_near_part(order, size, is_near).into_iter().enumerate();
+        ranks
+            .map(|(rank, index)| (usable[index].node, rank))
+            .collect()
     }
 
     /// Begins the slow start of targets whose evacuation has ended, so that not all entries choose
--- a/crates/core/src/balance/policy.rs
+++ b/crates/core/src/balance/policy.rs
@@ -35,6 +35,9 @@
     pub now: Instant,
     /// Targets that the policy may choose.
     pub candidates: &'a [Candidate<'a>],
+    /// Predicted completion time up to which a target in the nearest data centre is preferred to any
+    /// other one, in microseconds; `None` if the distance counts only by its time and transfer cost.
+    pub near_limit_us: Option<u64>,
     /// Position of the entry among all entries, at least 0 and below 1, at its first request for
     /// the service; `None` at later requests. It lets entries without observations choose different
     /// targets.
--- a/crates/core/src/balance/predicted_completion.rs
+++ b/crates/core/src/balance/predicted_completion.rs
@@ -7,14 +7,24 @@
 
 use super::{ChoiceRequest, Policy, Score, ScoreSettings, baseline::choose_by_weight};
 
-/// Number of candidates sampled in the nearest data centre.
+/// Least number of candidates sampled in the nearest data centre.
 const NEAREST_SAMPLE_SIZE: usize = 2;
 
+/// Largest number of candidates sampled in the nearest data centre. With many near targets, a larger
+/// sample finds one that is neither busy nor slow, and the request stays in the data centre.
+const MAX_NEAREST_SAMPLE_SIZE: usize = 5;
+
+/// Candidates in the nearest data centre from which on they are preferred while they answer in time.
+/// Fewer ones have too little capacity to spread over.
+const MIN_PREFERRED_CANDIDATES: usize = 4;
+
 /// Number of candidates sampled in other data centres. One is too few if each data centre has one
 /// target: a sample of two then often consists of a slow target and a full one.
 const REMOTE_SAMPLE_SIZE: usize = 2;
 
-/// Samples a few candidates and chooses the one with the least predicted completion time.
+/// Samples a few candidates and chooses the one with the least predicted completion time. A near one is
+/// preferred while it answers well before the latency target, because bytes between data centres are
+/// expensive.
 ///
 /// The sample is random, so that entries with the same observations do not all choose the same
 /// target. If the weights differ, the configuration sets the shares: candidates are then sampled
@@ -50,11 +60,21 @@
             let indices = (0..req.candidates.len()).filter(|index| {
                 (Some(req.candidates[*index].data_centre) == nearest) == is_nearest
             });
+            let size = match is_nearest {
+                true => nearest_sample_size(indices.clone().count()),
+                false => size,
+            };
             self.sampled.extend(indices.sample(rng, size));
         }
     }
 }
 
+/// Returns how many of `near` candidates in the nearest data centre are sampled. Half of them are left
+/// out, so that entries with the same observations do not all choose the same target.
+fn nearest_sample_size(near: usize) -> usize {
+    (near / 2).clamp(NEAREST_SAMPLE_SIZE, MAX_NEAREST_SAMPLE_SIZE)
+}
+
 impl Policy for PredictedCompletion {
     fn name(&self) -> &'static str {
         Self::NAME
@@ -84,10 +104,21 @@
                     0.0
                 }
         };
-        self.sampled
-            .iter()
-            .copied()
-            .min_by(|a, b| completion_us(a).total_cmp(&completion_us(b)))
+        let best = |indices: &mut dyn Iterator<Item = usize>| {
+            indices.min_by(|a, b| completion_us(a).total_cmp(&completion_us(b)))
+        };
+        if let Some(limit_us) = req.near_limit_us.filter(|_| !weights_differ) {
+            let nearest = nearest_data_centre(req);
+            let is_near = |index: &usize| Some(req.candidates[*index].data_centre) == nearest;
+            let near_count = (0..req.candidates.len()).filter(is_near).count();
+            let near = best(&mut self.sampled.iter().copied().filter(is_near));
+            if near_count >= MIN_PREFERRED_CANDIDATES
+                && near.is_some_and(|index| completion_us(&index) <= limit_us as f64)
+            {
+                return near;
+            }
+        }
+        best(&mut self.sampled.iter().copied())
     }
 }
 
--- a/crates/core/src/balance/subset.rs
+++ b/crates/core/src/balance/subset.rs
@@ -35,6 +35,32 @@
     ranked.into_iter().map(|(_, index)| index).collect()
 }
 
+/// Share of a subset for targets in the data centre of the entry, in percent. The rest takes what
+/// the near targets cannot answer in time.
+const NEAR_PERCENT: usize = 60;
+
+/// Moves targets in the data centre of the entry forward in the order of preference, so that they fill
+/// the near part of a subset of `size` targets. A place that one part cannot fill goes to the other.
+/// Without it, an entry would see few of its near targets where there are many data centres.
+///
+/// An order of at most `size` targets is returned as it is, because nothing has to be left out.
+pub(super) fn with_near_part(
+    order: Vec<usize>,
+    size: usize,
+    is_near: impl Fn(usize) -> bool,
+) -> Vec<usize> {
+    if order.len() <= size {
+        return order;
+    }
+    let (mut near, mut far): (Vec<usize>, Vec<usize>) =
+        order.into_iter().partition(|index| is_near(*index));
+    let least_near = size.saturating_sub(far.len());
+    let near_size = near.len().min((size * NEAR_PERCENT / 100).max(least_near));
+    let near_rest = near.split_off(near_size);
+    let far_rest = far.split_off(size - near_size);
+    [near, far, near_rest, far_rest].concat()
+}
+
 /// Fractional part of the golden ratio. Its multiples modulo 1 are spread evenly for any range of
 /// consecutive numbers, and for nearly any stride.
 const GOLDEN_RATIO_FRACTION: f64 = 0.618_033_988_749_894_9;
--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -24,10 +24,6 @@
     settings::Routing,
 };
 
-/// Assumed bytes of a response between nodes, including the framing of both directions. The
-/// size isn't known when a target is chosen; most responses are a head and a small body.
-const ASSUMED_RESPONSE_BYTES: u64 = 1_024;
-
 /// Why a caller's request is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BadRequest {
@@ -167,6 +163,12 @@
         }
     }
 
+    /// Returns the class of requests with similar responses; 0 if the request has no class.
+    pub(crate) fn class(&self) -> u32 {
+        let route = self.policy.route.as_ref();
+        route.map_or(0, |route| route.request_class())
+    }
+
     /// Returns the class, priority and latency target that order the queue of the guard.
     pub(crate) fn urgency(&self) -> Urgency {
         let Some(route) = &self.policy.route else {
@@ -201,8 +203,8 @@
         Ok(table.map(|table| claim.with_version_of(table)))
     }
 
-    /// Estimates the bytes that the request and its response take between two nodes.
-    pub(crate) fn estimated_transfer_bytes(&self) -> u64 {
+    /// Estimates the bytes that the request and a response of `response_bytes` take between two nodes.
+    pub(crate) fn estimated_transfer_bytes(&self, response_bytes: u64) -> u64 {
         let body = match self.body_length {
             BodyLength::None => 0,
             BodyLength::Sized(length) => length,
@@ -210,7 +212,7 @@
         };
         let headers = self.headers.iter();
         let head: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
-        body + (head + self.path.len()) as u64 + ASSUMED_RESPONSE_BYTES
+        body + (head + self.path.len()) as u64 + response_bytes
     }
 
     /// Returns the public id as text for logs.
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -249,16 +249,17 @@
             .request
             .check_key(self.node)
             .map_err(RefuseReason::as_str)?;
-        let query = TargetQuery {
-            service: self.request.policy.service.as_str(),
-            bytes: self.request.estimated_transfer_bytes(),
-            scope: self.scope(),
+        let chosen = {
+            let mut balancer = self.node.balancer.borrow_mut();
+            let response_bytes = balancer.expected_response_bytes(self.request.class());
+            let query = TargetQuery {
+                service: self.request.policy.service.as_str(),
+                bytes: self.request.estimated_transfer_bytes(response_bytes),
+                due: self.request.urgency().due,
+                scope: self.scope(),
+            };
+            balancer.choose_target_for(now, &query, &mut *self.node.rng.borrow_mut())
         };
-        let chosen = self.node.balancer.borrow_mut().choose_target_for(
-            now,
-            &query,
-            &mut *self.node.rng.borrow_mut(),
-        );
         let peer = chosen.map_err(ChoiceError::reason)?;
         if cause == AttemptCause::First {
             // Only services with targets get a retry budget, since callers can send any number
--- a/crates/node/src/entry/target_response.rs
+++ b/crates/node/src/entry/target_response.rs
@@ -134,6 +134,10 @@
         let latency_us = self.in_flight.elapsed_us();
         self.in_flight.report(outcome, self.end_load);
         let now = self.node.now();
+        self.node
+            .balancer
+            .borrow_mut()
+            .record_response_size(request.class(), self.received_bytes);
         if outcome == RequestOutcome::Answered {
             let mut retries = self.node.retry_budgets.borrow_mut();
             retries.on_success(now, request.policy.service.as_str(), latency_us);
