core: load shedding by value at the guard

Cause: a full queue refused whatever arrived, however urgent, the order of starts did not take the work into account, and a workspace could take the whole capacity.

Change: `Guard::set_shedding` turns on one rule for the order of starts, for refusals and for displacement (docs/design/shedding.md). Without it, order and refusals are unchanged. `RouteTable::has_competing_requests` tells whether a configuration asks for it. Nothing sets it yet.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -7,7 +7,7 @@
     class_service_times::ClassServiceTimes,
     limit::ConcurrencyLimit,
     pace::{HostPace, PaceSettings},
-    queue::{Queue, QueuedRequest},
+    queue::Queue,
     rate_limit::RateLimit,
     records::{RecordTable, RequestState},
     resend::{ResendBudget, ResendSettings},
@@ -265,6 +265,7 @@
         self.counters.offered += 1;
         match self.decide_and_fence(now, offer) {
             Ok(Placement::Slot) => {
+                self.queue.record_direct_start(&offer.urgency);
                 self.rate_limit.record_start(now);
                 self.in_flight += 1;
                 self.counters.started += 1;
@@ -274,17 +275,12 @@
                 Admission::Start
             }
             Ok(Placement::Queue) => {
-                self.counters.queued += 1;
-                let ticket = self.queue.push(QueuedRequest {
-                    key: offer.key,
-                    deadline: offer.deadline,
-                    urgency: offer.urgency,
-                    queued_at: now,
-                    predicted_wait_us: self.predicted_wait_us(now, &offer.urgency),
-                });
-                self.put_record(offer.key, RequestState::Queued(ticket), offer.deadline);
-                self.records
-                    .set_terms(offer.key, offer.urgency.class, offer.answer_by);
+                self.enqueue(now, offer);
+                Admission::Queued
+            }
+            Ok(Placement::QueueInsteadOf(ticket)) => {
+                self.displace(now, ticket);
+                self.enqueue(now, offer);
                 Admission::Queued
             }
             Err(reason) => {
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -20,16 +20,19 @@
 
 mod class_service_times;
 mod counters;
+mod fair_order;
 mod guard;
 mod kept_answers;
 mod leave;
 mod limit;
+mod make_room;
 mod pace;
 mod queue;
 mod rate_limit;
 mod records;
 mod resend;
 mod service_time;
+mod shedding;
 mod target;
 mod transitions;
 mod types;
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -2,7 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{RequestKey, Urgency, class_service_times::ClassServiceTimes};
+use super::{
+    RequestKey, Urgency,
+    class_service_times::ClassServiceTimes,
+    fair_order::FairOrder,
+    shedding::{self, Contender},
+};
 use crate::time::Instant;
 
 /// Number of a request in order of arrival at the queue; never reused.
@@ -19,7 +24,8 @@
     pub(super) predicted_wait_us: u64,
 }
 
-/// Sort key of a queued request; the request with the smallest key starts first.
+/// Sort key of a queued request while no load is shed; the request with the smallest key starts
+/// first.
 ///
 /// Requests that can still meet their latency target come before those that can't. Within
 /// both groups the order is by priority, then by `Urgency::due`, then by arrival.
@@ -32,6 +38,8 @@
     by_ticket: BTreeMap<Ticket, QueuedRequest>,
     /// Holds exactly the tickets of `by_ticket`, with their deadlines.
     by_deadline: BTreeSet<(Instant, Ticket)>,
+    /// State of the order of starts while load is shed; `None` unless it is.
+    fair: Option<Box<FairOrder>>,
 }
 
 impl QueuedRequest {
@@ -41,13 +49,37 @@
         ticket: Ticket,
         service_times: &ClassServiceTimes,
     ) -> StartOrder {
-        let due = self.urgency.due.unwrap_or(Instant::MAX);
-        let service_us = service_times.mean_us(self.urgency.class);
-        let is_late = now.saturating_add_micros(service_us) > due;
-        (is_late, self.urgency.priority, due, ticket)
+        let contender = contender(now, ticket, &self.urgency, service_times);
+        let priority = self.urgency.priority;
+        (contender.is_late, priority, contender.due, ticket)
     }
 }
 
+/// Returns a request as the rule of shedding sees it.
+fn contender(
+    now: Instant,
+    ticket: Ticket,
+    urgency: &Urgency,
+    service_times: &ClassServiceTimes,
+) -> Contender {
+    let due = urgency.due.unwrap_or(Instant::MAX);
+    let slot_time_us = service_times.mean_us(urgency.class);
+    Contender {
+        ticket,
+        level: shedding::level_of(urgency.priority),
+        workspace: urgency.workspace,
+        is_late: now.saturating_add_micros(slot_time_us) > due,
+        due,
+        slot_time_us,
+    }
+}
+
+fn record_push(fair: &mut FairOrder, urgency: &Urgency, service_times: &ClassServiceTimes) {
+    let level = shedding::level_of(urgency.priority);
+    let slot_time_us = service_times.mean_us(urgency.class);
+    fair.record_push(level, urgency.workspace, slot_time_us);
+}
+
 impl Queue {
     /// Returns the number of queued requests.
     pub(super) fn len(&self) -> usize {
@@ -55,20 +87,115 @@
     }
 
     /// Adds a request and returns its ticket.
-    pub(super) fn push(&mut self, queued: QueuedRequest) -> Ticket {
+    pub(super) fn push(
+        &mut self,
+        queued: QueuedRequest,
+        service_times: &ClassServiceTimes,
+    ) -> Ticket {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         self.by_deadline.insert((queued.deadline, ticket));
         self.by_ticket.insert(ticket, queued);
+        if let Some(fair) = &mut self.fair {
+            record_push(fair, &queued.urgency, service_times);
+        }
         ticket
     }
 
+    /// Starts or ends the shedding of load. Has no effect on which requests wait.
+    pub(super) fn set_shedding(&mut self, sheds_load: bool, service_times: &ClassServiceTimes) {
+        if sheds_load == self.fair.is_some() {
+            return;
+        }
+        self.fair = sheds_load.then(|| {
+            let mut fair = Box::<FairOrder>::default();
+            for queued in self.by_ticket.values() {
+                record_push(&mut fair, &queued.urgency, service_times);
+            }
+            fair
+        });
+    }
+
+    /// Returns whether load is shed.
+    pub(super) fn sheds_load(&self) -> bool {
+        self.fair.is_some()
+    }
+
+    /// Counts a request that the target could serve, for the shares of workspaces and levels.
+    pub(super) fn record_offer(&mut self, now: Instant, urgency: &Urgency) {
+        if let Some(fair) = &mut self.fair {
+            let level = shedding::level_of(urgency.priority);
+            fair.record_offer(now, level, urgency.workspace);
+        }
+    }
+
+    /// Counts a request that starts without waiting.
+    pub(super) fn record_direct_start(&mut self, urgency: &Urgency) {
+        if let Some(fair) = &mut self.fair {
+            let level = shedding::level_of(urgency.priority);
+            fair.record_direct_start(level, urgency.workspace);
+        }
+    }
+
+    fn contenders(
+        &self,
+        now: Instant,
+        service_times: &ClassServiceTimes,
+    ) -> impl Iterator<Item = Contender> + Clone {
+        self.by_ticket
+            .iter()
+            .map(move |(ticket, queued)| contender(now, *ticket, &queued.urgency, service_times))
+    }
+
+    /// Returns the request to refuse if `urgency` arrives and there is no room for one more:
+    /// [`Ticket::MAX`] for the arriving one, `None` unless load is shed or if all are protected.
+    pub(super) fn least_valuable(
+        &self,
+        now: Instant,
+        urgency: &Urgency,
+        service_times: &ClassServiceTimes,
+    ) -> Option<Ticket> {
+        let fair = self.fair.as_ref()?;
+        let mut contenders: Vec<_> = self.contenders(now, service_times).collect();
+        contenders.push(contender(now, Ticket::MAX, urgency, service_times));
+        shedding::least_valuable(&contenders, fair)
+    }
+
+    /// Returns whether the request with a ticket is queued and can't meet its latency target any
+    /// more.
+    pub(super) fn is_late(
+        &self,
+        now: Instant,
+        ticket: Ticket,
+        service_times: &ClassServiceTimes,
+    ) -> bool {
+        let queued = self.by_ticket.get(&ticket);
+        queued.is_some_and(|queued| queued.start_order(now, ticket, service_times).0)
+    }
+
+    /// Returns the queued requests in the order in which they start.
+    pub(super) fn in_start_order(
+        &self,
+        now: Instant,
+        service_times: &ClassServiceTimes,
+    ) -> impl Iterator<Item = (Ticket, &QueuedRequest)> {
+        let tickets = self.tickets_in_start_order(now, service_times);
+        tickets
+            .into_iter()
+            .map(|ticket| (ticket, &self.by_ticket[&ticket]))
+    }
+
     /// Returns the ticket and the request that starts next; `None` if the queue is empty.
     pub(super) fn next_to_start(
         &self,
         now: Instant,
         service_times: &ClassServiceTimes,
     ) -> Option<(Ticket, &QueuedRequest)> {
+        if let Some(fair) = &self.fair {
+            let contenders = self.contenders(now, service_times);
+            let ticket = shedding::next_to_start(contenders, fair)?;
+            return Some((ticket, self.by_ticket.get(&ticket)?));
+        }
         let queued_requests = self.by_ticket.iter();
         queued_requests
             .min_by_key(|(ticket, queued)| queued.start_order(now, **ticket, service_times))
@@ -81,8 +208,34 @@
         self.remove(ticket).map(|queued| queued.key)
     }
 
-    /// Removes and returns the request with `ticket`; `None` if it is not in the queue.
+    /// Removes and returns the request with `ticket`, which does not start; `None` if it is not in
+    /// the queue.
     pub(super) fn remove(&mut self, ticket: Ticket) -> Option<QueuedRequest> {
+        let queued = self.take(ticket)?;
+        if let Some(fair) = &mut self.fair {
+            let level = shedding::level_of(queued.urgency.priority);
+            fair.record_removal(level, queued.urgency.workspace);
+        }
+        Some(queued)
+    }
+
+    /// Removes and returns the request with `ticket`, which starts; `None` if it is not in the
+    /// queue.
+    pub(super) fn start(
+        &mut self,
+        ticket: Ticket,
+        service_times: &ClassServiceTimes,
+    ) -> Option<QueuedRequest> {
+        let queued = self.take(ticket)?;
+        if let Some(fair) = &mut self.fair {
+            let level = shedding::level_of(queued.urgency.priority);
+            let slot_time_us = service_times.mean_us(queued.urgency.class);
+            fair.record_start(level, queued.urgency.workspace, slot_time_us);
+        }
+        Some(queued)
+    }
+
+    fn take(&mut self, ticket: Ticket) -> Option<QueuedRequest> {
         let queued = self.by_ticket.remove(&ticket)?;
         self.by_deadline.remove(&(queued.deadline, ticket));
         Some(queued)
@@ -102,50 +255,36 @@
         self.remove(ticket)
     }
 
-    /// Returns the requests that would start before a new one with this urgency.
-    fn requests_ahead(
-        &self,
-        now: Instant,
-        urgency: &Urgency,
-        service_times: &ClassServiceTimes,
-    ) -> impl Iterator<Item = &QueuedRequest> {
-        let new_request = QueuedRequest {
-            key: RequestKey::default(),
-            deadline: Instant::MAX,
-            urgency: *urgency,
-            queued_at: now,
-            predicted_wait_us: 0,
-        };
-        let new_order = new_request.start_order(now, Ticket::MAX, service_times);
-        self.by_ticket
-            .iter()
-            .filter(move |(ticket, queued)| {
-                queued.start_order(now, **ticket, service_times) < new_order
-            })
-            .map(|(_, queued)| queued)
-    }
-
-    /// Returns the sum of the mean service times of the requests that would start before a
-    /// new one with this urgency, in microseconds.
-    pub(super) fn work_ahead_us(
+    /// Returns the number of the requests that would start before a new one with this urgency, and
+    /// the sum of their mean service times in microseconds.
+    pub(super) fn work_ahead(
         &self,
         now: Instant,
         urgency: &Urgency,
         service_times: &ClassServiceTimes,
-    ) -> u64 {
-        self.requests_ahead(now, urgency, service_times)
-            .map(|queued| service_times.mean_us(queued.urgency.class))
-            .sum()
-    }
-
-    /// Returns the number of requests that would start before a new one with this urgency.
-    pub(super) fn count_ahead(
-        &self,
-        now: Instant,
-        urgency: &Urgency,
-        service_times: &ClassServiceTimes,
-    ) -> usize {
-        self.requests_ahead(now, urgency, service_times).count()
+    ) -> (usize, u64) {
+        let new_request = contender(now, Ticket::MAX, urgency, service_times);
+        let sum =
+            |(count, work_us): (usize, u64), slot_time_us| (count + 1, work_us + slot_time_us);
+        if let Some(fair) = &self.fair {
+            let mut contenders: Vec<_> = self.contenders(now, service_times).collect();
+            contenders.push(new_request);
+            shedding::sort_by_start(&mut contenders, fair);
+            let ahead = contenders.iter().take_while(|c| c.ticket != Ticket::MAX);
+            return ahead.map(|c| c.slot_time_us).fold((0, 0), sum);
+        }
+        let new_order = (
+            new_request.is_late,
+            urgency.priority,
+            new_request.due,
+            Ticket::MAX,
+        );
+        let ahead = self.by_ticket.iter().filter(|(ticket, queued)| {
+            queued.start_order(now, **ticket, service_times) < new_order
+        });
+        ahead
+            .map(|(_, queued)| service_times.mean_us(queued.urgency.class))
+            .fold((0, 0), sum)
     }
 
     /// Returns the tickets of the requests that the target can hardly answer before their deadline
@@ -159,8 +298,7 @@
     ) -> Vec<Ticket> {
         let mut start = first_start;
         let mut unservable = Vec::new();
-        for ticket in self.tickets_in_start_order(now, service_times) {
-            let queued = &self.by_ticket[&ticket];
+        for (ticket, queued) in self.in_start_order(now, service_times) {
             let low_estimate_us = service_times.low_estimate_us(queued.urgency.class);
             if start.saturating_add_micros(low_estimate_us) >= queued.deadline {
                 unservable.push(ticket);
@@ -177,6 +315,11 @@
         now: Instant,
         service_times: &ClassServiceTimes,
     ) -> Vec<Ticket> {
+        if let Some(fair) = &self.fair {
+            let mut contenders: Vec<_> = self.contenders(now, service_times).collect();
+            shedding::sort_by_start(&mut contenders, fair);
+            return contenders.iter().map(|c| c.ticket).collect();
+        }
         let mut in_order: Vec<_> = self
             .by_ticket
             .iter()
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -14,6 +14,8 @@
 pub(super) enum Placement {
     Slot,
     Queue,
+    /// In the queue, in place of the request with the ticket.
+    QueueInsteadOf(Ticket),
 }
 
 impl Guard {
@@ -37,15 +39,21 @@
         if !self.records.has_room(now) {
             return Err(RefuseReason::TableFull);
         }
-        let decision = self.check_admission(now, offer);
+        let decision = match self.check_target(now, offer) {
+            Ok(()) => {
+                self.queue.record_offer(now, &offer.urgency);
+                self.check_admission(now, offer)
+            }
+            Err(reason) => Err(reason),
+        };
         if decision.is_err() {
             self.put_record(offer.key, RequestState::Fenced, offer.deadline);
         }
         decision
     }
 
-    /// Decides on an offer of a request without a record.
-    fn check_admission(&self, now: Instant, offer: &Offer<'_>) -> Result<Placement, RefuseReason> {
+    /// Checks whether the target could serve a request if it had nothing else to do.
+    fn check_target(&self, now: Instant, offer: &Offer<'_>) -> Result<(), RefuseReason> {
         if offer.deadline <= now {
             return Err(RefuseReason::Deadline);
         }
@@ -61,16 +69,25 @@
         if is_slow && offer.has_alternative {
             return Err(RefuseReason::Slow);
         }
-        if self.would_miss_deadline(now, offer) {
-            return Err(RefuseReason::Deadline);
+        match self.would_miss_deadline(now, offer) {
+            true => Err(RefuseReason::Deadline),
+            false => Ok(()),
         }
+    }
+
+    /// Decides on an offer of a request without a record, which the target could serve.
+    fn check_admission(&self, now: Instant, offer: &Offer<'_>) -> Result<Placement, RefuseReason> {
+        let is_slow = self.pace.is_slow(now, &self.cfg.pace);
         if !is_slow && self.queue.len() == 0 && self.can_start(now) {
             return Ok(Placement::Slot);
         }
-        let max_queued = u64::from(target.slots) * u64::from(self.cfg.queue_factor);
-        if self.queue.len() as u64 >= max_queued {
-            return Err(RefuseReason::Overloaded);
-        }
+        let slots = self.target.as_ref().map_or(0, |target| target.slots);
+        let max_queued = u64::from(slots) * u64::from(self.cfg.queue_factor);
+        let placement = match (self.queue.len() as u64) < max_queued {
+            true => Placement::Queue,
+            false => self.place_of_queued(now, &offer.urgency)?,
+        };
+        let stop_at = self.earliest_stop(offer.answer_by);
         let end = now.saturating_add_micros(self.predicted_time_us(now, &offer.urgency));
         if stop_at.is_some_and(|at| end > at) {
             return Err(RefuseReason::Draining);
@@ -79,16 +96,19 @@
             return Err(self.overload_reason(now, &offer.urgency));
         }
         if offer.urgency.due.is_none_or(|due| end <= due) {
-            return Ok(Placement::Queue);
+            return Ok(placement);
         }
         // A request that misses its latency target may use capacity that other requests leave,
         // but a long queue of such requests would only be refused later.
         let has_room =
             self.queue.late_count(now, &self.service_times) < self.limit.effective_limit() as usize;
-        match has_room && !offer.has_alternative {
-            true => Ok(Placement::Queue),
-            false => Err(self.overload_reason(now, &offer.urgency)),
-        }
+        let late_placement = match has_room {
+            true => Some(placement),
+            false => self.place_of_late(now, &offer.urgency),
+        };
+        late_placement
+            .filter(|_| !offer.has_alternative)
+            .ok_or_else(|| self.overload_reason(now, &offer.urgency))
     }
 
     /// Returns whether a slot is free and the rate limit lets a request start.
@@ -159,7 +179,7 @@
         let Some(interval_us) = self.rate_limit.interval_us() else {
             return 0;
         };
-        let ahead = self.queue.count_ahead(now, urgency, &self.service_times);
+        let (ahead, _) = self.queue.work_ahead(now, urgency, &self.service_times);
         self.rate_limit
             .wait_us(now)
             .saturating_add(interval_us.saturating_mul(ahead as u64))
@@ -172,7 +192,7 @@
     /// longer according to their share of the time.
     fn slot_wait_us(&self, now: Instant, urgency: &Urgency) -> u64 {
         let slots = u64::from(self.limit.effective_limit()).max(1);
-        let work_ahead_us = self.queue.work_ahead_us(now, urgency, &self.service_times);
+        let (_, work_ahead_us) = self.queue.work_ahead(now, urgency, &self.service_times);
         let wait_us = (work_ahead_us + self.service_times.overall_mean_us()) / slots;
         (wait_us as f64 / (1.0 - self.pace.slow_share())) as u64
     }
@@ -389,7 +409,7 @@
             let Some(ticket) = self.next_startable(now) else {
                 break;
             };
-            let Some(queued) = self.queue.remove(ticket) else {
+            let Some(queued) = self.queue.start(ticket, &self.service_times) else {
                 break;
             };
             self.wait_correction.record_wait(now, &queued);
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    collections::HashMap,
     hash::fnv1a,
     ids::{Region, ServiceName},
     workspace::WorkspaceTable,
@@ -147,6 +148,21 @@
         self.workspaces.as_ref()
     }
 
+    /// Returns whether requests compete for the targets of a service with different claims: there are
+    /// workspaces, or routes of one service differ in priority. Guards then shed load by value.
+    pub fn has_competing_requests(&self) -> bool {
+        if self.workspaces.is_some() {
+            return true;
+        }
+        let mut priorities: HashMap<&ServiceName, u32> = HashMap::default();
+        self.routes.iter().any(|route| {
+            route.shares.iter().any(|share| {
+                let first = priorities.entry(&share.service).or_insert(route.priority);
+                *first != route.priority
+            })
+        })
+    }
+
     /// Returns the version number that the operator gave the table.
     pub fn version(&self) -> u64 {
         self.version
--- /dev/null
+++ b/crates/core/tests/admission_displacement.rs
@@ -0,0 +1,209 @@
+//! Displacement of single requests, and that nothing is displaced unless load is shed.
+
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use plantainpost_core::{
+    admission::{
+        Admission, Announcement, DispatchDecision, ExchangeOutcome, FenceState, Guard,
+        GuardSettings, Offer, RefuseReason, RequestKey, TargetInstance, Urgency, Wakeup,
+    },
+    ids::RequestId,
+    time::Instant,
+};
+
+const NOW: Instant = Instant::from_millis(1_000);
+const DEADLINE: Instant = Instant::from_millis(60_000);
+/// Two slots, four places in the queue.
+const SLOTS: u32 = 2;
+
+fn key(id: u128) -> RequestKey {
+    RequestKey {
+        id: RequestId(id),
+        attempt: 0,
+    }
+}
+
+fn guard(sheds_load: bool) -> Guard {
+    let mut guard = Guard::new(GuardSettings::default());
+    guard.set_shedding(sheds_load);
+    guard.announce(
+        NOW,
+        Announcement {
+            instance: TargetInstance::default(),
+            service: "stock",
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            slots: SLOTS,
+            connections: 10,
+            expires: Instant::MAX,
+            leaving: false,
+        },
+    );
+    guard
+}
+
+fn offer(guard: &mut Guard, id: u128, urgency: Urgency) -> Admission {
+    offer_until(guard, id, urgency, DEADLINE)
+}
+
+fn offer_until(guard: &mut Guard, id: u128, urgency: Urgency, deadline: Instant) -> Admission {
+    let offer = Offer {
+        key: key(id),
+        service: "stock",
+        deadline,
+        has_alternative: false,
+        answer_by: None,
+        urgency,
+    };
+    guard.offer(NOW, &offer)
+}
+
+fn of(class: u32, priority: u32, workspace: u32) -> Urgency {
+    Urgency {
+        class,
+        priority,
+        workspace,
+        due: Some(DEADLINE),
+    }
+}
+
+/// Fills the slots and the queue with the requests 0 to 5, of which 2 to 5 wait.
+fn fill(guard: &mut Guard, urgency: Urgency) {
+    for id in 0..6 {
+        let admission = offer(guard, id, urgency);
+        let expected = if id < 2 {
+            Admission::Start
+        } else {
+            Admission::Queued
+        };
+        assert_that!(admission, eq(expected));
+    }
+}
+
+fn displaced(id: u128) -> Wakeup {
+    Wakeup {
+        key: key(id),
+        admission: Admission::Refused(RefuseReason::Displaced),
+    }
+}
+
+/// Guards against a displaced request that its entry hears nothing of, or that runs all the same.
+#[gtest]
+fn urgent_request_displaces_and_the_displaced_one_never_runs() {
+    let mut guard = guard(true);
+    fill(&mut guard, of(1, 1, 0));
+    expect_that!(offer(&mut guard, 6, of(1, 0, 0)), eq(Admission::Queued));
+    expect_that!(guard.next_expiry(), some(le(NOW)));
+    expect_that!(guard.expire(NOW), eq(&vec![displaced(5)]));
+    expect_that!(guard.fence(NOW, key(5), DEADLINE), eq(FenceState::Fenced));
+    let refused = DispatchDecision::Refused(RefuseReason::Fenced);
+    expect_that!(guard.dispatch(NOW, key(5)), eq(refused));
+    expect_that!(guard.counters().refused(RefuseReason::Displaced), eq(1));
+    // A less urgent one displaces nobody while its level is not behind.
+    let refused = Admission::Refused(RefuseReason::Overloaded);
+    expect_that!(offer(&mut guard, 7, of(1, 1, 0)), eq(refused));
+}
+
+/// Guards against another order or other refusals where the configuration does not ask for shedding.
+#[gtest]
+fn nothing_is_displaced_unless_load_is_shed() {
+    let mut guard = guard(false);
+    fill(&mut guard, of(1, 1, 0));
+    let refused = Admission::Refused(RefuseReason::Overloaded);
+    expect_that!(offer(&mut guard, 6, of(1, 0, 0)), eq(refused));
+    expect_that!(guard.expire(NOW), is_empty());
+}
+
+/// Guards against a started request that is displaced, and against a switch that loses requests.
+#[gtest]
+fn switch_keeps_waiting_requests() {
+    let mut guard = guard(false);
+    fill(&mut guard, of(1, 1, 0));
+    guard.set_shedding(true);
+    expect_that!(guard.queued(), eq(4));
+    for id in 6..10 {
+        expect_that!(offer(&mut guard, id, of(1, 0, 0)), eq(Admission::Queued));
+    }
+    expect_that!(guard.expire(NOW).len(), ge(3));
+    for id in 0..2 {
+        expect_that!(guard.dispatch(NOW, key(id)), eq(DispatchDecision::Proceed));
+    }
+    guard.set_shedding(false);
+    expect_that!(guard.queued(), eq(4));
+    let outcome = ExchangeOutcome::Completed {
+        server_error: false,
+    };
+    let woken = guard.finish(NOW, key(0), outcome, 10_000);
+    expect_that!(woken.len(), eq(1));
+}
+
+/// Guards against a workspace that keeps the queue because it filled it first, and against calls of
+/// running work that lose against new work.
+#[gtest]
+fn shares_decide_between_workspaces_of_a_level() {
+    let mut guard = guard(true);
+    fill(&mut guard, of(1, 1, 7));
+    expect_that!(offer(&mut guard, 6, of(1, 1, 8)), eq(Admission::Queued));
+    expect_that!(offer(&mut guard, 7, of(1, 1, 0)), eq(Admission::Queued));
+    expect_that!(guard.expire(NOW), eq(&vec![displaced(5), displaced(4)]));
+    for id in 0..2 {
+        expect_that!(guard.dispatch(NOW, key(id)), eq(DispatchDecision::Proceed));
+    }
+    let outcome = ExchangeOutcome::Completed {
+        server_error: false,
+    };
+    let mut starts = Vec::new();
+    for id in 0..2 {
+        let woken = guard.finish(NOW, key(id), outcome, 10_000);
+        starts.extend(woken.iter().map(|wakeup| wakeup.key));
+    }
+    // First the request without a workspace, then the older one of two equal shares.
+    expect_that!(starts, eq(&vec![key(7), key(2)]));
+}
+
+/// Guards against refusing several short requests in favour of one long one.
+#[gtest]
+fn long_requests_make_room_for_short_ones_of_the_same_value() {
+    let mut guard = guard(true);
+    let outcome = ExchangeOutcome::Completed {
+        server_error: false,
+    };
+    for (id, class, service_us) in
+        (100..120).flat_map(|id| [(id, 1, 10_000), (id + 100, 2, 90_000)])
+    {
+        offer(&mut guard, id, of(class, 0, 0));
+        guard.dispatch(NOW, key(id));
+        guard.finish(NOW, key(id), outcome, service_us);
+    }
+    fill(&mut guard, of(2, 0, 0));
+    expect_that!(offer(&mut guard, 6, of(1, 0, 0)), eq(Admission::Queued));
+    expect_that!(guard.expire(NOW), eq(&vec![displaced(5)]));
+    let refused = Admission::Refused(RefuseReason::Overloaded);
+    expect_that!(offer(&mut guard, 7, of(2, 0, 0)), eq(refused));
+}
+
+/// Guards against requests that wait in vain for a slot that others get, instead of going to another
+/// target.
+#[gtest]
+fn hopeless_requests_are_refused_when_others_go_first() {
+    let mut guard = guard(true);
+    let outcome = ExchangeOutcome::Completed {
+        server_error: false,
+    };
+    for id in 100..110 {
+        offer(&mut guard, id, of(1, 1, 0));
+        guard.dispatch(NOW, key(id));
+        guard.finish(NOW, key(id), outcome, 25_000_000);
+    }
+    for id in 0..2 {
+        expect_that!(offer(&mut guard, id, of(1, 1, 0)), eq(Admission::Start));
+    }
+    let admission = offer_until(&mut guard, 2, of(1, 1, 0), Instant::from_millis(41_000));
+    expect_that!(admission, eq(Admission::Queued));
+    for id in 3..5 {
+        expect_that!(offer(&mut guard, id, of(1, 0, 0)), eq(Admission::Queued));
+    }
+    // 40 s are left, and two slots need 25 s for the requests ahead.
+    let woken = guard.expire(NOW);
+    expect_that!(woken, eq(&vec![displaced(2)]));
+}
--- a/crates/core/tests/admission_model/mod.rs
+++ b/crates/core/tests/admission_model/mod.rs
@@ -93,18 +93,34 @@
 }
 
 impl Model {
-    pub(crate) fn new() -> Self {
+    /// Creates a guard without a target. If it sheds load by value, requests differ in priority,
+    /// workspace and latency target.
+    pub(crate) fn new(sheds_load: bool) -> Self {
         let cfg = GuardSettings {
             max_records: MAX_RECORDS,
             ..GuardSettings::default()
         };
+        let mut guard = Guard::new(cfg);
+        guard.set_shedding(sheds_load);
         Model {
-            guard: Guard::new(cfg),
+            guard,
             now: Instant::default(),
             histories: BTreeMap::new(),
         }
     }
 
+    fn urgency(&self, key: u8) -> Urgency {
+        if !self.guard.sheds_load() {
+            return Urgency::default();
+        }
+        Urgency {
+            class: u32::from(key % 5),
+            priority: u32::from(key % 3),
+            workspace: u32::from(key % 4),
+            due: key.is_multiple_of(2).then(|| converted_deadline(key, 500)),
+        }
+    }
+
     fn history(&mut self, key: u8) -> &mut RequestHistory {
         self.histories.entry(key).or_default()
     }
@@ -170,7 +186,7 @@
             deadline,
             has_alternative: false,
             answer_by: None,
-            urgency: Urgency::default(),
+            urgency: self.urgency(key),
         };
         let admission = self.guard.offer(self.now, &offer);
         if let Admission::Refused(reason) = admission {
--- a/crates/core/tests/admission_pairs.rs
+++ b/crates/core/tests/admission_pairs.rs
@@ -76,7 +76,7 @@
     for stage in stages {
         for first in faults {
             for second in faults {
-                let mut model = Model::new();
+                let mut model = Model::new(false);
                 model.announce(1, 1, 60_000, false);
                 for event in stage.iter().copied().chain([first, second]) {
                     model.apply(event);
--- a/crates/core/tests/admission_properties.rs
+++ b/crates/core/tests/admission_properties.rs
@@ -35,8 +35,11 @@
     /// above the limit, a request without exactly one outcome, and a record table that grows
     /// without bound.
     #[test]
-    fn guarantees_hold_for_any_event_sequence(events in prop::collection::vec(event(), 1..200)) {
-        let mut model = Model::new();
+    fn guarantees_hold_for_any_event_sequence(
+        events in prop::collection::vec(event(), 1..200),
+        sheds_load in any::<bool>(),
+    ) {
+        let mut model = Model::new(sheds_load);
         model.announce(1, 2, 1_500, false);
         for event in events {
             model.apply(event);
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -6,6 +6,7 @@
 use plantainpost_core::{
     ids::ServiceName,
     routing::{CallerLimits, Repeat, Route, RouteTable, Share},
+    workspace::WorkspaceTable,
 };
 use rand::{SeedableRng, rngs::StdRng};
 
@@ -78,3 +79,25 @@
     expect_that!(counts.get("none"), none());
     expect_that!(counts["few"], all![gt(850), lt(1_150)]);
 }
+
+/// Guards against shedding by value where nothing asks for it, and against its absence where
+/// requests differ in their claims.
+#[gtest]
+fn requests_compete_by_priority_or_workspace() {
+    let with_priorities = |rows: &[(&str, u32)]| {
+        let routes = rows
+            .iter()
+            .enumerate()
+            .map(|(index, (service, priority))| Route {
+                priority: *priority,
+                ..route(&format!("host-{index}"), "/", &[(service, 1)])
+            });
+        table(routes.collect())
+    };
+    let same = with_priorities(&[("a", 1), ("a", 1), ("b", 2)]);
+    expect_that!(same.has_competing_requests(), eq(false));
+    let different = with_priorities(&[("b", 2), ("a", 1), ("a", 0)]);
+    expect_that!(different.has_competing_requests(), eq(true));
+    let workspaces = same.with_workspaces(WorkspaceTable::default());
+    expect_that!(workspaces.has_competing_requests(), eq(true));
+}
