node: shed load by value, and an exact Retry-After, where routes ask for it

Cause: nothing turned shedding on, and refused callers were told to come back after a whole second whatever the backlog was. Callers honour Retry-After only up to a third of the time that they have left.

Change: each version of the routes in force sets the guard's shedding. Requests that an arriving one displaces are woken at once. While load is shed, refusals for want of capacity state when the targets of the subset will have worked off what recent load samples show, at least 50 ms, times a random factor of 1 to 2, in milliseconds. Otherwise Retry-After is unchanged. New metrics: guard.displaced, guard.shedding.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -7,7 +7,7 @@
 
 use super::{
     BalancerSettings, Candidate, ChoiceRequest, EjectionChange, EjectionEvent, Explanation,
-    LoadReport, Policy, RequestObservation, Score,
+    LoadReport, Policy, RequestObservation, Score, TargetEstimate,
     ejection::{EjectionState, EjectionTransition},
     service_targets::{
         NodeState, ServiceTarget, ServiceTargets, build_candidate, eligible_candidates,
@@ -255,6 +255,14 @@
         waits.map(|(_, wait_us)| wait_us).min().unwrap_or_default()
     }
 
+    /// Returns the estimates of the targets in the subset of this entry.
+    pub(super) fn subset_estimates(&self, service: &str) -> impl Iterator<Item = &TargetEstimate> {
+        let targets = self.services.get(service).into_iter();
+        targets
+            .flat_map(ServiceTargets::subset_targets)
+            .filter_map(|target| Some(&self.nodes.get(&target.node)?.estimate))
+    }
+
     /// Records that a request was sent to a node.
     pub fn on_request_sent(&mut self, now: Instant, node: &str) {
         if let Some(state) = self.nodes.get_mut(node) {
--- a/crates/core/src/balance/estimate.rs
+++ b/crates/core/src/balance/estimate.rs
@@ -117,6 +117,19 @@
         (u64::from(sample.start_wait_us) + added_us).saturating_sub(now.micros_since(at))
     }
 
+    /// Returns the slots of the target and the slot time that the requests before a new one still need
+    /// beyond them, in microseconds; `None` unless a sample since `since` says so.
+    pub(super) fn backlog_since(&self, since: Instant) -> Option<(u64, u64)> {
+        let (_, sample) = self.sample.filter(|(at, _)| *at >= since)?;
+        if sample.slots == 0 || sample.draining {
+            return None;
+        }
+        let (slots, service_us) = (u64::from(sample.slots), u64::from(sample.service_time_us));
+        let requests = u64::from(sample.in_flight) + u64::from(sample.queued);
+        let waiting = (requests + u64::from(self.sent_since_sample) + 1).saturating_sub(slots);
+        Some((slots, waiting * service_us))
+    }
+
     /// Removes the outstanding request whose send time is closest to `sent`.
     pub(super) fn on_request_ended(&mut self, sent: Instant) {
         let first_later = self.outstanding.partition_point(|at| *at < sent);
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -4,7 +4,7 @@
 use plantainpost_core::{
     balance::{
         Balancer, BalancerSettings, ChoiceError, RequestObservation, RequestOutcome, TargetUsage,
-        TargetView, policy_by_name, rendezvous_subset,
+        TargetView, policy_by_name, rendezvous_subset, retry_after_us,
     },
     ids::{DataCentre, NodeName},
     load::LoadSample,
@@ -489,3 +489,36 @@
         expect_that!(n0 + n1 + n2, gt(0), "{policy}");
     }
 }
+
+/// Guards against callers that are told to come back before there is room, much later, or all at
+/// once.
+#[gtest]
+fn room_is_expected_when_the_backlogs_are_worked_off() {
+    let mut balancer = four_targets(POLICIES[0]);
+    expect_that!(balancer.room_wait_us(LATER, SERVICE), none());
+    let sample = |in_flight, queued, draining| LoadSample {
+        in_flight,
+        queued,
+        slots: 10,
+        service_time_us: 100_000,
+        draining,
+        ..LoadSample::default()
+    };
+    balancer.on_probe_reply(LATER, "n0", 100, sample(10, 19, false));
+    expect_that!(balancer.room_wait_us(LATER, SERVICE), some(eq(200_000)));
+    // Half of the capacity is free at another target, and one that drains does not count.
+    balancer.on_probe_reply(LATER, "n1", 100, sample(5, 0, false));
+    balancer.on_probe_reply(LATER, "n2", 100, sample(10, 90, true));
+    expect_that!(balancer.room_wait_us(LATER, SERVICE), some(eq(100_000)));
+    let later = LATER.saturating_add_millis(1_001);
+    expect_that!(balancer.room_wait_us(later, SERVICE), none());
+
+    let mut rng = seeded_rng();
+    let times: Vec<u64> = (0..1_000)
+        .map(|_| retry_after_us(200_000, &mut rng))
+        .collect();
+    expect_that!(times, each(all![ge(&200_000), le(&400_000)]));
+    let late_half = times.iter().filter(|us| **us > 300_000).count();
+    expect_that!(late_half, all![gt(400), lt(600)]);
+    expect_that!(retry_after_us(0, &mut rng), ge(50_000));
+}
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -272,6 +272,9 @@
     info!(node.logger, "routes in force"; "version" => table.version(), "routes" => table.len(),
         "read_to" => read_to, "source" => if peer.is_some() { "peer" } else { "store" },
         "peer" => peer.map(NodeName::as_str));
+    let sheds_load = table.has_competing_requests();
+    node.guard.borrow_mut().set_shedding(sheds_load);
+    node.metrics.gauge("guard.shedding", u64::from(sheds_load));
     node.metrics.gauge("routes.version", table.version());
     node.metrics
         .gauge("routes.in_force_unix_s", in_force_unix_ms / 1_000);
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod listener;
 mod response;
 mod response_writer;
+mod shedding;
 mod target_response;
 
 use std::rc::Rc;
@@ -366,7 +367,9 @@
             AttemptEnd::NotRun { reason, .. } => {
                 let service = request.policy.service.as_str();
                 let start_wait_us = node.balancer.borrow().start_wait_us(node.now(), service);
-                LocalResponse::not_run(reason).with_retry_after(start_wait_us)
+                LocalResponse::not_run(reason)
+                    .with_retry_after(start_wait_us)
+                    .with_exact_retry_after(shedding::retry_after_us(node, service, reason))
             }
             AttemptEnd::Unknown(reason) => {
                 // The guard may report the deadline slightly before the local clock reaches it.
--- a/crates/node/src/entry/response.rs
+++ b/crates/node/src/entry/response.rs
@@ -2,7 +2,7 @@
 
 use actix_http::StatusCode;
 use bytes::Bytes;
-use plantainpost_core::time::MICROS_PER_SECOND;
+use plantainpost_core::time::{MICROS_PER_MILLI, MICROS_PER_SECOND};
 use plantainpost_wire::message::{BodyLength, Header, PeerResponseHead};
 
 use crate::{
@@ -44,6 +44,8 @@
     pub(crate) reason: &'static str,
     /// Seconds after which the caller may retry, for the `retry-after` header.
     pub(crate) retry_after_s: Option<u64>,
+    /// The same time in microseconds, which is sent with its fraction; `None` for whole seconds.
+    pub(crate) retry_after_us: Option<u64>,
     /// Whether the connection is closed after the response.
     pub(crate) close: bool,
 }
@@ -65,6 +67,7 @@
             outcome,
             reason: reason.as_str(),
             retry_after_s: is_unavailable.then_some(MIN_RETRY_AFTER_S),
+            retry_after_us: None,
             close: matches!(reason, BadRequest::BodyTooLong | BadRequest::BodyIncomplete),
         }
     }
@@ -76,6 +79,7 @@
             outcome: CallerOutcome::NotRun,
             reason,
             retry_after_s: Some(MIN_RETRY_AFTER_S),
+            retry_after_us: None,
             close: false,
         }
     }
@@ -90,6 +94,25 @@
         }
     }
 
+    /// Tells the caller to try again after a time of which the fraction of a second matters;
+    /// `None` to leave the time as it is.
+    pub(crate) fn with_exact_retry_after(self, retry_after_us: Option<u64>) -> Self {
+        LocalResponse {
+            retry_after_us,
+            ..self
+        }
+    }
+
+    /// Returns the value of the `retry-after` header.
+    fn retry_after(&self) -> Option<String> {
+        let Some(micros) = self.retry_after_us else {
+            return self.retry_after_s.map(|seconds| seconds.to_string());
+        };
+        // Rounded up, as the time must not end before there is room.
+        let millis = micros.div_ceil(MICROS_PER_MILLI);
+        Some(format!("{}.{:03}", millis / 1_000, millis % 1_000))
+    }
+
     /// Returns the response to a request that may have run.
     pub(crate) fn unknown(reason: &'static str, past_deadline: bool) -> Self {
         LocalResponse {
@@ -100,6 +123,7 @@
             outcome: CallerOutcome::Unknown,
             reason,
             retry_after_s: None,
+            retry_after_us: None,
             close: false,
         }
     }
@@ -117,8 +141,8 @@
             headers::header(headers::REASON, self.reason),
             headers::header("content-type", "text/plain; charset=utf-8"),
         ];
-        if let Some(seconds) = self.retry_after_s {
-            headers.push(headers::header("retry-after", seconds.to_string()));
+        if let Some(retry_after) = self.retry_after() {
+            headers.push(headers::header("retry-after", retry_after));
         }
         let body = Bytes::from(format!("{}\n", self.reason));
         let head = CallerResponseHead {
--- /dev/null
+++ b/crates/node/src/entry/shedding.rs
@@ -0,0 +1,30 @@
+//! When a caller may send a request again that was refused for want of capacity.
+
+use plantainpost_core::{admission::RefuseReason, balance};
+
+use crate::node::Node;
+
+/// Reasons of refusals after which the request can be started once targets have worked off what they
+/// have.
+const WANT_OF_CAPACITY: [RefuseReason; 5] = [
+    RefuseReason::Overloaded,
+    RefuseReason::Displaced,
+    RefuseReason::Deadline,
+    RefuseReason::Slow,
+    RefuseReason::RateLimited,
+];
+
+/// Returns the time after which the caller of a refused request should send it again, in
+/// microseconds; `None` if load is not shed, or if the refusal has another reason.
+pub(super) fn retry_after_us(node: &Node, service: &str, reason: &str) -> Option<u64> {
+    let is_for_capacity = WANT_OF_CAPACITY
+        .iter()
+        .any(|refusal| refusal.as_str() == reason);
+    let sheds_load = node.guard.borrow().sheds_load();
+    if !is_for_capacity || !sheds_load {
+        return None;
+    }
+    let wait_us = node.balancer.borrow().room_wait_us(node.now(), service)?;
+    let rng = &mut *node.rng.borrow_mut();
+    Some(balance::retry_after_us(wait_us, rng))
+}
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -188,6 +188,7 @@
 async fn wait_for_slot(node: &Node, link: &mut ExchangeLink, req: &mut PendingRequest) -> SlotWait {
     let (tx, mut rx) = oneshot::channel();
     node.waiters.borrow_mut().insert(req.head.key, tx);
+    wake_displaced(node);
     node.pace.notify_request_queued();
     loop {
         let event = tokio::select! {
@@ -204,6 +205,16 @@
     }
 }
 
+/// Tells the requests that an arriving one has displaced, so that their entries can send them
+/// elsewhere at once.
+fn wake_displaced(node: &Node) {
+    let has_refusals = node.guard.borrow().has_pending_refusals();
+    if has_refusals {
+        let wakeups = node.guard.borrow_mut().expire(node.now());
+        node.wake_waiters(wakeups);
+    }
+}
+
 /// Handles an event of a link before the answer has begun. Fails if the entry has gone or violated
 /// the protocol.
 pub(super) async fn handle_link_event(
@@ -296,6 +307,9 @@
     reason: RefuseReason,
 ) -> ConnState {
     node.metrics.count("guard.refused");
+    if reason == RefuseReason::Displaced {
+        node.metrics.count("guard.displaced");
+    }
     let load = node.guard.borrow().load_sample(node.now());
     info!(node.logger, "request refused"; "request" => %req.public_id(node),
         "reason" => reason.as_str(), "in_flight" => load.in_flight, "queued" => load.queued,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -12,6 +12,7 @@
 mod fleet_fixture;
 mod http_client;
 mod late_configuration;
+mod load_shedding;
 mod network_faults;
 mod node_faults;
 mod operator_races;
