core: lateness, floors and their window in the order of shedding

Requests closest to their due instant started first under steady overload, and many were answered late. The first waiting requests of a small workspace made it underserved, as they counted as not started. Beside a surplus of requests without a workspace, workspaces were answered 0.21 times as often as all, below the required quarter. Uploads were answered more often than orders by up to 6 in 100.

Change: a request counts as on time if its mean service time and one mean deviation are left. Waiting requests do not count for the floor of a workspace, which is now half of the average. Counts are halved every second, and a level gets starts out of turn only if it is behind by 5 in 100.

--- a/crates/core/src/admission/class_service_times.rs
+++ b/crates/core/src/admission/class_service_times.rs
@@ -62,6 +62,11 @@
         self.for_class(class).high_estimate_us()
     }
 
+    /// Returns a service time that about one in five requests of a class exceeds.
+    pub(super) fn usual_maximum_us(&self, class: u32) -> u64 {
+        self.for_class(class).usual_maximum_us()
+    }
+
     /// Returns a service time that few requests of a class undercut. It is zero for requests
     /// without a class, which may be much shorter than the others.
     pub(super) fn low_estimate_us(&self, class: u32) -> u64 {
--- a/crates/core/src/admission/fair_order.rs
+++ b/crates/core/src/admission/fair_order.rs
@@ -12,16 +12,17 @@
 
 /// Time after which the counts of offers and starts are halved, in microseconds. Bursts last a few
 /// seconds.
-const HALVING_INTERVAL_US: u64 = 2_000_000;
+const HALVING_INTERVAL_US: u64 = 1_000_000;
 
 /// Least share of starts to offers of a workspace, relative to that of all requests. A quarter is
-/// required of what callers see over several guards; the rest is margin.
-const WORKSPACE_FLOOR: f32 = 0.4;
+/// required of what callers see over several guards. With 0.4 and counts halved every 2 s, workspaces
+/// beside a surplus of requests without one got 0.21.
+const WORKSPACE_FLOOR: f32 = 0.5;
 
 /// Difference of the shares of starts to offers by which a level has to be behind each more urgent
-/// one to be given starts out of turn. Without it, uploads that can wait for long were answered more
-/// often than more urgent orders by 6 in 100.
-const MIN_LAG: f32 = 0.02;
+/// one to be given starts out of turn. Without it, uploads, which can wait for longer, were answered
+/// more often than more urgent orders by 6 in 100.
+const MIN_LAG: f32 = 0.05;
 
 /// Minimum number of offers of a workspace before it counts as underserved.
 const MIN_OFFERS: f32 = 2.0;
@@ -109,9 +110,12 @@
     /// Virtual time of the share that started last, by level; never decreases while requests wait.
     level_times_us: [u64; LEVELS],
     passes: Passes,
-    all: Service,
+    /// Offers include waiting requests, so that a level is known to be behind before they are lost.
     by_level: [Service; LEVELS],
-    /// At most [`MAX_WORKSPACES`].
+    /// Offers that have started or were lost, of all requests. Waiting ones do not count, or the
+    /// first waiting requests of a small workspace would make it underserved.
+    all: Service,
+    /// Like `all`, by workspace. At most [`MAX_WORKSPACES`].
     by_workspace: HashMap<u32, Service>,
     /// When the counts are halved next.
     halve_at: Instant,
@@ -119,17 +123,17 @@
 
 impl FairOrder {
     /// Counts a request that the target could serve.
-    pub(super) fn record_offer(&mut self, now: Instant, level: usize, workspace: u32) {
+    pub(super) fn record_offer(&mut self, now: Instant, level: usize) {
         self.halve_if_due(now);
-        self.all.offers += 1.0;
         self.by_level[level].offers += 1.0;
-        let has_room = self.by_workspace.len() < MAX_WORKSPACES;
-        if workspace != 0 && (has_room || self.by_workspace.contains_key(&workspace)) {
-            self.by_workspace.entry(workspace).or_default().offers += 1.0;
-        }
         self.compare_levels();
     }
 
+    /// Counts a request that was refused on arrival.
+    pub(super) fn record_refusal(&mut self, workspace: u32) {
+        self.count_decision(workspace, 0.0);
+    }
+
     /// Counts a request that starts without waiting. Then there is no competition, so the shares end.
     pub(super) fn record_direct_start(&mut self, level: usize, workspace: u32) {
         self.shares.clear();
@@ -155,6 +159,7 @@
             share.waiting = share.waiting.saturating_sub(1);
         }
         self.passes.waiting[level] = self.passes.waiting[level].saturating_sub(1);
+        self.count_decision(workspace, 0.0);
         self.forget_idle_shares();
     }
 
@@ -215,14 +220,23 @@
     }
 
     fn count_start(&mut self, level: usize, workspace: u32) {
-        self.all.starts += 1.0;
         self.by_level[level].starts += 1.0;
-        if let Some(service) = self.by_workspace.get_mut(&workspace) {
-            service.starts += 1.0;
-        }
+        self.count_decision(workspace, 1.0);
         self.compare_levels();
     }
 
+    /// Counts a request that has started, if `starts` is 1, or never will.
+    fn count_decision(&mut self, workspace: u32, starts: f32) {
+        self.all.offers += 1.0;
+        self.all.starts += starts;
+        let has_room = self.by_workspace.len() < MAX_WORKSPACES;
+        if workspace != 0 && (has_room || self.by_workspace.contains_key(&workspace)) {
+            let service = self.by_workspace.entry(workspace).or_default();
+            service.offers += 1.0;
+            service.starts += starts;
+        }
+    }
+
     fn compare_levels(&mut self) {
         let mut least_share = f32::INFINITY;
         for (level, service) in self.by_level.iter().enumerate() {
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -49,9 +49,10 @@
         ticket: Ticket,
         service_times: &ClassServiceTimes,
     ) -> StartOrder {
-        let contender = contender(now, ticket, &self.urgency, service_times);
-        let priority = self.urgency.priority;
-        (contender.is_late, priority, contender.due, ticket)
+        let due = self.urgency.due.unwrap_or(Instant::MAX);
+        let service_us = service_times.mean_us(self.urgency.class);
+        let is_late = now.saturating_add_micros(service_us) > due;
+        (is_late, self.urgency.priority, due, ticket)
     }
 }
 
@@ -68,7 +69,7 @@
         ticket,
         level: shedding::level_of(urgency.priority),
         workspace: urgency.workspace,
-        is_late: now.saturating_add_micros(slot_time_us) > due,
+        is_late: now.saturating_add_micros(service_times.usual_maximum_us(urgency.class)) > due,
         due,
         slot_time_us,
     }
@@ -125,7 +126,14 @@
     pub(super) fn record_offer(&mut self, now: Instant, urgency: &Urgency) {
         if let Some(fair) = &mut self.fair {
             let level = shedding::level_of(urgency.priority);
-            fair.record_offer(now, level, urgency.workspace);
+            fair.record_offer(now, level);
+        }
+    }
+
+    /// Counts a request that was refused on arrival.
+    pub(super) fn record_refusal(&mut self, urgency: &Urgency) {
+        if let Some(fair) = &mut self.fair {
+            fair.record_refusal(urgency.workspace);
         }
     }
 
@@ -170,7 +178,7 @@
         service_times: &ClassServiceTimes,
     ) -> bool {
         let queued = self.by_ticket.get(&ticket);
-        queued.is_some_and(|queued| queued.start_order(now, ticket, service_times).0)
+        queued.is_some_and(|queued| contender(now, ticket, &queued.urgency, service_times).is_late)
     }
 
     /// Returns the queued requests in the order in which they start.
@@ -263,22 +271,23 @@
         urgency: &Urgency,
         service_times: &ClassServiceTimes,
     ) -> (usize, u64) {
-        let new_request = contender(now, Ticket::MAX, urgency, service_times);
         let sum =
             |(count, work_us): (usize, u64), slot_time_us| (count + 1, work_us + slot_time_us);
         if let Some(fair) = &self.fair {
             let mut contenders: Vec<_> = self.contenders(now, service_times).collect();
-            contenders.push(new_request);
+            contenders.push(contender(now, Ticket::MAX, urgency, service_times));
             shedding::sort_by_start(&mut contenders, fair);
             let ahead = contenders.iter().take_while(|c| c.ticket != Ticket::MAX);
             return ahead.map(|c| c.slot_time_us).fold((0, 0), sum);
         }
-        let new_order = (
-            new_request.is_late,
-            urgency.priority,
-            new_request.due,
-            Ticket::MAX,
-        );
+        let new_request = QueuedRequest {
+            key: RequestKey::default(),
+            deadline: Instant::MAX,
+            urgency: *urgency,
+            queued_at: now,
+            predicted_wait_us: 0,
+        };
+        let new_order = new_request.start_order(now, Ticket::MAX, service_times);
         let ahead = self.by_ticket.iter().filter(|(ticket, queued)| {
             queued.start_order(now, **ticket, service_times) < new_order
         });
--- a/crates/core/src/admission/service_time.rs
+++ b/crates/core/src/admission/service_time.rs
@@ -65,6 +65,17 @@
         mean_minus_deviation.min(self.mean.value * 0.8) as u64
     }
 
+    /// Returns a service time that about one in five requests exceeds: the mean plus one mean
+    /// deviation.
+    ///
+    /// Shedding tells by it which requests can meet their latency target. In the replay of three levels
+    /// at 90 % usual load, 4,289 instead of 3,713 requests were lost with the mean alone; with
+    /// [`Self::high_estimate_us`] and exponential service times more were lost than without shedding
+    /// (6,948 against 6,508).
+    pub(super) fn usual_maximum_us(&self) -> u64 {
+        (self.mean.value + self.deviation.value) as u64
+    }
+
     /// Returns a service time that few requests exceed: the mean plus two mean deviations.
     ///
     /// Predictions from the mean alone admit requests that end late: at 1.5 times the
--- a/crates/core/src/admission/shedding.rs
+++ b/crates/core/src/admission/shedding.rs
@@ -28,7 +28,7 @@
     pub(super) level: usize,
     /// See `Urgency::workspace`.
     pub(super) workspace: u32,
-    /// Whether the latency target would be missed if the request started now.
+    /// Whether the latency target would probably be missed if the request started now.
     pub(super) is_late: bool,
     /// [`Instant::MAX`] without a latency target.
     pub(super) due: Instant,
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -42,7 +42,11 @@
         let decision = match self.check_target(now, offer) {
             Ok(()) => {
                 self.queue.record_offer(now, &offer.urgency);
-                self.check_admission(now, offer)
+                let decision = self.check_admission(now, offer);
+                if decision.is_err() {
+                    self.queue.record_refusal(&offer.urgency);
+                }
+                decision
             }
             Err(reason) => Err(reason),
         };
