--- a/crates/core/src/admission/start_rate.rs
+++ b/crates/core/src/admission/start_rate.rs
@@ -124,7 +124,8 @@
 
     /// Returns the number of queued requests that would start before a new one.
     pub(super) fn count_ahead(&self, now: Instant, urgency: &Urgency) -> usize {
-        self.queue.count_ahead(now, urgency, &self.service_times)
+        let (ahead, _) = self.queue.work_ahead(now, urgency, &self.service_times);
+        ahead
     }
 
     /// Returns why a request is refused that a limit would delay for too long if `ahead` others start
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -7,7 +7,7 @@
 
 use super::{
     BalancerSettings, Candidate, ChoiceRequest, EjectionChange, EjectionEvent, LoadReport, Policy,
-    RequestObservation, RequestOutcome, ResponseSizes, Score, TargetQuery,
+    RequestObservation, RequestOutcome, ResponseSizes, Score, TargetEstimate, TargetQuery,
     ejection::{EjectionState, EjectionTransition},
     service_targets::{
         NodeState, ServiceTarget, ServiceTargets, build_candidate, eligible_candidates,
@@ -276,6 +276,19 @@
         self.response_sizes.expected_bytes(class)
     }
 
+    /// Returns the estimates of the targets in the subset of this entry for the allowed regions.
+    pub(super) fn subset_estimates<'a>(
+        &'a self,
+        service: &str,
+        regions: AllowedRegions<'a>,
+    ) -> impl Iterator<Item = &'a TargetEstimate> {
+        let size = self.cfg.subset_size;
+        let targets = self.services.get(service).into_iter();
+        targets
+            .flat_map(move |targets| targets.subset_in(regions, size))
+            .filter_map(|target| Some(&self.nodes.get(&target.node)?.estimate))
+    }
+
     /// Records that a request was sent to a node.
     pub fn on_request_sent(&mut self, now: Instant, node: &str) {
         if let Some(state) = self.nodes.get_mut(node) {
--- a/crates/node/src/entry/response.rs
+++ b/crates/node/src/entry/response.rs
@@ -2,7 +2,10 @@
 
 use actix_http::StatusCode;
 use bytes::Bytes;
-use plantainpost_core::{admission::RefuseReason, time::MICROS_PER_SECOND};
+use plantainpost_core::{
+    admission::RefuseReason,
+    time::{MICROS_PER_MILLI, MICROS_PER_SECOND},
+};
 use plantainpost_wire::message::{BodyLength, Header, PeerResponseHead};
 
 use crate::{
@@ -44,6 +47,8 @@
     pub(crate) reason: &'static str,
     /// Seconds after which the caller may retry, for the `retry-after` header.
     pub(crate) retry_after_s: Option<u64>,
+    /// The same time in microseconds, which is sent with its fraction; `None` for whole seconds.
+    pub(crate) retry_after_us: Option<u64>,
     /// Whether the connection is closed after the response.
     pub(crate) close: bool,
 }
@@ -66,6 +71,7 @@
             outcome,
             reason: reason.as_str(),
             retry_after_s: is_unavailable.then_some(MIN_RETRY_AFTER_S),
+            retry_after_us: None,
             close: matches!(reason, BadRequest::BodyTooLong | BadRequest::BodyIncomplete),
         }
     }
@@ -86,6 +92,7 @@
             outcome: CallerOutcome::NotRun,
             reason,
             retry_after_s: Some(MIN_RETRY_AFTER_S),
+            retry_after_us: None,
             close: false,
         }
     }
@@ -100,6 +107,25 @@
         }
     }
 
+    /// Tells the caller to try again after a time of which the fraction of a second matters;
+    /// `None` to leave the time as it is.
+    pub(crate) fn with_exact_retry_after(self, retry_after_us: Option<u64>) -> Self {
+        LocalResponse {
+            retry_after_us,
+            ..self
+        }
+    }
+
+    /// Returns the value of the `retry-after` header.
+    fn retry_after(&self) -> Option<String> {
+        let Some(micros) = self.retry_after_us else {
+            return self.retry_after_s.map(|seconds| seconds.to_string());
+        };
+        // Rounded up, as the time must not end before there is room.
+        let millis = micros.div_ceil(MICROS_PER_MILLI);
+        Some(format!("{}.{:03}", millis / 1_000, millis % 1_000))
+    }
+
     /// Returns the response to a request that may have run.
     pub(crate) fn unknown(reason: &'static str, past_deadline: bool) -> Self {
         LocalResponse {
@@ -110,6 +136,7 @@
             outcome: CallerOutcome::Unknown,
             reason,
             retry_after_s: None,
+            retry_after_us: None,
             close: false,
         }
     }
@@ -127,8 +154,8 @@
             headers::header(headers::REASON, self.reason),
             headers::header("content-type", "text/plain; charset=utf-8"),
         ];
-        if let Some(seconds) = self.retry_after_s {
-            headers.push(headers::header("retry-after", seconds.to_string()));
+        if let Some(retry_after) = self.retry_after() {
+            headers.push(headers::header("retry-after", retry_after));
         }
         if let (StatusCode::UNAUTHORIZED, Some(name)) = (self.status, names.workspace_key) {
             // RFC 9110, section 15.5.2, wants a challenge.
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -198,6 +198,7 @@
 async fn wait_for_slot(node: &Node, link: &mut ExchangeLink, req: &mut PendingRequest) -> SlotWait {
     let (tx, mut rx) = oneshot::channel();
     node.waiters.borrow_mut().insert(req.head.key, tx);
+    wake_displaced(node);
     node.pace.notify_request_queued();
     let has_claim = req.head.claim.is_some();
     loop {
@@ -219,6 +220,16 @@
     }
 }
 
+/// Tells the requests that an arriving one has displaced, so that their entries can send them
+/// elsewhere at once.
+fn wake_displaced(node: &Node) {
+    let has_refusals = node.guard.borrow().has_pending_refusals();
+    if has_refusals {
+        let wakeups = node.guard.borrow_mut().expire(node.now());
+        node.wake_waiters(wakeups);
+    }
+}
+
 /// Handles an event of a link before the answer has begun. Fails if the entry has gone or violated
 /// the protocol.
 pub(super) async fn handle_link_event(
@@ -317,6 +328,7 @@
     match reason {
         RefuseReason::Evacuated => node.metrics.count("guard.refused_evacuated"),
         RefuseReason::Cold => node.metrics.count("guard.refused_cold"),
+        RefuseReason::Displaced => node.metrics.count("guard.displaced"),
         _ => (),
     }
     let load = node.guard.borrow().load_sample(node.now());
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -17,6 +17,7 @@
 mod http_client;
 mod idle_connections;
 mod late_configuration;
+mod load_shedding;
 mod network_faults;
 mod node_faults;
 mod operator_races;
