core: quotas of workspaces over the whole fleet

Cause: a workspace may use its rate over all nodes together, but no node knows what the others have started.

Change: state machines for the owner of a workspace, which holds its token bucket, and for the holders, which claim credit from it.

A fleet of 24 nodes with lost, repeated and late messages, kills, freezes and partitions stays within the bound, 40 runs of 8 faults.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod measure;
 pub mod member;
 pub mod progress;
+pub mod quota;
 pub mod retry;
 pub mod routing;
 pub mod time;
--- /dev/null
+++ b/crates/core/tests/quota/bounds.rs
@@ -0,0 +1,85 @@
+//! Randomised runs of a fleet with a faulty network, against the bounds on the use of a quota.
+
+use googletest::prelude::*;
+use rand::RngExt;
+
+use crate::sim::{Load, Sim, WINDOW_MS, limit};
+
+/// Rates and bursts of workspaces: the smallest, usual ones and a large one.
+const LIMITS: [(f64, u64); 5] = [(1.0, 2), (8.0, 10), (30.0, 0), (60.0, 120), (400.0, 300)];
+
+/// Guards against refusals below the limit while all nodes are connected.
+#[gtest]
+fn steady_load_below_the_limit_is_not_refused() {
+    for (rate, burst) in [(8.0, 10), (30.0, 20), (60.0, 120), (400.0, 300)] {
+        let mut sim = Sim::new(7, 64, limit(rate, burst));
+        (sim.loss, sim.duplicates) = (0.01, 0.01);
+        sim.run_until(6_000);
+        sim.load = Load {
+            requests_per_s: rate * 0.6,
+            not_run: 0.0,
+        };
+        sim.run_until(66_000);
+        let (ran, refused) = (sim.runs.len(), sim.refused.len());
+        println!(
+            "{rate}/s: ran {ran}, refused {refused}, alone {}, messages {}",
+            sim.alone, sim.messages
+        );
+        expect_that!(
+            refused * 200,
+            lt(ran + refused),
+            "{rate}/s: {refused} of {ran}"
+        );
+    }
+}
+
+/// Guards against a network or a fault that lets more requests run than the limit.
+#[gtest]
+fn faults_never_break_the_bound() {
+    for seed in 0..8 {
+        for (rate, burst) in LIMITS {
+            let mut sim = Sim::new(seed, 24, limit(rate, burst));
+            (sim.loss, sim.duplicates) = (0.05, 0.05);
+            sim.run_until(5_000);
+            let mut events = String::new();
+            for _ in 0..8 {
+                let factor = [0.6, 2.0, 5.0][sim.rng.random_range(0..3)];
+                let not_run = [0.0, 0.3][sim.rng.random_range(0..2)];
+                sim.load = Load {
+                    requests_per_s: rate * factor,
+                    not_run,
+                };
+                let event = sim.random_fault();
+                events.push_str(&format!("{} {event} x{factor}; ", sim.now));
+                let until = sim.now + sim.rng.random_range(500..9_000);
+                sim.run_until(until);
+            }
+            let (worst, bound) = sim.worst_window(0);
+            expect_that!(
+                worst as f64,
+                le(bound),
+                "seed {seed}, {rate}/s + {burst}: {events}"
+            );
+        }
+    }
+}
+
+/// Guards against a lowered limit that is not binding after one window, partitioned or not.
+#[gtest]
+fn a_lowered_limit_binds_after_one_window() {
+    for is_partitioned in [false, true] {
+        let mut sim = Sim::new(3, 24, limit(60.0, 120));
+        sim.run_until(5_000);
+        sim.connected = !is_partitioned;
+        sim.load = Load {
+            requests_per_s: 200.0,
+            not_run: 0.0,
+        };
+        sim.run_until(20_000);
+        sim.limit = limit(6.0, 5);
+        sim.run_until(40_000);
+        let (worst, bound) = sim.worst_window(20_000 + WINDOW_MS);
+        expect_that!(worst as f64, le(bound), "partitioned: {is_partitioned}");
+        expect_that!(worst, ge(15), "partitioned: {is_partitioned}");
+    }
+}
