node, wire: requests of a workspace take credit before their first attempt

Cause: the limits of workspaces were decoded but not enforced.

Change: two datagrams, QuotaClaim and QuotaGrant, carry claims to the owner of a workspace and its answers; claims to the local node stay in memory. The entry takes a credit before the first attempt, answers 429 with the time until there is credit, and gives the credit of a request back that did not run. Status shows owner and level. Without workspaces nothing is sent or computed.

--- a/crates/core/src/member/membership.rs
+++ b/crates/core/src/member/membership.rs
@@ -139,6 +139,11 @@
         }
     }
 
+    /// Returns the number of addresses of contacts, which may include members that have left.
+    pub fn contact_count(&self) -> usize {
+        self.contacts.len()
+    }
+
     /// Announces that this node will stop, and returns messages to several peers. Its
     /// target is draining from now on. A second call does nothing.
     pub fn leave(&mut self, now: Instant, rng: &mut dyn Rng) -> Vec<Action> {
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -28,6 +28,7 @@
     guard,
     node::Node,
     peer_pool::{ConnectError, PeerConn},
+    quota::OverQuota,
 };
 
 /// Time after the deadline during which a refusal of the guard is still accepted, in
@@ -81,6 +82,8 @@
         /// Whether the request reached the target, which refused it.
         reached_target: bool,
     },
+    /// The workspace is at its limit, so no attempt was made.
+    OverQuota(OverQuota),
     /// The request may have run.
     Unknown(&'static str),
     /// The caller did not send the whole request, which may have run all the same.
@@ -92,7 +95,7 @@
     pub(crate) fn outcome(&self) -> CallerOutcome {
         match self {
             AttemptEnd::Response(_) => CallerOutcome::Answered,
-            AttemptEnd::NotRun { .. } => CallerOutcome::NotRun,
+            AttemptEnd::NotRun { .. } | AttemptEnd::OverQuota(_) => CallerOutcome::NotRun,
             AttemptEnd::Unknown(_) | AttemptEnd::BadRequest(_) => CallerOutcome::Unknown,
         }
     }
@@ -101,6 +104,7 @@
     pub(crate) fn has_reached_target(&self) -> bool {
         match self {
             AttemptEnd::NotRun { reached_target, .. } => *reached_target,
+            AttemptEnd::OverQuota(_) => false,
             AttemptEnd::Response(_) | AttemptEnd::Unknown(_) | AttemptEnd::BadRequest(_) => true,
         }
     }
@@ -110,6 +114,7 @@
         match self {
             AttemptEnd::Response(response) => format!("answered, status {}", response.head.status),
             AttemptEnd::NotRun { reason, .. } => format!("not run: {reason}"),
+            AttemptEnd::OverQuota(_) => "not run: quota".to_owned(),
             AttemptEnd::Unknown(reason) => format!("unknown: {reason}"),
             AttemptEnd::BadRequest(reason) => format!("bad request: {}", reason.as_str()),
         }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -19,6 +19,7 @@
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use plantainpost_core::{
     ids::{NodeName, RequestId},
+    quota::Credit,
     retry::{AttemptOutcome, RetryDecision, RetryQuery},
     time::Instant,
 };
@@ -37,6 +38,7 @@
 
 use crate::{
     node::Node,
+    quota::{self, OverQuota},
     trace::{AttemptTrace, RequestTrace},
 };
 
@@ -63,8 +65,10 @@
     let sent = match request {
         Ok(request) => {
             let request = Rc::new(request);
+            let workspace = request.policy.workspace.as_ref();
+            let credit = quota::take_credit(&node, workspace, request.deadline).await;
             let mut execution = RequestExecution::new(&node, &request);
-            let end = execution.run_attempts().await;
+            let end = execution.run_with_credit(credit).await;
             execution.finish_request(end, writer).await
         }
         Err(response) => {
@@ -176,6 +180,19 @@
         }
     }
 
+    /// Runs attempts if there is credit for the request.
+    async fn run_with_credit(&mut self, credit: Result<Option<Credit>, OverQuota>) -> AttemptEnd {
+        let credit = match credit {
+            Ok(credit) => credit,
+            Err(refusal) => return AttemptEnd::OverQuota(refusal),
+        };
+        let end = self.run_attempts().await;
+        if let (AttemptEnd::NotRun { .. }, Some(credit)) = (&end, &credit) {
+            quota::give_back(self.node, credit);
+        }
+        end
+    }
+
     /// Runs attempts until one receives a response or no further attempt is allowed.
     async fn run_attempts(&mut self) -> AttemptEnd {
         if let Err(reason) = self.start_attempt(AttemptCause::First) {
@@ -300,7 +317,9 @@
         let outcome = match end {
             AttemptEnd::NotRun { .. } => AttemptOutcome::NotRun,
             AttemptEnd::Unknown(_) => AttemptOutcome::Unknown,
-            AttemptEnd::Response(_) | AttemptEnd::BadRequest(_) => return false,
+            AttemptEnd::Response(_) | AttemptEnd::BadRequest(_) | AttemptEnd::OverQuota(_) => {
+                return false;
+            }
         };
         self.start_retry(outcome, self.targets_reached, end.has_reached_target())
     }
@@ -368,6 +387,7 @@
                 let start_wait_us = node.balancer.borrow().start_wait_us(node.now(), service);
                 LocalResponse::not_run(reason).with_retry_after(start_wait_us)
             }
+            AttemptEnd::OverQuota(refusal) => LocalResponse::over_quota(refusal.wait_us),
             AttemptEnd::Unknown(reason) => {
                 // The guard may report the deadline slightly before the local clock reaches it.
                 let is_past_deadline = reason == FailReason::Deadline.as_str();
--- a/crates/node/src/entry/response.rs
+++ b/crates/node/src/entry/response.rs
@@ -80,6 +80,16 @@
         }
     }
 
+    /// Returns the response to a request whose workspace is at its limit. There will be credit for it
+    /// in `wait_us` microseconds.
+    pub(crate) fn over_quota(wait_us: u64) -> Self {
+        let response = LocalResponse {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            ..LocalResponse::not_run("quota")
+        };
+        response.with_retry_after(wait_us)
+    }
+
     /// Delays the next try of the caller until a target can start a request, which takes `wait_us`
     /// microseconds.
     pub(crate) fn with_retry_after(self, wait_us: u64) -> Self {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -16,7 +16,7 @@
     audit::{self, AuditEvent},
     config_sync, fleet,
     node::Node,
-    probe,
+    probe, quota,
 };
 
 /// Interval between ticks of the membership protocol, in milliseconds.
@@ -75,6 +75,12 @@
             load,
             reported,
         } => probe::on_reply(node, seq, &peer, load, reported),
+        Datagram::QuotaClaim {
+            from: peer,
+            incarnation,
+            claims,
+        } => quota::on_claims(node, from, &peer, incarnation, &claims).await,
+        Datagram::QuotaGrant { to, grants } => quota::on_grants(node, to, &grants),
     }
 }
 
@@ -150,6 +156,7 @@
             node.members.borrow_mut().tick(now, &mut *rng)
         };
         perform_actions(&node, actions).await;
+        quota::tick(&node);
         probe::send_due_probes(&node).await;
         record_ejection_changes(&node);
         ticks += 1;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 mod pace;
 mod peer_pool;
 mod probe;
+mod quota;
 mod reload;
 pub mod settings;
 mod start;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -39,6 +39,7 @@
     pace::PaceMonitor,
     peer_pool::PeerPool,
     probe::OutstandingProbes,
+    quota::QuotaState,
     reload::SettingsState,
     settings::{NodeSettings, Routing},
     target_pool::TargetPool,
@@ -90,6 +91,7 @@
     pub(crate) pace: PaceMonitor,
     pub(crate) probes: OutstandingProbes,
     pub(crate) load_report: LoadReportCache,
+    pub(crate) quota: QuotaState,
     /// Pending fetch of the configuration state of a peer.
     pub(crate) state_fetch: StateFetch,
     /// Versions of the fleet and the configuration that the balancer and the guard know.
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -8,7 +8,7 @@
 use plantainpost_core::{measure::PROBE_COST_US, member::MemberRecord};
 use serde_json::{Value, json};
 
-use crate::{config_sync, fleet, node::Node, reload};
+use crate::{config_sync, fleet, node::Node, quota, reload};
 
 fn member_json(record: &MemberRecord) -> Value {
     json!({
@@ -62,6 +62,7 @@
             "cost_per_probe_us": PROBE_COST_US,
             "refused": budget.refused_charges(),
         },
+        "quotas": quota::status(node),
         "audit_waiting": node.audit.len(),
     })
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,6 +1,11 @@
 //! Datagrams: a message encoded with postcard, followed by a truncated MAC.
 
-use plantainpost_core::{ids::NodeName, load::LoadSample, member::Message};
+use plantainpost_core::{
+    ids::{Incarnation, NodeName},
+    load::LoadSample,
+    member::Message,
+    quota::{Claim, Grant},
+};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 
@@ -52,6 +57,22 @@
         /// Last load that the target itself reported; `None` if there is no recent report.
         reported: Option<ReportedLoad>,
     },
+    /// Claims credit of workspaces from their owner.
+    QuotaClaim {
+        /// The claiming node.
+        from: NodeName,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// At most one claim for each workspace.
+        claims: Vec<Claim>,
+    },
+    /// Answers claims of a `QuotaClaim`.
+    QuotaGrant {
+        /// Incarnation of the node that claimed.
+        to: Incarnation,
+        /// Answers to the claims.
+        grants: Vec<Grant>,
+    },
 }
 
 /// A datagram could not be encoded, verified or decoded.
