core: credit without an owner stays spread over time when the limit changes

Cause: a node that used its own part of a high rate got its next credit soon. When the rate fell, all nodes of a fleet got one within that time, and again together after each interval: 64 requests at once at a rate of 1 a second.

Change: a change of the interval keeps the part of it that is left.

Tests: the_parts_of_all_nodes_are_the_limit; it saw 64 requests at once before the change, where 20 are allowed, and fails without the lapse of unused credit, without the random phase, and without the caution of the first 4 s. The test of a new owner now also fails without the time in which a node settles.

--- a/crates/core/src/quota/fallback.rs
+++ b/crates/core/src/quota/fallback.rs
@@ -26,8 +26,10 @@
 /// interval, so that the nodes of a fleet get theirs evenly spread over time.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Fallback {
-    /// When the next credit is there; `None` before the first use.
-    ready_at: Option<Instant>,
+    /// When the next credit is there. Meaningless while `interval_us` is zero.
+    ready_at: Instant,
+    /// Time between two credits; zero before the first use.
+    interval_us: u64,
     /// When the node's full part of the rate is used.
     full_at: Instant,
 }
@@ -49,23 +51,38 @@
         let rate = limit.per_1000_s.max(1);
         let interval_us = (members.max(1) as u64).saturating_mul(RATE_PERIOD_US) / rate;
         let slowness = if now < self.full_at { 2 } else { 1 };
-        let interval_us = interval_us.max(1).saturating_mul(slowness);
+        self.set_interval(now, interval_us.max(1).saturating_mul(slowness), rng);
         let idle_us = MAX_IDLE_CREDITS * RATE_PERIOD_US / rate;
-        let life_us = (BASE_LIFE_US + idle_us).min(interval_us);
-        let ready_at = match self.ready_at {
-            // A higher rate or fewer members shorten the wait.
-            Some(at) => at.min(now.saturating_add_micros(interval_us)),
-            None => now.saturating_add_micros(rng.random_range(0..interval_us)),
-        };
+        let life_us = (BASE_LIFE_US + idle_us).min(self.interval_us);
         // Skips the credits that have lapsed.
-        let late_us = now.micros_since(ready_at.saturating_add_micros(life_us));
-        let lapsed = late_us.div_ceil(interval_us);
-        let ready_at = ready_at.saturating_add_micros(lapsed.saturating_mul(interval_us));
-        if now < ready_at {
-            self.ready_at = Some(ready_at);
-            return Err(ready_at.micros_since(now));
+        let late_us = now.micros_since(self.ready_at.saturating_add_micros(life_us));
+        let lapsed = late_us.div_ceil(self.interval_us);
+        self.wait_for_next(lapsed);
+        if now < self.ready_at {
+            return Err(self.ready_at.micros_since(now));
         }
-        self.ready_at = Some(ready_at.saturating_add_micros(interval_us));
+        self.wait_for_next(1);
         Ok(())
     }
+
+    fn wait_for_next(&mut self, credits: u64) {
+        let us = credits.saturating_mul(self.interval_us);
+        self.ready_at = self.ready_at.saturating_add_micros(us);
+    }
+
+    /// Changes the interval. The next credit comes after the same part of the interval, so that the
+    /// credits of the nodes of a fleet stay evenly spread.
+    fn set_interval(&mut self, now: Instant, interval_us: u64, rng: &mut dyn Rng) {
+        if self.interval_us == interval_us {
+            return;
+        }
+        let left_us = match self.ready_at.micros_since(now) {
+            0 => rng.random_range(0..interval_us),
+            left => {
+                (u128::from(left) * u128::from(interval_us) / u128::from(self.interval_us)) as u64
+            }
+        };
+        self.ready_at = now.saturating_add_micros(left_us);
+        self.interval_us = interval_us;
+    }
 }
--- a/crates/core/tests/quota/holder.rs
+++ b/crates/core/tests/quota/holder.rs
@@ -188,6 +188,55 @@
     expect_that!(f.request(24_102).0, err(anything()));
 }
 
+/// Guards against nodes that together use more than the limit while no owner answers, at once or
+/// after a time without requests.
+#[gtest]
+fn the_parts_of_all_nodes_are_the_limit() {
+    const NODES: usize = 64;
+    let peers = Peers {
+        owner: None,
+        members: Some(NODES),
+    };
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut fleet: Vec<QuotaHolder> = (0..NODES).map(|_| QuotaHolder::default()).collect();
+    let mut granted = |from_ms, to_ms, limit| {
+        let mut count = 0;
+        for ms in (from_ms..to_ms).step_by(10) {
+            for holder in &mut fleet {
+                let (answer, _) = holder.request(at(ms), &workspace(), limit, &peers, &mut rng);
+                count += u32::from(credit(answer).is_some());
+            }
+        }
+        count
+    };
+    // Half of the limit for 4 s, since an owner may not know yet that it is out of reach.
+    expect_that!(granted(0, 4_000, limit(100.0, 0)), all![ge(180), le(220)]);
+    expect_that!(
+        granted(4_000, 8_000, limit(100.0, 0)),
+        all![ge(360), le(440)]
+    );
+    expect_that!(
+        granted(8_000, 208_000, limit(1.0, 0)),
+        all![ge(180), le(230)]
+    );
+    // Each node has had time for three requests. Only few of these may start now.
+    expect_that!(
+        granted(400_000, 400_010, limit(1.0, 0)),
+        all![ge(1), le(20)]
+    );
+    // A node that has just started does not know how many share the limit.
+    let started = Peers {
+        members: None,
+        ..peers
+    };
+    let mut holder = QuotaHolder::default();
+    let (answer, _) = holder.request(at(0), &workspace(), limit(1e6, 0), &started, &mut rng);
+    expect_that!(
+        answer.ok(),
+        some(matches_pattern!(Decision::Refused { .. }))
+    );
+}
+
 fn fail_waiting() -> std::result::Result<Decision, Ticket> {
     panic!("the request waits")
 }
--- a/crates/core/tests/quota/owner.rs
+++ b/crates/core/tests/quota/owner.rs
@@ -92,10 +92,8 @@
     );
     let mut early = QuotaOwner::new(Incarnation(5), at(0));
     own(&mut early, 900, WHOLE, 10.0, 10);
-    expect_that!(
-        answer(&mut early, 900, 1, &claim(1, 1, 0)),
-        some(eq(&GrantAnswer::NotOwner))
-    );
+    let refused = answer(&mut early, 2_900, 1, &claim(1, 1, 0));
+    expect_that!(refused, some(eq(&GrantAnswer::NotOwner)));
 }
 
 /// Guards against credit from repeated, late or forged claims, and from an earlier process of the
