--- a/crates/core/tests/quota/bounds.rs
+++ b/crates/core/tests/quota/bounds.rs
@@ -1,9 +1,33 @@
 //! Randomised runs of a fleet with a faulty network, against the bounds on the use of a quota.
 
 use googletest::prelude::*;
+use plantainpost_core::workspace::QuotaLimit;
 use rand::RngExt;
 
-use crate::sim::{Load, Sim, WINDOW_MS, limit};
+use crate::sim::{Load, Sim, limit};
+
+/// Length of a window of the bound, in milliseconds.
+const WINDOW_MS: u64 = 5_000;
+
+/// Returns the largest number of requests that ran in a window from `from` on, and the bound.
+fn worst_window(sim: &Sim, from: u64) -> (u64, f64) {
+    let runs: Vec<u64> = sim.runs.iter().copied().filter(|at| *at >= from).collect();
+    let mut worst = 0;
+    let mut first = 0;
+    for (last, at) in runs.iter().enumerate() {
+        while runs[first] + WINDOW_MS < *at {
+            first += 1;
+        }
+        worst = worst.max(last + 1 - first);
+    }
+    (worst as u64, bound(sim.limit))
+}
+
+/// The bound on requests that run in a window: the limit, a tenth, and 20 requests.
+fn bound(limit: QuotaLimit) -> f64 {
+    let rate = limit.per_1000_s as f64 / 1_000.0;
+    (rate * WINDOW_MS as f64 / 1_000.0 + limit.burst as f64) * 1.1 + 20.0
+}
 
 /// Rates and bursts of workspaces: the smallest, usual ones and a large one.
 const LIMITS: [(f64, u64); 5] = [(1.0, 2), (8.0, 10), (30.0, 0), (60.0, 120), (400.0, 300)];
@@ -55,7 +79,7 @@
                 let until = sim.now + sim.rng.random_range(500..9_000);
                 sim.run_until(until);
             }
-            let (worst, bound) = sim.worst_window(0);
+            let (worst, bound) = worst_window(&sim, 0);
             expect_that!(
                 worst as f64,
                 le(bound),
@@ -79,7 +103,7 @@
         sim.run_until(20_000);
         sim.limit = limit(6.0, 5);
         sim.run_until(40_000);
-        let (worst, bound) = sim.worst_window(20_000 + WINDOW_MS);
+        let (worst, bound) = worst_window(&sim, 20_000 + WINDOW_MS);
         expect_that!(worst as f64, le(bound), "partitioned: {is_partitioned}");
         expect_that!(worst, ge(15), "partitioned: {is_partitioned}");
     }
--- a/crates/core/tests/quota/sim.rs
+++ b/crates/core/tests/quota/sim.rs
@@ -14,9 +14,6 @@
 };
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
 
-/// Length of a window of the bound, in milliseconds.
-pub(crate) const WINDOW_MS: u64 = 5_000;
-
 /// Step of the simulation, in milliseconds.
 const STEP_MS: u64 = 5;
 
@@ -434,26 +431,6 @@
             }
         }
     }
-
-    /// Returns the largest number of runs in a window above `from`, in requests, and the bound.
-    pub(crate) fn worst_window(&self, from: u64) -> (u64, f64) {
-        let runs: Vec<u64> = self.runs.iter().copied().filter(|at| *at >= from).collect();
-        let mut worst = 0;
-        let mut first = 0;
-        for (last, at) in runs.iter().enumerate() {
-            while runs[first] + WINDOW_MS < *at {
-                first += 1;
-            }
-            worst = worst.max(last + 1 - first);
-        }
-        (worst as u64, bound(self.limit))
-    }
-}
-
-/// The bound on requests that run in a window: the limit, a tenth, and 20 requests.
-fn bound(limit: QuotaLimit) -> f64 {
-    let rate = limit.per_1000_s as f64 / 1_000.0;
-    (rate * WINDOW_MS as f64 / 1_000.0 + limit.burst as f64) * 1.1 + 20.0
 }
 
 pub(crate) fn record(
