--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -23,6 +23,7 @@
     balance::{ChoiceError, TargetQuery, WaitingRequest},
     eligibility::RequestScope,
     ids::{NodeName, RequestId},
+    quota::Credit,
     retry::{AttemptOutcome, RetryDecision, RetryQuery},
     time::Instant,
 };
@@ -43,6 +44,7 @@
 
 use crate::{
     node::Node,
+    quota::{self, OverQuota},
     trace::{AttemptTrace, RequestTrace},
     workspace_usage,
 };
@@ -70,8 +72,10 @@
     let sent = match request {
         Ok(request) => {
             let request = Rc::new(request);
+            let workspace = request.policy.workspace.as_ref();
+            let credit = quota::take_credit(&node, workspace, request.deadline).await;
             let mut execution = RequestExecution::new(&node, &request);
-            let end = execution.run_attempts().await;
+            let end = execution.run_with_credit(credit).await;
             execution.finish_request(end, writer).await
         }
         Err(response) => {
@@ -191,6 +195,19 @@
         }
     }
 
+    /// Runs attempts if there is credit for the request.
+    async fn run_with_credit(&mut self, credit: Result<Option<Credit>, OverQuota>) -> AttemptEnd {
+        let credit = match credit {
+            Ok(credit) => credit,
+            Err(refusal) => return AttemptEnd::OverQuota(refusal),
+        };
+        let end = self.run_attempts().await;
+        if let (AttemptEnd::NotRun { .. }, Some(credit)) = (&end, &credit) {
+            quota::give_back(self.node, credit);
+        }
+        end
+    }
+
     /// Runs attempts until one receives a response or no further attempt is allowed.
     async fn run_attempts(&mut self) -> AttemptEnd {
         if self.is_too_cold(self.request.deadline) {
@@ -370,7 +387,9 @@
             }
             AttemptEnd::NotRun { .. } => AttemptOutcome::NotRun,
             AttemptEnd::Unknown(_) => AttemptOutcome::Unknown,
-            AttemptEnd::Response(_) | AttemptEnd::BadRequest(_) => return false,
+            AttemptEnd::Response(_) | AttemptEnd::BadRequest(_) | AttemptEnd::OverQuota(_) => {
+                return false;
+            }
         };
         self.start_retry(outcome, self.targets_reached, end.has_reached_target())
     }
@@ -451,6 +470,7 @@
                     .with_retry_after(start_wait_us)
                     .with_exact_retry_after(shedding::retry_after_us(node, &request.policy, reason))
             }
+            AttemptEnd::OverQuota(refusal) => LocalResponse::over_quota(refusal.wait_us),
             AttemptEnd::Unknown(reason) => {
                 // The guard may report the deadline slightly before the local clock reaches it.
                 let is_past_deadline = reason == FailReason::Deadline.as_str();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod pace;
 mod peer_pool;
 mod probe;
+mod quota;
 mod reload;
 pub mod settings;
 mod start;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -42,6 +42,7 @@
     pace::PaceMonitor,
     peer_pool::PeerPool,
     probe::OutstandingProbes,
+    quota::QuotaState,
     reload::SettingsState,
     settings::{NodeSettings, Routing},
     target_pool::TargetPool,
@@ -97,6 +98,7 @@
     pub(crate) pace: PaceMonitor,
     pub(crate) probes: OutstandingProbes,
     pub(crate) load_report: LoadReportCache,
+    pub(crate) quota: QuotaState,
     /// Pending fetch of the configuration state of a peer.
     pub(crate) state_fetch: StateFetch,
     /// Whether the configuration may have changed while this node was suspended.
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -8,7 +8,7 @@
 use plantainpost_core::{ids::Region, measure::PROBE_COST_US, member::MemberRecord};
 use serde_json::{Value, json};
 
-use crate::{config_sync, evacuation, fleet, node::Node, reload, workspace_usage};
+use crate::{config_sync, evacuation, fleet, node::Node, quota, reload, workspace_usage};
 
 fn member_json(record: &MemberRecord) -> Value {
     json!({
@@ -65,6 +65,7 @@
             "cost_per_probe_us": PROBE_COST_US,
             "refused": budget.refused_charges(),
         },
+        "quotas": quota::status(node),
         "audit_waiting": node.audit.len(),
     })
 }
