core: time and memory of responses whose delivery is late

Callers get responses in the order of their requests, so a response that the target gives in time may have to wait for an earlier one. Entry and guard apply the deadline of the request to the whole response, and cut it while it waits.

Change: a module without callers so far. TargetTime adds time in which the target is not read to its deadline, up to an instant at which the response is given up.

--- /dev/null
+++ b/crates/core/src/delivery.rs
@@ -0,0 +1,138 @@
+//! Time and memory of responses whose delivery takes longer than the work of the target.
+//!
+//! The deadline of a request bounds the work of the target. A response may have to wait until the
+//! caller's connection has carried an earlier one, or for a caller that reads slowly. That time is
+//! not the target's, so a node that reads nothing meanwhile adds it to the deadline.
+
+use crate::time::Instant;
+
+/// Bytes that are still taken from a target after its deadline if they are there without waiting.
+///
+/// They may have arrived in time, and a busy node reads them late. The limit is of the order of
+/// what sockets buffer, and ends a response of a target that sends without a pause.
+pub const MAX_LATE_BYTES: usize = 2 * 1024 * 1024;
+
+/// The time that a target has for a response that is being forwarded.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetTime {
+    /// When the rest of the response must have arrived. Not after `give_up_at`.
+    deadline: Instant,
+    /// When the response is given up, whatever it waits for.
+    give_up_at: Instant,
+    /// Since when nothing is read from the target; `None` while it is read.
+    blocked_since: Option<Instant>,
+    /// Time for which nothing was read, in microseconds.
+    blocked_us: u64,
+    /// Bytes that were read after the deadline.
+    late_bytes: usize,
+}
+
+impl TargetTime {
+    /// Starts with the deadline of the request. The response is given up `max_delay_ms` after it.
+    pub fn new(deadline: Instant, max_delay_ms: u64) -> Self {
+        TargetTime {
+            deadline,
+            give_up_at: deadline.saturating_add_millis(max_delay_ms),
+            blocked_since: None,
+            blocked_us: 0,
+            late_bytes: 0,
+        }
+    }
+
+    /// Records bytes that were read. Returns whether the target may go on, which it may after its
+    /// deadline only within [`MAX_LATE_BYTES`].
+    pub fn on_bytes(&mut self, now: Instant, bytes: usize) -> bool {
+        if now >= self.deadline {
+            self.late_bytes = self.late_bytes.saturating_add(bytes);
+        }
+        self.late_bytes <= MAX_LATE_BYTES
+    }
+
+    /// Returns when the rest of the response must have arrived. Meaningless while blocked.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// Returns when the response is given up, also while blocked.
+    pub fn give_up_at(&self) -> Instant {
+        self.give_up_at
+    }
+
+    /// Returns the time for which nothing was read from the target, in microseconds.
+    pub fn blocked_us(&self) -> u64 {
+        self.blocked_us
+    }
+
+    /// Records that nothing is read from the target until [`TargetTime::unblock`]. Calls while
+    /// blocked have no effect.
+    pub fn block(&mut self, now: Instant) {
+        self.blocked_since.get_or_insert(now);
+    }
+
+    /// Records that the target is read again.
+    pub fn unblock(&mut self, now: Instant) {
+        let Some(since) = self.blocked_since.take() else {
+            return;
+        };
+        let blocked_us = now.micros_since(since);
+        self.blocked_us = self.blocked_us.saturating_add(blocked_us);
+        self.deadline = self.deadline.saturating_add_micros(blocked_us);
+        self.deadline = self.deadline.min(self.give_up_at);
+    }
+}
+
+/// Settings of a [`HoldBudget`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HoldSettings {
+    /// Bytes that may be held of one response.
+    pub response_bytes: usize,
+    /// Bytes that may be held of all responses together.
+    pub total_bytes: usize,
+}
+
+impl Default for HoldSettings {
+    fn default() -> Self {
+        // The smallest hosts have 160 MB, and a host has few callers that wait at the same time.
+        HoldSettings {
+            response_bytes: 1024 * 1024,
+            total_bytes: 8 * 1024 * 1024,
+        }
+    }
+}
+
+/// Memory for responses that an entry takes from their targets before their callers can receive
+/// them.
+#[derive(Debug, Default)]
+pub struct HoldBudget {
+    cfg: HoldSettings,
+    /// Sum of the bytes that all responses hold.
+    held_bytes: usize,
+}
+
+impl HoldBudget {
+    /// Creates a budget of which nothing is used.
+    pub fn new(cfg: HoldSettings) -> Self {
+        HoldBudget { cfg, held_bytes: 0 }
+    }
+
+    /// Returns whether a response that holds `own_bytes` may read a further piece. The piece may
+    /// exceed the budget, since its length is known only once it has been read.
+    pub fn has_room(&self, own_bytes: usize) -> bool {
+        own_bytes < self.cfg.response_bytes && self.held_bytes < self.cfg.total_bytes
+    }
+
+    /// Adds bytes that a response holds.
+    pub fn add(&mut self, bytes: usize) {
+        self.held_bytes += bytes;
+    }
+
+    /// Removes bytes that a response has held.
+    pub fn remove(&mut self, bytes: usize) {
+        self.held_bytes = self.held_bytes.saturating_sub(bytes);
+    }
+
+    /// Returns the bytes that all responses hold.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod balance;
 pub mod collections;
 pub mod config;
+pub mod delivery;
 mod hash;
 pub mod ids;
 pub mod load;
