node: deliver answers that are given in time, also after the deadline

What callers saw: of two requests on one connection, the answer to the second was cut at its deadline, and the connection closed, because the first answer came later than that.

Cause: entry and guard applied the deadline of a request to its whole answer, also while they could pass nothing on.

Change: while nothing can be passed on, the target's time stands still, at the entry and at the guard. The entry takes up to 1 MiB of an answer ahead of the caller, 8 MiB of all, so that shorter answers free their targets and late targets are still cut off at the deadline. A connection on which the caller reads nothing for the idle timeout is closed; any other answer is given up at its deadline plus max_timeout. The time that an answer waited is no part of the latencies that the balancer and the guard learn from.

--- a/crates/node/src/entry/conn.rs
+++ b/crates/node/src/entry/conn.rs
@@ -21,9 +21,11 @@
 };
 
 use super::{
+    caller_write::write_to_caller,
     response,
     response_writer::{
-        CallerResponseHead, PendingResponse, ResponsePart, ResponseWriter, response_channel,
+        CallerGone, CallerResponseHead, PendingResponse, ResponsePart, ResponseWriter,
+        response_channel,
     },
 };
 use crate::node::Node;
@@ -422,7 +424,7 @@
             let pending = self.responses.front_mut()?;
             let Some(next) = part else {
                 // The task ended before the response was complete.
-                let _ = self.tx.write_all(&self.write_buf).await;
+                let _ = self.write_out().await;
                 return Some(ConnEnd::Abrupt);
             };
             let is_end = matches!(next, ResponsePart::End);
@@ -433,11 +435,9 @@
                 self.node.metrics.count("entry.answer_cut");
                 return Some(ConnEnd::Abrupt);
             }
-            if is_end || self.write_buf.len() >= WRITE_BATCH_BYTES {
-                if self.tx.write_all(&self.write_buf).await.is_err() {
-                    return Some(ConnEnd::Abrupt);
-                }
-                self.write_buf.clear();
+            let is_due = is_end || self.write_buf.len() >= WRITE_BATCH_BYTES;
+            if is_due && self.write_out().await.is_err() {
+                return Some(ConnEnd::Abrupt);
             }
             if is_end {
                 return self.finish_first_response();
@@ -448,11 +448,17 @@
                 Err(mpsc::error::TryRecvError::Disconnected) => None,
             };
         }
-        if self.tx.write_all(&self.write_buf).await.is_err() {
-            return Some(ConnEnd::Abrupt);
-        }
+        self.write_out()
+            .await
+            .err()
+            .map(|CallerGone| ConnEnd::Abrupt)
+    }
+
+    /// Writes the buffer to the socket and clears it.
+    async fn write_out(&mut self) -> Result<(), CallerGone> {
+        write_to_caller(&self.node, &mut self.tx, &self.write_buf).await?;
         self.write_buf.clear();
-        None
+        Ok(())
     }
 
     /// Removes the first response, which is complete. Returns [`ConnEnd::Graceful`] if the
--- a/crates/node/src/entry/in_flight.rs
+++ b/crates/node/src/entry/in_flight.rs
@@ -18,6 +18,8 @@
     node: Rc<Node>,
     peer: NodeName,
     sent_at: Instant,
+    /// Time that is no part of the latency, in microseconds.
+    excluded_us: u64,
     reported: bool,
 }
 
@@ -32,13 +34,20 @@
             node: Rc::clone(node),
             peer: peer.clone(),
             sent_at,
+            excluded_us: 0,
             reported: false,
         }
     }
 
-    /// Returns the time since the attempt was sent, in microseconds.
+    /// Returns the time since the attempt was sent, without the time excluded, in microseconds.
     pub(crate) fn elapsed_us(&self) -> u64 {
-        self.node.now().micros_since(self.sent_at)
+        let elapsed_us = self.node.now().micros_since(self.sent_at);
+        elapsed_us.saturating_sub(self.excluded_us)
+    }
+
+    /// Excludes time from the latency in which the response waited for its caller.
+    pub(crate) fn exclude_us(&mut self, micros: u64) {
+        self.excluded_us = self.excluded_us.saturating_add(micros);
     }
 
     /// Reports to the balancer how the attempt ended. Calls after the first have no effect.
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,8 +3,10 @@
 
 mod attempt;
 mod caller_request;
+mod caller_write;
 mod conn;
 mod exchange;
+mod held_body;
 mod in_flight;
 pub(crate) mod listener;
 mod response;
--- a/crates/node/src/entry/response_writer.rs
+++ b/crates/node/src/entry/response_writer.rs
@@ -54,6 +54,26 @@
         self.send(ResponsePart::Data(piece)).await
     }
 
+    /// Sends a piece of the body if there is room, and returns it otherwise.
+    pub(super) fn try_send_data(&self, piece: Bytes) -> Result<Option<Bytes>, CallerGone> {
+        match self.tx.try_reserve() {
+            Ok(room) => {
+                room.send(ResponsePart::Data(piece));
+                Ok(None)
+            }
+            Err(mpsc::error::TrySendError::Full(())) => Ok(Some(piece)),
+            Err(mpsc::error::TrySendError::Closed(())) => Err(CallerGone),
+        }
+    }
+
+    /// Waits until the connection can take a further part.
+    ///
+    /// This method is cancel safe.
+    pub(super) async fn wait_for_room(&self) -> Result<PartRoom<'_>, CallerGone> {
+        let room = self.tx.reserve().await;
+        room.map(PartRoom).map_err(|_| CallerGone)
+    }
+
     /// Completes the response.
     pub(crate) async fn finish(self) -> Result<(), CallerGone> {
         self.send(ResponsePart::End).await
@@ -64,6 +84,16 @@
     }
 }
 
+/// Room for one part of a response.
+pub(super) struct PartRoom<'a>(mpsc::Permit<'a, ResponsePart>);
+
+impl PartRoom<'_> {
+    /// Sends a piece of the body.
+    pub(super) fn send_data(self, piece: Bytes) {
+        self.0.send(ResponsePart::Data(piece));
+    }
+}
+
 /// The receiving end of a response, held by the connection that writes it.
 pub(super) struct PendingResponse {
     pub(super) rx: mpsc::Receiver<ResponsePart>,
--- a/crates/node/src/entry/target_response.rs
+++ b/crates/node/src/entry/target_response.rs
@@ -3,13 +3,21 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use plantainpost_core::{balance::RequestOutcome, ids::NodeName, load::LoadSample};
+use plantainpost_core::{
+    balance::RequestOutcome, delivery::TargetTime, ids::NodeName, load::LoadSample, time::Instant,
+};
 use plantainpost_wire::message::{BodyLength, PeerMessage, PeerResponseHead};
+use slog::info;
 use snafu::Snafu;
 
 use crate::{
-    entry::response_writer::{CallerGone, ResponseWriter},
-    entry::{caller_request::CallerRequest, in_flight::InFlightAttempt, response},
+    entry::{
+        caller_request::CallerRequest,
+        held_body::{HeldBody, SendFailure},
+        in_flight::InFlightAttempt,
+        response,
+        response_writer::{CallerGone, ResponseWriter},
+    },
     node::Node,
     peer_pool::PeerConn,
 };
@@ -24,6 +32,17 @@
 #[snafu(display("the target's response was truncated"))]
 pub(crate) struct ResponseTruncated;
 
+/// How the relaying of a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RelayEnd {
+    /// All of it was received.
+    Complete,
+    /// It ended too early, or the target was late.
+    Truncated,
+    /// The caller's connection had no room for it by the time at which it is given up.
+    Late,
+}
+
 /// A response, and the connection on which the rest of its body follows.
 pub(crate) struct TargetResponse {
     pub(crate) node: Rc<Node>,
@@ -53,7 +72,7 @@
             self.end_load = Some(self.head.load);
         }
         while self.end_load.is_none() && self.received_bytes < RETRY_BUFFER_BYTES {
-            if let Some(piece) = self.read_part(request).await? {
+            if let Some(piece) = self.read_part(request.deadline).await? {
                 self.buffered.extend_from_slice(&piece);
             }
         }
@@ -77,35 +96,83 @@
         writer
             .send_head(response::target_response_head(names, request, head))
             .await?;
-        if !self.buffered.is_empty() {
-            let buffered = std::mem::take(&mut self.buffered);
-            writer.send_data(buffered.freeze()).await?;
+        let mut held = HeldBody::new(&self.node);
+        let buffered = std::mem::take(&mut self.buffered);
+        if !buffered.is_empty() {
+            held.send_or_hold(buffered.freeze(), &writer)?;
+        }
+        let node = Rc::clone(&self.node);
+        let mut time = TargetTime::new(request.deadline, node.settings.limits.max_timeout_ms);
+        let end = self.relay_body(&mut time, &mut held, &writer).await?;
+        self.in_flight.exclude_us(time.blocked_us());
+        match end {
+            RelayEnd::Complete => self.report_completion(request),
+            RelayEnd::Truncated => self.report_failure(),
+            // Its caller was too slow, which says nothing about the target.
+            RelayEnd::Late => drop(self),
+        }
+        let end = match held.send_rest(&writer, time.give_up_at()).await {
+            Ok(()) => end,
+            Err(SendFailure::CallerGone) => return Err(CallerGone),
+            Err(SendFailure::Late) => RelayEnd::Late,
+        };
+        match end {
+            RelayEnd::Complete => return writer.finish().await,
+            RelayEnd::Truncated => node.metrics.count("entry.answer_cut"),
+            RelayEnd::Late => {
+                node.metrics.count("entry.answer_given_up");
+                info!(node.logger, "answer given up, its caller was too slow";
+                    "request" => %request.public_id_text());
+            }
         }
+        Ok(())
+    }
+
+    /// Takes the body from the guard and passes it on.
+    ///
+    /// Reads ahead of the caller's connection as far as the memory for it allows, so that the
+    /// target is not kept waiting, and a target that is late is noticed.
+    async fn relay_body(
+        &mut self,
+        time: &mut TargetTime,
+        held: &mut HeldBody,
+        writer: &ResponseWriter,
+    ) -> Result<RelayEnd, CallerGone> {
+        let clock = self.node.clock;
         while self.end_load.is_none() {
-            match self.read_part(request).await {
-                Ok(Some(piece)) => writer.send_data(piece).await?,
-                Ok(None) => (),
-                Err(ResponseTruncated) => {
-                    self.node.metrics.count("entry.answer_cut");
-                    self.report_failure();
-                    return Ok(());
+            if !held.has_room() {
+                time.block(self.node.now());
+                let sent = clock.timeout_at(time.give_up_at(), held.send_block(writer));
+                let sent = sent.await;
+                time.unblock(self.node.now());
+                match sent {
+                    Some(result) => result?,
+                    None => return Ok(RelayEnd::Late),
                 }
+                continue;
+            }
+            let has_held = !held.is_empty();
+            let part = tokio::select! {
+                biased;
+                sent = held.send_block(writer), if has_held => {
+                    sent?;
+                    continue;
+                }
+                part = self.read_part(time.deadline()) => part,
+            };
+            match part {
+                Ok(Some(piece)) => held.send_or_hold(piece, writer)?,
+                Ok(None) => (),
+                Err(ResponseTruncated) => return Ok(RelayEnd::Truncated),
             }
         }
-        self.report_completion(request);
-        writer.finish().await
+        Ok(RelayEnd::Complete)
     }
 
     /// Reads the next piece of the body. Returns `None` at the end, after setting `end_load`.
-    async fn read_part(
-        &mut self,
-        request: &CallerRequest,
-    ) -> Result<Option<Bytes>, ResponseTruncated> {
+    async fn read_part(&mut self, deadline: Instant) -> Result<Option<Bytes>, ResponseTruncated> {
         let clock = self.node.clock;
-        match clock
-            .timeout_at(request.deadline, self.conn.rx.read())
-            .await
-        {
+        match clock.timeout_at(deadline, self.conn.rx.read()).await {
             Some(Ok(PeerMessage::Body(piece))) => {
                 self.received_bytes += piece.len() as u64;
                 Ok(Some(piece))
--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -3,6 +3,7 @@
 
 mod link;
 mod relay;
+mod relay_time;
 mod request;
 mod slot;
 mod target_headers;
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -9,21 +9,18 @@
     self as http1, BodyPart, Connection, Framing, ResponseBody, ResponseError,
     ResponseHead as TargetResponseHead,
 };
-use plantainpost_wire::{
-    frame::FrameError,
-    message::{
-        BodyLength, FailReason, Header, MAX_BODY_FRAME_BYTES, MAX_EAGER_BODY_BYTES, PeerMessage,
-        PeerResponseHead,
-    },
+use plantainpost_wire::message::{
+    BodyLength, FailReason, Header, MAX_BODY_FRAME_BYTES, MAX_EAGER_BODY_BYTES, PeerMessage,
+    PeerResponseHead,
 };
 use slog::{info, warn};
 
 use super::{
     ConnState,
     link::{ExchangeLink, LinkEvent},
+    relay_time::RelayTime,
     request::{BODY_DRAIN_TIMEOUT_MS, PendingRequest, handle_link_event, send_refusal},
     slot::Slot,
-    state_after_write,
     target_headers::record_target_headers,
 };
 use crate::{headers, node::Node};
@@ -86,8 +83,7 @@
             if says_not_run(node, &head) {
                 return handle_target_refusal(node, link, req, slot, &head).await;
             }
-            let sending = send_response(node, link, &req, slot, head, *body, request_sent);
-            let state = node.clock.timeout_at(deadline, sending).await;
+            let state = send_response(node, link, &req, slot, head, *body, request_sent).await;
             return drain_and_finish(node, link, &req, state).await;
         }
         Some(ExchangeEnd::EntryGone) => {
@@ -102,7 +98,7 @@
         "reason" => reason.as_str(), "after_us" => slot.elapsed_us());
     drop(slot);
     let state = send_failure(node, link, key, true, reason).await;
-    drain_and_finish(node, link, &req, Some(state)).await
+    drain_and_finish(node, link, &req, state).await
 }
 
 /// Returns `true` if the response says that the target did not run the request.
@@ -366,7 +362,7 @@
     node: &Rc<Node>,
     link: &mut ExchangeLink,
     req: &PendingRequest,
-    slot: Slot,
+    mut slot: Slot,
     target_head: TargetResponseHead,
     mut body: ResponseBody,
     request_sent: bool,
@@ -393,7 +389,10 @@
         slot.finish(ExchangeOutcome::Failed);
         return send_failure(node, link, key, true, FailReason::Malformed).await;
     }
-    let Ok(bytes) = send_body_pieces(link, req, &mut body).await else {
+    let mut time = RelayTime::new(node, req.deadline);
+    let sent = send_body_pieces(link, req, &mut body, &mut time).await;
+    slot.exclude_us(time.blocked_us());
+    let Ok(bytes) = sent else {
         // The entry detects the truncated response by the missing end of the body.
         node.metrics.count("guard.answer_cut");
         warn!(node.logger, "answer of the target cut"; "request" => %req.public_id(node));
@@ -426,7 +425,7 @@
             return ConnState::MustClose;
         }
     }
-    state_after_write(link.finish_answer().await)
+    time.finish_answer(link).await
 }
 
 /// Sends the body of a response and returns its length in bytes. The last pieces may still be
@@ -435,6 +434,7 @@
     link: &mut ExchangeLink,
     req: &PendingRequest,
     body: &mut ResponseBody,
+    time: &mut RelayTime<'_>,
 ) -> Result<u64, ()> {
     let mut bytes = 0;
     // Small pieces that arrive together are sent in one frame.
@@ -443,9 +443,10 @@
         let part = match body.next().now_or_never() {
             Some(part) => part,
             None => {
-                queue_body(link, &mut batch).await.map_err(|_| ())?;
-                link.flush().await.map_err(|_| ())?;
-                next_body_part(link, req, body).await?
+                time.queue_body(link, &mut batch).await?;
+                time.flush(link).await?;
+                time.wait_for_target(next_body_part(link, req, body))
+                    .await??
             }
         };
         match part {
@@ -453,11 +454,11 @@
                 bytes += piece.len() as u64;
                 batch.extend_from_slice(&piece);
                 if batch.len() >= MAX_BODY_FRAME_BYTES {
-                    queue_body(link, &mut batch).await.map_err(|_| ())?;
+                    time.queue_body(link, &mut batch).await?;
                 }
             }
             BodyPart::End => {
-                queue_body(link, &mut batch).await.map_err(|_| ())?;
+                time.queue_body(link, &mut batch).await?;
                 return Ok(bytes);
             }
             BodyPart::Truncated => return Err(()),
@@ -489,18 +490,6 @@
     }
 }
 
-/// Queues the bytes in `batch`, and sends what is queued once it is long enough.
-async fn queue_body(link: &mut ExchangeLink, batch: &mut BytesMut) -> Result<(), FrameError> {
-    while !batch.is_empty() {
-        let part = batch.split_to(batch.len().min(MAX_BODY_FRAME_BYTES));
-        link.queue_answer(&PeerMessage::Body(part.freeze()))?;
-        if link.conn.tx.queued_bytes() >= MAX_BODY_FRAME_BYTES {
-            link.flush().await?;
-        }
-    }
-    Ok(())
-}
-
 /// Tells the entry that there is no response from the target.
 pub(super) async fn send_failure(
     node: &Node,
@@ -531,9 +520,8 @@
     node: &Node,
     link: &mut ExchangeLink,
     req: &PendingRequest,
-    state: Option<ConnState>,
+    state: ConnState,
 ) -> ConnState {
-    let state = state.unwrap_or(ConnState::MustClose);
     if req.body.is_complete {
         return state;
     }
--- a/crates/node/src/guard/slot.rs
+++ b/crates/node/src/guard/slot.rs
@@ -17,6 +17,8 @@
     node: Rc<Node>,
     key: RequestKey,
     dispatched_at: Instant,
+    /// Time that is no part of the service time, in microseconds.
+    excluded_us: u64,
     /// Pace of the target's host at the dispatch, in percent of the usual time (at 200, work takes
     /// twice as long); zero if unknown.
     pace_percent: u32,
@@ -35,6 +37,7 @@
             node: Rc::clone(node),
             key,
             dispatched_at: node.now(),
+            excluded_us: 0,
             released: false,
         }
     }
@@ -50,9 +53,15 @@
         self.target_generation
     }
 
-    /// Returns the time since the dispatch, in microseconds.
+    /// Returns the time since the dispatch, without the time excluded, in microseconds.
     pub(super) fn elapsed_us(&self) -> u64 {
-        self.node.now().micros_since(self.dispatched_at)
+        let elapsed_us = self.node.now().micros_since(self.dispatched_at);
+        elapsed_us.saturating_sub(self.excluded_us)
+    }
+
+    /// Excludes time from the service time in which the entry took nothing of the response.
+    pub(super) fn exclude_us(&mut self, micros: u64) {
+        self.excluded_us = self.excluded_us.saturating_add(micros);
     }
 
     /// Frees the slot and reports how the exchange with the target ended.
@@ -65,7 +74,7 @@
             return;
         }
         let now = self.node.now();
-        let micros = now.micros_since(self.dispatched_at);
+        let micros = self.elapsed_us();
         self.node.metrics.latency("guard.service_us", micros);
         let mut guard = self.node.guard.borrow_mut();
         let wakeups = guard.finish(now, self.key, outcome, micros);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,6 +14,7 @@
     balance::Balancer,
     collections::HashMap,
     config::ConfigReplica,
+    delivery::HoldBudget,
     ids::{NodeName, ServiceName},
     measure,
     member::Membership,
@@ -98,6 +99,8 @@
     pub(crate) known_services: RefCell<Vec<ServiceName>>,
     /// Wakes the tasks that wait for the decision on a confirmation.
     pub(crate) config_changed: Notify,
+    /// Memory for responses whose callers can't receive them yet.
+    pub(crate) hold_budget: RefCell<HoldBudget>,
     pub(crate) stop: StopProgress,
 }
 
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -324,6 +324,7 @@
         applied_versions: Default::default(),
         known_services: RefCell::default(),
         config_changed: Default::default(),
+        hold_budget: RefCell::default(),
         stop: StopProgress::default(),
         identity,
         keys,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -31,3 +31,4 @@
 mod stop;
 mod target_statements;
 mod uploads;
+mod waiting_answers;
