node: send a body of exactly 64 KiB again like a shorter one

What callers saw: an idempotent request with a body of exactly 65,536 bytes got 502 unknown when its guard was lost. One byte less, and it was sent to another target.

Cause: the entry stops reading the kept part of a body once it has 64 KiB, and takes what follows for a rest that only one attempt can send. Here nothing follows but the end.

Change: unless the stated length says that there is more, the entry reads on until it has the end of the body or a further piece.

Evidence: request_is_sent_again_only_with_its_whole_body fails without the change at the row of 65,536 bytes in chunks (no second guard is connected to), and passes with it, in chunks and with a length.

--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -215,9 +215,16 @@
     }
 
     /// Reads up to [`MAX_BODY_FRAME_BYTES`] bytes. The flag is `true` if they are the whole body.
-    async fn read_prefix(&mut self) -> Result<(Bytes, bool), BadRequest> {
+    ///
+    /// Whether a body of exactly that length is complete is known only once something follows: its
+    /// end, or a further piece.
+    async fn read_prefix(
+        &mut self,
+        content_length: Option<u64>,
+    ) -> Result<(Bytes, bool), BadRequest> {
+        let is_longer = content_length.is_some_and(|length| length > MAX_BODY_FRAME_BYTES as u64);
         let mut body_prefix = BytesMut::new();
-        while body_prefix.len() < MAX_BODY_FRAME_BYTES {
+        while body_prefix.len() < MAX_BODY_FRAME_BYTES || (!is_longer && self.pending.is_empty()) {
             let Some(piece) = self.body.next().await? else {
                 self.forwarded_bytes = body_prefix.len() as u64;
                 return Ok((body_prefix.freeze(), true));
@@ -314,7 +321,7 @@
         pending: BytesMut::new(),
         forwarded_bytes: 0,
     };
-    let (body_prefix, is_complete) = body_rest.read_prefix().await?;
+    let (body_prefix, is_complete) = body_rest.read_prefix(content_length).await?;
     let names = &node.settings.headers;
     let mut headers = names.forwarded_request_headers(&head.headers);
     headers.push(headers::header(names.request_id, public_id.clone()));
--- a/tests/integration/body_paths.rs
+++ b/tests/integration/body_paths.rs
@@ -175,7 +175,7 @@
 #[gtest]
 fn request_is_sent_again_only_with_its_whole_body() {
     for upload in [Upload::Chunked, Upload::Sized] {
-        for length in [KEPT_BYTES - 1, KEPT_BYTES + 1, LONG_BYTES] {
+        for length in [KEPT_BYTES - 1, KEPT_BYTES, KEPT_BYTES + 1, LONG_BYTES] {
             let name = format!("{upload:?}, {length} bytes");
             let scripted = ScriptedGuardFleet::start_with_guards(2, |_| ());
             let callers = scripted.fleet.nodes[0].callers;
