node: report the bytes that an entry holds of answers

Test: held_bytes_are_given_back passes; it fails if the bytes of a sent block, or those of an answer whose caller has gone, stay counted.

--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -185,6 +185,8 @@
     node.metrics.gauge("measure.spent_us", spent);
     node.metrics
         .gauge("peer.idle", node.peer_pool.idle_count() as u64);
+    let held_bytes = node.hold_budget.borrow().held_bytes();
+    node.metrics.gauge("entry.held_bytes", held_bytes as u64);
     node.metrics.flush();
 }
 
--- a/tests/integration/waiting_answers.rs
+++ b/tests/integration/waiting_answers.rs
@@ -9,7 +9,7 @@
 };
 
 use googletest::prelude::*;
-use plantainpost_standin::process::Signal;
+use plantainpost_standin::process::{self, Signal};
 
 use crate::{
     fleet_fixture::{Fleet, WAIT_TIMEOUT, host_specs},
@@ -323,6 +323,37 @@
     }
 }
 
+/// Waits until the entry holds, or no longer holds, parts of answers.
+fn wait_for_held_bytes(fleet: &Fleet, is_held: bool) {
+    process::wait_until("the held bytes of answers", WAIT_TIMEOUT, || {
+        let metrics = get_admin(fleet.nodes[0].admin, "/v1/metrics");
+        let gauge = metrics.split(r#""entry.held_bytes":"#).nth(1);
+        let bytes = gauge.and_then(|rest| rest.split([',', '}']).next());
+        let bytes = bytes.and_then(|text| text.parse::<u64>().ok());
+        bytes.is_some_and(|bytes| (bytes > 0) == is_held)
+    })
+    .expect("the gauge changes");
+}
+
+/// Guards against memory that stays counted as held after the answer was delivered, or after its
+/// caller has gone: the entry would soon hold nothing any more.
+#[gtest]
+fn held_bytes_are_given_back() {
+    let (fleet, listener) = start_fleet(false, |_| ());
+    let target = Target::start(listener, &Plan::default());
+    let gone = send_both(fleet.nodes[0].callers);
+    target.wait_received(&["first", "second"]);
+    wait_for_held_bytes(&fleet, true);
+    drop(gone);
+    wait_for_held_bytes(&fleet, false);
+    let io = send_both(fleet.nodes[0].callers);
+    target.wait_received(&["first", "second"]);
+    wait_for_held_bytes(&fleet, true);
+    target.release();
+    expect_true!(complete_body(&read_second(io)).is_some());
+    wait_for_held_bytes(&fleet, false);
+}
+
 /// Guards against a caller that never reads and holds its connection, memory and a slot of the target
 /// for as long as it likes, or until a far deadline.
 #[gtest]
