--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -5,6 +5,7 @@
 mod key_check;
 mod link;
 mod relay;
+mod relay_time;
 mod request;
 mod slot;
 mod target_headers;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -336,6 +336,7 @@
         evacuations: Default::default(),
         known_services: RefCell::default(),
         config_changed: Default::default(),
+        hold_budget: RefCell::default(),
         stop: StopProgress::default(),
         identity,
         keys,
