--- a/crates/core/tests/quota/bounds.rs
+++ b/crates/core/tests/quota/bounds.rs
@@ -108,3 +108,23 @@
         expect_that!(worst, ge(15), "partitioned: {is_partitioned}");
     }
 }
+
+/// Guards against a limit that is not used fully while a workspace asks for more than it.
+#[gtest]
+fn a_workspace_above_its_limit_gets_all_of_it() {
+    for (rate, burst) in [(8.0, 10), (30.0, 20), (78.0, 78), (400.0, 300)] {
+        for factor in [1.2, 1.5, 4.0] {
+            let mut sim = Sim::new(11, 64, limit(rate, burst));
+            (sim.loss, sim.duplicates) = (0.01, 0.01);
+            sim.run_until(6_000);
+            sim.load = Load {
+                requests_per_s: rate * factor,
+                not_run: 0.0,
+            };
+            sim.run_until(26_000);
+            let ran = sim.runs.len() as f64;
+            println!("{rate}/s x {factor}: ran {ran} of {}", rate * 20.0);
+            expect_that!(ran, ge(rate * 20.0 * 0.95), "{rate}/s x {factor}");
+        }
+    }
+}
