--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -104,6 +104,8 @@
     next_claim_at: Instant,
     /// Requests are refused without a claim until this time.
     refuse_until: Instant,
+    /// When the owner expects to have credit, according to its last answer.
+    credit_at: Instant,
     /// Whether the last claim got no answer from an owner.
     is_cut_off: bool,
     fallback: Fallback,
@@ -123,6 +125,7 @@
             claim: None,
             next_claim_at: Instant::default(),
             refuse_until: Instant::default(),
+            credit_at: Instant::default(),
             is_cut_off: false,
             fallback: Fallback::default(),
             used_at: Instant::default(),
@@ -170,7 +173,7 @@
             return Some(self.decide_alone(now, peers, rng, out));
         }
         if now < self.refuse_until {
-            let wait_us = self.refuse_until.micros_since(now);
+            let wait_us = self.credit_at.micros_since(now);
             return Some(Decision::Refused { wait_us });
         }
         self.waiting.push_back(ticket);
@@ -379,6 +382,7 @@
     /// Refuses the requests that the owner has no credit for.
     fn on_shortage(&mut self, now: Instant, missing: usize, wait_us: u64, out: &mut HolderOutput) {
         self.next_claim_at = now.saturating_add_millis(SHORTAGE_PAUSE_MS);
+        self.credit_at = now.saturating_add_micros(wait_us);
         let mut refused = missing.min(self.waiting.len());
         if wait_us > SHORTAGE_PAUSE_MS * MICROS_PER_MILLI {
             let longest_us = MAX_REFUSAL_MS * MICROS_PER_MILLI;
--- a/crates/core/src/quota/bucket.rs
+++ b/crates/core/src/quota/bucket.rs
@@ -39,6 +39,15 @@
         }
     }
 
+    /// Creates a bucket that holds half of its capacity, as after a time without grants.
+    pub(super) fn half_full(limit: QuotaLimit, share_permille: u64, now_us: u64) -> Self {
+        let bucket = Bucket::new(limit, share_permille, now_us);
+        Bucket {
+            level: bucket.capacity() / 2,
+            ..bucket
+        }
+    }
+
     /// Returns the limit on the whole fleet.
     pub(super) fn limit(&self) -> &QuotaLimit {
         &self.limit
--- a/crates/core/src/quota/owner.rs
+++ b/crates/core/src/quota/owner.rs
@@ -15,8 +15,9 @@
 
 /// Time from the start of a node for which it grants nothing, in milliseconds.
 ///
-/// A node that has just started knows only a few members and may wrongly take itself for the owner.
-const SETTLE_MS: u64 = 1_000;
+/// A node that has just started knows only a few members and may wrongly take itself for the owner. The
+/// members of a fleet that starts as a whole know each other after about 200 ms. Requests wait meanwhile.
+const SETTLE_MS: u64 = 500;
 
 /// Time from the change of members that made a node the owner for which it grants nothing, in
 /// milliseconds. The other members learn of the change within about a second and use their own parts
@@ -78,7 +79,7 @@
 
 #[derive(Debug)]
 struct OwnedWorkspace {
-    /// When this node starts to grant credit. The bucket is empty until then.
+    /// When this node starts to grant credit.
     opens_at: Instant,
     bucket: Bucket,
     holders: HashMap<NodeName, HolderRecord>,
@@ -98,6 +99,8 @@
     rise: Option<(Instant, u64)>,
     /// Contains exactly the workspaces that this node believes to own. Empty before `settled_at`.
     owned: HashMap<Rc<str>, OwnedWorkspace>,
+    /// Whether workspaces were assigned to this node since it is settled.
+    has_owned: bool,
 }
 
 impl QuotaOwner {
@@ -111,9 +114,15 @@
             share_permille: WHOLE_PERMILLE,
             rise: None,
             owned: HashMap::default(),
+            has_owned: false,
         }
     }
 
+    /// Returns when the node has run long enough to own workspaces.
+    pub fn settled_at(&self) -> Instant {
+        self.settled_at
+    }
+
     /// Reports whether the node has run long enough to own workspaces.
     pub fn is_settled(&self, now: Instant) -> bool {
         now >= self.settled_at
@@ -157,7 +166,7 @@
         self.rise = Some((at, share_permille));
     }
 
-    /// Sets the workspaces that this node owns. Buckets of others are dropped, new ones are empty.
+    /// Sets the workspaces that this node owns. Buckets of others are dropped.
     pub fn set_owned<'a>(
         &mut self,
         now: Instant,
@@ -177,9 +186,22 @@
             };
             self.owned.insert(Rc::clone(name), workspace);
         }
+        self.has_owned = true;
     }
 
+    /// Returns a bucket that this node was not the owner of before.
+    ///
+    /// A node that has just started takes over at once, with a half full bucket: nothing was granted while
+    /// it was down and until it settled, and after a restart of the whole fleet all callers return at the
+    /// same time.
     fn taken_over(&self, now: Instant, limit: QuotaLimit) -> OwnedWorkspace {
+        if !self.has_owned {
+            return OwnedWorkspace {
+                opens_at: now,
+                bucket: Bucket::half_full(limit, self.share_permille, self.running_us),
+                holders: HashMap::default(),
+            };
+        }
         let opens_at_us = self.running_us + TAKEOVER_MS * MICROS_PER_MILLI;
         OwnedWorkspace {
             opens_at: now.saturating_add_millis(TAKEOVER_MS),
--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -95,6 +95,9 @@
     let Some(limit) = workspace.quota else {
         return Ok(None);
     };
+    // A node that has just started would refuse the request, because it does not know the fleet yet.
+    let settled_at = node.quota.owner.borrow().settled_at();
+    node.clock.sleep_until(settled_at.min(deadline)).await;
     loop {
         match decide(node, &workspace.name, limit, deadline).await {
             // The process was paused after the credit was granted.
