core: let the counts of load shedding expire, and leave out cancelled requests

What callers saw: none yet; found by review. Requests that their callers cancelled counted as lost for want of capacity, which made a workspace underserved by its own time-outs.

Cause: counts were halved without end, and only once after a gap of any length.

Change: counts below half an offer are forgotten, each elapsed interval halves, and a cancelled request is counted neither as offered nor as lost.

--- a/crates/core/src/admission/fair_order.rs
+++ b/crates/core/src/admission/fair_order.rs
@@ -37,10 +37,20 @@
     starts: f32,
 }
 
+/// Halvings after which all counts are forgotten: 2^32 offers are below one.
+const MAX_HALVINGS: u64 = 34;
+
+/// Offers below which the counts of a level or a workspace are forgotten. Without it, the share of
+/// one lost request would hold until the counts are zero, long after it.
+const FORGOTTEN_OFFERS: f32 = 0.5;
+
 impl Service {
     fn halve(&mut self) {
         self.offers /= 2.0;
         self.starts /= 2.0;
+        if self.offers < FORGOTTEN_OFFERS {
+            *self = Service::default();
+        }
     }
 
     /// Returns the share of starts to offers, and 1 without offers. Requests that were offered
@@ -163,6 +173,18 @@
         self.forget_idle_shares();
     }
 
+    /// Counts a request that leaves the queue because it was cancelled. The capacity was not what it
+    /// lacked, so that it counts neither as offered nor as lost.
+    pub(super) fn record_cancellation(&mut self, level: usize, workspace: u32) {
+        if let Some(share) = self.shares.get_mut(&(level, workspace)) {
+            share.waiting = share.waiting.saturating_sub(1);
+        }
+        self.passes.waiting[level] = self.passes.waiting[level].saturating_sub(1);
+        let service = &mut self.by_level[level];
+        service.offers = (service.offers - 1.0).max(0.0);
+        self.forget_idle_shares();
+    }
+
     /// Counts a waiting request that starts and will hold its slot for about `slot_time_us`.
     pub(super) fn record_start(&mut self, level: usize, workspace: u32, slot_time_us: u64) {
         let share = self.shares.entry((level, workspace)).or_default();
@@ -253,13 +275,16 @@
         if now < self.halve_at {
             return;
         }
+        let intervals = 1 + now.micros_since(self.halve_at) / HALVING_INTERVAL_US;
         self.halve_at = now.saturating_add_micros(HALVING_INTERVAL_US);
-        self.all.halve();
-        self.by_level.iter_mut().for_each(Service::halve);
-        self.by_workspace.retain(|_, service| {
-            service.halve();
-            service.offers >= 0.5
-        });
+        for _ in 0..intervals.min(MAX_HALVINGS) {
+            self.all.halve();
+            self.by_level.iter_mut().for_each(Service::halve);
+            self.by_workspace.retain(|_, service| {
+                service.halve();
+                service.offers > 0.0
+            });
+        }
     }
 
     /// Drops shares that are equal to an unknown one, and if there are still too many, all without a
--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -374,7 +374,7 @@
         let deadline = deadline.max(record.deadline);
         match record.state {
             RequestState::Queued(ticket) => {
-                self.queue.remove(ticket);
+                self.queue.cancel(ticket);
                 self.counters.fenced += 1;
                 self.put_record(key, RequestState::Fenced, deadline);
                 self.push_refusal(key, RefuseReason::Fenced);
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -227,6 +227,16 @@
         Some(queued)
     }
 
+    /// Removes the request with `ticket`, which was cancelled or fenced by its entry.
+    pub(super) fn cancel(&mut self, ticket: Ticket) {
+        if let Some(queued) = self.take(ticket)
+            && let Some(fair) = &mut self.fair
+        {
+            let level = shedding::level_of(queued.urgency.priority);
+            fair.record_cancellation(level, queued.urgency.workspace);
+        }
+    }
+
     /// Removes and returns the request with `ticket`, which starts; `None` if it is not in the
     /// queue.
     pub(super) fn start(
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -235,7 +235,7 @@
     pub(super) fn cancel_recorded(&mut self, now: Instant, key: RequestKey, record: RequestRecord) {
         match record.state {
             RequestState::Queued(ticket) => {
-                self.queue.remove(ticket);
+                self.queue.cancel(ticket);
                 self.put_record(key, RequestState::Fenced, record.deadline);
             }
             RequestState::Admitted => {
--- a/crates/core/tests/admission_displacement.rs
+++ b/crates/core/tests/admission_displacement.rs
@@ -207,3 +207,68 @@
     let woken = guard.expire(NOW);
     expect_that!(woken, eq(&vec![displaced(2)]));
 }
+
+/// Guards against a level that starves for minutes because one request of a more urgent level, which has
+/// no others, was lost long ago.
+#[gtest]
+fn a_lost_urgent_request_does_not_starve_a_level() {
+    const STEP_MS: u64 = 25;
+    const SERVICE_STEPS: u64 = 4;
+    const LOST_AT_STEP: u64 = 40;
+    const STEPS: u64 = 500;
+    let mut guard = guard(true);
+    let send = |guard: &mut Guard, now: Instant, id: u128, priority: u32, is_late: bool| {
+        let due = if is_late { now } else { DEADLINE };
+        let offer = Offer {
+            key: key(id),
+            service: "stock",
+            deadline: now.saturating_add_millis(10_000),
+            has_alternative: is_late,
+            answer_by: None,
+            urgency: Urgency {
+                class: 1 + priority,
+                priority,
+                workspace: 0,
+                due: Some(due),
+            },
+        };
+        guard.offer(now, &offer)
+    };
+    let mut running: Vec<(u64, u128)> = Vec::new();
+    let mut low_starts = 0;
+    let mut id = 0;
+    for step in 0..STEPS {
+        let now = NOW.saturating_add_millis(step * STEP_MS);
+        let mut started = Vec::new();
+        // Twice the capacity at priority 1, and a few at priority 2, whose ids are odd.
+        for priority in [1, 1, 2] {
+            id += 2;
+            let id = id + u128::from(priority == 2);
+            if send(&mut guard, now, id, priority, false) == Admission::Start {
+                started.push(id);
+            }
+        }
+        if step == LOST_AT_STEP {
+            let refused = Admission::Refused(RefuseReason::Overloaded);
+            expect_that!(send(&mut guard, now, 1_000_000, 0, true), eq(refused));
+        }
+        let ended = running.extract_if(.., |(end, _)| *end <= step);
+        let ended: Vec<u128> = ended.map(|(_, id)| id).collect();
+        let outcome = ExchangeOutcome::Completed {
+            server_error: false,
+        };
+        let mut wakeups = guard.expire(now);
+        for id in ended {
+            wakeups.extend(guard.finish(now, key(id), outcome, SERVICE_STEPS * STEP_MS * 1_000));
+        }
+        let woken = wakeups.iter().filter(|w| w.admission == Admission::Start);
+        started.extend(woken.map(|wakeup| wakeup.key.id.0));
+        for id in started {
+            expect_that!(guard.dispatch(now, key(id)), eq(DispatchDecision::Proceed));
+            low_starts += usize::from(step > LOST_AT_STEP + 100 && id % 2 == 1);
+            running.push((step + SERVICE_STEPS, id));
+        }
+    }
+    // The last 9 s of two slots are 180 starts, of which a tenth is for the lowest level.
+    expect_that!(low_starts, ge(10));
+}
