--- a/crates/core/src/workspace/mod.rs
+++ b/crates/core/src/workspace/mod.rs
@@ -19,6 +19,9 @@
 
 use crate::{hash::fnv1a, ids::Region};
 
+/// Longest name of a workspace, in bytes. Names are part of datagrams of 1,200 bytes.
+const MAX_NAME_BYTES: usize = 256;
+
 /// SHA-256 hash of an API key.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct KeyHash([u8; 32]);
@@ -172,5 +175,6 @@
 
 /// Returns whether a name can be sent in a header: a line break in it would begin another header.
 fn is_valid_name(name: &str) -> bool {
-    !name.is_empty() && name.trim() == name && !name.chars().any(char::is_control)
+    let is_short = name.len() <= MAX_NAME_BYTES;
+    is_short && !name.is_empty() && name.trim() == name && !name.chars().any(char::is_control)
 }
