tests: quotas over three nodes with real processes

Quotas were tested in core with simulated messages only. Nothing checked that real nodes ask for credit, that 429 reaches callers, or that the bound on requests at targets holds over the whole path.

Three integration tests, with bounds from section 3 of docs/design/constrained-capacity.md:

- A workspace at no more than 60 % of its limit, nearly all of it at one of three nodes, is not refused.
- A workspace at many times its limit gets 429 with Retry-After.
In any window of 5 s at most (rate x 5 + burst) x 1.1 + 20 of its requests start at the target, also around and after the loss of its owner.
Other workspaces are not refused while all nodes are connected and after the nodes have agreed on a new owner, and one without a limit never is.
- Requests on a public route with a key take no credit.

Not asserted: a workspace with a limit and a load far below it, between the loss of a node and the new owner.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -26,6 +26,7 @@
 mod platform_fixture;
 mod platform_reload;
 mod platform_stop;
+mod quotas;
 mod requests;
 mod scripted_entry;
 mod scripted_guard;
