soak: evacuate a data centre during the faults of a round

The soak injected no evacuations, so the bound of 5 s after an acknowledged evacuation was only tested without random faults.

With `--evacuations N`, an operator writes N `evacuate/ZONE` records in each round and removes them 7 to 9 s later. The history checker has a new rule: no request starts at a target of the data centre later than 5 s after the acknowledgement until the end. Nodes that were frozen, killed or cut off are included. The time counts again after an outage of the store that begins within 2 s after the write, since a guard that is cut off keeps its last known state, and a record that the store drops counts as removed. The report says how many evacuations lasted long enough to be checked.

The evacuations draw from a random source of their own and are off by default, so the faults of a seed stay the same (`soak_schedule`).

--- a/crates/standin/src/bin/plantainpost-bench/args.rs
+++ b/crates/standin/src/bin/plantainpost-bench/args.rs
@@ -191,6 +191,10 @@
     #[argh(option, default = "1")]
     pub(crate) seeds: u64,
 
+    /// evacuations of data centres in each round (default 0)
+    #[argh(option, default = "0")]
+    pub(crate) evacuations: usize,
+
     /// requests per second (default 120)
     #[argh(option, default = "120.0")]
     pub(crate) rate: f64,
--- a/crates/standin/src/bin/plantainpost-bench/faults.rs
+++ b/crates/standin/src/bin/plantainpost-bench/faults.rs
@@ -14,6 +14,7 @@
             nodes: args.nodes,
             first_round: args.first_round,
             rounds: args.rounds,
+            evacuations: args.evacuations,
             rate: args.rate,
             ..Default::default()
         };
--- a/crates/standin/src/bin/plantainpost-standin/main.rs
+++ b/crates/standin/src/bin/plantainpost-standin/main.rs
@@ -80,6 +80,7 @@
     let records = history::read_files(&args.files)?;
     let settings = history::CheckSettings {
         leaving_grace_us: args.leaving_grace_ms.saturating_mul(1000),
+        ..Default::default()
     };
     match history::check(&records, &settings) {
         Ok(summary) => {
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -313,6 +313,11 @@
         Ok(())
     }
 
+    /// Returns the hosts, in the order of the nodes.
+    pub fn hosts(&self) -> &[Host] {
+        &self.settings.hosts
+    }
+
     /// Waits until a node knows every target and no target is leaving.
     ///
     /// # Errors
--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -80,6 +80,20 @@
         /// The target's name.
         target: String,
     },
+    /// The evacuation of a target's data centre was acknowledged.
+    Evacuated {
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// The target's name.
+        target: String,
+    },
+    /// The evacuation of a target's data centre ends.
+    Returned {
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// The target's name.
+        target: String,
+    },
     /// A node reported the configuration that it has in force.
     Config {
         /// Time in µs since the Unix epoch.
@@ -134,6 +148,8 @@
             | Self::Ended { at, .. }
             | Self::Leaving { at, .. }
             | Self::Serving { at, .. }
+            | Self::Evacuated { at, .. }
+            | Self::Returned { at, .. }
             | Self::Config { at, .. } => *at,
         }
     }
@@ -145,7 +161,11 @@
             | Self::Answered { nonce, .. }
             | Self::Started { nonce, .. }
             | Self::Ended { nonce, .. } => Some(nonce),
-            Self::Leaving { .. } | Self::Serving { .. } | Self::Config { .. } => None,
+            Self::Leaving { .. }
+            | Self::Serving { .. }
+            | Self::Evacuated { .. }
+            | Self::Returned { .. }
+            | Self::Config { .. } => None,
         }
     }
 }
--- a/crates/standin/src/history/check.rs
+++ b/crates/standin/src/history/check.rs
@@ -12,12 +12,16 @@
 pub struct CheckSettings {
     /// Time in µs for which a target may still start requests after it was told to leave.
     pub leaving_grace_us: u64,
+    /// Time in µs for which a target may still start requests after the evacuation of its data
+    /// centre was acknowledged.
+    pub evacuation_grace_us: u64,
 }
 
 impl Default for CheckSettings {
     fn default() -> Self {
         Self {
             leaving_grace_us: 4_000_000,
+            evacuation_grace_us: 5_000_000,
         }
     }
 }
@@ -38,6 +42,9 @@
     AnsweredNotEnded,
     /// A target started a request later than the grace period after it was told to leave.
     StartedWhileLeaving,
+    /// A target started a request later than the grace period after the evacuation of its data
+    /// centre was acknowledged, and before its end.
+    StartedWhileEvacuated,
     /// The configuration version of a node decreased.
     VersionWentBack,
     /// Different contents were reported for one configuration version, by two nodes or by one.
@@ -143,6 +150,8 @@
     started_by: HashMap<&'a str, &'a str>,
     /// By target, the time in µs at which it was first told to leave.
     leaving_since_us: HashMap<&'a str, u64>,
+    /// By target, the time in µs at which the evacuation of its data centre was acknowledged.
+    evacuated_since_us: HashMap<&'a str, u64>,
     /// By node, the version that it reported last.
     node_versions: HashMap<&'a str, u64>,
     /// By version, the digest reported first and the node that reported it.
@@ -185,6 +194,12 @@
             Record::Serving { target, .. } => {
                 self.state.leaving_since_us.remove(target.as_str());
             }
+            Record::Evacuated { at, target } => {
+                self.state.evacuated_since_us.entry(target).or_insert(*at);
+            }
+            Record::Returned { target, .. } => {
+                self.state.evacuated_since_us.remove(target.as_str());
+            }
             Record::Config {
                 node,
                 version,
@@ -258,6 +273,12 @@
             let detail = format!("{target} has been leaving since {since_us}");
             return Err((Rule::StartedWhileLeaving, detail));
         }
+        if let Some(since_us) = self.state.evacuated_since_us.get(target)
+            && at_us.saturating_sub(*since_us) > self.settings.evacuation_grace_us
+        {
+            let detail = format!("the data centre of {target} is evacuated since {since_us}");
+            return Err((Rule::StartedWhileEvacuated, detail));
+        }
         // Requests without a nonce are not from a caller whose history is checked.
         if nonce.is_empty() {
             return Ok(());
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -7,6 +7,7 @@
 //! operators are checked.
 
 mod checks;
+mod evacuations;
 mod injector;
 mod schedule;
 
@@ -23,8 +24,9 @@
     target::{ServiceTime, TargetSettings},
 };
 
+use evacuations::EVACUATION_GRACE_US;
 use injector::FaultInjector;
-pub use schedule::{Fault, FaultStep, LinkFault, fault_schedule};
+pub use schedule::{Fault, FaultStep, LinkFault, add_evacuations, fault_schedule};
 
 /// Maximum time until a new fleet is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -38,6 +40,9 @@
 /// Services of the fleet, assigned to its hosts in turn.
 pub(crate) const SERVICES: [&str; 2] = ["stock", "ledger"];
 
+/// Data centres of the fleet, assigned to its hosts in turn.
+const DATA_CENTRES: [&str; 3] = ["pos", "arima", "chaguanas"];
+
 /// Settings of a soak run.
 #[derive(Clone, Debug)]
 pub struct SoakSettings {
@@ -57,6 +62,8 @@
     pub round_ms: u64,
     /// Number of faults in a round, where a series counts as one.
     pub faults: usize,
+    /// Number of evacuations of data centres in a round, in addition to the faults.
+    pub evacuations: usize,
     /// Requests per second.
     pub rate: f64,
 }
@@ -71,6 +78,7 @@
             rounds: 3,
             round_ms: 10_000,
             faults: 8,
+            evacuations: 0,
             rate: 120.0,
         }
     }
@@ -83,6 +91,8 @@
     pub requests: Summary,
     /// Number of faults injected.
     pub faults: u64,
+    /// Number of evacuations that lasted long enough to be checked, in all rounds.
+    pub checked_evacuations: u64,
 }
 
 /// Why a soak run ended early.
@@ -137,12 +147,14 @@
     let mut report = SoakReport::default();
     for round in cfg.first_round..cfg.first_round + cfg.rounds {
         let seed = cfg.seed.wrapping_mul(1_000).wrapping_add(round);
-        let steps = fault_schedule(seed, cfg.nodes, cfg.round_ms, cfg.faults);
+        let mut steps = fault_schedule(seed, cfg.nodes, cfg.round_ms, cfg.faults);
+        add_evacuations(&mut steps, seed, &DATA_CENTRES, cfg.evacuations);
         report.faults += steps.iter().filter(|step| step.begins).count() as u64;
         let load = load::start(&load_settings(cfg, seed, &injector.fleet))?;
         let injected = injector.run_schedule(&steps);
         let records = load.wait()?.records;
         injected.map_err(guarantee_error(round))?;
+        report.checked_evacuations = injector.evacuations.checkable;
         report.requests = check_history(&injector, round, records)?;
         checks::check_recovery(&mut injector).map_err(guarantee_error(round))?;
         checks::check_configuration_update(&mut injector).map_err(guarantee_error(round))?;
@@ -153,7 +165,7 @@
 fn hosts(count: usize) -> Vec<Host> {
     let host = |i: usize| Host {
         name: format!("host-{i}"),
-        data_centre: ["pos", "arima", "chaguanas"][i % 3].to_owned(),
+        data_centre: DATA_CENTRES[i % DATA_CENTRES.len()].to_owned(),
         target: TargetSettings {
             service: SERVICES[i % SERVICES.len()].to_owned(),
             service_time: ServiceTime::Exponential(20_000),
@@ -210,9 +222,11 @@
     for target in &injector.fleet.targets {
         records.extend(target.history());
     }
+    records.extend_from_slice(&injector.evacuations.records);
     let cfg = history::CheckSettings {
         // The limit `drainMs` of the users' sites.
         leaving_grace_us: 2_000_000,
+        evacuation_grace_us: EVACUATION_GRACE_US,
     };
     history::check(&records, &cfg).map_err(|violation| {
         let nonce = violation.record.nonce().unwrap_or_default();
--- a/crates/standin/src/soak/injector.rs
+++ b/crates/standin/src/soak/injector.rs
@@ -8,6 +8,7 @@
 
 use super::{
     SERVICES,
+    evacuations::Evacuations,
     schedule::{Fault, FaultStep, LinkFault, STOP_DEADLINE_MS},
 };
 use crate::{
@@ -19,7 +20,7 @@
 };
 
 /// Topic and key of the configuration in the store.
-const CONFIG_TOPIC: &str = "keyed.op";
+pub(super) const CONFIG_TOPIC: &str = "keyed.op";
 const CONFIG_KEY: &str = "config";
 
 /// Delay of a link in milliseconds, in each direction.
@@ -46,6 +47,7 @@
     killed: Vec<usize>,
     /// Number of overlapping faults by scope. A fault is removed when the last of its scope ends.
     active: BTreeMap<String, u32>,
+    pub(super) evacuations: Evacuations,
 }
 
 impl FaultInjector {
@@ -56,6 +58,7 @@
             stopping: BTreeMap::new(),
             killed: Vec::new(),
             active: BTreeMap::new(),
+            evacuations: Evacuations::default(),
         }
     }
 
@@ -104,6 +107,7 @@
             thread::sleep(at.saturating_duration_since(Instant::now()));
             let is_first_or_last = self.count_active(step);
             self.apply(step, is_first_or_last)?;
+            self.evacuations.update(&self.fleet);
         }
         Ok(())
     }
@@ -132,6 +136,7 @@
                 Ok(())
             }
             Fault::ExpireRecords if step.begins => {
+                self.evacuations.on_expiry(&self.fleet);
                 self.fleet.log.expire_all_but_newest(CONFIG_TOPIC);
                 Ok(())
             }
@@ -139,6 +144,12 @@
                 self.signal_node(*i, Signal::Hangup);
                 Ok(())
             }
+            Fault::Evacuation(data_centre) => {
+                if is_first_or_last {
+                    self.evacuations.set_wanted(data_centre, step.begins);
+                }
+                Ok(())
+            }
             Fault::PublishConfiguration | Fault::ExpireRecords | Fault::ReloadNode(_) => Ok(()),
             Fault::FreezeNode(i) if step.begins => {
                 self.signal_node(*i, Signal::Stop);
@@ -282,6 +293,7 @@
         Fault::LeavingTarget(i) => format!("leave of target {i}"),
         Fault::SilentTarget(i) => format!("announcements of target {i}"),
         Fault::PublishConfiguration => "configuration".to_owned(),
+        Fault::Evacuation(data_centre) => format!("evacuation of {data_centre}"),
     }
 }
 
--- a/crates/standin/src/soak/schedule.rs
+++ b/crates/standin/src/soak/schedule.rs
@@ -19,6 +19,17 @@
 /// Time in milliseconds from the beginning of one fault of a series to the next.
 const SERIES_INTERVAL_MS: u64 = 700;
 
+/// Range of the start of an evacuation within a round, in milliseconds.
+const EVACUATION_START_MS: std::ops::Range<u64> = 0..2_000;
+
+/// Range of the duration of an evacuation, in milliseconds. It is longer than the 5 s after which no
+/// request may start, and with [`EVACUATION_START_MS`] leaves time for requests after that.
+const EVACUATION_DURATION_MS: std::ops::Range<u64> = 7_000..9_000;
+
+/// Separates the random numbers of the evacuations from those of the other faults, so that the
+/// faults of a seed are the same with and without evacuations.
+const EVACUATION_SEED: u64 = 0xe7ac_0000_0000_0000;
+
 /// Time in milliseconds within which a node must exit after SIGTERM: the limit `graceS` of the
 /// users' sites.
 pub(super) const STOP_DEADLINE_MS: u64 = 6_000;
@@ -71,6 +82,8 @@
     SilentTarget(usize),
     /// An operator publishes a configuration.
     PublishConfiguration,
+    /// An operator evacuates a data centre, and takes it back at the end.
+    Evacuation(&'static str),
 }
 
 /// The beginning or the end of a fault.
@@ -114,6 +127,31 @@
     steps
 }
 
+/// Adds evacuations to the steps of a round. The other steps stay as they are.
+pub fn add_evacuations(
+    steps: &mut Vec<FaultStep>,
+    seed: u64,
+    data_centres: &[&'static str],
+    evacuations: usize,
+) {
+    let mut rng = StdRng::seed_from_u64(seed ^ EVACUATION_SEED);
+    for _ in 0..evacuations {
+        let Some(data_centre) = data_centres.choose(&mut rng) else {
+            return;
+        };
+        let start_ms = rng.random_range(EVACUATION_START_MS);
+        let end_ms = start_ms + rng.random_range(EVACUATION_DURATION_MS);
+        for (at_ms, begins) in [(start_ms, true), (end_ms, false)] {
+            steps.push(FaultStep {
+                at_ms,
+                begins,
+                fault: Fault::Evacuation(data_centre),
+            });
+        }
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 fn random_fault(rng: &mut StdRng, nodes: usize) -> Fault {
     let host = rng.random_range(0..nodes);
     match rng.random_range(0..14) {
--- a/crates/standin/tests/history.rs
+++ b/crates/standin/tests/history.rs
@@ -76,6 +76,20 @@
     }
 }
 
+fn evacuated(at: u64) -> Record {
+    Record::Evacuated {
+        at,
+        target: "t1".to_owned(),
+    }
+}
+
+fn returned(at: u64) -> Record {
+    Record::Returned {
+        at,
+        target: "t1".to_owned(),
+    }
+}
+
 fn config(at: u64, node: &str, version: u64, digest: &str) -> Record {
     Record::Config {
         at,
@@ -90,6 +104,7 @@
 fn settings() -> CheckSettings {
     CheckSettings {
         leaving_grace_us: GRACE_US,
+        evacuation_grace_us: 2 * GRACE_US,
     }
 }
 
@@ -204,6 +219,33 @@
             2,
             vec![leaving(10), leaving(500), started(11 + GRACE_US, "", "t1")],
         ),
+        (
+            Rule::StartedWhileEvacuated,
+            1,
+            vec![evacuated(10), started(11 + 2 * GRACE_US, "a", "t1")],
+        ),
+        // A target that serves again is still in an evacuated data centre.
+        (
+            Rule::StartedWhileEvacuated,
+            2,
+            vec![
+                evacuated(10),
+                serving(20),
+                started(11 + 2 * GRACE_US, "", "t1"),
+            ],
+        ),
+        // A second evacuation starts a new grace period.
+        (
+            Rule::StartedWhileEvacuated,
+            4,
+            vec![
+                evacuated(10),
+                returned(20),
+                evacuated(30),
+                started(30 + 2 * GRACE_US, "a", "t1"),
+                started(31 + 2 * GRACE_US, "", "t1"),
+            ],
+        ),
         (
             Rule::VersionWentBack,
             1,
@@ -270,6 +312,13 @@
         vec![leaving(10), started(10 + GRACE_US, "a", "t1")],
         vec![leaving(10), started(11 + GRACE_US, "a", "t2")],
         vec![leaving(10), serving(20), started(11 + GRACE_US, "a", "t1")],
+        vec![evacuated(10), started(10 + 2 * GRACE_US, "a", "t1")],
+        vec![evacuated(10), started(11 + 2 * GRACE_US, "a", "t2")],
+        vec![
+            evacuated(10),
+            returned(20),
+            started(11 + 2 * GRACE_US, "a", "t1"),
+        ],
         // Requests without a nonce are not from a caller whose history is checked.
         vec![started(1, "", "t1"), started(2, "", "t1")],
         vec![
@@ -314,7 +363,9 @@
         ended(4, "a", false),
         leaving(5),
         serving(6),
-        config(7, "n1", 4, "x"),
+        evacuated(7),
+        returned(8),
+        config(9, "n1", 4, "x"),
     ];
     verify_that!(parse_lines(&to_lines(&history))?, eq(&history))?;
     let error = parse_lines("\n{\"kind\":\"sent\"}\n").expect_err("the fields are missing");
--- a/tests/integration/soak.rs
+++ b/tests/integration/soak.rs
@@ -32,6 +32,23 @@
 
 const NODE_NOT_RESTARTED: &str = "the soak did not restart a node after its stop";
 
+/// Guards against requests that start in an evacuated data centre, and against the other violated
+/// guarantees, while an operator evacuates a data centre during random faults.
+#[gtest]
+fn evacuations_hold_under_random_faults() {
+    let cfg = SoakSettings {
+        binary: BINARY.into(),
+        seed: 1_001,
+        rounds: 1,
+        evacuations: 1,
+        ..Default::default()
+    };
+    match soak::run(&cfg) {
+        Ok(report) => expect_that!(report.checked_evacuations, eq(1)),
+        Err(e) => add_failure!("seed {}: {e}", cfg.seed),
+    }
+}
+
 /// Guards against violated guarantees to callers, targets and operators while links, the
 /// store, targets and nodes fail one after the other and at the same time.
 #[gtest]
