--- a/crates/core/src/admission/fair_order.rs
+++ b/crates/core/src/admission/fair_order.rs
@@ -1,5 +1,5 @@
-//! What the order of starts depends on beside the waiting requests: the parts of the capacity that
-//! workspaces and priority levels have got.
+//! What the order of starts depends on besides the waiting requests: the shares of the capacity that
+//! workspaces and priority levels have received.
 
 use super::shedding::{Contender, LEVELS};
 use crate::{collections::HashMap, time::Instant};
@@ -63,7 +63,7 @@
     }
 }
 
-/// Part of the capacity that a workspace has got in one level.
+/// Share of the capacity that a workspace has received in one level.
 #[derive(Clone, Copy, Debug, Default)]
 struct Share {
     /// Slot time of the started requests, in microseconds, from the virtual time of the level on.
--- a/crates/core/src/admission/make_room.rs
+++ b/crates/core/src/admission/make_room.rs
@@ -26,14 +26,14 @@
         !self.pending_refusals.is_empty()
     }
 
-    /// Decides which request has to go when one with `urgency` arrives at a full queue.
-    pub(super) fn place_of_queued(
+    /// Decides which request is refused when one with `urgency` arrives at a full queue.
+    pub(super) fn placement_by_displacing(
         &self,
         now: Instant,
         urgency: &Urgency,
     ) -> Result<Placement, RefuseReason> {
-        let loser = self.queue.least_valuable(now, urgency, &self.service_times);
-        match loser {
+        let displaced = self.queue.least_valuable(now, urgency, &self.service_times);
+        match displaced {
             Some(ticket) if ticket != Ticket::MAX => Ok(Placement::QueueInsteadOf(ticket)),
             _ => Err(self.full_queue_reason(now)),
         }
@@ -41,12 +41,16 @@
 
     /// Returns the place of a late queued request that is less valuable than an arriving one with
     /// `urgency`; `None` if there is none.
-    pub(super) fn place_of_late(&self, now: Instant, urgency: &Urgency) -> Option<Placement> {
-        let loser = self
+    pub(super) fn placement_by_displacing_late(
+        &self,
+        now: Instant,
+        urgency: &Urgency,
+    ) -> Option<Placement> {
+        let displaced = self
             .queue
             .least_valuable(now, urgency, &self.service_times)?;
-        let is_late = self.queue.is_late(now, loser, &self.service_times);
-        is_late.then_some(Placement::QueueInsteadOf(loser))
+        let is_late = self.queue.is_late(now, displaced, &self.service_times);
+        is_late.then_some(Placement::QueueInsteadOf(displaced))
     }
 
     /// Refuses a queued request in favour of others.
@@ -72,26 +76,26 @@
         self.records
             .set_terms(offer.key, offer.urgency.class, offer.answer_by);
         if self.queue.sheds_load() {
-            self.displace_hopeless(now, ticket);
+            self.displace_unservable(now, ticket);
         }
     }
 
     /// Refuses the requests that can't be answered before their deadline now that the one with
     /// ticket `arrived` is ahead of them, so that their entries can send them elsewhere at once.
-    fn displace_hopeless(&mut self, now: Instant, arrived: Ticket) {
+    fn displace_unservable(&mut self, now: Instant, arrived: Ticket) {
         let slots = u64::from(self.limit.effective_limit()).max(1);
         let mut work_ahead_us = 0;
-        let mut hopeless = Vec::new();
+        let mut unservable = Vec::new();
         for (ticket, queued) in self.queue.in_start_order(now, &self.service_times) {
             let class = queued.urgency.class;
             let end_us = work_ahead_us / slots + self.service_times.low_estimate_us(class);
             if ticket != arrived && now.saturating_add_micros(end_us) >= queued.deadline {
-                hopeless.push(ticket);
+                unservable.push(ticket);
             } else {
                 work_ahead_us += self.service_times.mean_us(class);
             }
         }
-        for ticket in hopeless {
+        for ticket in unservable {
             self.displace(now, ticket);
         }
     }
--- a/crates/core/src/admission/start_rate.rs
+++ b/crates/core/src/admission/start_rate.rs
@@ -73,7 +73,7 @@
         is_allowed
     }
 
-    /// Returns whether the health of the target must be checked now and then although no request
+    /// Returns whether the health of the target must be checked periodically although no request
     /// arrives, because queued requests wait for a slow host or will start at a target that may become
     /// cold meanwhile.
     pub fn needs_checks_while_queued(&self, now: Instant) -> bool {
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -92,7 +92,7 @@
         let max_queued = u64::from(slots) * u64::from(self.cfg.queue_factor);
         let placement = match (self.queue.len() as u64) < max_queued {
             true => Placement::Queue,
-            false => self.place_of_queued(now, &offer.urgency)?,
+            false => self.placement_by_displacing(now, &offer.urgency)?,
         };
         let stop_at = self.earliest_stop(offer.answer_by);
         let end = now.saturating_add_micros(self.predicted_time_us(now, &offer.urgency));
@@ -111,7 +111,7 @@
             self.queue.late_count(now, &self.service_times) < self.limit.effective_limit() as usize;
         let late_placement = match has_room {
             true => Some(placement),
-            false => self.place_of_late(now, &offer.urgency),
+            false => self.placement_by_displacing_late(now, &offer.urgency),
         };
         late_placement
             .filter(|_| !offer.has_alternative)
--- a/crates/core/src/admission/warm_up.rs
+++ b/crates/core/src/admission/warm_up.rs
@@ -1,4 +1,4 @@
-//! Limit on the requests that a cold target gets, and its end by degrees.
+//! Limit on the requests that a cold target gets, and the gradual end of that limit.
 
 use std::collections::VecDeque;
 
@@ -24,7 +24,7 @@
 /// cold gets at most seven requests more than its rate times 1.5 in any second.
 const UNCOMPENSATED_STARTS: f64 = 6.0;
 
-/// Error of the instant at which a target became cold, in microseconds: the way of the health check and
+/// Error of the instant at which a target became cold, in microseconds: the latency of the health check and
 /// the rounding of its statement.
 const COLD_SINCE_ERROR_US: u64 = 20_000;
 
--- a/crates/core/src/balance/coldness.rs
+++ b/crates/core/src/balance/coldness.rs
@@ -74,7 +74,7 @@
             max_left_us: request.deadline.micros_since(now) * SIMILAR_TIME_PERCENT / 100,
             priority: request.priority,
         };
-        // A refusal of a more urgent request says more.
+        // A refusal of a more urgent request also applies to less urgent ones.
         let old = self.coldness.refusal.filter(|old| now < old.until);
         if old.is_none_or(|old| refusal.priority <= old.priority) {
             self.coldness.refusal = Some(refusal);
--- a/crates/core/src/balance/room.rs
+++ b/crates/core/src/balance/room.rs
@@ -13,7 +13,7 @@
 const MIN_RETRY_AFTER_US: u64 = 50_000;
 
 impl Balancer {
-    /// Returns the time until the targets of a service will have worked off what they have now, so
+    /// Returns the time until the targets of a service will have completed their backlog, so
     /// that a request can start, in microseconds; `None` without recent samples.
     ///
     /// The targets share their backlogs, as each refused request may be sent to any of them.
--- a/crates/core/src/balance/start_limits.rs
+++ b/crates/core/src/balance/start_limits.rs
@@ -72,7 +72,7 @@
     }
 
     /// Returns whether all targets that could get a request are cold and none can start it before its
-    /// deadline, so that a message to any of them would be in vain.
+    /// deadline, so that any of them would refuse it.
     pub fn is_too_cold(
         &self,
         now: Instant,
@@ -90,12 +90,12 @@
         let candidates = candidates.unwrap_or_default();
         let is_in_use =
             |candidate: &&Candidate<'_>| self.nodes[candidate.node].ejection.is_in_use();
-        let is_in_vain = |candidate: &Candidate<'_>| {
+        let cannot_start_in_time = |candidate: &Candidate<'_>| {
             let estimate = candidate.estimate;
             estimate.is_cold(now) && !estimate.may_start(now, request)
         };
         let mut in_use = candidates.iter().filter(is_in_use).peekable();
-        in_use.peek().is_some() && in_use.all(is_in_vain)
+        in_use.peek().is_some() && in_use.all(cannot_start_in_time)
     }
 
     /// Notes when samples stop telling that a target is cold, for [`Balancer::is_too_cold`].
--- a/crates/node/src/config_recheck.rs
+++ b/crates/node/src/config_recheck.rs
@@ -1,7 +1,7 @@
 //! Asks peers for the configuration after this node has started or was suspended, before decisions rely
 //! on it.
 //!
-//! After a suspension, the news of changes may still wait in the node's sockets while requests that arrived
+//! After a suspension, notices of changes may still wait in the node's sockets while requests that arrived
 //! earlier start. After a start, the last record of the store may hold an older version than the one in
 //! force, which running nodes have ignored.
 
@@ -117,7 +117,7 @@
 async fn ask_peers(node: Rc<Node>, asked_at: Instant, pause_us: u64) {
     let peers = random_peers(&node, ASKED_PEERS);
     let read_to = node.config.borrow().read_to();
-    // A node without peers has nobody to ask.
+    // A node without peers has no peer to ask.
     let mut is_confirmed = peers.is_empty();
     let replies = peers
         .iter()
--- a/crates/node/src/entry/caller_write.rs
+++ b/crates/node/src/entry/caller_write.rs
@@ -10,8 +10,7 @@
 /// # Errors
 ///
 /// Returns an error if the connection fails, or takes no byte for the idle timeout. A caller that
-/// never reads would otherwise keep its requests, and the slots of their targets, for as long as it
-/// likes.
+/// never reads would otherwise keep its requests, and the slots of their targets, indefinitely.
 pub(super) async fn write_to_caller(
     node: &Node,
     tx: &mut OwnedWriteHalf,
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod caller_write;
 mod conn;
 mod exchange;
+mod hedge;
 mod held_body;
 mod in_flight;
 pub(crate) mod listener;
@@ -38,6 +39,7 @@
     attempt::{Attempt, AttemptCause, AttemptEnd},
     caller_request::{BadRequest, CallerRequest},
     conn::{IncomingRequest, RequestBody},
+    hedge::{HedgePlan, wait_for_hedge},
     response::LocalResponse,
     response_writer::{CallerGone, ResponseWriter},
 };
@@ -516,43 +518,3 @@
         });
     }
 }
-
-/// When to consider a hedge for a request.
-#[derive(Clone, Copy)]
-struct HedgePlan {
-    /// Next check whether the target is slow.
-    check_at: Instant,
-    /// When the hedge is sent even if the target is not slow: twice the 95th percentile of the
-    /// service's latency from the start of the first attempt.
-    overdue_at: Instant,
-}
-
-impl HedgePlan {
-    fn new(node: &Node, request: &CallerRequest) -> Option<Self> {
-        if !request.is_buffered() {
-            return None;
-        }
-        let now = node.now();
-        let mut retries = node.retry_budgets.borrow_mut();
-        let service = request.policy.service.as_str();
-        let p95_at = retries.hedge_at(
-            now,
-            service,
-            request.policy.idempotent,
-            request.hedged,
-            request.deadline,
-        )?;
-        let check_interval_us = retries.hedge_check_interval_us(service)?;
-        Some(HedgePlan {
-            check_at: now.saturating_add_micros(check_interval_us),
-            overdue_at: p95_at.saturating_add_micros(p95_at.micros_since(now)),
-        })
-    }
-}
-
-async fn wait_for_hedge(node: &Node, plan: Option<HedgePlan>) {
-    match plan {
-        Some(plan) => node.clock.sleep_until(plan.check_at).await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/node/src/entry/shedding.rs
+++ b/crates/node/src/entry/shedding.rs
@@ -1,12 +1,12 @@
-//! When a caller may send a request again that was refused for want of capacity.
+//! When a caller may repeat a request that was refused for lack of capacity.
 
 use plantainpost_core::{admission::RefuseReason, balance};
 
 use crate::{entry::caller_request::RequestPolicy, node::Node};
 
-/// Reasons of refusals after which the request can be started once targets have worked off what they
-/// have.
-const WANT_OF_CAPACITY: [RefuseReason; 5] = [
+/// Reasons of refusals for lack of capacity. The request can be started once the targets have completed
+/// their backlog.
+const CAPACITY_REASONS: [RefuseReason; 5] = [
     RefuseReason::Overloaded,
     RefuseReason::Displaced,
     RefuseReason::Deadline,
@@ -17,7 +17,7 @@
 /// Returns the time after which the caller of a refused request should send it again, in
 /// microseconds; `None` if load is not shed, or if the refusal has another reason.
 pub(super) fn retry_after_us(node: &Node, policy: &RequestPolicy, reason: &str) -> Option<u64> {
-    let is_for_capacity = WANT_OF_CAPACITY
+    let is_for_capacity = CAPACITY_REASONS
         .iter()
         .any(|refusal| refusal.as_str() == reason);
     let sheds_load = node.guard.borrow().sheds_load();
