Membership: spread changes mostly within a data centre

Cause: changed records went to random peers of the whole fleet, and pings and acks to another data centre were filled with up to 32 changed and 6 unchanged records.

Change: a quarter of the peers of a push, rounded up, and a quarter of the table syncs go to other data centres; pings and acks there carry at most three changed records and one unchanged one. Every member that learns of a change passes it on, so a data centre needs few copies from outside. Probes are as before, so that failures are detected as fast.

The new test fails without the change (8 of 8 copies to other data centres, up to 19 records in a ping).

--- a/crates/core/examples/membership/main.rs
+++ b/crates/core/examples/membership/main.rs
@@ -24,7 +24,7 @@
         return cost::print(members);
     }
     println!(
-        "{:<26} {:>5} {:>5} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+        "{:<26} {:>5} {:>5} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
         "scenario",
         "n",
         "seed",
@@ -34,7 +34,8 @@
         "f.susp",
         "f.dead",
         "B/s",
-        "max B/s"
+        "max B/s",
+        "remote"
     );
     for (name, run) in SCENARIOS {
         if args.len() > 2 && !args[2..].iter().any(|a| a == name) {
--- a/crates/core/examples/membership/sim/hosts.rs
+++ b/crates/core/examples/membership/sim/hosts.rs
@@ -13,6 +13,14 @@
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, a, b, c)), 7_100)
 }
 
+/// Names of the data centres, which the hosts belong to in turn.
+const DATA_CENTRES: [&str; 4] = ["pos", "arima", "chaguanas", "sando"];
+
+/// Returns whether two hosts are in different data centres.
+pub(crate) fn is_remote(a: usize, b: usize) -> bool {
+    a % DATA_CENTRES.len() != b % DATA_CENTRES.len()
+}
+
 /// Returns a record of a node at the `i`th host, as long as in a real fleet.
 pub(crate) fn record(name: &str, i: usize, incarnation: u64) -> MemberRecord {
     let addr = addr(i);
@@ -24,7 +32,7 @@
         ip: addr.ip(),
         tcp_port: 7_101,
         udp_port: addr.port(),
-        data_centre: DataCentre::from(["pos", "arima", "chaguanas", "sando"][i % 4]),
+        data_centre: DataCentre::from(DATA_CENTRES[i % DATA_CENTRES.len()]),
         region: Region::from(["trinidad", "ashanti"][i % 2]),
         target: Some(TargetInfo {
             service: ServiceName::from(format!("service-{}.example", i % 49).as_str()),
--- a/crates/core/examples/membership/sim/mod.rs
+++ b/crates/core/examples/membership/sim/mod.rs
@@ -6,6 +6,7 @@
 mod hosts;
 pub(crate) mod scenario;
 
+use hosts::is_remote;
 pub(crate) use hosts::{addr, record};
 
 use std::{
@@ -90,6 +91,8 @@
     /// If set, nodes below this index and the other nodes can't reach each other.
     pub(crate) partition_at: Option<usize>,
     pub(crate) observed: Vec<ObservedEvent>,
+    /// Bytes sent between data centres so far.
+    pub(crate) remote_bytes: u64,
     settings: MemberSettings,
     rng: StdRng,
     queue: BinaryHeap<Reverse<(Instant, u64)>>,
@@ -107,6 +110,7 @@
             network,
             partition_at: None,
             observed: Vec::new(),
+            remote_bytes: 0,
             settings,
             rng: StdRng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
@@ -279,7 +283,11 @@
     fn send(&mut self, i: usize, to: SocketAddr, message: Message) {
         let len = message.encoded_len();
         assert!(len <= MAX_MESSAGE_BYTES, "{len} bytes: {message:?}");
-        self.nodes[i].sent_bytes += len as u64 + DATAGRAM_OVERHEAD_BYTES;
+        let bytes = len as u64 + DATAGRAM_OVERHEAD_BYTES;
+        self.nodes[i].sent_bytes += bytes;
+        if self.by_addr.get(&to).is_some_and(|&to| is_remote(i, to)) {
+            self.remote_bytes += bytes;
+        }
         let from = self.nodes[i].member.local().udp_addr();
         let message = Rc::new(message);
         let copies = 1 + u32::from(self.chance(self.network.duplicate_permille));
--- a/crates/core/examples/membership/sim/scenario.rs
+++ b/crates/core/examples/membership/sim/scenario.rs
@@ -4,7 +4,7 @@
 
 use plantainpost_core::{
     member::{MemberEvent, MemberSettings, MemberState, TargetInfo},
-    time::Instant,
+    time::{Instant, MICROS_PER_SECOND},
 };
 
 use super::{Network, Sim};
@@ -29,6 +29,8 @@
     pub(crate) mean_bytes_per_second: u64,
     /// Maximum over the nodes, sent and received together.
     pub(crate) max_bytes_per_second: u64,
+    /// Mean over the nodes, sent to other data centres.
+    pub(crate) remote_bytes_per_second: u64,
 }
 
 impl fmt::Display for Report {
@@ -39,13 +41,14 @@
         };
         write!(
             f,
-            "{reached:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+            "{reached:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
             self.mean_ms,
             self.suspicions_raised,
             self.false_suspicions,
             self.false_deaths,
             self.mean_bytes_per_second,
-            self.max_bytes_per_second
+            self.max_bytes_per_second,
+            self.remote_bytes_per_second
         )
     }
 }
@@ -56,6 +59,7 @@
     /// Deaths before this instant are not counted as false.
     deaths_from: Instant,
     bytes: Vec<(u64, u64)>,
+    remote_bytes: u64,
     suspicions: u64,
 }
 
@@ -65,6 +69,7 @@
             start: sim.now,
             deaths_from: sim.now,
             bytes: sim.bytes(),
+            remote_bytes: sim.remote_bytes,
             suspicions: total_suspicions(sim),
         }
     }
@@ -85,6 +90,8 @@
             false_deaths: sim.count(self.deaths_from, |s| s.subject_reachable && died(&s.event)),
             mean_bytes_per_second: both.iter().sum::<u64>() / both.len().max(1) as u64,
             max_bytes_per_second: both.iter().copied().max().unwrap_or_default(),
+            remote_bytes_per_second: (sim.remote_bytes - self.remote_bytes) * MICROS_PER_SECOND
+                / (sim.now.micros_since(self.start).max(1) * both.len().max(1) as u64),
         }
     }
 }
--- a/crates/core/src/member/receive.rs
+++ b/crates/core/src/member/receive.rs
@@ -103,7 +103,9 @@
             read_to: self.read_to,
             records: Vec::new(),
         };
-        let ack = self.add_piggyback(ack, &to_refute);
+        let sender = self.table.get(from.as_str());
+        let sender = sender.map(|e| e.record.data_centre.clone());
+        let ack = self.add_piggyback(ack, sender.as_ref(), &to_refute);
         self.send(cx, to, ack);
     }
 
--- a/crates/core/src/member/send.rs
+++ b/crates/core/src/member/send.rs
@@ -2,11 +2,14 @@
 
 use std::net::SocketAddr;
 
-use rand::Rng;
+use rand::{Rng, RngExt};
 
 use super::{Action, MAX_MEMBER_RECORD_BYTES, MAX_MESSAGE_BYTES, MemberRecord, MemberState};
 use super::{Membership, Message};
-use crate::{ids::NodeName, time::Instant};
+use crate::{
+    ids::{DataCentre, NodeName},
+    time::Instant,
+};
 
 /// Bytes of a datagram besides the message: IP and UDP headers (28), truncated HMAC
 /// (16) and envelope (2).
@@ -19,6 +22,15 @@
 /// Changed records considered for one message. More do not fit.
 const MAX_PIGGYBACKED_RECORDS: usize = 32;
 
+/// Changed records in a ping or an ack to another data centre.
+const MAX_CHANGED_TO_REMOTE: usize = 3;
+
+/// Unchanged records in a ping or an ack to another data centre.
+const MAX_UNCHANGED_TO_REMOTE: usize = 1;
+
+/// One of so many peers that a changed record is pushed to is in another data centre, rounded up.
+const PEERS_PER_REMOTE_PEER: usize = 4;
+
 /// Context of one call of the state machine: the time, the random source and the
 /// actions to return.
 pub(super) struct StepContext<'a> {
@@ -94,20 +106,35 @@
         cx.actions.push(Action::Send { to, message });
     }
 
-    /// Sends a message to up to `n` random peers, and returns their number.
+    /// Sends a message with changed records to up to `n` peers, and returns their number.
     pub(super) fn send_to_peers(
         &mut self,
         cx: &mut StepContext<'_>,
         n: usize,
         message: &Message,
     ) -> usize {
-        let peers = self.random_peers(n, cx.rng);
-        for (_, to) in &peers {
+        let peers = self.near_and_remote_peers(n, cx.rng);
+        for to in &peers {
             self.send(cx, *to, message.clone());
         }
         peers.len()
     }
 
+    /// Returns the addresses of up to `n` distinct random members that are alive: a quarter of them in
+    /// other data centres, the others in the local one as far as it has members.
+    ///
+    /// Every member that learns of a change passes it on, so that a data centre gets as many copies from
+    /// its own members as it needs, and traffic between data centres is more expensive.
+    fn near_and_remote_peers(&self, n: usize, rng: &mut dyn Rng) -> Vec<SocketAddr> {
+        let alive = |r: &MemberRecord| r.state == MemberState::Alive;
+        let is_near = |r: &MemberRecord| r.data_centre == self.local.data_centre;
+        let mut near = self.table.sample(n, rng, |r| alive(r) && is_near(r));
+        let mut remote = self.table.sample(n, rng, |r| alive(r) && !is_near(r));
+        near.truncate(n - n.div_ceil(PEERS_PER_REMOTE_PEER).min(remote.len()));
+        remote.truncate(n - near.len());
+        near.iter().chain(&remote).map(|r| r.udp_addr()).collect()
+    }
+
     /// Sends one record without charging a byte budget.
     pub(super) fn send_record(
         &mut self,
@@ -121,18 +148,27 @@
 
     /// Adds records to a ping or an ack: the local record, the records that the
     /// receiver should refute, changed records, and a few unchanged ones.
+    ///
+    /// A receiver in another data centre gets only a few of the last two kinds. Its own data centre
+    /// passes them on.
     pub(super) fn add_piggyback(
         &mut self,
         message: Message,
+        receiver: Option<&DataCentre>,
         to_refute: &[MemberRecord],
     ) -> Message {
+        let is_remote = receiver.is_some_and(|dc| *dc != self.local.data_centre);
+        let (max_changed, max_unchanged) = match is_remote {
+            true => (MAX_CHANGED_TO_REMOTE, MAX_UNCHANGED_TO_REMOTE),
+            false => (MAX_PIGGYBACKED_RECORDS, usize::MAX),
+        };
         let mut builder = MessageBuilder::new(message);
         self.add_local_record(&mut builder);
         for record in to_refute {
             builder.try_add(record);
         }
-        self.add_changed_records(&mut builder);
-        for _ in 0..self.settings.unchanged_records_per_probe {
+        self.add_changed_records(&mut builder, max_changed);
+        for _ in 0..self.settings.unchanged_records_per_probe.min(max_unchanged) {
             if !self
                 .table
                 .next_in_rotation()
@@ -150,10 +186,10 @@
         }
     }
 
-    fn add_changed_records(&mut self, builder: &mut MessageBuilder) {
+    fn add_changed_records(&mut self, builder: &mut MessageBuilder, max: usize) {
         let max_sends = (self.table.len() + 2).ilog2() + 3;
         let known = |name: &NodeName| self.table.get(name.as_str());
-        let names = self.gossip.next_piggybacked(MAX_PIGGYBACKED_RECORDS);
+        let names = self.gossip.next_piggybacked(max);
         let taken = names.iter();
         let taken = taken.take_while(|n| known(n).is_none_or(|e| builder.try_add(&e.record)));
         let taken = taken.count();
@@ -167,6 +203,19 @@
         peers.map(|r| (r.name.clone(), r.udp_addr())).collect()
     }
 
+    /// Returns a random peer to compare tables with: one of another data centre in a quarter of the
+    /// calls, so that most differing records stay within the data centre.
+    pub(super) fn sync_peer(&self, rng: &mut dyn Rng) -> Option<SocketAddr> {
+        let wants_remote = rng.random_ratio(1, PEERS_PER_REMOTE_PEER as u32);
+        let is_wanted = |r: &MemberRecord| {
+            r.state == MemberState::Alive
+                && wants_remote == (r.data_centre != self.local.data_centre)
+        };
+        let wanted = self.table.sample(1, rng, is_wanted).pop();
+        let peer = wanted.map(|r| r.udp_addr());
+        peer.or_else(|| self.random_peers(1, rng).pop().map(|(_, addr)| addr))
+    }
+
     /// Returns the next sequence number, which is never zero. The first one is random,
     /// so that answers to an earlier incarnation of this node match no probe.
     pub(super) fn next_seq(&mut self, rng: &mut dyn Rng) -> u32 {
--- a/crates/core/src/member/sync.rs
+++ b/crates/core/src/member/sync.rs
@@ -70,7 +70,7 @@
         if cx.now < self.sync.next_at {
             return;
         }
-        let Some((_, to)) = self.random_peers(1, cx.rng).pop() else {
+        let Some(to) = self.sync_peer(cx.rng) else {
             return;
         };
         let seq = self.next_seq(cx.rng);
--- a/crates/core/src/member/tick.rs
+++ b/crates/core/src/member/tick.rs
@@ -7,7 +7,7 @@
 use super::probe::{Probe, ProbeSubject, Verification};
 use super::send::{MessageBuilder, StepContext, build_records_message, datagram_bytes};
 use super::{Action, MemberRecord, MemberState, Membership, Message};
-use crate::ids::NodeName;
+use crate::ids::{DataCentre, NodeName};
 use crate::time::{Instant, MICROS_PER_MILLI};
 
 /// Interval between two purges of dead members.
@@ -80,7 +80,11 @@
             if indirect {
                 self.counters.indirect_probes += 1;
                 self.send_ping_reqs(cx, seq, &record);
-                let ping = self.add_piggyback(ping, &records_to_refute(&record));
+                let ping = self.add_piggyback(
+                    ping,
+                    Some(&record.data_centre),
+                    &records_to_refute(&record),
+                );
                 self.send(cx, record.udp_addr(), ping);
             } else if record.state == MemberState::Suspect {
                 self.send_ping_to_refute(cx, ping, &record);
@@ -221,7 +225,8 @@
             false => ProbeSubject::Member(name, record.incarnation),
         };
         self.counters.probes += 1;
-        self.send_probe(cx, subject, record.udp_addr(), to_refute);
+        let to = (record.udp_addr(), Some(&record.data_centre));
+        self.send_probe(cx, subject, to, to_refute);
     }
 
     fn probe_contact(&mut self, cx: &mut StepContext<'_>) {
@@ -229,7 +234,7 @@
             |addr: &&SocketAddr| **addr != self.local.udp_addr() && !self.table.has_addr(**addr);
         let contacts: Vec<SocketAddr> = self.contacts.iter().filter(unknown).copied().collect();
         if let Some(&addr) = contacts.choose(cx.rng) {
-            self.send_probe(cx, ProbeSubject::Contact, addr, &[]);
+            self.send_probe(cx, ProbeSubject::Contact, (addr, None), &[]);
         }
     }
 
@@ -237,11 +242,11 @@
         &mut self,
         cx: &mut StepContext<'_>,
         subject: ProbeSubject,
-        to: SocketAddr,
+        (to, data_centre): (SocketAddr, Option<&DataCentre>),
         to_refute: &[MemberRecord],
     ) {
         let ping = self.start_probe(cx, subject);
-        let ping = self.add_piggyback(ping, to_refute);
+        let ping = self.add_piggyback(ping, data_centre, to_refute);
         self.send(cx, to, ping);
     }
 
--- a/crates/core/tests/member/rules.rs
+++ b/crates/core/tests/member/rules.rs
@@ -1,5 +1,7 @@
 //! Tests of the rules of the membership protocol at a single member.
 
+use std::net::SocketAddr;
+
 use googletest::prelude::*;
 use plantainpost_core::{
     ids::{Incarnation, NodeName},
@@ -256,6 +258,35 @@
     );
 }
 
+/// Guards against changes that cross to other data centres more often than needed. Every member that
+/// learns of a change passes it on, so that a few copies per member suffice.
+#[gtest]
+fn changes_spread_mostly_within_the_data_centre() {
+    let mut member = member();
+    let peers: Vec<MemberRecord> = (1..60)
+        .map(|i| record(&format!("p{i}"), i, INCARNATION))
+        .collect();
+    for peers in peers.chunks(8) {
+        receive_records(&mut member, 0, peers);
+    }
+    let local = member.local().data_centre.clone();
+    let is_remote = |to: &SocketAddr| {
+        let receiver = peers.iter().find(|peer| peer.udp_addr() == *to);
+        receiver.is_some_and(|peer| peer.data_centre != local)
+    };
+    for ms in (100..30_000).step_by(100) {
+        for (to, message) in sent_messages(&member.tick(at(ms), &mut rng())) {
+            if matches!(message, Message::Ping { .. }) && is_remote(&to) {
+                expect_that!(message.records().len(), le(6));
+            }
+        }
+    }
+    let notices = sent_messages(&member.leave(at(30_000), &mut rng()));
+    expect_that!(notices.len(), eq(8));
+    let remote = notices.iter().filter(|(to, _)| is_remote(to)).count();
+    expect_that!(remote, eq(2));
+}
+
 /// Guards against a configuration version that is missed or that decreases.
 #[gtest]
 fn peer_that_has_read_further_is_reported() {
