Membership: probe several contacts at once after the start

What callers saw: after all nodes had lost power, requests failed for about a second after the nodes were back (reason no-target).

The attempts for nodes that start together were counted before the contacts were known, so that there were none.

Change: with its first contacts a node probes eight of them within 400 ms, and makes the early attempts.

--- a/crates/core/examples/membership/main.rs
+++ b/crates/core/examples/membership/main.rs
@@ -57,6 +57,12 @@
 
 const SCENARIOS: &[(&str, ScenarioFn)] = &[
     ("cold-start", |_, start| start.clone()),
+    ("late-contacts-half", |sim, _| {
+        scenario::start_with_late_contacts(sim.nodes.len(), sim.nodes.len() / 2, 1)
+    }),
+    ("late-contacts-all", |sim, _| {
+        scenario::start_with_late_contacts(sim.nodes.len(), sim.nodes.len(), 1)
+    }),
     ("steady-300s", |sim, _| scenario::steady(sim, 300)),
     ("suspected", |sim, _| scenario::suspect(sim, 7)),
     ("dead", |sim, _| scenario::kill(sim, &[7])),
--- a/crates/core/examples/membership/sim/mod.rs
+++ b/crates/core/examples/membership/sim/mod.rs
@@ -91,6 +91,8 @@
     /// If set, nodes below this index and the other nodes can't reach each other.
     pub(crate) partition_at: Option<usize>,
     pub(crate) observed: Vec<ObservedEvent>,
+    /// Addresses that a node knows when it starts.
+    pub(crate) contacts: Vec<SocketAddr>,
     /// Bytes sent between data centres so far.
     pub(crate) remote_bytes: u64,
     settings: MemberSettings,
@@ -110,6 +112,7 @@
             network,
             partition_at: None,
             observed: Vec::new(),
+            contacts: (0..4).map(addr).collect(),
             remote_bytes: 0,
             settings,
             rng: StdRng::seed_from_u64(seed),
@@ -134,10 +137,9 @@
         let i = self.nodes.len();
         let incarnation = 1_796_000_000_000_000 + self.now.as_micros();
         let local = record(name, i, incarnation);
-        let contacts = [addr(0), addr(1), addr(2), addr(3)];
         let node = Node {
             start_incarnation: local.incarnation,
-            member: Membership::new(self.settings.clone(), local, &contacts, self.now),
+            member: Membership::new(self.settings.clone(), local, &self.contacts, self.now),
             running: true,
             frozen: false,
             backlog: Vec::new(),
@@ -160,10 +162,9 @@
         let mut local = self.nodes[i].member.local().clone();
         local.state = MemberState::Alive;
         local.incarnation = Incarnation(1_796_000_000_000_000 + self.now.as_micros());
-        let contacts = [addr(0), addr(1), addr(2), addr(3)];
         let settings = self.settings.clone();
         self.nodes[i].start_incarnation = local.incarnation;
-        self.nodes[i].member = Membership::new(settings, local, &contacts, self.now);
+        self.nodes[i].member = Membership::new(settings, local, &self.contacts, self.now);
         self.nodes[i].running = true;
         let micros = self.rng.random_range(0..TICK_MS * 1_000);
         self.schedule(
--- a/crates/core/examples/membership/sim/scenario.rs
+++ b/crates/core/examples/membership/sim/scenario.rs
@@ -1,13 +1,13 @@
 //! Scenarios and their reports.
 
-use std::fmt;
+use std::{fmt, net::SocketAddr};
 
 use plantainpost_core::{
     member::{MemberEvent, MemberSettings, MemberState, TargetInfo},
     time::{Instant, MICROS_PER_SECOND},
 };
 
-use super::{Network, Sim};
+use super::{Network, Sim, addr};
 
 /// Longest time that a scenario waits for the awaited state.
 const MAX_WAIT_MS: u64 = 10 * 60 * 1_000;
@@ -113,6 +113,26 @@
     (sim, report)
 }
 
+/// Starts `n` nodes at once that get the addresses of all others 100 ms later, as from a store, and waits
+/// until each knows `wanted` members.
+pub(crate) fn start_with_late_contacts(n: usize, wanted: usize, seed: u64) -> Report {
+    let mut sim = Sim::new(seed, Network::default(), MemberSettings::default());
+    sim.contacts = Vec::new();
+    sim.start_fleet(n);
+    let measurement = Measurement::start(&sim);
+    sim.run_ms(100);
+    let contacts: Vec<SocketAddr> = (0..n).map(addr).collect();
+    for node in &mut sim.nodes {
+        node.member.add_contacts(&contacts);
+    }
+    let knows_enough = |sim: &Sim| {
+        let known = |i: usize| sim.nodes[i].member.members().count();
+        (0..n).all(|i| known(i) >= wanted)
+    };
+    let reached = sim.run_until(MAX_WAIT_MS, knows_enough);
+    measurement.report(&sim, reached.map(|ms| ms + 100))
+}
+
 /// Runs a converged fleet without disturbance.
 pub(crate) fn steady(sim: &mut Sim, seconds: u64) -> Report {
     let measurement = Measurement::start(sim);
--- a/crates/core/src/member/membership.rs
+++ b/crates/core/src/member/membership.rs
@@ -20,6 +20,12 @@
 /// they form separate groups that join only 10 s later.
 const MAX_EARLY_RECONNECTS: usize = 8;
 
+/// Contacts that are probed as soon as a node has its first contacts.
+///
+/// In a fleet that starts as a whole, most of them run, and each answers with the records that it has
+/// collected so far. With one contact per probe interval, a node knew no target for about a second.
+const MAX_EARLY_CONTACT_PROBES: usize = 8;
+
 /// Membership of one node.
 ///
 /// The incarnation of the local record should be greater than those of earlier runs of
@@ -44,6 +50,8 @@
     pub(super) next_reconnect: Instant,
     /// Remaining attempts to reach unknown contacts once per probe interval.
     pub(super) early_reconnects: usize,
+    /// Remaining probes of unknown contacts, a few per tick.
+    pub(super) early_contact_probes: usize,
     pub(super) next_purge: Instant,
     /// When suspicions are checked next: not later than the last probe or the expiry of
     /// any suspicion in `table`.
@@ -84,6 +92,7 @@
             next_probe: now,
             next_reconnect: now.saturating_add_millis(settings.probe_interval_ms),
             early_reconnects: contacts.len().min(MAX_EARLY_RECONNECTS),
+            early_contact_probes: contacts.len().min(MAX_EARLY_CONTACT_PROBES),
             next_purge: now,
             next_suspicion_scan: Instant::MAX,
             last_tick: now,
@@ -132,6 +141,10 @@
     /// Adds addresses of contacts, which are tried while no member is known and to
     /// rejoin a partitioned fleet.
     pub fn add_contacts(&mut self, contacts: &[SocketAddr]) {
+        if self.contacts.is_empty() {
+            self.early_reconnects = contacts.len().min(MAX_EARLY_RECONNECTS);
+            self.early_contact_probes = contacts.len().min(MAX_EARLY_CONTACT_PROBES);
+        }
         for contact in contacts {
             if !self.contacts.contains(contact) {
                 self.contacts.push(*contact);
--- a/crates/core/src/member/tick.rs
+++ b/crates/core/src/member/tick.rs
@@ -16,6 +16,10 @@
 /// Verification probes sent per tick.
 const VERIFICATIONS_PER_TICK: usize = 1;
 
+/// Unknown contacts that are probed per tick after the first ones were added. Spread over several ticks, the
+/// later ones find contacts that have started meanwhile and know more members.
+const CONTACTS_PER_TICK: usize = 2;
+
 /// Messages with changed records that may be pushed per tick within the byte budget. Each
 /// goes to `fanout` peers.
 const PUSHES_PER_TICK: usize = 2;
@@ -33,6 +37,7 @@
         self.expire_suspicions(&mut cx);
         self.push_changes(&mut cx);
         self.probe_next(&mut cx);
+        self.probe_new_contacts(&mut cx);
         self.send_verification_probes(&mut cx);
         self.reconnect_lost_members(&mut cx);
         self.start_due_sync(&mut cx);
@@ -284,6 +289,14 @@
         }
     }
 
+    /// Probes unknown contacts after the first ones were added.
+    fn probe_new_contacts(&mut self, cx: &mut StepContext<'_>) {
+        for _ in 0..self.early_contact_probes.min(CONTACTS_PER_TICK) {
+            self.early_contact_probes -= 1;
+            self.probe_contact(cx);
+        }
+    }
+
     /// Sends queued verification probes, except to members whose incarnation has become
     /// higher than the reported one.
     fn send_verification_probes(&mut self, cx: &mut StepContext<'_>) {
--- a/crates/core/tests/member/fleet.rs
+++ b/crates/core/tests/member/fleet.rs
@@ -220,6 +220,15 @@
     check(&[row(12, reordering(), 81), row(60, lossy(), 82)])
 }
 
+/// Guards against members that start together, get their contacts from the store, and know no target for a
+/// second, because they probe one contact per probe interval. Quotas expect that members know the fleet
+/// 500 ms after their start.
+#[gtest]
+fn members_that_start_together_find_each_other_through_late_contacts() {
+    let report = scenario::start_with_late_contacts(80, 40, 71);
+    expect_that!(report.reached_ms, some(le(500)));
+}
+
 /// Guards against configuration versions of members that never reach all members: they are
 /// not disseminated as changes, but spread only with unchanged records. The bound is the
 /// longest time that a scenario waits, because the design gives none.
