Entry: let requests wait for the fleet right after the start

What callers saw: right after the start of a node, requests were refused as no-configuration or no-target, although the node had the routes 60 ms later and the first targets after 200 ms. After a restart of the whole fleet all callers were refused.

Cause: the entry decided on a request at once, as if it knew the fleet.

Change: for 500 ms after the start, a request without routes or without an eligible target waits for a change of the configuration or the fleet, and is decided again.

--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -294,12 +294,19 @@
 
 /// Determines the policy of a request from its head alone. Before it refuses a key, it waits until the
 /// configuration may be relied on: the key may have been added while this node was suspended, and
-/// callers do not send a request again after 401.
+/// callers do not send a request again after 401. A node that has just started waits for its
+/// configuration.
 pub(crate) async fn request_policy(
     node: &Rc<Node>,
     head: &RequestHead,
 ) -> Result<RequestPolicy, BadRequest> {
-    let policy = known_policy(node, head);
+    let (startup, clock) = (&node.startup, node.clock);
+    let mut policy = known_policy(node, head);
+    while matches!(policy, Err(BadRequest::NoConfiguration))
+        && startup.wait_for_change(clock, Instant::MAX).await
+    {
+        policy = known_policy(node, head);
+    }
     let is_unknown = matches!(policy, Err(BadRequest::Key(KeyError::Unknown)));
     match is_unknown && config_recheck::wait_until_current(node).await {
         true => known_policy(node, head),
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -221,7 +221,7 @@
                 reached_target: false,
             };
         }
-        if let Err(reason) = self.start_attempt(AttemptCause::First) {
+        if let Err(reason) = self.start_first_attempt().await {
             return AttemptEnd::NotRun {
                 reason,
                 reached_target: false,
@@ -265,6 +265,18 @@
         }
     }
 
+    /// Starts the first attempt, when there is a target if this node has just started.
+    async fn start_first_attempt(&mut self) -> Result<(), &'static str> {
+        let (startup, clock) = (&self.node.startup, self.node.clock);
+        loop {
+            let started = self.start_attempt(AttemptCause::First);
+            let may_change = started.is_err();
+            if !may_change || !startup.wait_for_change(clock, self.request.deadline).await {
+                return started;
+            }
+        }
+    }
+
     fn start_attempt(&mut self, cause: AttemptCause) -> Result<(), &'static str> {
         let now = self.node.now();
         let claim = self
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -47,6 +47,7 @@
     apply_local_config(node);
     update_balancer_targets(node);
     set_retry_budget_share(node);
+    node.startup.notify();
 }
 
 /// Passes the state of the target on this host from the guard to the membership.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,7 @@
 mod reload;
 pub mod settings;
 mod start;
+mod startup;
 mod status;
 mod stop;
 mod store_sync;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -46,6 +46,7 @@
     quota::QuotaState,
     reload::SettingsState,
     settings::{NodeSettings, Routing},
+    startup::Startup,
     target_pool::TargetPool,
     trace::TraceRing,
 };
@@ -110,6 +111,8 @@
     pub(crate) evacuations: AppliedEvacuations,
     /// Services that the balancer has targets for.
     pub(crate) known_services: RefCell<Vec<ServiceName>>,
+    /// Requests that wait because this node has just started.
+    pub(crate) startup: Startup,
     /// Wakes the tasks that wait for the decision on a confirmation.
     pub(crate) config_changed: Notify,
     /// Memory for responses whose callers can't receive them yet.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -36,6 +36,7 @@
 mod silent_connections;
 mod soak;
 mod stale_configuration;
+mod startup;
 mod stop;
 mod target_statements;
 mod uploads;
