Predicted completion: compute each score once per choice

Cause: the choice of a near target compared the sampled candidates by a closure that computed both scores in each comparison, and a candidate over the limit was scored again among all. With 5 near and 2 far targets in the sample this was up to 21 scores. The nearest data centre was also determined three times.

Change: the sample is scored once, into a buffer that is reused, and the nearest data centre is determined once.

--- a/crates/core/src/balance/predicted_completion.rs
+++ b/crates/core/src/balance/predicted_completion.rs
@@ -34,6 +34,8 @@
     cfg: ScoreSettings,
     /// Indices of the current sample, a field only to reuse the allocation.
     sampled: Vec<usize>,
+    /// Index and predicted completion time of each candidate in `sampled`, in the same order.
+    scored: Vec<(usize, f64)>,
 }
 
 impl PredictedCompletion {
@@ -44,7 +46,7 @@
     pub fn new(cfg: ScoreSettings) -> Self {
         PredictedCompletion {
             cfg,
-            sampled: Vec::new(),
+            ..PredictedCompletion::default()
         }
     }
 
@@ -54,8 +56,12 @@
         self.sampled.extend(draws);
     }
 
-    fn sample_by_distance(&mut self, req: &ChoiceRequest<'_>, rng: &mut dyn Rng) {
-        let nearest = nearest_data_centre(req);
+    fn sample_by_distance(
+        &mut self,
+        req: &ChoiceRequest<'_>,
+        nearest: Option<&str>,
+        rng: &mut dyn Rng,
+    ) {
         for (is_nearest, size) in [(true, NEAREST_SAMPLE_SIZE), (false, REMOTE_SAMPLE_SIZE)] {
             let indices = (0..req.candidates.len()).filter(|index| {
                 (Some(req.candidates[*index].data_centre) == nearest) == is_nearest
@@ -67,6 +73,21 @@
             self.sampled.extend(indices.sample(rng, size));
         }
     }
+
+    /// Predicts the completion time of each sampled candidate.
+    fn score_sample(&mut self, req: &ChoiceRequest<'_>, weights_differ: bool) {
+        let cfg = &self.cfg;
+        let scored = self.sampled.iter().map(|&index| {
+            let score = Score::new(req.now, &req.candidates[index], cfg);
+            let ignored_us = match weights_differ {
+                true => score.distance_us + score.transfer_us,
+                false => 0.0,
+            };
+            (index, score.total_us() - ignored_us)
+        });
+        self.scored.clear();
+        self.scored.extend(scored);
+    }
 }
 
 /// Returns how many of `near` candidates in the nearest data centre are sampled. Half of them are left
@@ -83,54 +104,52 @@
     fn choose_candidate(&mut self, req: &ChoiceRequest<'_>, rng: &mut dyn Rng) -> Option<usize> {
         let first = req.candidates.first()?;
         let weights_differ = req.candidates.iter().any(|c| c.weight != first.weight);
+        let nearest = nearest_data_centre(req);
         self.sampled.clear();
         if weights_differ {
             self.sample_by_weight(req, rng);
         } else {
-            if let Some(index) = initial_choice(req) {
+            if let Some(index) = initial_choice(req, nearest) {
                 return Some(index);
             }
-            self.sample_by_distance(req, rng);
+            self.sample_by_distance(req, nearest, rng);
         }
         // Sampling a short list keeps its order. Without shuffling, the first candidate would win
         // every tie.
         self.sampled.shuffle(rng);
-        let completion_us = |index: &usize| {
-            let score = Score::new(req.now, &req.candidates[*index], &self.cfg);
-            score.total_us()
-                - if weights_differ {
-                    score.distance_us + score.transfer_us
-                } else {
-                    0.0
-                }
-        };
-        let best = |indices: &mut dyn Iterator<Item = usize>| {
-            indices.min_by(|a, b| completion_us(a).total_cmp(&completion_us(b)))
-        };
+        self.score_sample(req, weights_differ);
+        let is_near = |index: usize| Some(req.candidates[index].data_centre) == nearest;
         if let Some(limit_us) = req.near_limit_us.filter(|_| !weights_differ) {
-            let nearest = nearest_data_centre(req);
-            let is_near = |index: &usize| Some(req.candidates[*index].data_centre) == nearest;
-            let near_count = (0..req.candidates.len()).filter(is_near).count();
-            let near = best(&mut self.sampled.iter().copied().filter(is_near));
-            if near_count >= MIN_PREFERRED_CANDIDATES
-                && near.is_some_and(|index| completion_us(&index) <= limit_us as f64)
+            let near = self.scored.iter().filter(|(index, _)| is_near(*index));
+            let best_near = near.min_by(|(_, a), (_, b)| a.total_cmp(b));
+            if let Some((index, completion_us)) = best_near
+                && *completion_us <= limit_us as f64
+                && near_count(req, nearest) >= MIN_PREFERRED_CANDIDATES
             {
-                return near;
+                return Some(*index);
             }
         }
-        best(&mut self.sampled.iter().copied())
+        let best = self.scored.iter().min_by(|(_, a), (_, b)| a.total_cmp(b));
+        best.map(|(index, _)| *index)
     }
 }
 
+/// Returns the number of candidates in the nearest data centre.
+fn near_count(req: &ChoiceRequest<'_>, nearest: Option<&str>) -> usize {
+    let candidates = req.candidates.iter();
+    candidates
+        .filter(|candidate| Some(candidate.data_centre) == nearest)
+        .count()
+}
+
 /// Returns the choice for an entry's first request if it has no observations of the targets in the
 /// nearest data centre.
 ///
 /// The position of the entry selects the target, which spreads entries that start at once. If 50
 /// entries choose between two targets at random, the most loaded one gets a third more than the
 /// mean.
-fn initial_choice(req: &ChoiceRequest<'_>) -> Option<usize> {
+fn initial_choice(req: &ChoiceRequest<'_>, nearest: Option<&str>) -> Option<usize> {
     let position = req.first_request_position?;
-    let nearest = nearest_data_centre(req);
     let mut indices: Vec<usize> = (0..req.candidates.len())
         .filter(|index| Some(req.candidates[*index].data_centre) == nearest)
         .collect();
