--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -6,6 +6,7 @@
 
 mod balancer;
 mod baseline;
+mod choice;
 mod coldness;
 mod ejection;
 mod eligible;
@@ -22,8 +23,9 @@
 mod start_limits;
 mod subset;
 
-pub use balancer::{Balancer, ChoiceError, TargetView};
+pub use balancer::{Balancer, TargetView};
 pub use baseline::{LeastInFlight, RandomChoice, RoundRobin, TwoChoicesReported};
+pub use choice::ChoiceError;
 pub use coldness::WaitingRequest;
 pub use ejection::EjectionReason;
 pub use eligible::TargetQuery;
