Balancer: decide on a request without looking at all targets of its service

Cause: the targets in the subset of an entry were found by a filter over all targets of the service, several times for each request. With allowed regions, the ranks of all targets were also collected and partially sorted each time.

Change: a service keeps the indices of its subset, and for each region the indices of the preferred targets, at most as many as a subset has. Both are rebuilt when the targets change.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -125,7 +125,7 @@
             }
         });
         let service_targets = self.services.entry(name).or_default();
-        let previous = std::mem::replace(&mut service_targets.targets, targets.collect());
+        let previous = service_targets.replace(targets.collect(), self.cfg.subset_size);
         self.begin_slow_starts(now, service, &previous);
         self.restore_excess_ejections(now, service);
     }
@@ -302,9 +302,7 @@
         }
         let previous = std::mem::replace(state, NodeState::new(now, service, target.slots));
         if let Some(previous_service) = self.services.get_mut(&previous.service) {
-            previous_service
-                .targets
-                .retain(|other| other.node.as_str() != target.node);
+            previous_service.remove_node(target.node, self.cfg.subset_size);
         }
     }
 
--- a/crates/core/src/balance/eligible.rs
+++ b/crates/core/src/balance/eligible.rs
@@ -3,7 +3,7 @@
 
 use super::{
     Balancer, ChoiceError, TargetView,
-    service_targets::ServiceTarget,
+    service_targets::{ServiceTarget, ServiceTargets},
     subset::{rendezvous_order, with_near_part},
 };
 use crate::{
@@ -91,7 +91,7 @@
             return;
         }
         let targets = self.services.get(service).into_iter();
-        for target in targets.flat_map(|service| &service.targets) {
+        for target in targets.flat_map(ServiceTargets::all) {
             let was_evacuated = previous
                 .iter()
                 .any(|old| old.evacuated && old.node == target.node);
--- a/crates/core/src/balance/explain.rs
+++ b/crates/core/src/balance/explain.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Balancer, EjectionReason, Score,
-    service_targets::{build_candidate, target_usage},
+    service_targets::{ServiceTargets, build_candidate, target_usage},
 };
 use crate::{
     eligibility::Ineligibility,
@@ -75,7 +75,7 @@
 impl Balancer {
     /// Returns, for each target of a service, whether it is used and the parts of its score.
     pub fn explain(&self, now: Instant, service: &str) -> Vec<Explanation> {
-        let targets = self.services.get(service).map(|service| &service.targets);
+        let targets = self.services.get(service).map(ServiceTargets::all);
         targets
             .into_iter()
             .flatten()
--- a/crates/core/src/balance/service_targets.rs
+++ b/crates/core/src/balance/service_targets.rs
@@ -1,5 +1,7 @@
 //! The targets of each service and the state kept about their nodes.
 
+use std::borrow::Cow;
+
 use super::{
     BalancerSettings, Candidate, ChoiceError, TargetEstimate, TargetUsage,
     ejection::{EjectionState, EjectionTracker},
@@ -51,14 +53,62 @@
 
 #[derive(Debug, Default)]
 pub(super) struct ServiceTargets {
-    pub(super) targets: Vec<ServiceTarget>,
+    targets: Vec<ServiceTarget>,
+    /// Indices of the targets with `in_subset`, ascending. A decision thus looks only at the targets
+    /// that the entry uses, however many the service has.
+    subset: Vec<usize>,
+    /// Indices of the targets of each region by rank, at most as many as a subset has.
+    by_region: Vec<(Region, Vec<usize>)>,
     /// When a request for the service last asked for a target, whether or not one was found.
     pub(super) last_request: Option<Instant>,
 }
 
 impl ServiceTargets {
+    /// Replaces the targets, of which an entry uses `size`, and returns the previous ones.
+    pub(super) fn replace(
+        &mut self,
+        targets: Vec<ServiceTarget>,
+        size: usize,
+    ) -> Vec<ServiceTarget> {
+        let previous = std::mem::replace(&mut self.targets, targets);
+        self.index(size);
+        previous
+    }
+
+    /// Removes the target on a node.
+    pub(super) fn remove_node(&mut self, node: &str, size: usize) {
+        self.targets.retain(|target| target.node.as_str() != node);
+        self.index(size);
+    }
+
+    fn index(&mut self, size: usize) {
+        let in_subset = |index: &usize| self.targets[*index].in_subset;
+        self.subset = (0..self.targets.len()).filter(in_subset).collect();
+        let mut ranked: Vec<(usize, usize)> = self
+            .targets
+            .iter()
+            .enumerate()
+            .filter_map(|(index, target)| Some((target.rank?, index)))
+            .collect();
+        ranked.sort_unstable();
+        self.by_region.clear();
+        for (_, index) in ranked {
+            let region = &self.targets[index].region;
+            match self.by_region.iter_mut().find(|(known, _)| known == region) {
+                Some((_, indices)) if indices.len() < size => indices.push(index),
+                Some(_) => {}
+                None => self.by_region.push((region.clone(), vec![index])),
+            }
+        }
+    }
+
+    /// Returns all targets.
+    pub(super) fn all(&self) -> &[ServiceTarget] {
+        &self.targets
+    }
+
     pub(super) fn subset_targets(&self) -> impl Iterator<Item = &ServiceTarget> {
-        self.targets.iter().filter(|target| target.in_subset)
+        self.subset.iter().map(|index| &self.targets[*index])
     }
 
     /// Returns the targets that this entry uses for requests with these allowed regions: the first
@@ -68,24 +118,24 @@
         regions: AllowedRegions<'a>,
         size: usize,
     ) -> impl Iterator<Item = &'a ServiceTarget> {
-        let end = match regions.is_unrestricted() {
-            true => size,
-            false => self.subset_end(regions, size),
+        let indices = match regions.is_unrestricted() {
+            true => Cow::Borrowed(self.subset.as_slice()),
+            false => Cow::Owned(self.allowed_subset(regions, size)),
         };
-        self.targets.iter().filter(move |target| {
-            target.rank.is_some_and(|rank| rank < end) && regions.allows(target.region.as_str())
-        })
-    }
-
-    /// Returns the rank below which there are `size` targets in allowed regions, or all of them.
-    fn subset_end(&self, regions: AllowedRegions<'_>, size: usize) -> usize {
-        let allowed = self.targets.iter();
-        let allowed = allowed.filter(|target| regions.allows(target.region.as_str()));
-        let mut ranks: Vec<usize> = allowed.filter_map(|target| target.rank).collect();
-        if ranks.len() <= size {
-            return usize::MAX;
+        (0..indices.len()).map(move |at| &self.targets[indices[at]])
+    }
+
+    /// Returns the indices of the first `size` targets in allowed regions by rank, in ascending order.
+    fn allowed_subset(&self, regions: AllowedRegions<'_>, size: usize) -> Vec<usize> {
+        let by_region = self.by_region.iter();
+        let allowed = by_region.filter(|(region, _)| regions.allows(region.as_str()));
+        let mut indices: Vec<usize> = allowed.flat_map(|(_, indices)| indices).copied().collect();
+        if indices.len() > size {
+            indices.select_nth_unstable_by_key(size, |index| self.targets[*index].rank);
+            indices.truncate(size);
         }
-        *ranks.select_nth_unstable(size).1
+        indices.sort_unstable();
+        indices
     }
 
     pub(super) fn has_recent_traffic(&self, now: Instant, cfg: &BalancerSettings) -> bool {
@@ -152,7 +202,7 @@
         .filter(|(target, state)| target.facts(now, state).check().is_ok())
         .collect();
     if usable.is_empty() {
-        let all = service.targets.iter().map(with_state);
+        let all = service.all().iter().map(with_state);
         let facts = all.map(|(target, state)| target.facts(now, state));
         return Err(match eligibility::explain_absence(facts, scope.regions) {
             Absence::NoTarget => ChoiceError::NoTarget,
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -16,6 +16,8 @@
 
 #[path = "balance/cold.rs"]
 mod cold;
+#[path = "balance/decision_cost.rs"]
+mod decision_cost;
 #[path = "balance/ejection.rs"]
 mod ejection;
 
