Shedding: calls of running work go first also without workspaces

Cause: a guard takes requests without a workspace for calls that targets make for running work, and starts them before others of the same value. Without workspaces no request has one, so that calls and new requests were equal.

Change: without workspaces, a request has no share only if its connection comes from the address at which the entry was reached, which is that of the target's host. All other requests have one common share. It is sent in the field for the workspace, so that the protocol between nodes is the same. With workspaces nothing changes.

--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -44,7 +44,8 @@
     pub class: u32,
     /// Priority; 0 is the highest.
     pub priority: u32,
-    /// Workspace that the request belongs to, as a hash of its name; 0 for none.
+    /// Share of the capacity that the request is charged to: its workspace as a hash of the name, 0 for
+    /// calls of targets; see [`capacity_share`](crate::workspace::capacity_share).
     pub workspace: u32,
     /// Instant at which the latency target is missed; `None` without a latency target.
     pub due: Option<Instant>,
--- a/crates/core/src/workspace/mod.rs
+++ b/crates/core/src/workspace/mod.rs
@@ -7,7 +7,7 @@
 mod usage;
 
 pub use self::{
-    access::{Identity, KeyClaim, KeyError, SentKey, identify},
+    access::{Identity, KeyClaim, KeyError, SentKey, capacity_share, identify},
     usage::{RequestCounts, WorkspaceUsage},
 };
 
--- a/crates/core/tests/admission_shedding.rs
+++ b/crates/core/tests/admission_shedding.rs
@@ -75,6 +75,9 @@
     }
 }
 
+/// Index of the calls in [`three_levels`].
+const CALLS: usize = 2;
+
 /// All of the above at the same targets: three levels.
 fn three_levels() -> Load {
     let mut streams = reads_and_orders().streams;
@@ -304,3 +307,34 @@
         }
     }
 }
+
+/// Guards against calls for running reads that are lost in favour of new reads of the same priority. A
+/// read whose calls are lost has run in vain.
+#[gtest]
+fn calls_of_running_work_are_served_first() {
+    // Calls whose latency target is shorter than that of reads go first in any case.
+    for due_us in [250_000, 2_000_000] {
+        for usual in [0.9, 1.1] {
+            // Without the distinction, all requests are charged to the share of the calls.
+            let [mixed, calls_first] = [0, 1].map(|share| {
+                let mut load = three_levels().at_usual_load(usual);
+                for (index, stream) in load.streams.iter_mut().enumerate() {
+                    stream.workspace = if index == CALLS { 0 } else { share };
+                }
+                load.streams[CALLS].due_us = due_us;
+                load.streams[CALLS].timeout_us = due_us + 1_000_000;
+                let outcomes = run(&load, Order::Shedding, SEEDS);
+                let served: Vec<f64> = outcomes.iter().map(Outcome::served).collect();
+                let lost = lost_value(&load, &outcomes);
+                println!("calls due after {due_us} us, {usual}: {served:.3?}, lost {lost:.0}");
+                served
+            });
+            expect_that!(calls_first[CALLS], ge(0.99), "{due_us} {usual}");
+            expect_that!(calls_first[CALLS], ge(mixed[CALLS]), "{due_us} {usual}");
+            // The less urgent levels pay nothing for it.
+            for index in [1, 3] {
+                expect_that!(calls_first[index], ge(mixed[index] - 0.01), "{index}");
+            }
+        }
+    }
+}
--- a/crates/core/tests/workspace_access.rs
+++ b/crates/core/tests/workspace_access.rs
@@ -9,7 +9,7 @@
     routing::{CallerLimits, Repeat, Route, RouteTable, Share},
     workspace::{
         KeyClaim, KeyError, KeyHash, RequestCounts, SentKey, Workspace, WorkspaceError,
-        WorkspaceTable, WorkspaceUsage, identify,
+        WorkspaceTable, WorkspaceUsage, capacity_share, identify,
     },
 };
 
@@ -180,3 +180,19 @@
     let (all, _) = usage.busiest(usize::MAX);
     expect_that!(all.len(), le(4_096));
 }
+
+/// Guards against calls of targets that compete with new requests as equals, and against requests of
+/// callers that are taken for calls.
+#[gtest]
+fn calls_of_targets_have_no_share() {
+    let kola = workspace("kola", &["k"]);
+    let with = table(1, Some(vec![kola.clone()]));
+    let without = table(1, None);
+    for is_from_own_host in [false, true] {
+        let of_kola = capacity_share(&with, Some(&kola), is_from_own_host);
+        expect_that!(of_kola, eq(kola.share_id()));
+        expect_that!(capacity_share(&with, None, is_from_own_host), eq(0));
+    }
+    expect_that!(capacity_share(&without, None, true), eq(0));
+    expect_that!(capacity_share(&without, None, false), ne(0));
+}
--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -83,6 +83,8 @@
     pub(crate) workspace: Option<Rc<Workspace>>,
     /// Key by which the request belongs to `workspace`; `None` without one.
     pub(crate) claim: Option<KeyClaim>,
+    /// See [`workspace::capacity_share`].
+    pub(crate) capacity_share: u32,
     /// Version of the configuration that the policy comes from; zero if none is known.
     pub(crate) version: u64,
 }
@@ -179,7 +181,7 @@
         Urgency {
             class: route.request_class(),
             priority: own_priority.unwrap_or(route.priority),
-            workspace: workspace.map_or(0, Workspace::share_id),
+            workspace: self.policy.capacity_share,
             due: Some(
                 self.received_at
                     .saturating_add_millis(route.latency_target_ms),
@@ -298,16 +300,21 @@
 pub(crate) async fn request_policy(
     node: &Rc<Node>,
     head: &RequestHead,
+    is_from_own_host: bool,
 ) -> Result<RequestPolicy, BadRequest> {
-    let policy = known_policy(node, head);
+    let policy = known_policy(node, head, is_from_own_host);
     let is_unknown = matches!(policy, Err(BadRequest::Key(KeyError::Unknown)));
     match is_unknown && config_recheck::wait_until_current(node).await {
-        true => known_policy(node, head),
+        true => known_policy(node, head, is_from_own_host),
         false => policy,
     }
 }
 
-fn known_policy(node: &Node, head: &RequestHead) -> Result<RequestPolicy, BadRequest> {
+fn known_policy(
+    node: &Node,
+    head: &RequestHead,
+    is_from_own_host: bool,
+) -> Result<RequestPolicy, BadRequest> {
     let host = requested_host(head).ok_or(BadRequest::InvalidHost)?;
     match node.settings.routing {
         Routing::ByHostName => Ok(policy_by_host_name(
@@ -315,7 +322,7 @@
             ServiceName::from(&*host),
             &head.method,
         )),
-        Routing::ByRouteTable => policy_by_route_table(node, &host, head),
+        Routing::ByRouteTable => policy_by_route_table(node, &host, head, is_from_own_host),
     }
 }
 
@@ -330,6 +337,7 @@
         route: None,
         workspace: None,
         claim: None,
+        capacity_share: 0,
         version: register.version().unwrap_or_default(),
     }
 }
@@ -338,6 +346,7 @@
     node: &Node,
     host: &str,
     head: &RequestHead,
+    is_from_own_host: bool,
 ) -> Result<RequestPolicy, BadRequest> {
     let register = node.config.borrow();
     let table = register.routes().ok_or(BadRequest::NoConfiguration)?;
@@ -353,6 +362,7 @@
         max_targets_reached: route.attempts,
         timeout_ms: route.timeout_ms,
         route: Some(Rc::clone(route)),
+        capacity_share: workspace::capacity_share(table, workspace.as_deref(), is_from_own_host),
         workspace,
         claim,
         version: table.version(),
--- a/crates/node/src/entry/conn.rs
+++ b/crates/node/src/entry/conn.rs
@@ -22,6 +22,7 @@
 
 use super::{
     caller_write::write_to_caller,
+    listener::is_from_own_host,
     response,
     response_writer::{
         CallerGone, CallerResponseHead, PendingResponse, ResponsePart, ResponseWriter,
@@ -55,6 +56,7 @@
     pub(crate) body: RequestBody,
     /// When the head was completely received.
     pub(crate) received_at: Instant,
+    pub(crate) is_from_own_host: bool,
     pub(crate) writer: ResponseWriter,
 }
 
@@ -114,6 +116,7 @@
 
 struct CallerConn {
     node: Rc<Node>,
+    is_from_own_host: bool,
     rx: OwnedReadHalf,
     tx: OwnedWriteHalf,
     read_buf: BytesMut,
@@ -141,10 +144,12 @@
 
 /// Serves a connection until it ends.
 pub(super) async fn serve_caller_conn(node: Rc<Node>, io: TcpStream, handler: RequestHandler) {
+    let is_from_own_host = is_from_own_host(&io);
     let (rx, tx) = io.into_split();
     let now = node.now();
     let mut conn = CallerConn {
         node,
+        is_from_own_host,
         rx,
         tx,
         read_buf: BytesMut::new(),
@@ -350,6 +355,7 @@
         let incoming = IncomingRequest {
             body: RequestBody { rx: body },
             received_at: self.node.now(),
+            is_from_own_host: self.is_from_own_host,
             head,
             writer,
         };
--- a/crates/node/src/entry/listener.rs
+++ b/crates/node/src/entry/listener.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use slog::warn;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use super::conn::{CLOSE_DELAY_MS, RequestHandler, serve_caller_conn};
 use crate::node::Node;
@@ -27,6 +27,15 @@
     }
 }
 
+/// Returns whether a connection comes from this host, as those of its target do. A connection that has
+/// already failed counts as one from another host.
+pub(super) fn is_from_own_host(io: &TcpStream) -> bool {
+    match (io.peer_addr(), io.local_addr()) {
+        (Ok(peer), Ok(local)) => peer.ip() == local.ip(),
+        _ => false,
+    }
+}
+
 /// Accepts connections of callers until the node closes its caller connections to stop, and for
 /// [`CLOSE_DELAY_MS`] longer.
 pub(crate) async fn accept_callers(
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -37,7 +37,7 @@
 
 use self::{
     attempt::{Attempt, AttemptCause, AttemptEnd},
-    caller_request::{BadRequest, CallerRequest},
+    caller_request::{BadRequest, CallerRequest, RequestPolicy},
     conn::{IncomingRequest, RequestBody},
     hedge::{HedgePlan, wait_for_hedge},
     response::LocalResponse,
@@ -64,6 +64,7 @@
         head,
         body,
         received_at,
+        is_from_own_host,
         writer,
     } = incoming;
     let id = caller_request::new_request_id();
@@ -72,7 +73,9 @@
         return refuse_at_stop(&node, &public_id, writer).await;
     }
     let public_id = caller_request::public_id(&node, id, &head);
-    let request = receive_before_timeout(&node, id, &public_id, received_at, head, body).await;
+    let policy = caller_request::request_policy(&node, &head, is_from_own_host).await;
+    let request =
+        receive_before_timeout(&node, id, &public_id, policy, received_at, head, body).await;
     let sent = match request {
         Ok(request) => {
             let request = Rc::new(request);
@@ -124,12 +127,12 @@
     node: &Rc<Node>,
     id: RequestId,
     public_id: &Bytes,
+    policy: Result<RequestPolicy, BadRequest>,
     received_at: Instant,
     head: RequestHead,
     body: RequestBody,
 ) -> Result<CallerRequest, LocalResponse> {
     let to_response = |reason| LocalResponse::bad_request(reason, CallerOutcome::NotRun);
-    let policy = caller_request::request_policy(node, &head).await;
     let policy = policy.map_err(to_response)?;
     let body_deadline = received_at.saturating_add_millis(policy.timeout_ms);
     let request = caller_request::receive_request(
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -4,12 +4,13 @@
 use std::{
     fs,
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
 
+use actix_rt::net::TcpSocket;
 use plantainpost_standin::{
     fleet::{self, TempDir},
     log::{self, LogHandle, LogSettings},
@@ -361,9 +362,26 @@
 /// Sends bytes and returns what it receives until the end of the connection. Returns an
 /// empty text if the listener accepts no connection.
 pub(crate) fn exchange(addr: SocketAddr, bytes: &[u8]) -> String {
-    let Ok(mut io) = TcpStream::connect(addr) else {
-        return String::new();
+    match TcpStream::connect(addr) {
+        Ok(io) => exchange_on(io, bytes),
+        Err(_) => String::new(),
+    }
+}
+
+/// Like [`exchange`], over a connection from the address `from`.
+pub(crate) fn exchange_from(from: IpAddr, addr: SocketAddr, bytes: &[u8]) -> String {
+    let connect = async || -> std::io::Result<TcpStream> {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind((from, 0).into())?;
+        let io = socket.connect(addr).await?.into_std()?;
+        io.set_nonblocking(false)?;
+        Ok(io)
     };
+    let io = actix_rt::System::new().block_on(connect());
+    exchange_on(io.expect("the node accepts"), bytes)
+}
+
+fn exchange_on(mut io: TcpStream, bytes: &[u8]) -> String {
     io.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a timeout");
     io.write_all(bytes).expect("the node reads");
     let mut text = Vec::new();
