--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -2,6 +2,7 @@
 //! refuses them, and relays them to the target on this host.
 
 pub(crate) mod cold;
+mod framing;
 mod key_check;
 mod link;
 mod relay;
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -10,20 +10,20 @@
     ResponseHead as TargetResponseHead,
 };
 use plantainpost_wire::message::{
-    BodyLength, FailReason, Header, MAX_BODY_FRAME_BYTES, MAX_EAGER_BODY_BYTES, PeerMessage,
-    PeerResponseHead,
+    BodyLength, FailReason, MAX_BODY_FRAME_BYTES, PeerMessage, PeerResponseHead,
 };
 use slog::{info, warn};
 
 use super::{
     ConnState,
+    framing::{has_body, needs_continue, request_framing, response_length, target_headers},
     link::{ExchangeLink, LinkEvent},
     relay_time::RelayTime,
     request::{BODY_DRAIN_TIMEOUT_MS, PendingRequest, handle_link_event, send_refusal},
     slot::Slot,
     target_headers::record_target_headers,
 };
-use crate::{headers, node::Node};
+use crate::node::Node;
 
 /// Status with which a target sheds load, and of a health check that fails.
 pub(super) const SERVICE_UNAVAILABLE: u16 = 503;
@@ -312,55 +312,6 @@
     }
 }
 
-/// Returns `true` if the entry keeps part of the body until it is sent a `Continue` message.
-pub(super) fn needs_continue(length: BodyLength) -> bool {
-    match length {
-        BodyLength::None => false,
-        BodyLength::Sized(length) => length > MAX_EAGER_BODY_BYTES as u64,
-        BodyLength::Chunked => true,
-    }
-}
-
-fn request_framing(length: BodyLength) -> Framing {
-    match length {
-        BodyLength::None => Framing::None,
-        BodyLength::Sized(length) => Framing::Sized(length),
-        BodyLength::Chunked => Framing::Chunked,
-    }
-}
-
-/// Returns the body length of a response as stated to the entry.
-fn response_length(framing: Framing) -> BodyLength {
-    match framing {
-        Framing::None => BodyLength::None,
-        Framing::Sized(length) => BodyLength::Sized(length),
-        Framing::Chunked | Framing::UntilClose => BodyLength::Chunked,
-    }
-}
-
-fn has_body(length: BodyLength) -> bool {
-    !matches!(length, BodyLength::None | BodyLength::Sized(0))
-}
-
-/// Returns the headers of a request for the target.
-fn target_headers(node: &Node, req: &PendingRequest) -> Vec<Header> {
-    let names = &node.settings.headers;
-    let mut headers: Vec<Header> = req.head.headers.clone();
-    headers.retain(headers::is_valid_header);
-    let remaining_ms = req.deadline.micros_since(node.now()) / 1_000;
-    let remaining_ms = remaining_ms.max(1).to_string();
-    headers.push(headers::header(names.timeout_ms, remaining_ms));
-    let target = node.guard.borrow().target(node.now()).cloned();
-    if let (Some(name), Some(target)) = (names.expected_target, target) {
-        let id = Bytes::copy_from_slice(target.id.as_bytes());
-        headers.push(headers::header(name, id));
-    }
-    if req.head.hedged {
-        headers.push(headers::header(headers::HEDGED, "1"));
-    }
-    headers
-}
-
 /// Sends the response to the entry.
 async fn send_response(
     node: &Rc<Node>,
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -16,7 +16,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    ConnState, InboundConn,
+    ConnState, InboundConn, framing,
     key_check::{check_key, refuse_if_withdrawn, wait_for_key_change},
     link::{ExchangeLink, LinkEvent},
     relay,
@@ -96,7 +96,7 @@
 impl PendingRequest {
     /// Returns `true` if the entry sends the body unasked, or was asked for it.
     fn is_body_expected(&self) -> bool {
-        self.continue_sent || !relay::needs_continue(self.head.body)
+        self.continue_sent || !framing::needs_continue(self.head.body)
     }
 
     /// Returns the name of the workspace for logs.
