--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod held_body;
 mod in_flight;
 pub(crate) mod listener;
+mod outcome;
 mod response;
 mod response_writer;
 mod shedding;
@@ -31,7 +32,6 @@
     time::Instant,
 };
 use plantainpost_http1::RequestHead;
-use plantainpost_wire::message::FailReason;
 
 pub(crate) use self::response::CallerOutcome;
 
@@ -41,7 +41,7 @@
     conn::{IncomingRequest, RequestBody},
     hedge::{HedgePlan, wait_for_hedge},
     response::LocalResponse,
-    response_writer::{CallerGone, ResponseWriter},
+    response_writer::ResponseWriter,
 };
 use slog::info;
 use tokio::sync::Notify;
@@ -49,8 +49,7 @@
 use crate::{
     node::Node,
     quota::{self, OverQuota},
-    trace::{AttemptTrace, RequestTrace},
-    workspace_usage,
+    trace::AttemptTrace,
 };
 
 /// Spawns the task that responds to one request of a caller.
@@ -442,82 +441,4 @@
         self.node.metrics.count("entry.retry");
         self.start_attempt(AttemptCause::Retry).is_ok()
     }
-
-    fn record_attempt(&mut self, attempt: &Attempt, end: &AttemptEnd) {
-        self.traces.push(AttemptTrace {
-            node: attempt.peer.clone(),
-            cause: attempt.cause.as_str(),
-            result: end.describe(),
-            micros: self.node.now().micros_since(attempt.started_at),
-        });
-    }
-
-    /// Records how the request ended and sends the response.
-    async fn finish_request(
-        self,
-        end: AttemptEnd,
-        writer: ResponseWriter,
-    ) -> Result<(), CallerGone> {
-        let (node, request) = (self.node, self.request);
-        self.record_trace(&end);
-        let names = &node.settings.headers;
-        let response = match end {
-            AttemptEnd::Response(response) => return response.forward(request, writer).await,
-            AttemptEnd::NotRun { .. } if request.check_key(node).is_err() => {
-                node.metrics.count("entry.unauthorized");
-                LocalResponse::key_withdrawn()
-            }
-            AttemptEnd::NotRun { reason, .. } => {
-                let service = request.policy.service.as_str();
-                let regions = request.policy.allowed_regions();
-                let balancer = node.balancer.borrow();
-                let start_wait_us = balancer.start_wait_us(node.now(), service, regions);
-                drop(balancer);
-                LocalResponse::not_run(reason)
-                    .with_retry_after(start_wait_us)
-                    .with_exact_retry_after(shedding::retry_after_us(node, &request.policy, reason))
-            }
-            AttemptEnd::OverQuota(refusal) => LocalResponse::over_quota(refusal.wait_us),
-            AttemptEnd::Unknown(reason) => {
-                // The guard may report the deadline slightly before the local clock reaches it.
-                let is_past_deadline = reason == FailReason::Deadline.as_str();
-                LocalResponse::unknown(reason, is_past_deadline || node.now() >= request.deadline)
-            }
-            AttemptEnd::BadRequest(reason) => {
-                LocalResponse::bad_request(reason, CallerOutcome::Unknown)
-            }
-        };
-        response.send(names, &request.public_id, writer).await
-    }
-
-    fn record_trace(self, end: &AttemptEnd) {
-        let (node, request) = (self.node, self.request);
-        let outcome = end.outcome();
-        let micros = node.now().micros_since(request.received_at);
-        node.metrics.count(match outcome {
-            CallerOutcome::Answered => "entry.answered",
-            CallerOutcome::NotRun => "entry.not_run",
-            CallerOutcome::Unknown => "entry.unknown",
-        });
-        node.metrics.latency("entry.head_us", micros);
-        if let Some(workspace) = &request.policy.workspace {
-            workspace_usage::record(node, &workspace.name, outcome);
-        }
-        let attempts: Vec<String> = self.traces.iter().map(AttemptTrace::describe).collect();
-        info!(node.logger, "request ended"; "request" => %request.public_id_text(),
-            "service" => request.policy.service.as_str(),
-            "route" => request.policy.route.as_ref().map(|route| route.name.to_string()),
-            "workspace" => request.policy.workspace.as_ref().map(|w| w.name.to_string()),
-            "version" => request.policy.version, "outcome" => outcome.as_str(),
-            "result" => end.describe(), "attempts" => attempts.join(", "), "us" => micros);
-        node.traces.borrow_mut().push(RequestTrace {
-            id: request.id,
-            service: request.policy.service.as_str().to_owned(),
-            method: request.method.clone(),
-            idempotent: request.policy.idempotent,
-            outcome: outcome.as_str(),
-            micros,
-            attempts: self.traces,
-        });
-    }
 }
