--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -34,6 +34,7 @@
 mod refuse;
 mod resend;
 mod service_time;
+mod settings;
 mod shedding;
 mod start_rate;
 mod target;
@@ -45,13 +46,14 @@
 pub use self::{
     closed::ClosedReason,
     counters::Counters,
-    guard::{Guard, GuardSettings},
+    guard::Guard,
     kept_answers::{KeptAnswers, KeptAnswersSettings},
     leave::TargetLeave,
     limit::LimitSettings,
     pace::PaceSettings,
     resend::ResendSettings,
     service_time::ComparisonSettings,
+    settings::GuardSettings,
     target::{AnnouncedTarget, Announcement, AnnouncementEffect, TargetInstance},
     types::{
         Admission, DispatchDecision, ExchangeOutcome, FenceState, Offer, RefuseReason, RequestKey,
