Tests of cost ratios: take the median of alternating batches

Cause: decision_cost_does_not_grow_with_the_nodes compared the fastest batches of both sizes, and failed in 1 of 12 runs at a load average of 17 to 23 (41.8 and 67.4 us, although batches alternate): a batch took 8 ms, and all batches of one size were slowed down.

Change: 400 short batches alternate, and the median of the ratios of neighbours counts. The bound on the time falls from 1.5 to 1.2. The test of the order of starts alternates in the same way, with the same bound.

--- a/crates/core/tests/admission_displacement.rs
+++ b/crates/core/tests/admission_displacement.rs
@@ -280,26 +280,30 @@
 /// Guards against an order whose determination takes time quadratic in the length of the queue.
 #[gtest]
 fn arrival_at_a_long_queue_takes_little_time() {
-    let short_and_long = [250, 2_000].map(|waiting: u32| {
+    let mut guards = [250, 2_000].map(|waiting: u32| {
         let mut guard = guard_of(waiting, false);
-        let mut ids = 0..;
-        let mut offer_next = |guard: &mut Guard| {
-            let id = ids.next().expect("an endless range");
-            offer(guard, id, of(1, (id % 3) as u32, 0))
-        };
-        for _ in 0..2 * waiting {
-            offer_next(&mut guard);
+        for id in 0..u128::from(2 * waiting) {
+            offer(&mut guard, id, of(1, (id % 3) as u32, 0));
         }
         guard.set_shedding(true);
-        // Other processes only make an arrival slower, so that the fastest one counts.
-        let nanos = (0..20).map(|_| {
+        guard
+    });
+    // The median of the ratios counts, as other processes slow down single arrivals.
+    let mut ratios = [0.0; 21];
+    for (index, ratio) in ratios.iter_mut().enumerate() {
+        let [short, long] = guards.each_mut().map(|guard| {
             let start = std::time::Instant::now();
-            assert_that!(offer_next(&mut guard), eq(Admission::Queued));
-            start.elapsed().as_nanos() as f64
+            let urgency = of(1, index as u32 % 3, 0);
+            assert_that!(
+                offer(guard, 10_000 + index as u128, urgency),
+                eq(Admission::Queued)
+            );
+            start.elapsed().as_secs_f64()
         });
-        nanos.fold(f64::INFINITY, f64::min)
-    });
-    println!("{short_and_long:.0?} ns");
+        *ratio = long / short;
+    }
+    ratios.sort_by(f64::total_cmp);
+    println!("{ratios:.1?}");
     // 8 times as many requests wait. Sorting them takes 11 times as long, a quadratic order 64 times.
-    expect_that!(short_and_long[1] / short_and_long[0], le(16.0));
+    expect_that!(ratios[ratios.len() / 2], le(16.0));
 }
--- a/crates/core/tests/balance/decision_cost.rs
+++ b/crates/core/tests/balance/decision_cost.rs
@@ -18,16 +18,16 @@
 };
 
 const NODE_COUNTS: [usize; 2] = [30, 300];
-/// Largest ratio of the cost with more nodes to that with fewer.
-const MAX_RATIO: f64 = 1.5;
-/// Batches of each size, in alternation. The fastest of each counts, as other processes only slow
-/// batches down.
-const BATCHES: usize = 40;
-const DECISIONS: u32 = 200;
+/// Largest ratio of the time with more nodes to that with fewer.
+const MAX_TIME_RATIO: f64 = 1.2;
+/// Largest ratio of the memory for each node. Other tests in the process use memory too.
+const MAX_MEMORY_RATIO: f64 = 1.5;
+/// Batches of each size, in alternation. The median of the ratios counts: other processes slow down
+/// single batches, or both sizes alike.
+const BATCHES: usize = 400;
+const DECISIONS: u32 = 20;
 /// Targets of all balancers that are built to determine the memory of one.
 const TARGETS_IN_MEMORY: usize = 30_000;
-/// Decisions of each of them.
-const DECISIONS_IN_MEMORY: usize = 20;
 
 /// Returns an entry with samples of all targets of one service.
 fn balancer_of(nodes: usize) -> Balancer {
@@ -96,17 +96,22 @@
     ] {
         let mut balancers = NODE_COUNTS.map(balancer_of);
         let mut nanos = [f64::INFINITY; 2];
+        let mut ratios: Vec<f64> = Vec::new();
         for _ in 0..BATCHES {
-            for (balancer, least) in balancers.iter_mut().zip(&mut nanos) {
+            let pair = balancers.each_mut().map(|balancer| {
                 let start = Clock::now();
                 for _ in 0..DECISIONS {
                     decide(balancer, regions, &mut rng);
                 }
-                *least = least.min(start.elapsed().as_nanos() as f64 / f64::from(DECISIONS));
-            }
+                start.elapsed().as_nanos() as f64 / f64::from(DECISIONS)
+            });
+            ratios.push(pair[1] / pair[0]);
+            nanos = [nanos[0].min(pair[0]), nanos[1].min(pair[1])];
         }
-        println!("{name}: {nanos:.0?} ns per decision at {NODE_COUNTS:?} nodes");
-        expect_that!(nanos[1] / nanos[0], le(MAX_RATIO), "{name}");
+        ratios.sort_by(f64::total_cmp);
+        let ratio = ratios[BATCHES / 2];
+        println!("{name}: {nanos:.0?} ns per decision at {NODE_COUNTS:?} nodes, ratio {ratio:.2}");
+        expect_that!(ratio, le(MAX_TIME_RATIO), "{name}");
     }
 }
 
@@ -123,18 +128,18 @@
         let mut balancers: Vec<Balancer> = (0..count).map(|_| balancer_of(nodes)).collect();
         let built = resident_bytes();
         for balancer in &mut balancers {
-            for _ in 0..DECISIONS_IN_MEMORY {
+            for _ in 0..DECISIONS {
                 decide(balancer, AllowedRegions::default(), &mut rng);
             }
         }
         let kept = (resident_bytes() - built) / count as f64;
         let bytes = (built - before) / count as f64;
         println!("{nodes} nodes: {bytes:.0} bytes, and {kept:.0} more after the decisions");
-        expect_that!(kept / bytes, le(MAX_RATIO - 1.0), "{nodes}");
+        expect_that!(kept / bytes, le(MAX_MEMORY_RATIO - 1.0), "{nodes}");
         all.push(balancers);
         bytes / nodes as f64
     });
-    expect_that!(per_node[1] / per_node[0], le(MAX_RATIO));
+    expect_that!(per_node[1] / per_node[0], le(MAX_MEMORY_RATIO));
 }
 
 /// Returns the resident set size of this process, with pages of 4 KiB.
