--- a/crates/core/tests/admission_displacement.rs
+++ b/crates/core/tests/admission_displacement.rs
@@ -25,6 +25,10 @@
 }
 
 fn guard(sheds_load: bool) -> Guard {
+    guard_of(SLOTS, sheds_load)
+}
+
+fn guard_of(slots: u32, sheds_load: bool) -> Guard {
     let mut guard = Guard::new(GuardSettings::default());
     guard.set_shedding(sheds_load);
     guard.announce(
@@ -33,8 +37,8 @@
             instance: TargetInstance::default(),
             service: "stock",
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
-            slots: SLOTS,
-            connections: 10,
+            slots,
+            connections: slots + 8,
             expires: Instant::MAX,
             leaving: false,
         },
@@ -272,3 +276,34 @@
     // The last 9 s of two slots are 180 starts, of which a tenth is for the lowest level.
     expect_that!(low_starts, ge(10));
 }
+
+/// Guards against an order whose determination takes time quadratic in the length of the queue.
+#[gtest]
+fn arrival_at_a_long_queue_takes_little_time() {
+    let mut guards = [250, 2_000].map(|waiting: u32| {
+        let mut guard = guard_of(waiting, false);
+        for id in 0..u128::from(2 * waiting) {
+            offer(&mut guard, id, of(1, (id % 3) as u32, 0));
+        }
+        guard.set_shedding(true);
+        guard
+    });
+    // The median of the ratios counts, as other processes slow down single arrivals.
+    let mut ratios = [0.0; 21];
+    for (index, ratio) in ratios.iter_mut().enumerate() {
+        let [short, long] = guards.each_mut().map(|guard| {
+            let start = std::time::Instant::now();
+            let urgency = of(1, index as u32 % 3, 0);
+            assert_that!(
+                offer(guard, 10_000 + index as u128, urgency),
+                eq(Admission::Queued)
+            );
+            start.elapsed().as_secs_f64()
+        });
+        *ratio = long / short;
+    }
+    ratios.sort_by(f64::total_cmp);
+    println!("{ratios:.1?}");
+    // 8 times as many requests wait. Sorting them takes 11 times as long, a quadratic order 64 times.
+    expect_that!(ratios[ratios.len() / 2], le(16.0));
+}
