Membership, entry: findings of a review of the changes for starts

- A quarter of the pushes went to other data centres whatever their size: 4 members beside 40 would get 20 copies of each change.
The share is now at most that of the members there, by a draw, and so for table syncs.
- A request that waits right after the start is checked again for cold targets, is not held because of its key, and waits for the configuration only as long as its caller.
- Contacts that are probed at once are distinct, and are probed as long as no member is known, also if the settings named a contact.

--- a/crates/core/src/member/membership.rs
+++ b/crates/core/src/member/membership.rs
@@ -141,7 +141,7 @@
     /// Adds addresses of contacts, which are tried while no member is known and to
     /// rejoin a partitioned fleet.
     pub fn add_contacts(&mut self, contacts: &[SocketAddr]) {
-        if self.contacts.is_empty() {
+        if self.table.len() == 0 {
             self.early_reconnects = contacts.len().min(MAX_EARLY_RECONNECTS);
             self.early_contact_probes = contacts.len().min(MAX_EARLY_CONTACT_PROBES);
         }
--- a/crates/core/src/member/send.rs
+++ b/crates/core/src/member/send.rs
@@ -28,8 +28,8 @@
 /// Unchanged records in a ping or an ack to another data centre.
 const MAX_UNCHANGED_TO_REMOTE: usize = 1;
 
-/// One of so many peers that a changed record is pushed to is in another data centre, rounded up.
-const PEERS_PER_REMOTE_PEER: usize = 4;
+/// Largest share of the peers for changed records and table syncs that are in other data centres.
+const MAX_REMOTE_SHARE: f64 = 0.25;
 
 /// Context of one call of the state machine: the time, the random source and the
 /// actions to return.
@@ -120,21 +120,40 @@
         peers.len()
     }
 
-    /// Returns the addresses of up to `n` distinct random members that are alive: a quarter of them in
-    /// other data centres, the others in the local one as far as it has members.
+    /// Returns the addresses of up to `n` distinct random members that are alive. The members of other
+    /// data centres are chosen with [`remote_share`](Self::remote_share), the others are in the local one
+    /// as far as it has members.
     ///
     /// Every member that learns of a change passes it on, so that a data centre gets as many copies from
     /// its own members as it needs, and traffic between data centres is more expensive.
     fn near_and_remote_peers(&self, n: usize, rng: &mut dyn Rng) -> Vec<SocketAddr> {
-        let alive = |r: &MemberRecord| r.state == MemberState::Alive;
-        let is_near = |r: &MemberRecord| r.data_centre == self.local.data_centre;
-        let mut near = self.table.sample(n, rng, |r| alive(r) && is_near(r));
-        let mut remote = self.table.sample(n, rng, |r| alive(r) && !is_near(r));
-        near.truncate(n - n.div_ceil(PEERS_PER_REMOTE_PEER).min(remote.len()));
+        let mut near = self
+            .table
+            .sample(n, rng, |r| is_alive(r) && self.is_near(r));
+        let mut remote = self
+            .table
+            .sample(n, rng, |r| is_alive(r) && !self.is_near(r));
+        let wanted_remote = n as f64 * self.remote_share() + rng.random::<f64>();
+        near.truncate(n - (wanted_remote as usize).min(remote.len()));
         remote.truncate(n - near.len());
         near.iter().chain(&remote).map(|r| r.udp_addr()).collect()
     }
 
+    /// Returns the share of pushes and table syncs for other data centres: at most that of their members,
+    /// so that a small data centre isn't sent more than its members would be without a preference.
+    fn remote_share(&self) -> f64 {
+        let (mut alive, mut remote) = (0_u32, 0_u32);
+        for entry in self.table.iter().filter(|e| is_alive(&e.record)) {
+            alive += 1;
+            remote += u32::from(!self.is_near(&entry.record));
+        }
+        (f64::from(remote) / f64::from(alive.max(1))).min(MAX_REMOTE_SHARE)
+    }
+
+    fn is_near(&self, record: &MemberRecord) -> bool {
+        record.data_centre == self.local.data_centre
+    }
+
     /// Sends one record without charging a byte budget.
     pub(super) fn send_record(
         &mut self,
@@ -198,19 +217,15 @@
 
     /// Returns up to `n` distinct random members that are alive.
     pub fn random_peers(&self, n: usize, rng: &mut dyn Rng) -> Vec<(NodeName, SocketAddr)> {
-        let alive = |r: &MemberRecord| r.state == MemberState::Alive;
-        let peers = self.table.sample(n, rng, alive).into_iter();
+        let peers = self.table.sample(n, rng, is_alive).into_iter();
         peers.map(|r| (r.name.clone(), r.udp_addr())).collect()
     }
 
-    /// Returns a random peer to compare tables with: one of another data centre in a quarter of the
-    /// calls, so that most differing records stay within the data centre.
+    /// Returns a random peer to compare tables with, mostly in the local data centre, so that most
+    /// differing records stay there.
     pub(super) fn sync_peer(&self, rng: &mut dyn Rng) -> Option<SocketAddr> {
-        let wants_remote = rng.random_ratio(1, PEERS_PER_REMOTE_PEER as u32);
-        let is_wanted = |r: &MemberRecord| {
-            r.state == MemberState::Alive
-                && wants_remote == (r.data_centre != self.local.data_centre)
-        };
+        let wants_near = !rng.random_bool(self.remote_share());
+        let is_wanted = |r: &MemberRecord| is_alive(r) && self.is_near(r) == wants_near;
         let wanted = self.table.sample(1, rng, is_wanted).pop();
         let peer = wanted.map(|r| r.udp_addr());
         peer.or_else(|| self.random_peers(1, rng).pop().map(|(_, addr)| addr))
@@ -226,3 +241,7 @@
         self.seq
     }
 }
+
+fn is_alive(record: &MemberRecord) -> bool {
+    record.state == MemberState::Alive
+}
--- a/crates/core/src/member/tick.rs
+++ b/crates/core/src/member/tick.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use rand::{Rng, RngExt, seq::IndexedRandom};
+use rand::{Rng, RngExt, seq::IteratorRandom};
 
 use super::probe::{Probe, ProbeSubject, Verification};
 use super::send::{MessageBuilder, StepContext, build_records_message, datagram_bytes};
@@ -196,7 +196,7 @@
         };
         match self.next_member(cx.rng) {
             Some(record) => self.probe_member(cx, &record, &records_to_refute(&record)),
-            None => self.probe_contact(cx),
+            None => self.probe_contacts(cx, 1),
         }
     }
 
@@ -234,11 +234,12 @@
         self.send_probe(cx, subject, to, to_refute);
     }
 
-    fn probe_contact(&mut self, cx: &mut StepContext<'_>) {
+    /// Probes up to `n` random contacts that are not known as members.
+    fn probe_contacts(&mut self, cx: &mut StepContext<'_>, n: usize) {
         let unknown =
             |addr: &&SocketAddr| **addr != self.local.udp_addr() && !self.table.has_addr(**addr);
-        let contacts: Vec<SocketAddr> = self.contacts.iter().filter(unknown).copied().collect();
-        if let Some(&addr) = contacts.choose(cx.rng) {
+        let contacts = self.contacts.iter().filter(unknown).copied();
+        for addr in contacts.sample(cx.rng, n) {
             self.send_probe(cx, ProbeSubject::Contact, (addr, None), &[]);
         }
     }
@@ -291,10 +292,9 @@
 
     /// Probes unknown contacts after the first ones were added.
     fn probe_new_contacts(&mut self, cx: &mut StepContext<'_>) {
-        for _ in 0..self.early_contact_probes.min(CONTACTS_PER_TICK) {
-            self.early_contact_probes -= 1;
-            self.probe_contact(cx);
-        }
+        let n = self.early_contact_probes.min(CONTACTS_PER_TICK);
+        self.early_contact_probes -= n;
+        self.probe_contacts(cx, n);
     }
 
     /// Sends queued verification probes, except to members whose incarnation has become
@@ -334,7 +334,7 @@
             Some(record) if cx.rng.random() => {
                 self.probe_member(cx, &record, std::slice::from_ref(&record));
             }
-            _ => self.probe_contact(cx),
+            _ => self.probe_contacts(cx, 1),
         }
     }
 
--- a/crates/core/tests/member/fleet.rs
+++ b/crates/core/tests/member/fleet.rs
@@ -221,8 +221,8 @@
 }
 
 /// Guards against members that start together, get their contacts from the store, and know no target for a
-/// second, because they probe one contact per probe interval. Quotas expect that members know the fleet
-/// 500 ms after their start.
+/// second, because they probe one contact per probe interval. Requests wait for a target until 500 ms after
+/// the start of a node.
 #[gtest]
 fn members_that_start_together_find_each_other_through_late_contacts() {
     let report = scenario::start_with_late_contacts(80, 40, 71);
--- a/crates/core/tests/member/rules.rs
+++ b/crates/core/tests/member/rules.rs
@@ -274,13 +274,16 @@
         let receiver = peers.iter().find(|peer| peer.udp_addr() == *to);
         receiver.is_some_and(|peer| peer.data_centre != local)
     };
+    let mut remote_pings = 0;
     for ms in (100..30_000).step_by(100) {
         for (to, message) in sent_messages(&member.tick(at(ms), &mut rng())) {
             if matches!(message, Message::Ping { .. }) && is_remote(&to) {
+                remote_pings += 1;
                 expect_that!(message.records().len(), le(6));
             }
         }
     }
+    expect_that!(remote_pings, ge(10));
     let notices = sent_messages(&member.leave(at(30_000), &mut rng()));
     expect_that!(notices.len(), eq(8));
     let remote = notices.iter().filter(|(to, _)| is_remote(to)).count();
--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -301,9 +301,12 @@
     head: &RequestHead,
 ) -> Result<RequestPolicy, BadRequest> {
     let (startup, clock) = (&node.startup, node.clock);
+    let deadline = node
+        .now()
+        .saturating_add_millis(caller_timeout_ms(node, head)?);
     let mut policy = known_policy(node, head);
     while matches!(policy, Err(BadRequest::NoConfiguration))
-        && startup.wait_for_change(clock, Instant::MAX).await
+        && startup.wait_for_change(clock, deadline).await
     {
         policy = known_policy(node, head);
     }
@@ -449,6 +452,12 @@
     policy: &RequestPolicy,
     received_at: Instant,
 ) -> Result<Instant, BadRequest> {
+    let millis = caller_timeout_ms(node, head)?.min(policy.timeout_ms);
+    Ok(received_at.saturating_add_millis(millis))
+}
+
+/// Returns the timeout that the caller states, or the default one, in milliseconds.
+fn caller_timeout_ms(node: &Node, head: &RequestHead) -> Result<u64, BadRequest> {
     let limits = &node.settings.limits;
     let names = &node.settings.headers;
     let millis = match http1::header_text(&head.headers, names.timeout_ms) {
@@ -461,6 +470,5 @@
             .filter(|millis| *millis > 0 || names.callers_choose_id)
             .ok_or(BadRequest::InvalidTimeout)?,
     };
-    let millis = millis.min(limits.max_timeout_ms).min(policy.timeout_ms);
-    Ok(received_at.saturating_add_millis(millis))
+    Ok(millis.min(limits.max_timeout_ms))
 }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -214,13 +214,6 @@
 
     /// Runs attempts until one receives a response or no further attempt is allowed.
     async fn run_attempts(&mut self) -> AttemptEnd {
-        if self.is_too_cold(self.request.deadline) {
-            self.node.metrics.count("entry.refused_cold");
-            return AttemptEnd::NotRun {
-                reason: RefuseReason::Cold.as_str(),
-                reached_target: false,
-            };
-        }
         if let Err(reason) = self.start_first_attempt().await {
             return AttemptEnd::NotRun {
                 reason,
@@ -265,12 +258,16 @@
         }
     }
 
-    /// Starts the first attempt, when there is a target if this node has just started.
+    /// Starts the first attempt. If this node has just started, waits until it knows a target.
     async fn start_first_attempt(&mut self) -> Result<(), &'static str> {
         let (startup, clock) = (&self.node.startup, self.node.clock);
         loop {
+            if self.is_too_cold(self.request.deadline) {
+                self.node.metrics.count("entry.refused_cold");
+                return Err(RefuseReason::Cold.as_str());
+            }
             let started = self.start_attempt(AttemptCause::First);
-            let may_change = started.is_err();
+            let may_change = started.is_err() && self.request.check_key(self.node).is_ok();
             if !may_change || !startup.wait_for_change(clock, self.request.deadline).await {
                 return started;
             }
