Guard: name the limit that delayed a request past its deadline

Cause: Guard::take_wakeups refuses queued requests that can't be answered in time as `deadline`. If the guard wakes up late, this includes requests that only waited for the warm-up rate or a stated rate. Checking the rate limits first would name the limit also for requests that waited for a slot while a limit is in effect, and entries back off from a target that refuses as `cold`.

Change: the queue notes at each check whether a limit delays it although a slot is free, and requests that the next check finds past their deadline are refused with that reason.

--- a/crates/core/src/admission/make_room.rs
+++ b/crates/core/src/admission/make_room.rs
@@ -78,6 +78,7 @@
         if self.queue.sheds_load() {
             self.displace_unservable(now, ticket);
         }
+        self.update_limit_reason(now);
     }
 
     /// Refuses the requests that can't be answered before their deadline now that the one with
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    RequestKey, Urgency,
+    RefuseReason, RequestKey, Urgency,
     class_service_times::ClassServiceTimes,
     fair_order::FairOrder,
     shedding::{self, Contender},
@@ -40,6 +40,9 @@
     by_deadline: BTreeSet<(Instant, Ticket)>,
     /// State of the order of starts while load is shed; `None` unless it is.
     fair: Option<Box<FairOrder>>,
+    /// Refusal that names the limit on starts that delayed the queue when it was last checked; `None`
+    /// if the queue waited for a slot. Meaningless while the queue is empty.
+    pub(super) limit_reason: Option<RefuseReason>,
 }
 
 impl QueuedRequest {
--- a/crates/core/src/admission/start_rate.rs
+++ b/crates/core/src/admission/start_rate.rs
@@ -165,6 +165,13 @@
         }
     }
 
+    /// Notes whether the queue waits for a limit although a slot is free.
+    pub(super) fn update_limit_reason(&mut self, now: Instant) {
+        let has_slot = self.in_flight < self.limit.effective_limit();
+        let is_delayed = has_slot && self.next_limited_start() > now;
+        self.queue.limit_reason = is_delayed.then(|| self.rate_refusal(now, 0));
+    }
+
     fn is_rate_limited(&self, now: Instant) -> bool {
         self.rate_limit.interval_us().is_some() || self.warm_up.is_in_effect(now)
     }
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -395,10 +395,13 @@
     /// Returns the wakeups that are due: refusals first, then admissions in the order in which
     /// they start.
     pub(super) fn take_wakeups(&mut self, now: Instant) -> Vec<Wakeup> {
+        // A late call finds requests past their deadline that a limit had delayed. Entries treat them
+        // like other refusals because of the limit.
+        let late_reason = self.queue.limit_reason.unwrap_or(RefuseReason::Deadline);
         while let Some(queued) = self.queue.pop_unservable(now, &self.service_times) {
             // The true wait would have been even longer.
             self.wait_correction.record_wait(now, &queued);
-            self.refuse_queued(queued.key, RefuseReason::Deadline);
+            self.refuse_queued(queued.key, late_reason);
         }
         self.refuse_beyond_rate_limit(now);
         self.refuse_beyond_leave(now);
@@ -414,6 +417,7 @@
             self.record_limited_start(now);
             wakeups.push(self.promote(queued.key));
         }
+        self.update_limit_reason(now);
         self.wakeups_due_at = None;
         wakeups
     }
--- a/crates/core/tests/admission_warm_up.rs
+++ b/crates/core/tests/admission_warm_up.rs
@@ -304,6 +304,30 @@
     expect_that!(cold.count(), ge(38));
 }
 
+/// Guards against a wrong reason if the guard wakes up only after the deadline of a request: entries
+/// back off from a cold target only if the reason says so.
+#[gtest]
+fn request_that_a_limit_delayed_past_its_deadline_says_so() {
+    // The slots are full in the last row.
+    for (cold_ms, stated, offers, expected) in [
+        (10_000, None, 2, RefuseReason::Cold),
+        (300, None, 2, RefuseReason::Cold),
+        (0, Some(4.0), 4, RefuseReason::RateLimited),
+        (0, None, 31, RefuseReason::Deadline),
+    ] {
+        let mut host = Host::new(warm_up(4));
+        host.cold_until_ms = cold_ms;
+        host.check_health(0, false);
+        let generation = host.guard.target_generation();
+        host.guard.record_rate_limit(at(0), generation, stated);
+        for _ in 0..offers {
+            host.offer(0, 400);
+        }
+        host.advance(401);
+        expect_that!(host.refused, container_eq([expected]));
+    }
+}
+
 /// Guards against a limit that is not the lower one of the two.
 #[gtest]
 fn lower_of_the_stated_and_the_warm_up_rate_binds() {
