Tests: listen as guards before a request is sent

Cause: tests of bodies started the caller and only then bound the addresses of the scripted guards. If the thread of the test was held up between the two, the entry's connections were refused at all guards, the request ended as not run, and no guard ever got it. The suspected membership probes are not the cause: a relay passes them on to real nodes, which answer them.

Change: the listeners are bound before the caller starts, in all five tests that had the race.

--- a/tests/integration/body_claims.rs
+++ b/tests/integration/body_claims.rs
@@ -92,6 +92,12 @@
     peer.send(PeerMessage::BodyEnd { length, load: None }).await;
 }
 
+/// Waits for the answer to a caller.
+pub(crate) async fn join(caller: thread::JoinHandle<String>) -> String {
+    let joined = actix_rt::task::spawn_blocking(move || caller.join()).await;
+    joined.expect("no panic").expect("no panic")
+}
+
 /// A guard that has received the head of a request.
 pub(crate) struct GuardWithRequest {
     pub(crate) peer: ScriptedPeer,
@@ -117,7 +123,8 @@
     }
 }
 
-/// Returns a listener for each guard.
+/// Returns a listener for each guard. To be called before a request is sent: an entry that can't
+/// connect to any guard answers it as not run, and no guard gets it.
 pub(crate) async fn bind_guards(scripted: &ScriptedGuardFleet) -> Vec<TcpListener> {
     let mut listeners = Vec::new();
     for addr in &scripted.guard_addresses {
@@ -158,9 +165,10 @@
         let name = format!("{name}, {upload:?}");
         let scripted = ScriptedGuardFleet::start_with_guards(2, |_| ());
         let callers = scripted.fleet.nodes[0].callers;
-        let caller = thread::spawn(move || send_with_body(callers, upload));
-        run_script(async {
-            let mut guards = receive_with_all::<2>(bind_guards(&scripted).await).await;
+        let text = run_script(async {
+            let listeners = bind_guards(&scripted).await;
+            let caller = thread::spawn(move || send_with_body(callers, upload));
+            let mut guards = receive_with_all::<2>(listeners).await;
             guards[first_to_ask].ask_for_body().await;
             let whole = receive_body(&mut guards[first_to_ask].peer).await;
             expect_that!(whole, some(eq(BODY_BYTES as u64)), "{name}");
@@ -169,8 +177,8 @@
             expect_that!(receive_body(&mut late.peer).await, none(), "{name}");
             let winner = &mut guards[first_to_ask];
             answer(&mut winner.peer, winner.key).await;
+            join(caller).await
         });
-        let text = caller.join().expect("no panic");
         expect_that!(outcome_header(&text), eq("answered"), "{name}: {text}");
     }
 }
@@ -181,9 +189,10 @@
 fn rest_of_a_body_is_not_sent_to_a_second_guard() {
     let scripted = ScriptedGuardFleet::start_with_guards(2, |_| ());
     let callers = scripted.fleet.nodes[0].callers;
-    let caller = thread::spawn(move || send_with_body(callers, Upload::Chunked));
-    run_script(async {
-        let [mut silent, mut other] = receive_with_all::<2>(bind_guards(&scripted).await).await;
+    let text = run_script(async {
+        let listeners = bind_guards(&scripted).await;
+        let caller = thread::spawn(move || send_with_body(callers, Upload::Chunked));
+        let [mut silent, mut other] = receive_with_all::<2>(listeners).await;
         other.ask_for_body().await;
         let first_piece = other.peer.next_message().await;
         expect_true!(matches!(first_piece, Ok(PeerMessage::Body(_))));
@@ -195,7 +204,7 @@
         other.peer.send(refusal).await;
         silent.ask_for_body().await;
         expect_that!(receive_body(&mut silent.peer).await, none());
+        join(caller).await
     });
-    let text = caller.join().expect("no panic");
     expect_that!(outcome_header(&text), eq("unknown"), "{text}");
 }
--- a/tests/integration/body_paths.rs
+++ b/tests/integration/body_paths.rs
@@ -16,7 +16,8 @@
 
 use crate::{
     body_claims::{
-        GuardWithRequest, Upload, answer, bind_guards, receive_body, receive_with_all, send_body,
+        GuardWithRequest, Upload, answer, bind_guards, join, receive_body, receive_with_all,
+        send_body,
     },
     fleet_fixture::{Fleet, WAIT_TIMEOUT, host_specs},
     http_client::{get_admin, outcome_header},
@@ -40,8 +41,7 @@
 }
 
 impl FirstGuard {
-    async fn receive(scripted: &ScriptedGuardFleet) -> Self {
-        let listeners = bind_guards(scripted).await;
+    async fn receive(listeners: Vec<TcpListener>) -> Self {
         let accept = |(listener, name)| Box::pin(GuardWithRequest::accept(listener, name));
         let mut accepting: Vec<_> = listeners.iter().zip(NAMES).map(accept).collect();
         let (index, guard) =
@@ -85,8 +85,9 @@
 /// guards.
 async fn answer_short_request(scripted: &ScriptedGuardFleet) -> Vec<TcpListener> {
     let callers = scripted.fleet.nodes[0].callers;
+    let listeners = bind_guards(scripted).await;
     let caller = thread::spawn(move || send_body(callers, Upload::Sized, 10));
-    let mut first = FirstGuard::receive(scripted).await;
+    let mut first = FirstGuard::receive(listeners).await;
     let received = receive_body(&mut first.guard.peer).await;
     expect_that!(received, some(eq(10)));
     answer(&mut first.guard.peer, first.guard.key).await;
@@ -95,11 +96,6 @@
     first.listeners
 }
 
-async fn join(caller: thread::JoinHandle<String>) -> String {
-    let joined = actix_rt::task::spawn_blocking(move || caller.join()).await;
-    joined.expect("no panic").expect("no panic")
-}
-
 /// Returns whether a connection waits to be accepted.
 async fn has_connection(listener: &TcpListener) -> bool {
     let accepted = timeout(Duration::from_millis(100), listener.accept()).await;
@@ -122,9 +118,10 @@
     for upload in [Upload::Chunked, Upload::Sized] {
         let scripted = ScriptedGuardFleet::start_with_guards(2, |_| ());
         let callers = scripted.fleet.nodes[0].callers;
-        let caller = thread::spawn(move || send_body(callers, upload, LONG_BYTES));
         run_script(async {
-            let mut first = FirstGuard::receive(&scripted).await;
+            let listeners = bind_guards(&scripted).await;
+            let caller = thread::spawn(move || send_body(callers, upload, LONG_BYTES));
+            let mut first = FirstGuard::receive(listeners).await;
             let guard = &mut first.guard;
             guard.ask_for_body().await;
             let received = receive_body(&mut guard.peer).await;
@@ -179,10 +176,11 @@
             let name = format!("{upload:?}, {length} bytes");
             let scripted = ScriptedGuardFleet::start_with_guards(2, |_| ());
             let callers = scripted.fleet.nodes[0].callers;
-            let caller = thread::spawn(move || send_body(callers, upload, length));
             let is_kept = length <= KEPT_BYTES;
             run_script(async {
-                let mut first = FirstGuard::receive(&scripted).await;
+                let listeners = bind_guards(&scripted).await;
+                let caller = thread::spawn(move || send_body(callers, upload, length));
+                let mut first = FirstGuard::receive(listeners).await;
                 first.guard.ask_for_body().await;
                 let first_piece = first.guard.peer.next_message().await;
                 expect_true!(matches!(first_piece, Ok(PeerMessage::Body(_))), "{name}");
