Entry: deliver a response that is in transit at its deadline

Cause: the entry applied the deadline of the request to each read of a response body from the guard.

Change: the entry goes on while parts arrive, with gaps of up to 1 s after the deadline, and gives up at the latest at the deadline plus max_timeout as before (core::delivery::ArrivalTime). A guard that falls silent within a response is noticed 1 s after the deadline. The head of a response is waited for as before.

--- a/crates/core/src/delivery.rs
+++ b/crates/core/src/delivery.rs
@@ -12,6 +12,12 @@
 /// what sockets buffer, and ends a response of a target that sends without a pause.
 pub const MAX_LATE_BYTES: usize = 2 * 1024 * 1024;
 
+/// Longest wait of an entry for the next part of a response after the deadline, in milliseconds.
+///
+/// The guard ends a response whose target is late at the deadline, so later parts are in transit. TCP
+/// sends a lost packet again after 200 ms or more, and the second time after 400 ms more.
+const MAX_TRANSIT_GAP_MS: u64 = 1_000;
+
 /// The time that a target has for a response that is being forwarded.
 #[derive(Clone, Copy, Debug)]
 pub struct TargetTime {
@@ -81,6 +87,61 @@
     }
 }
 
+/// The time that an entry has for a response which it takes from the guard.
+///
+/// The guard bounds the work of the target. What the target has given in time can reach the entry after
+/// the deadline, so the entry goes on while parts arrive.
+#[derive(Clone, Copy, Debug)]
+pub struct ArrivalTime {
+    target: TargetTime,
+    /// When the last part arrived, or since when the entry has waited for the next one.
+    waits_since: Instant,
+}
+
+impl ArrivalTime {
+    /// Starts to wait for a response. Apart from `now`, the arguments are those of
+    /// [`TargetTime::new`].
+    pub fn new(now: Instant, deadline: Instant, max_delay_ms: u64) -> Self {
+        ArrivalTime {
+            target: TargetTime::new(deadline, max_delay_ms),
+            waits_since: now,
+        }
+    }
+
+    /// Records that a part of the response has arrived.
+    pub fn on_part(&mut self, now: Instant) {
+        self.waits_since = now;
+    }
+
+    /// Returns when the next part must have arrived. Meaningless while blocked.
+    pub fn deadline(&self) -> Instant {
+        let latest = self.waits_since.max(self.target.deadline());
+        let deadline = latest.saturating_add_millis(MAX_TRANSIT_GAP_MS);
+        deadline.min(self.target.give_up_at())
+    }
+
+    /// Returns when the response is given up, also while blocked.
+    pub fn give_up_at(&self) -> Instant {
+        self.target.give_up_at()
+    }
+
+    /// Returns the time for which nothing was read, in microseconds.
+    pub fn blocked_us(&self) -> u64 {
+        self.target.blocked_us()
+    }
+
+    /// Records that nothing is read until [`ArrivalTime::unblock`]. Calls while blocked have no effect.
+    pub fn block(&mut self, now: Instant) {
+        self.target.block(now);
+    }
+
+    /// Records that the entry reads again.
+    pub fn unblock(&mut self, now: Instant) {
+        self.target.unblock(now);
+        self.waits_since = now;
+    }
+}
+
 /// Settings of a [`HoldBudget`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HoldSettings {
--- a/crates/node/src/entry/target_response.rs
+++ b/crates/node/src/entry/target_response.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use plantainpost_core::{
-    balance::RequestOutcome, delivery::TargetTime, ids::NodeName, load::LoadSample, time::Instant,
+    balance::RequestOutcome, delivery::ArrivalTime, ids::NodeName, load::LoadSample, time::Instant,
 };
 use plantainpost_wire::message::{BodyLength, PeerMessage, PeerResponseHead};
 use slog::info;
@@ -71,14 +71,21 @@
         if self.head.body == BodyLength::None {
             self.end_load = Some(self.head.load);
         }
+        let mut time = self.arrival_time(request);
         while self.end_load.is_none() && self.received_bytes < RETRY_BUFFER_BYTES {
-            if let Some(piece) = self.read_part(request.deadline).await? {
+            if let Some(piece) = self.read_part(time.deadline()).await? {
                 self.buffered.extend_from_slice(&piece);
             }
+            time.on_part(self.node.now());
         }
         Ok(())
     }
 
+    fn arrival_time(&self, request: &CallerRequest) -> ArrivalTime {
+        let max_delay_ms = self.node.settings.limits.max_timeout_ms;
+        ArrivalTime::new(self.node.now(), request.deadline, max_delay_ms)
+    }
+
     /// Forwards the response to the caller.
     ///
     /// A truncated response is not terminated, so that the caller can't mistake it for a
@@ -102,7 +109,7 @@
             held.send_or_hold(buffered.freeze(), &writer)?;
         }
         let node = Rc::clone(&self.node);
-        let mut time = TargetTime::new(request.deadline, node.settings.limits.max_timeout_ms);
+        let mut time = self.arrival_time(request);
         let end = self.relay_body(&mut time, &mut held, &writer).await?;
         self.in_flight.exclude_us(time.blocked_us());
         match end {
@@ -134,7 +141,7 @@
     /// target is not kept waiting, and a target that is late is noticed.
     async fn relay_body(
         &mut self,
-        time: &mut TargetTime,
+        time: &mut ArrivalTime,
         held: &mut HeldBody,
         writer: &ResponseWriter,
     ) -> Result<RelayEnd, CallerGone> {
@@ -160,6 +167,7 @@
                 }
                 part = self.read_part(time.deadline()) => part,
             };
+            time.on_part(self.node.now());
             match part {
                 Ok(Some(piece)) => held.send_or_hold(piece, writer)?,
                 Ok(None) => (),
--- a/tests/integration/scripted_guard.rs
+++ b/tests/integration/scripted_guard.rs
@@ -335,6 +335,51 @@
     });
 }
 
+/// Guards against an answer that is cut at the deadline of its request while its last bytes are in
+/// transit between the nodes, and against an entry that waits for them for ever.
+#[gtest]
+fn answer_in_transit_is_delivered_after_its_deadline() {
+    const TIMEOUT_MS: u64 = 500;
+    const DELAY: Duration = Duration::from_millis(TIMEOUT_MS + 300);
+    let rows = [
+        ("within what the entry keeps", 8, true),
+        ("beyond what the entry keeps", 200_000, true),
+        ("lost within what the entry keeps", 8, false),
+        ("lost beyond what the entry keeps", 200_000, false),
+    ];
+    let scripted = ScriptedGuardFleet::start();
+    run_script(async {
+        let listener = TcpListener::bind(scripted.guard_addresses[0])
+            .await
+            .expect("a listener");
+        for (name, length, arrives) in rows {
+            let caller = scripted.send_post(TIMEOUT_MS);
+            let mut peer = ScriptedPeer::accept(&listener, "stock-0").await;
+            let key = peer.next_request().await.key;
+            let body = vec![b'x'; length];
+            let mut parts = body.chunks(50_000.min(length / 2));
+            let last = parts.next_back().expect("two parts or more");
+            peer.send(response_message(key, BodyLength::Sized(length as u64)))
+                .await;
+            for part in parts {
+                peer.send(PeerMessage::Body(part.to_vec().into())).await;
+            }
+            actix_rt::time::sleep(DELAY).await;
+            if arrives {
+                peer.send(PeerMessage::Body(last.to_vec().into())).await;
+                peer.send(end_message(length as u64)).await;
+            } else {
+                expect_true!(peer.next_message().await.is_err(), "{name}");
+            }
+            let text = caller.join().expect("no panic");
+            let received = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+            expect_that!(received.len() == length, eq(arrives), "{name}");
+            let is_answered = outcome_header(&text) == "answered";
+            expect_that!(is_answered, eq(arrives || length > 8), "{name}");
+        }
+    });
+}
+
 /// Runs the guard's side of the connection that the entry opens after a lost one.
 type ReconnectScript =
     for<'a> fn(&'a TcpListener, RequestKey) -> Pin<Box<dyn Future<Output = ()> + 'a>>;
