Soak: cold targets, withdrawn keys and quotas

The fault soak covered evacuations, but not targets that come back cold after a restart or an evacuation, keys that are withdrawn, or quotas.

Change: two more counts of a round, restarts of targets and withdrawals of a key, with random numbers of their own, so that the faults of earlier seeds stay the same. The stand-in target reports for how long it is cold and records the workspace of each request. The history checker gets a rule for each: starts at a cold target in a second, starts after a withdrawal, and starts of a workspace in 5 s.

--- a/crates/standin/src/bin/plantainpost-bench/args.rs
+++ b/crates/standin/src/bin/plantainpost-bench/args.rs
@@ -195,6 +195,14 @@
     #[argh(option, default = "0")]
     pub(crate) evacuations: usize,
 
+    /// restarts of targets in each round, after which they are cold (default 0)
+    #[argh(option, default = "0")]
+    pub(crate) restarts: usize,
+
+    /// withdrawals of a key in each round; requests need keys then (default 0)
+    #[argh(option, default = "0")]
+    pub(crate) withdrawals: usize,
+
     /// requests per second (default 120)
     #[argh(option, default = "120.0")]
     pub(crate) rate: f64,
--- a/crates/standin/src/bin/plantainpost-bench/faults.rs
+++ b/crates/standin/src/bin/plantainpost-bench/faults.rs
@@ -15,6 +15,8 @@
             first_round: args.first_round,
             rounds: args.rounds,
             evacuations: args.evacuations,
+            restarts: args.restarts,
+            withdrawals: args.withdrawals,
             rate: args.rate,
             ..Default::default()
         };
--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod file;
+mod rates;
 
 use serde::{Deserialize, Serialize};
 
@@ -54,6 +55,9 @@
         at: u64,
         /// The target's name.
         target: String,
+        /// The workspace that the target was told; `None` if it was told none.
+        #[serde(default)]
+        workspace: Option<String>,
     },
     /// A target finished a request.
     Ended {
@@ -94,6 +98,30 @@
         /// The target's name.
         target: String,
     },
+    /// A target has become cold.
+    Cold {
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// The target's name.
+        target: String,
+        /// Time up to which the limit of cold targets applies, in µs since the Unix epoch. It
+        /// replaces that of an earlier record.
+        until: u64,
+    },
+    /// The withdrawal of the only key of a workspace was acknowledged.
+    KeyWithdrawn {
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// The name of the workspace.
+        workspace: String,
+    },
+    /// The withdrawal of the key ends.
+    KeyRestored {
+        /// Time in µs since the Unix epoch.
+        at: u64,
+        /// The name of the workspace.
+        workspace: String,
+    },
     /// A node reported the configuration that it has in force.
     Config {
         /// Time in µs since the Unix epoch.
@@ -148,6 +176,9 @@
             | Self::Ended { at, .. }
             | Self::Leaving { at, .. }
             | Self::Serving { at, .. }
+            | Self::Cold { at, .. }
+            | Self::KeyWithdrawn { at, .. }
+            | Self::KeyRestored { at, .. }
             | Self::Evacuated { at, .. }
             | Self::Returned { at, .. }
             | Self::Config { at, .. } => *at,
@@ -165,6 +196,9 @@
             | Self::Serving { .. }
             | Self::Evacuated { .. }
             | Self::Returned { .. }
+            | Self::Cold { .. }
+            | Self::KeyWithdrawn { .. }
+            | Self::KeyRestored { .. }
             | Self::Config { .. } => None,
         }
     }
--- a/crates/standin/src/history/check.rs
+++ b/crates/standin/src/history/check.rs
@@ -1,11 +1,14 @@
 //! Checks the consistency rules of merged histories.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::Serialize;
 use snafu::Snafu;
 
-use super::{Outcome, Record};
+use super::{
+    Outcome, Record,
+    rates::{ColdStarts, WorkspaceStarts},
+};
 
 /// Settings of the history checker.
 #[derive(Clone, Debug)]
@@ -15,6 +18,13 @@
     /// Time in µs for which a target may still start requests after the evacuation of its data
     /// centre was acknowledged.
     pub evacuation_grace_us: u64,
+    /// Time in µs for which a target may still start requests of a workspace after the withdrawal of
+    /// its key was acknowledged.
+    pub withdrawal_grace_us: u64,
+    /// Largest number of requests that may start at a cold target in a second.
+    pub max_cold_starts: usize,
+    /// By workspace, the largest number of its requests that may start in 5 s.
+    pub max_workspace_starts: BTreeMap<String, usize>,
 }
 
 impl Default for CheckSettings {
@@ -22,6 +32,9 @@
         Self {
             leaving_grace_us: 4_000_000,
             evacuation_grace_us: 5_000_000,
+            withdrawal_grace_us: 2_500_000,
+            max_cold_starts: usize::MAX,
+            max_workspace_starts: BTreeMap::new(),
         }
     }
 }
@@ -45,6 +58,13 @@
     /// A target started a request later than the grace period after the evacuation of its data
     /// centre was acknowledged, and before its end.
     StartedWhileEvacuated,
+    /// A target started a request of a workspace later than the grace period after the withdrawal of
+    /// its key was acknowledged, and before its end.
+    StartedAfterWithdrawal,
+    /// A cold target started more requests in a second than it may.
+    TooManyWhileCold,
+    /// Targets started more requests of a workspace in 5 s than its limit allows.
+    QuotaExceeded,
     /// The configuration version of a node decreased.
     VersionWentBack,
     /// Different contents were reported for one configuration version, by two nodes or by one.
@@ -152,6 +172,10 @@
     leaving_since_us: HashMap<&'a str, u64>,
     /// By target, the time in µs at which the evacuation of its data centre was acknowledged.
     evacuated_since_us: HashMap<&'a str, u64>,
+    /// By workspace, the time in µs at which the withdrawal of its key was acknowledged.
+    withdrawn_since_us: HashMap<&'a str, u64>,
+    cold_starts: ColdStarts<'a>,
+    workspace_starts: WorkspaceStarts<'a>,
     /// By node, the version that it reported last.
     node_versions: HashMap<&'a str, u64>,
     /// By version, the digest reported first and the node that reported it.
@@ -183,9 +207,18 @@
                 }
                 Outcome::Unknown | Outcome::Failed => self.summary.unknown += 1,
             },
-            Record::Started { nonce, at, target } => {
+            Record::Started {
+                nonce,
+                at,
+                target,
+                workspace,
+            } => {
                 self.summary.started += 1;
                 self.check_start(nonce, *at, target)?;
+                self.check_cold_start(*at, target)?;
+                if let Some(workspace) = workspace {
+                    self.check_workspace(nonce, *at, workspace)?;
+                }
             }
             Record::Ended { .. } => {}
             Record::Leaving { at, target } => {
@@ -200,6 +233,16 @@
             Record::Returned { target, .. } => {
                 self.state.evacuated_since_us.remove(target.as_str());
             }
+            Record::Cold { at, target, until } => {
+                self.state.cold_starts.on_cold(target, *at, *until);
+            }
+            Record::KeyWithdrawn { at, workspace } => {
+                let withdrawn = &mut self.state.withdrawn_since_us;
+                withdrawn.entry(workspace).or_insert(*at);
+            }
+            Record::KeyRestored { workspace, .. } => {
+                self.state.withdrawn_since_us.remove(workspace.as_str());
+            }
             Record::Config {
                 node,
                 version,
@@ -295,6 +338,33 @@
         Ok(())
     }
 
+    fn check_cold_start(&mut self, at_us: u64, target: &'a str) -> RuleResult {
+        let starts = self.state.cold_starts.add(target, at_us);
+        if starts > self.settings.max_cold_starts {
+            let detail = format!("{target} is cold and started {starts} requests in a second");
+            return Err((Rule::TooManyWhileCold, detail));
+        }
+        Ok(())
+    }
+
+    fn check_workspace(&mut self, nonce: &'a str, at_us: u64, workspace: &'a str) -> RuleResult {
+        if let Some(since_us) = self.state.withdrawn_since_us.get(workspace)
+            && at_us.saturating_sub(*since_us) > self.settings.withdrawal_grace_us
+        {
+            let detail = format!("the key of {workspace} is withdrawn since {since_us}");
+            return Err((Rule::StartedAfterWithdrawal, detail));
+        }
+        let Some(max) = self.settings.max_workspace_starts.get(workspace) else {
+            return Ok(());
+        };
+        let starts = self.state.workspace_starts.add(workspace, nonce, at_us);
+        if starts > *max {
+            let detail = format!("{starts} requests of {workspace} started in 5 s, at most {max}");
+            return Err((Rule::QuotaExceeded, detail));
+        }
+        Ok(())
+    }
+
     fn check_config(&mut self, node: &'a str, version: u64, digest: &'a str) -> RuleResult {
         if let Some(previous) = self.state.node_versions.insert(node, version)
             && previous > version
--- a/crates/standin/src/load/exchange.rs
+++ b/crates/standin/src/load/exchange.rs
@@ -138,6 +138,9 @@
     if kind.answer_chunked {
         req = req.insert_header(("x-answer-chunked", "1"));
     }
+    if let Some(key) = kind.key {
+        req = req.insert_header(("plantainpost-key", key));
+    }
     if let Some(us) = kind.work_us {
         req = req.insert_header(("x-work-us", us.to_string()));
     }
--- a/crates/standin/src/load/kind.rs
+++ b/crates/standin/src/load/kind.rs
@@ -27,6 +27,8 @@
     pub answer_chunked: bool,
     /// Service time in µs, overriding the target's own; `None` for the target's own.
     pub work_us: Option<u64>,
+    /// Key of a workspace, sent in a header of the platform; `None` for no key.
+    pub key: Option<&'static str>,
     /// Whether the configuration lists the method as repeatable for the service.
     pub repeatable: bool,
     /// Relative frequency in the mix; 0 for never.
@@ -43,6 +45,7 @@
             answer_bytes: None,
             answer_chunked: false,
             work_us: None,
+            key: None,
             repeatable: false,
             weight: 1,
         }
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -7,9 +7,11 @@
 //! operators are checked.
 
 mod checks;
+mod cold;
 mod evacuations;
 mod injector;
 mod schedule;
+mod workspaces;
 
 use std::{path::PathBuf, time::Duration};
 
@@ -24,9 +26,13 @@
     target::{ServiceTime, TargetSettings},
 };
 
+use cold::{ColdTargets, MAX_COLD_STARTS};
 use evacuations::EVACUATION_GRACE_US;
 use injector::FaultInjector;
-pub use schedule::{Fault, FaultStep, LinkFault, add_evacuations, fault_schedule};
+pub use schedule::{
+    Fault, FaultStep, LinkFault, add_evacuations, add_restarts, add_withdrawals, fault_schedule,
+};
+use workspaces::{KEYS, WITHDRAWAL_GRACE_US, Workspaces};
 
 /// Maximum time until a new fleet is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -64,6 +70,12 @@
     pub faults: usize,
     /// Number of evacuations of data centres in a round, in addition to the faults.
     pub evacuations: usize,
+    /// Number of restarts of targets in a round, in addition to the faults. If there are any, targets
+    /// come back cold from all restarts and evacuations.
+    pub restarts: usize,
+    /// Number of withdrawals of a key in a round, in addition to the faults. If there are any, requests
+    /// need keys, and one workspace has a quota.
+    pub withdrawals: usize,
     /// Requests per second.
     pub rate: f64,
 }
@@ -79,6 +91,8 @@
             round_ms: 10_000,
             faults: 8,
             evacuations: 0,
+            restarts: 0,
+            withdrawals: 0,
             rate: 120.0,
         }
     }
@@ -93,6 +107,10 @@
     pub faults: u64,
     /// Number of evacuations that lasted long enough to be checked, in all rounds.
     pub checked_evacuations: u64,
+    /// Number of cold periods of targets that were checked, in all rounds.
+    pub checked_cold_periods: u64,
+    /// Number of withdrawals that lasted long enough to be checked, in all rounds.
+    pub checked_withdrawals: u64,
 }
 
 /// Why a soak run ended early.
@@ -140,7 +158,9 @@
         },
         READY_TIMEOUT,
     )?;
-    let mut injector = FaultInjector::new(fleet);
+    let cold = (cfg.restarts > 0).then(ColdTargets::default);
+    let workspaces = (cfg.withdrawals > 0).then(Workspaces::default);
+    let mut injector = FaultInjector::new(fleet, cold, workspaces);
     injector.publish_configuration();
     let guarantee_error = |round| move |detail| SoakError::Guarantee { round, detail };
     checks::check_recovery(&mut injector).map_err(guarantee_error(cfg.first_round))?;
@@ -149,12 +169,17 @@
         let seed = cfg.seed.wrapping_mul(1_000).wrapping_add(round);
         let mut steps = fault_schedule(seed, cfg.nodes, cfg.round_ms, cfg.faults);
         add_evacuations(&mut steps, seed, &DATA_CENTRES, cfg.evacuations);
+        add_restarts(&mut steps, seed, cfg.nodes, cfg.restarts);
+        add_withdrawals(&mut steps, seed, cfg.withdrawals);
         report.faults += steps.iter().filter(|step| step.begins).count() as u64;
         let load = load::start(&load_settings(cfg, seed, &injector.fleet))?;
         let injected = injector.run_schedule(&steps);
         let records = load.wait()?.records;
         injected.map_err(guarantee_error(round))?;
         report.checked_evacuations = injector.evacuations.checkable;
+        report.checked_cold_periods = injector.cold.as_ref().map_or(0, |cold| cold.checkable);
+        let workspaces = injector.workspaces.as_ref();
+        report.checked_withdrawals = workspaces.map_or(0, |w| w.checkable);
         report.requests = check_history(&injector, round, records)?;
         checks::check_recovery(&mut injector).map_err(guarantee_error(round))?;
         checks::check_configuration_update(&mut injector).map_err(guarantee_error(round))?;
@@ -185,6 +210,21 @@
         weight,
         ..Default::default()
     };
+    let mut kinds = vec![
+        kind("stock", "GET", "/safe/1", 0, 50),
+        kind("ledger", "POST", "/once/1", 300, 35),
+        kind("stock", "POST", "/once/2", 150_000, 5),
+        RequestKind {
+            answer_bytes: Some(150_000),
+            answer_chunked: true,
+            ..kind("ledger", "GET", "/safe/2", 0, 10)
+        },
+    ];
+    if cfg.withdrawals > 0 {
+        for (kind, key) in kinds.iter_mut().zip(KEYS) {
+            kind.key = Some(key);
+        }
+    }
     let nodes = fleet.nodes.iter();
     LoadSettings {
         routes: nodes.map(|n| LoadRoute::new("node", n.callers)).collect(),
@@ -193,16 +233,7 @@
         timeout_ms: REQUEST_TIMEOUT_MS,
         use_platform_headers: true,
         seed,
-        kinds: vec![
-            kind("stock", "GET", "/safe/1", 0, 50),
-            kind("ledger", "POST", "/once/1", 300, 35),
-            kind("stock", "POST", "/once/2", 150_000, 5),
-            RequestKind {
-                answer_bytes: Some(150_000),
-                answer_chunked: true,
-                ..kind("ledger", "GET", "/safe/2", 0, 10)
-            },
-        ],
+        kinds,
         ..Default::default()
     }
 }
@@ -223,10 +254,16 @@
         records.extend(target.history());
     }
     records.extend_from_slice(&injector.evacuations.records);
+    let cold = injector.cold.iter().flat_map(|cold| &cold.records);
+    let withdrawals = injector.workspaces.iter().flat_map(|w| &w.records);
+    records.extend(cold.chain(withdrawals).cloned());
     let cfg = history::CheckSettings {
         // The limit `drainMs` of the users' sites.
         leaving_grace_us: 2_000_000,
         evacuation_grace_us: EVACUATION_GRACE_US,
+        withdrawal_grace_us: WITHDRAWAL_GRACE_US,
+        max_cold_starts: MAX_COLD_STARTS,
+        max_workspace_starts: workspaces::max_starts(),
     };
     history::check(&records, &cfg).map_err(|violation| {
         let nonce = violation.record.nonce().unwrap_or_default();
--- a/crates/standin/src/soak/checks.rs
+++ b/crates/standin/src/soak/checks.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use super::{SERVICES, injector::FaultInjector};
+use super::{SERVICES, injector::FaultInjector, workspaces::CHECK_KEY};
 
 /// Maximum time in seconds until each node serves each service again: the limit `recoverS` of the
 /// users' sites.
@@ -78,7 +78,8 @@
     io.set_read_timeout(Some(ANSWER_TIMEOUT)).ok()?;
     let request = format!(
         "GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\
-         Plantainpost-Request-Id: check\r\nPlantainpost-Deadline-Ms: 2000\r\n\r\n"
+         Plantainpost-Request-Id: check\r\nPlantainpost-Deadline-Ms: 2000\r\n\
+         Plantainpost-Key: {CHECK_KEY}\r\n\r\n"
     );
     io.write_all(request.as_bytes()).ok()?;
     let mut answer = Vec::new();
--- a/crates/standin/src/soak/evacuations.rs
+++ b/crates/standin/src/soak/evacuations.rs
@@ -13,7 +13,7 @@
 /// Time in µs for which nodes must be able to read the store after the acknowledgement of an
 /// evacuation: the limit `configMs` of the users' sites. If the store fails earlier, all nodes may
 /// be cut off from the news, and a guard that is cut off keeps its last known state.
-const MIN_READABLE_US: u64 = 2_000_000;
+pub(super) const MIN_READABLE_US: u64 = 2_000_000;
 
 /// Time in µs after the acknowledgement of an evacuation from which no request may start: the limit
 /// `evacuateMs` of the users' sites.
@@ -143,7 +143,7 @@
 }
 
 /// Returns whether nodes can read the store, late or not.
-fn is_readable(log: &LogHandle) -> bool {
+pub(super) fn is_readable(log: &LogHandle) -> bool {
     let faults = log.faults();
     faults.down == DownMode::No && !faults.silent && !faults.refuse
 }
--- a/crates/standin/src/soak/injector.rs
+++ b/crates/standin/src/soak/injector.rs
@@ -8,8 +8,10 @@
 
 use super::{
     SERVICES,
-    evacuations::Evacuations,
+    cold::ColdTargets,
+    evacuations::{Evacuations, is_readable},
     schedule::{Fault, FaultStep, LinkFault, STOP_DEADLINE_MS},
+    workspaces::Workspaces,
 };
 use crate::{
     fleet::Fleet,
@@ -48,11 +50,21 @@
     /// Number of overlapping faults by scope. A fault is removed when the last of its scope ends.
     active: BTreeMap<String, u32>,
     pub(super) evacuations: Evacuations,
+    /// `None` if targets do not become cold.
+    pub(super) cold: Option<ColdTargets>,
+    /// `None` if requests need no key.
+    pub(super) workspaces: Option<Workspaces>,
 }
 
 impl FaultInjector {
-    pub(super) fn new(fleet: Fleet) -> Self {
+    pub(super) fn new(
+        fleet: Fleet,
+        cold: Option<ColdTargets>,
+        workspaces: Option<Workspaces>,
+    ) -> Self {
         FaultInjector {
+            cold,
+            workspaces,
             fleet,
             version: 0,
             stopping: BTreeMap::new(),
@@ -83,10 +95,15 @@
                 ));
             }
         }
-        let services = SERVICES
-            .map(|service| format!(r#""{service}":{{"healthPath":"/healthz","maxConns":220}}"#));
+        let warm_up = self.cold.as_ref().map(ColdTargets::rule_json);
+        let warm_up = warm_up.unwrap_or_default();
+        let services = SERVICES.map(|service| {
+            format!(r#""{service}":{{"healthPath":"/healthz","maxConns":220{warm_up}}}"#)
+        });
+        let tenants = self.workspaces.as_ref().map(Workspaces::tenants_json);
+        let tenants = tenants.unwrap_or_default();
         let text = format!(
-            r#"{{"version":{version},"routes":{{{}}},"services":{{{}}},"limits":
+            r#"{{"version":{version},"routes":{{{}}},"services":{{{}}},{tenants}"limits":
             {{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,
             "idleTimeoutMs":15000}}}}"#,
             routes.join(","),
@@ -108,10 +125,35 @@
             let is_first_or_last = self.count_active(step);
             self.apply(step, is_first_or_last)?;
             self.evacuations.update(&self.fleet);
+            self.update_workspaces();
         }
         Ok(())
     }
 
+    /// Publishes a wanted change of the keys, and notes since when it can be read. Like other writes of
+    /// an operator, it waits while the store does not answer.
+    fn update_workspaces(&mut self) {
+        let is_readable = is_readable(&self.fleet.log);
+        let Some(workspaces) = &mut self.workspaces else {
+            return;
+        };
+        if is_readable && workspaces.apply_wanted() {
+            self.publish_configuration();
+        }
+        if let Some(workspaces) = &mut self.workspaces {
+            workspaces.update_bound(is_readable);
+        }
+    }
+
+    /// Makes a target cold from now on, if the soak does so.
+    fn make_cold(&mut self, i: usize) {
+        let scope = fault_scope(&Fault::TargetLink(i, LinkFault::Stall));
+        let is_link_good = self.active.get(&scope).copied().unwrap_or_default() == 0;
+        if let Some(cold) = &mut self.cold {
+            cold.make_cold(&self.fleet.targets[i], is_link_good);
+        }
+    }
+
     /// Updates the number of overlapping faults in the scope of the step. Returns whether the step
     /// begins the first of them or ends the last.
     fn count_active(&mut self, step: &FaultStep) -> bool {
@@ -137,6 +179,9 @@
             }
             Fault::ExpireRecords if step.begins => {
                 self.evacuations.on_expiry(&self.fleet);
+                if let Some(workspaces) = &mut self.workspaces {
+                    workspaces.on_expiry();
+                }
                 self.fleet.log.expire_all_but_newest(CONFIG_TOPIC);
                 Ok(())
             }
@@ -147,6 +192,18 @@
             Fault::Evacuation(data_centre) => {
                 if is_first_or_last {
                     self.evacuations.set_wanted(data_centre, step.begins);
+                    if !step.begins {
+                        let hosts = self.fleet.hosts().iter().enumerate();
+                        let evacuated = hosts.filter(|(_, host)| host.data_centre == *data_centre);
+                        let evacuated: Vec<usize> = evacuated.map(|(i, _)| i).collect();
+                        evacuated.into_iter().for_each(|i| self.make_cold(i));
+                    }
+                }
+                Ok(())
+            }
+            Fault::WithdrawnKey => {
+                if let (Some(workspaces), true) = (&mut self.workspaces, is_first_or_last) {
+                    workspaces.set_wanted(step.begins);
                 }
                 Ok(())
             }
@@ -163,6 +220,17 @@
                 Ok(())
             }
             fault => {
+                match fault {
+                    Fault::LeavingTarget(i) if is_first_or_last && !step.begins => {
+                        self.make_cold(*i);
+                    }
+                    Fault::TargetLink(i, _) if step.begins => {
+                        if let Some(cold) = &mut self.cold {
+                            cold.end_bound(&self.fleet.targets[*i]);
+                        }
+                    }
+                    _ => {}
+                }
                 if step.begins || is_first_or_last {
                     self.switch_fault(fault, step.begins);
                 }
@@ -293,6 +361,7 @@
         Fault::LeavingTarget(i) => format!("leave of target {i}"),
         Fault::SilentTarget(i) => format!("announcements of target {i}"),
         Fault::PublishConfiguration => "configuration".to_owned(),
+        Fault::WithdrawnKey => "key".to_owned(),
         Fault::Evacuation(data_centre) => format!("evacuation of {data_centre}"),
     }
 }
--- a/crates/standin/src/soak/schedule.rs
+++ b/crates/standin/src/soak/schedule.rs
@@ -30,6 +30,20 @@
 /// faults of a seed are the same with and without evacuations.
 const EVACUATION_SEED: u64 = 0xe7ac_0000_0000_0000;
 
+/// Range of the start of a restart of a target within a round, in milliseconds.
+const RESTART_START_MS: std::ops::Range<u64> = 0..6_000;
+
+/// Range of the start of a withdrawal of a key within a round, in milliseconds.
+const WITHDRAWAL_START_MS: std::ops::Range<u64> = 0..3_000;
+
+/// Range of the duration of a withdrawal, in milliseconds. It leaves time for requests after the
+/// 2.5 s within which they may still start.
+const WITHDRAWAL_DURATION_MS: std::ops::Range<u64> = 4_500..6_500;
+
+/// Separate the random numbers of restarts and withdrawals, like [`EVACUATION_SEED`].
+const RESTART_SEED: u64 = 0xc01d_0000_0000_0000;
+const WITHDRAWAL_SEED: u64 = 0x6e1d_0000_0000_0000;
+
 /// Time in milliseconds within which a node must exit after SIGTERM: the limit `graceS` of the
 /// users' sites.
 pub(super) const STOP_DEADLINE_MS: u64 = 6_000;
@@ -84,6 +98,8 @@
     PublishConfiguration,
     /// An operator evacuates a data centre, and takes it back at the end.
     Evacuation(&'static str),
+    /// An operator withdraws a key, and adds it again at the end.
+    WithdrawnKey,
 }
 
 /// The beginning or the end of a fault.
@@ -113,14 +129,7 @@
                 _ => rng.random_range(FAULT_DURATION_MS),
             };
             let at_ms = first_ms + i * SERIES_INTERVAL_MS;
-            for (at_ms, begins) in [(at_ms, true), (at_ms + duration_ms, false)] {
-                let fault = fault.clone();
-                steps.push(FaultStep {
-                    at_ms,
-                    begins,
-                    fault,
-                });
-            }
+            push_fault(&mut steps, at_ms, duration_ms, fault.clone());
         }
     }
     steps.sort_by_key(|step| step.at_ms);
@@ -140,18 +149,46 @@
             return;
         };
         let start_ms = rng.random_range(EVACUATION_START_MS);
-        let end_ms = start_ms + rng.random_range(EVACUATION_DURATION_MS);
-        for (at_ms, begins) in [(start_ms, true), (end_ms, false)] {
-            steps.push(FaultStep {
-                at_ms,
-                begins,
-                fault: Fault::Evacuation(data_centre),
-            });
-        }
+        let duration_ms = rng.random_range(EVACUATION_DURATION_MS);
+        push_fault(steps, start_ms, duration_ms, Fault::Evacuation(data_centre));
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
+/// Adds restarts of targets, which leave and come back, to the steps of a round. The other steps stay
+/// as they are.
+pub fn add_restarts(steps: &mut Vec<FaultStep>, seed: u64, nodes: usize, restarts: usize) {
+    let mut rng = StdRng::seed_from_u64(seed ^ RESTART_SEED);
+    for _ in 0..restarts {
+        let fault = Fault::LeavingTarget(rng.random_range(0..nodes));
+        let start_ms = rng.random_range(RESTART_START_MS);
+        push_fault(steps, start_ms, rng.random_range(FAULT_DURATION_MS), fault);
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
+/// Adds withdrawals of a key to the steps of a round. The other steps stay as they are.
+pub fn add_withdrawals(steps: &mut Vec<FaultStep>, seed: u64, withdrawals: usize) {
+    let mut rng = StdRng::seed_from_u64(seed ^ WITHDRAWAL_SEED);
+    for _ in 0..withdrawals {
+        let start_ms = rng.random_range(WITHDRAWAL_START_MS);
+        let duration_ms = rng.random_range(WITHDRAWAL_DURATION_MS);
+        push_fault(steps, start_ms, duration_ms, Fault::WithdrawnKey);
     }
     steps.sort_by_key(|step| step.at_ms);
 }
 
+fn push_fault(steps: &mut Vec<FaultStep>, start_ms: u64, duration_ms: u64, fault: Fault) {
+    for (at_ms, begins) in [(start_ms, true), (start_ms + duration_ms, false)] {
+        let fault = fault.clone();
+        steps.push(FaultStep {
+            at_ms,
+            begins,
+            fault,
+        });
+    }
+}
+
 fn random_fault(rng: &mut StdRng, nodes: usize) -> Fault {
     let host = rng.random_range(0..nodes);
     match rng.random_range(0..14) {
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -183,6 +183,11 @@
         self.set_faults(TargetFaults { leaving, ..faults });
     }
 
+    /// Reports the target as cold for a time, from now on.
+    pub fn become_cold(&self, duration: Duration) {
+        self.shared.become_cold(duration);
+    }
+
     /// Sets the address of the node to which announcements are sent; `None` stops them.
     pub fn set_node(&self, node: Option<SocketAddr>) {
         self.shared.set_node(node);
--- a/crates/standin/src/target/announce.rs
+++ b/crates/standin/src/target/announce.rs
@@ -65,7 +65,7 @@
         "status": {
             "state": if leaving { "draining" } else { "ready" },
             "seq": incarnation.sequence,
-            "warmupMs": 0,
+            "warmupMs": shared.cold_ms(),
         },
         "born": incarnation.born_ms,
     });
--- a/crates/standin/src/target/http.rs
+++ b/crates/standin/src/target/http.rs
@@ -40,6 +40,10 @@
 const EXPECT_INSTANCE_HEADER: &str = "plantainpost-expect-instance";
 const NOT_RUN_HEADER: &str = "plantainpost-not-run";
 
+/// Headers of the platform: the workspace of a request, and the remaining cold time of a target in ms.
+const WORKSPACE_HEADER: &str = "plantainpost-tenant";
+const COLD_HEADER: &str = "plantainpost-cold-ms";
+
 /// Returns the handlers of the main and of the control listener.
 pub(super) fn target_handlers(shared: Arc<SharedTarget>) -> (Rc<dyn Handler>, Rc<dyn Handler>) {
     (
@@ -62,7 +66,8 @@
     fn request_started(&self, req: &Request) {
         if self.should_execute(req) {
             req.extensions_mut().insert(ExecutedHere);
-            self.0.record_start(&parse_nonce(req));
+            self.0
+                .record_start(&parse_nonce(req), parse_header(req, WORKSPACE_HEADER));
         }
     }
 
@@ -100,7 +105,9 @@
     /// Returns the response to a health check, or to a request for another incarnation.
     fn reply_without_execution(&self, req: &Request) -> Reply {
         if req.path() == HEALTH_PATH {
-            return text_reply(StatusCode::OK, "healthy");
+            let mut reply = text_reply(StatusCode::OK, "healthy");
+            insert_header(&mut reply, COLD_HEADER, &self.0.cold_ms().to_string());
+            return reply;
         }
         let mut reply = text_reply(
             StatusCode::MISDIRECTED_REQUEST,
--- a/crates/standin/src/target/state.rs
+++ b/crates/standin/src/target/state.rs
@@ -6,7 +6,7 @@
     io::Write,
     net::SocketAddr,
     sync::{Mutex, MutexGuard},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -40,6 +40,8 @@
     faults: TargetFaults,
     faults_set_at: Instant,
     started_at: Instant,
+    /// End of the cold period that the target reports; `None` if it never was cold.
+    cold_until: Option<Instant>,
     node: Option<SocketAddr>,
     announced: bool,
     incarnation: TargetIncarnation,
@@ -87,6 +89,7 @@
                 faults: settings.faults.clone(),
                 faults_set_at: now,
                 started_at: now,
+                cold_until: None,
                 node: settings.node,
                 announced: false,
                 incarnation: TargetIncarnation::started_now(0),
@@ -128,6 +131,18 @@
         self.announcement_changed.notify_one();
     }
 
+    /// Reports the target as cold for a time, from now on.
+    pub(super) fn become_cold(&self, duration: Duration) {
+        self.lock().cold_until = Some(Instant::now() + duration);
+    }
+
+    /// Returns for how long the target is cold, in ms; 0 if it is not.
+    pub(super) fn cold_ms(&self) -> u64 {
+        let cold_until = self.lock().cold_until;
+        let left = cold_until.map(|at| at.saturating_duration_since(Instant::now()));
+        left.unwrap_or_default().as_millis() as u64
+    }
+
     /// Records in the history that the target is leaving or serving again.
     fn record_leaving(&self, state: &mut TargetState, leaving: bool) {
         if leaving && self.settings.interface == Interface::Platform {
@@ -212,7 +227,7 @@
     }
 
     /// Records that a request was started.
-    pub(super) fn record_start(&self, nonce: &str) {
+    pub(super) fn record_start(&self, nonce: &str, workspace: Option<String>) {
         let mut state = self.lock();
         state.started_count += 1;
         *state.executions.entry(nonce.to_owned()).or_default() += 1;
@@ -220,6 +235,7 @@
             nonce: nonce.to_owned(),
             at: now_us(),
             target: self.settings.name.clone(),
+            workspace,
         });
         state.in_flight += 1;
         state.record_load_sample();
--- a/crates/standin/tests/history.rs
+++ b/crates/standin/tests/history.rs
@@ -50,9 +50,34 @@
         nonce: nonce.to_owned(),
         at,
         target: target.to_owned(),
+        workspace: None,
     }
 }
 
+fn started_for(at: u64, nonce: &str, workspace: &str) -> Record {
+    Record::Started {
+        nonce: nonce.to_owned(),
+        at,
+        target: "t1".to_owned(),
+        workspace: Some(workspace.to_owned()),
+    }
+}
+
+fn cold(at: u64, until: u64) -> Record {
+    let target = "t1".to_owned();
+    Record::Cold { at, target, until }
+}
+
+fn withdrawn(at: u64) -> Record {
+    let workspace = "w1".to_owned();
+    Record::KeyWithdrawn { at, workspace }
+}
+
+fn restored(at: u64) -> Record {
+    let workspace = "w1".to_owned();
+    Record::KeyRestored { at, workspace }
+}
+
 fn ended(at: u64, nonce: &str, ok: bool) -> Record {
     Record::Ended {
         nonce: nonce.to_owned(),
@@ -105,6 +130,9 @@
     CheckSettings {
         leaving_grace_us: GRACE_US,
         evacuation_grace_us: 2 * GRACE_US,
+        withdrawal_grace_us: GRACE_US,
+        max_cold_starts: 2,
+        max_workspace_starts: [("w2".to_owned(), 2)].into(),
     }
 }
 
@@ -246,6 +274,42 @@
                 started(31 + 2 * GRACE_US, "", "t1"),
             ],
         ),
+        (
+            Rule::StartedAfterWithdrawal,
+            4,
+            vec![
+                withdrawn(10),
+                restored(20),
+                withdrawn(30),
+                started_for(30 + GRACE_US, "a", "w1"),
+                started_for(31 + GRACE_US, "b", "w1"),
+            ],
+        ),
+        // The start before the cold period does not count.
+        (
+            Rule::TooManyWhileCold,
+            5,
+            vec![
+                started(1, "a", "t1"),
+                cold(10, 2_000_000),
+                started(20, "b", "t1"),
+                started(30, "c", "t2"),
+                started(999_000, "d", "t1"),
+                started(1_000_019, "e", "t1"),
+            ],
+        ),
+        // A request that is sent again counts once.
+        (
+            Rule::QuotaExceeded,
+            4,
+            vec![
+                started_for(10, "a", "w2"),
+                started_for(20, "a", "w2"),
+                started_for(30, "b", "w2"),
+                started_for(40, "c", "w3"),
+                started_for(5_000_009, "d", "w2"),
+            ],
+        ),
         (
             Rule::VersionWentBack,
             1,
@@ -319,6 +383,32 @@
             returned(20),
             started(11 + 2 * GRACE_US, "a", "t1"),
         ],
+        vec![
+            withdrawn(10),
+            restored(20),
+            started_for(11 + GRACE_US, "a", "w1"),
+        ],
+        vec![withdrawn(10), started_for(11 + GRACE_US, "a", "w2")],
+        // The limit of a cold target has ended before its time.
+        vec![
+            cold(10, 2_000_000),
+            started(20, "a", "t1"),
+            cold(30, 30),
+            started(40, "b", "t1"),
+            started(50, "c", "t1"),
+        ],
+        // The first start of three is over a second, or over 5 s, before the last.
+        vec![
+            cold(10, 2_000_000),
+            started(20, "a", "t1"),
+            started(30, "b", "t1"),
+            started(1_000_020, "c", "t1"),
+        ],
+        vec![
+            started_for(10, "a", "w2"),
+            started_for(20, "b", "w2"),
+            started_for(5_000_010, "c", "w2"),
+        ],
         // Requests without a nonce are not from a caller whose history is checked.
         vec![started(1, "", "t1"), started(2, "", "t1")],
         vec![
--- a/crates/standin/tests/soak_schedule.rs
+++ b/crates/standin/tests/soak_schedule.rs
@@ -1,29 +1,56 @@
 //! Fault schedules of the soak.
 
 use googletest::prelude::*;
-use plantainpost_standin::soak::{Fault, add_evacuations, fault_schedule};
+use plantainpost_standin::soak::{
+    Fault, FaultStep, add_evacuations, add_restarts, add_withdrawals, fault_schedule,
+};
 
 const DATA_CENTRES: [&str; 2] = ["pos", "arima"];
 
-/// Guards against evacuations that change the other faults of a seed, so that rounds that have failed
-/// before are no longer repeated, and against evacuations that end before their bound applies.
+/// Guards against additional faults that change the other faults of a seed, so that rounds that have
+/// failed before are no longer repeated, and against some that end before their bound applies.
 #[gtest]
-fn evacuations_leave_the_faults_of_a_seed_unchanged() {
-    for seed in 0..100 {
-        let plain = fault_schedule(seed, 6, 10_000, 8);
-        let mut steps = plain.clone();
-        add_evacuations(&mut steps, seed, &DATA_CENTRES, 0);
-        expect_that!(steps, eq(&plain));
-        add_evacuations(&mut steps, seed, &DATA_CENTRES, 1);
-        expect_true!(steps.is_sorted_by_key(|step| step.at_ms));
-        let (evacuations, others): (Vec<_>, Vec<_>) = steps
-            .into_iter()
-            .partition(|step| matches!(step.fault, Fault::Evacuation(_)));
-        expect_that!(others, eq(&plain));
-        let [start, end] = &evacuations[..] else {
-            panic!("one start and one end: {evacuations:?}");
-        };
-        expect_that!((start.begins, end.begins), eq((true, false)));
-        expect_that!(end.at_ms - start.at_ms, ge(7_000));
+fn additional_faults_leave_the_faults_of_a_seed_unchanged() {
+    type Add = fn(&mut Vec<FaultStep>, u64, usize);
+    type IsAdded = fn(&Fault) -> bool;
+    let rows: [(&str, Add, IsAdded, u64); 3] = [
+        (
+            "evacuation",
+            |steps, seed, count| add_evacuations(steps, seed, &DATA_CENTRES, count),
+            |fault| matches!(fault, Fault::Evacuation(_)),
+            7_000,
+        ),
+        (
+            "restart",
+            |steps, seed, count| add_restarts(steps, seed, 6, count),
+            |fault| matches!(fault, Fault::LeavingTarget(_)),
+            200,
+        ),
+        (
+            "withdrawal",
+            add_withdrawals,
+            |fault| *fault == Fault::WithdrawnKey,
+            4_500,
+        ),
+    ];
+    for (name, add, is_added, min_duration_ms) in rows {
+        for seed in 0..100 {
+            let plain = fault_schedule(seed, 6, 10_000, 8);
+            let mut steps = plain.clone();
+            add(&mut steps, seed, 0);
+            expect_that!(steps, eq(&plain), "{name}");
+            add(&mut steps, seed, 1);
+            expect_true!(steps.is_sorted_by_key(|step| step.at_ms), "{name}");
+            for step in &plain {
+                let i = steps.iter().position(|other| other == step);
+                steps.remove(i.expect("each fault of the seed"));
+            }
+            let [start, end] = &steps[..] else {
+                panic!("one start and one end: {steps:?}");
+            };
+            expect_true!(is_added(&start.fault) && start.fault == end.fault, "{name}");
+            expect_that!((start.begins, end.begins), eq((true, false)), "{name}");
+            expect_that!(end.at_ms - start.at_ms, ge(min_duration_ms), "{name}");
+        }
     }
 }
--- a/tests/integration/soak.rs
+++ b/tests/integration/soak.rs
@@ -49,6 +49,29 @@
     }
 }
 
+/// Guards against too many requests at targets that come back cold, requests with a key that is
+/// withdrawn, and a workspace beyond its quota, during random faults.
+#[gtest]
+fn limits_of_targets_and_workspaces_hold_under_random_faults() {
+    let cfg = SoakSettings {
+        binary: BINARY.into(),
+        seed: 2_001,
+        rounds: 1,
+        evacuations: 1,
+        restarts: 2,
+        withdrawals: 1,
+        ..Default::default()
+    };
+    match soak::run(&cfg) {
+        Ok(report) => {
+            expect_that!(report.checked_cold_periods, ge(1));
+            expect_that!(report.checked_withdrawals, eq(1));
+            expect_that!(report.requests.not_run, ge(1));
+        }
+        Err(e) => add_failure!("seed {}: {e}", cfg.seed),
+    }
+}
+
 /// Guards against violated guarantees to callers, targets and operators while links, the
 /// store, targets and nodes fail one after the other and at the same time.
 #[gtest]
