Entry: wake responses that wait for the memory of held bodies

Cause: a response that found the memory for waiting responses used up waited only until its own caller read. When others gave their memory back, its target stayed blocked and kept its slot.

Change: such a response also waits for the budget, which wakes the waiting ones when room becomes free.

--- a/crates/core/src/delivery.rs
+++ b/crates/core/src/delivery.rs
@@ -187,9 +187,11 @@
         self.held_bytes += bytes;
     }
 
-    /// Removes bytes that a response has held.
-    pub fn remove(&mut self, bytes: usize) {
+    /// Removes bytes that a response has held. Returns whether others that had no room now may have.
+    pub fn remove(&mut self, bytes: usize) -> bool {
+        let was_used_up = self.held_bytes >= self.cfg.total_bytes;
         self.held_bytes = self.held_bytes.saturating_sub(bytes);
+        was_used_up && self.held_bytes < self.cfg.total_bytes
     }
 
     /// Returns the bytes that all responses hold.
--- a/crates/core/tests/delivery.rs
+++ b/crates/core/tests/delivery.rs
@@ -114,9 +114,12 @@
     expect_that!(budget.held_bytes(), eq(held.iter().sum::<usize>()));
     expect_that!(budget.held_bytes(), all![ge(250), lt(250 + 30)]);
     expect_that!(held, each(lt(100 + 30)));
-    for own in held {
-        budget.remove(own);
-    }
+    // Only the removal that makes room again wakes those that wait for it.
+    let freed: Vec<bool> = held.iter().map(|own| budget.remove(*own)).collect();
+    expect_that!(
+        freed,
+        elements_are![eq(&true), eq(&false), eq(&false), eq(&false), eq(&false)]
+    );
     expect_that!(budget.held_bytes(), eq(0));
     expect_true!(budget.has_room(99));
     expect_false!(budget.has_room(100));
--- a/crates/node/src/entry/held_body.rs
+++ b/crates/node/src/entry/held_body.rs
@@ -103,10 +103,34 @@
         }
         let block = self.blocks.pop_front()?;
         self.held_bytes -= block.len();
-        self.node.hold_budget.borrow_mut().remove(block.len());
+        self.free(block.len());
         Some(block)
     }
 
+    fn free(&self, bytes: usize) {
+        if self.node.hold_budget.borrow_mut().remove(bytes) {
+            self.node.hold_budget_freed.notify_waiters();
+        }
+    }
+
+    /// Waits until another piece may be read from the guard, for room in the memory or in the channel
+    /// to the connection, and passes on one block in the latter case.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller's connection has ended.
+    pub(super) async fn wait_for_room(
+        &mut self,
+        writer: &ResponseWriter,
+    ) -> Result<(), CallerGone> {
+        let node = Rc::clone(&self.node);
+        tokio::select! {
+            biased;
+            sent = self.send_block(writer) => sent,
+            () = node.hold_budget_freed.notified() => Ok(()),
+        }
+    }
+
     /// Waits for room in the channel and passes on one block.
     ///
     /// This method is cancel safe.
@@ -143,6 +167,6 @@
 
 impl Drop for HeldBody {
     fn drop(&mut self) {
-        self.node.hold_budget.borrow_mut().remove(self.held_bytes);
+        self.free(self.held_bytes);
     }
 }
--- a/crates/node/src/entry/target_response.rs
+++ b/crates/node/src/entry/target_response.rs
@@ -155,10 +155,10 @@
         while self.end_load.is_none() {
             if !held.has_room() {
                 time.block(self.node.now());
-                let sent = clock.timeout_at(time.give_up_at(), held.send_block(writer));
-                let sent = sent.await;
+                let waited = clock.timeout_at(time.give_up_at(), held.wait_for_room(writer));
+                let waited = waited.await;
                 time.unblock(self.node.now());
-                match sent {
+                match waited {
                     Some(result) => result?,
                     None => return Ok(RelayEnd::Late),
                 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -114,6 +114,8 @@
     pub(crate) config_changed: Notify,
     /// Memory for responses whose callers can't receive them yet.
     pub(crate) hold_budget: RefCell<HoldBudget>,
+    /// Wakes the responses that wait for room in `hold_budget`.
+    pub(crate) hold_budget_freed: Notify,
     pub(crate) stop: StopProgress,
 }
 
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -337,6 +337,7 @@
         known_services: RefCell::default(),
         config_changed: Default::default(),
         hold_budget: RefCell::default(),
+        hold_budget_freed: Default::default(),
         stop: StopProgress::default(),
         identity,
         keys,
--- a/tests/integration/response_parts.rs
+++ b/tests/integration/response_parts.rs
@@ -1,6 +1,8 @@
 //! An entry that takes the parts of responses from scripted guards.
 
 use std::{
+    io::Write,
+    net::{SocketAddr, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -11,9 +13,11 @@
 
 use actix_rt::net::TcpListener;
 use googletest::prelude::*;
-use plantainpost_wire::message::{BodyLength, PeerMessage};
+use plantainpost_standin::process;
+use plantainpost_wire::message::{BodyLength, MAX_BODY_FRAME_BYTES, PeerMessage};
 
 use crate::{
+    fleet_fixture::WAIT_TIMEOUT,
     http_client::{get_admin, outcome_header},
     scripted_guard::{ScriptedGuardFleet, response_message},
     scripted_peer::{ScriptedPeer, run_script},
@@ -62,3 +66,98 @@
     expect_that!(outcome_header(&text), eq("answered"));
     expect_that!(longest, lt(Duration::from_millis(500)));
 }
+
+/// Number of callers whose answers fill the memory of an entry for answers that wait.
+const FULL_CALLERS: usize = 8;
+
+/// Serves the request with the nonce `first` without end, and answers others with a body of as many
+/// bytes as their nonce says.
+async fn serve(mut peer: ScriptedPeer) {
+    let head = peer.next_request().await;
+    let key = head.key;
+    let nonce = head.headers.iter().find(|(name, _)| name == "x-nonce");
+    let nonce = nonce.map(|(_, value)| String::from_utf8_lossy(value).into_owned());
+    let Ok(length) = nonce.unwrap_or_default().parse::<usize>() else {
+        while peer.tx.write(&PeerMessage::Progress { key }).await.is_ok() {
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+        }
+        return;
+    };
+    peer.send(response_message(key, BodyLength::Sized(length as u64)))
+        .await;
+    for part in vec![b'x'; length].chunks(MAX_BODY_FRAME_BYTES) {
+        let part = PeerMessage::Body(part.to_vec().into());
+        if peer.tx.write(&part).await.is_err() {
+            return;
+        }
+    }
+    let length = length as u64;
+    let end = PeerMessage::BodyEnd { length, load: None };
+    // The entry may have closed the connection with its caller.
+    let _ = peer.tx.write(&end).await;
+    actix_rt::time::sleep(WAIT_TIMEOUT).await;
+}
+
+/// Sends a request that is not answered, and one behind it for an answer of `length` bytes.
+fn send_both(callers: SocketAddr, length: usize) -> TcpStream {
+    let mut io = TcpStream::connect(callers).expect("the entry accepts");
+    for nonce in ["first", &length.to_string()] {
+        let text = format!(
+            "POST / HTTP/1.1\r\nhost: stock\r\nx-nonce: {nonce}\r\n\
+             plantainpost-timeout-ms: 100000\r\ncontent-length: 0\r\n\r\n"
+        );
+        io.write_all(text.as_bytes()).expect("the entry reads");
+    }
+    io
+}
+
+/// Waits until the metrics of a node meet a condition.
+fn wait_for_metrics(admin: SocketAddr, what: &str, is_met: fn(&str) -> bool) {
+    let met = process::wait_until(what, WAIT_TIMEOUT, || {
+        is_met(&get_admin(admin, "/v1/metrics"))
+    });
+    met.unwrap_or_else(|e| panic!("{e}"));
+}
+
+fn is_memory_used_up(metrics: &str) -> bool {
+    let gauge = metrics.split(r#""entry.held_bytes":"#).nth(1);
+    let bytes = gauge.and_then(|rest| rest.split([',', '}']).next());
+    bytes.is_some_and(|text| text.parse::<usize>().is_ok_and(|bytes| bytes >= 8 << 20))
+}
+
+/// Returns whether an answer was taken completely, whether its caller has received it or not.
+fn is_answer_taken(metrics: &str) -> bool {
+    metrics.contains(r#""entry.total_us":"#)
+}
+
+/// Guards against an answer that keeps its target waiting although the memory for answers that wait
+/// has become free.
+#[gtest]
+fn answer_is_taken_when_memory_becomes_free() {
+    let scripted = ScriptedGuardFleet::start();
+    let node = &scripted.fleet.nodes[0];
+    let (callers, admin) = (node.callers, node.admin);
+    let steps = move || {
+        let others = [(); FULL_CALLERS].map(|()| send_both(callers, 4 << 20));
+        wait_for_metrics(admin, "no memory", is_memory_used_up);
+        let _waiting = send_both(callers, 600_000);
+        thread::sleep(Duration::from_millis(500));
+        let metrics = get_admin(admin, "/v1/metrics");
+        assert!(!is_answer_taken(&metrics), "the memory was not used up");
+        drop(others);
+        wait_for_metrics(admin, "the whole answer", is_answer_taken);
+    };
+    run_script(async {
+        let listener = TcpListener::bind(scripted.guard_addresses[0])
+            .await
+            .expect("a listener");
+        actix_rt::spawn(async move {
+            loop {
+                let peer = ScriptedPeer::accept(&listener, "stock-0").await;
+                actix_rt::spawn(serve(peer));
+            }
+        });
+        let done = actix_rt::task::spawn_blocking(steps).await;
+        done.expect("the answer is taken");
+    });
+}
