Tests: let the guard of waiting responses survive a handshake that is given up

When the callers went, the entry gave up a connection within its handshake, which ended the scripted guard. Also, the guard did not continue an exchange on a second connection, which a busy entry asks for.

Change: the scripted guard accepts further connections, and answers a continued exchange there.

--- a/tests/integration/response_parts.rs
+++ b/tests/integration/response_parts.rs
@@ -1,8 +1,12 @@
 //! An entry that takes the parts of responses from scripted guards.
 
 use std::{
+    cell::RefCell,
+    collections::HashMap,
     io::Write,
+    iter,
     net::{SocketAddr, TcpStream},
+    rc::Rc,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -13,6 +17,7 @@
 
 use actix_rt::net::TcpListener;
 use googletest::prelude::*;
+use plantainpost_core::admission::RequestKey;
 use plantainpost_standin::process;
 use plantainpost_wire::message::{BodyLength, MAX_BODY_FRAME_BYTES, PeerMessage};
 
@@ -70,31 +75,41 @@
 /// Number of callers whose answers fill the memory of an entry for answers that wait.
 const FULL_CALLERS: usize = 8;
 
-/// Serves the request with the nonce `first` without end, and answers others with a body of as many
-/// bytes as their nonce says.
-async fn serve(mut peer: ScriptedPeer) {
-    let head = peer.next_request().await;
-    let key = head.key;
-    let nonce = head.headers.iter().find(|(name, _)| name == "x-nonce");
-    let nonce = nonce.map(|(_, value)| String::from_utf8_lossy(value).into_owned());
-    let Ok(length) = nonce.unwrap_or_default().parse::<usize>() else {
+/// Lengths of the answers by request; `None` for requests that are not answered.
+type AnswerLengths = Rc<RefCell<HashMap<RequestKey, Option<usize>>>>;
+
+/// Answers a request with a body of as many bytes as its nonce says, and never if that is no number.
+/// On a busy machine, the entry may continue the exchange on a second connection.
+async fn serve(mut peer: ScriptedPeer, lengths: AnswerLengths) {
+    let key = match peer.next_message().await {
+        Ok(PeerMessage::Request(head)) => {
+            let nonce = head.headers.iter().find(|(name, _)| name == "x-nonce");
+            let length = nonce.and_then(|(_, value)| str::from_utf8(value).ok()?.parse().ok());
+            lengths.borrow_mut().insert(head.key, length);
+            head.key
+        }
+        Ok(PeerMessage::Resume { key, .. }) => key,
+        _ => return,
+    };
+    let length = lengths.borrow().get(&key).copied().flatten();
+    let Some(length) = length else {
         while peer.tx.write(&PeerMessage::Progress { key }).await.is_ok() {
             actix_rt::time::sleep(Duration::from_millis(100)).await;
         }
         return;
     };
-    peer.send(response_message(key, BodyLength::Sized(length as u64)))
-        .await;
-    for part in vec![b'x'; length].chunks(MAX_BODY_FRAME_BYTES) {
-        let part = PeerMessage::Body(part.to_vec().into());
-        if peer.tx.write(&part).await.is_err() {
+    let parts = vec![b'x'; length];
+    let parts = parts.chunks(MAX_BODY_FRAME_BYTES);
+    let parts = parts.map(|part| PeerMessage::Body(part.to_vec().into()));
+    let head = response_message(key, BodyLength::Sized(length as u64));
+    let length = length as u64;
+    let end = PeerMessage::BodyEnd { length, load: None };
+    for msg in iter::once(head).chain(parts).chain([end]) {
+        // The entry closes the connection when its caller has gone.
+        if peer.tx.write(&msg).await.is_err() {
             return;
         }
     }
-    let length = length as u64;
-    let end = PeerMessage::BodyEnd { length, load: None };
-    // The entry may have closed the connection with its caller.
-    let _ = peer.tx.write(&end).await;
     actix_rt::time::sleep(WAIT_TIMEOUT).await;
 }
 
@@ -152,9 +167,11 @@
             .await
             .expect("a listener");
         actix_rt::spawn(async move {
+            let lengths = AnswerLengths::default();
             loop {
-                let peer = ScriptedPeer::accept(&listener, "stock-0").await;
-                actix_rt::spawn(serve(peer));
+                if let Some(peer) = ScriptedPeer::try_accept(&listener, "stock-0").await {
+                    actix_rt::spawn(serve(peer, Rc::clone(&lengths)));
+                }
             }
         });
         let done = actix_rt::task::spawn_blocking(steps).await;
--- a/tests/integration/scripted_peer.rs
+++ b/tests/integration/scripted_peer.rs
@@ -102,6 +102,17 @@
         ScriptedPeer { rx, tx }
     }
 
+    /// Accepts a connection as the guard with this name; `None` if the node gives it up before the end
+    /// of the handshake, as it does when its caller has gone.
+    pub(crate) async fn try_accept(listener: &TcpListener, name: &str) -> Option<Self> {
+        let (io, _) = listener.accept().await.expect("it is accepted");
+        let (mut rx, mut tx) = frame::split(io);
+        handshake::accept(&mut rx, &mut tx, &identity(name), &keys(), &now)
+            .await
+            .ok()?;
+        Some(ScriptedPeer { rx, tx })
+    }
+
     pub(crate) async fn send(&mut self, msg: PeerMessage) {
         self.tx.write(&msg).await.expect("the message is sent");
     }
