--- a/crates/node/src/entry/target_response.rs
+++ b/crates/node/src/entry/target_response.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use plantainpost_core::{
-    balance::RequestOutcome, delivery::TargetTime, ids::NodeName, load::LoadSample, time::Instant,
+    balance::RequestOutcome, delivery::ArrivalTime, ids::NodeName, load::LoadSample, time::Instant,
 };
 use plantainpost_wire::message::{BodyLength, PeerMessage, PeerResponseHead};
 use slog::info;
@@ -27,6 +27,10 @@
 /// request can be retried.
 const RETRY_BUFFER_BYTES: u64 = 64 * 1024;
 
+/// Parts of a response that are taken before other tasks get a turn. Many short ones can be in the
+/// buffers of a connection, and each takes about a microsecond.
+pub(super) const PARTS_PER_TURN: u32 = 256;
+
 /// The response ended before its body was complete.
 #[derive(Debug, Snafu)]
 #[snafu(display("the target's response was truncated"))]
@@ -58,6 +62,8 @@
     pub(crate) buffered: BytesMut,
     /// Bytes of the body received so far.
     pub(crate) received_bytes: u64,
+    /// Parts that may be taken before other tasks get a turn, at most [`PARTS_PER_TURN`].
+    pub(crate) parts_left: u32,
     /// Load of the target at the end of the response. `None` until the body is complete.
     pub(crate) end_load: Option<LoadSample>,
 }
@@ -71,14 +77,21 @@
         if self.head.body == BodyLength::None {
             self.end_load = Some(self.head.load);
         }
+        let mut time = self.arrival_time(request);
         while self.end_load.is_none() && self.received_bytes < RETRY_BUFFER_BYTES {
-            if let Some(piece) = self.read_part(request.deadline).await? {
+            if let Some(piece) = self.read_part(time.deadline()).await? {
                 self.buffered.extend_from_slice(&piece);
             }
+            time.on_part(self.node.now());
         }
         Ok(())
     }
 
+    fn arrival_time(&self, request: &CallerRequest) -> ArrivalTime {
+        let max_delay_ms = self.node.settings.limits.max_timeout_ms;
+        ArrivalTime::new(self.node.now(), request.deadline, max_delay_ms)
+    }
+
     /// Forwards the response to the caller.
     ///
     /// A truncated response is not terminated, so that the caller can't mistake it for a
@@ -102,7 +115,7 @@
             held.send_or_hold(buffered.freeze(), &writer)?;
         }
         let node = Rc::clone(&self.node);
-        let mut time = TargetTime::new(request.deadline, node.settings.limits.max_timeout_ms);
+        let mut time = self.arrival_time(request);
         let end = self.relay_body(&mut time, &mut held, &writer).await?;
         self.in_flight.exclude_us(time.blocked_us());
         match end {
@@ -134,7 +147,7 @@
     /// target is not kept waiting, and a target that is late is noticed.
     async fn relay_body(
         &mut self,
-        time: &mut TargetTime,
+        time: &mut ArrivalTime,
         held: &mut HeldBody,
         writer: &ResponseWriter,
     ) -> Result<RelayEnd, CallerGone> {
@@ -142,10 +155,10 @@
         while self.end_load.is_none() {
             if !held.has_room() {
                 time.block(self.node.now());
-                let sent = clock.timeout_at(time.give_up_at(), held.send_block(writer));
-                let sent = sent.await;
+                let waited = clock.timeout_at(time.give_up_at(), held.wait_for_room(writer));
+                let waited = waited.await;
                 time.unblock(self.node.now());
-                match sent {
+                match waited {
                     Some(result) => result?,
                     None => return Ok(RelayEnd::Late),
                 }
@@ -160,6 +173,7 @@
                 }
                 part = self.read_part(time.deadline()) => part,
             };
+            time.on_part(self.node.now());
             match part {
                 Ok(Some(piece)) => held.send_or_hold(piece, writer)?,
                 Ok(None) => (),
@@ -171,8 +185,14 @@
 
     /// Reads the next piece of the body. Returns `None` at the end, after setting `end_load`.
     async fn read_part(&mut self, deadline: Instant) -> Result<Option<Bytes>, ResponseTruncated> {
+        if self.parts_left == 0 {
+            actix_rt::task::yield_now().await;
+            self.parts_left = PARTS_PER_TURN;
+        }
         let clock = self.node.clock;
-        match clock.timeout_at(deadline, self.conn.rx.read()).await {
+        let part = clock.timeout_at(deadline, self.conn.rx.read()).await;
+        self.parts_left -= 1;
+        match part {
             Some(Ok(PeerMessage::Body(piece))) => {
                 self.received_bytes += piece.len() as u64;
                 Ok(Some(piece))
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -339,6 +339,7 @@
         startup: Startup::new(clock.now()),
         config_changed: Default::default(),
         hold_budget: RefCell::default(),
+        hold_budget_freed: Default::default(),
         stop: StopProgress::default(),
         identity,
         keys,
