Shedding: the share of new requests is not that of a workspace

Cause: without workspaces, requests of other hosts have the common share 1, which the order of starts took for a workspace. Where calls of targets take most of the capacity, this share is started less than half as often as all requests, so that it counted as underserved: new requests of any priority went before calls of running work, and were not displaced.

Change: admission names the shares that are not those of workspaces (`TARGET_CALLS`, `NEW_REQUESTS`), and only shares of workspaces are counted for the floor. The hash of a workspace's name is neither of the two. Tests that number workspaces from 1 number them from 2, so that the floor still applies to all of them.

The tests of the crate pass, and so do the three integration tests of load_shedding, that of the calls twice.

--- a/crates/core/src/admission/fair_order.rs
+++ b/crates/core/src/admission/fair_order.rs
@@ -1,7 +1,10 @@
 //! What the order of starts depends on besides the waiting requests: the shares of the capacity that
 //! workspaces and priority levels have received.
 
-use super::shedding::{Contender, LEVELS};
+use super::{
+    capacity_share::is_of_workspace,
+    shedding::{Contender, LEVELS},
+};
 use crate::{collections::HashMap, time::Instant};
 
 /// Slot time that a level's next request waits for, as a multiple of its own. A waiting level then
@@ -257,7 +260,7 @@
         self.all.offers += 1.0;
         self.all.starts += starts;
         let has_room = self.by_workspace.len() < MAX_WORKSPACES;
-        if workspace != 0 && (has_room || self.by_workspace.contains_key(&workspace)) {
+        if is_of_workspace(workspace) && (has_room || self.by_workspace.contains_key(&workspace)) {
             let service = self.by_workspace.entry(workspace).or_default();
             service.offers += 1.0;
             service.starts += starts;
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -18,6 +18,7 @@
 //! An entry that does not know whether a request was run can *fence* it with
 //! [`Guard::fence`]: a request that has not been started is then never run.
 
+mod capacity_share;
 mod class_service_times;
 mod closed;
 mod counters;
@@ -43,7 +44,9 @@
 mod wait_correction;
 mod warm_up;
 
+pub(crate) use self::capacity_share::share_of_workspace;
 pub use self::{
+    capacity_share::{NEW_REQUESTS, TARGET_CALLS},
     closed::ClosedReason,
     counters::Counters,
     guard::Guard,
--- a/crates/core/src/admission/shedding.rs
+++ b/crates/core/src/admission/shedding.rs
@@ -6,6 +6,7 @@
 use std::{cmp::Reverse, collections::VecDeque};
 
 use super::{
+    capacity_share::TARGET_CALLS,
     fair_order::{FairOrder, Passes},
     queue::Ticket,
 };
@@ -68,8 +69,8 @@
     /// Returns the sort key of the order of starts; the smallest starts first.
     fn start_key(&self, virtual_time: u64, fair: &FairOrder) -> impl Ord + use<> {
         let is_served_enough = !fair.is_underserved(self.workspace);
-        let is_in_workspace = self.workspace != 0;
-        let by_share = (is_in_workspace, virtual_time, self.due, self.ticket);
+        let is_new = self.workspace != TARGET_CALLS;
+        let by_share = (is_new, virtual_time, self.due, self.ticket);
         (is_served_enough, Reverse(self.rank(fair)), by_share)
     }
 }
@@ -166,7 +167,7 @@
     }
     let (_, _, loser) = ends
         .into_iter()
-        .map(|(share, end)| (share.1 != 0, end, share))
+        .map(|(share, end)| (share.1 != TARGET_CALLS, end, share))
         .max()?;
     candidates
         .filter(|contender| contender.share() == loser)
--- a/crates/core/src/workspace/access.rs
+++ b/crates/core/src/workspace/access.rs
@@ -6,7 +6,7 @@
 
 use super::{KeyHash, Workspace};
 use crate::{
-    admission::RefuseReason,
+    admission::{NEW_REQUESTS, RefuseReason, TARGET_CALLS},
     routing::{Route, RouteTable},
 };
 
@@ -60,15 +60,11 @@
     pub claim: KeyClaim,
 }
 
-/// Share of requests from other hosts while the configuration has no workspaces.
-const OTHER_HOSTS: u32 = 1;
-
 /// Returns the share of a guard's capacity that a request is charged to, for
 /// [`Urgency::workspace`](crate::admission::Urgency).
 ///
-/// Calls that targets make for running requests have share 0, so that they go before new requests of
-/// the same value: the running requests are lost without them. They come from the target's host and
-/// have no key. With workspaces, every request without a key has share 0.
+/// Calls that targets make for running requests come from the target's host and have no key. With
+/// workspaces, every request without a key has the share of these calls.
 pub fn capacity_share(
     table: &RouteTable,
     workspace: Option<&Workspace>,
@@ -76,8 +72,8 @@
 ) -> u32 {
     match workspace {
         Some(workspace) => workspace.share_id(),
-        None if is_from_own_host || table.workspaces().is_some() => 0,
-        None => OTHER_HOSTS,
+        None if is_from_own_host || table.workspaces().is_some() => TARGET_CALLS,
+        None => NEW_REQUESTS,
     }
 }
 
--- a/crates/core/src/workspace/mod.rs
+++ b/crates/core/src/workspace/mod.rs
@@ -17,7 +17,7 @@
 use sha2::{Digest, Sha256};
 use snafu::{Snafu, ensure};
 
-use crate::{hash::fnv1a, ids::Region};
+use crate::{admission::share_of_workspace, hash::fnv1a, ids::Region};
 
 /// Longest name of a workspace, in bytes. Names are part of datagrams of 1,200 bytes.
 const MAX_NAME_BYTES: usize = 256;
@@ -166,10 +166,10 @@
 }
 
 impl Workspace {
-    /// Returns a hash of the name, which is never zero. A collision of two workspaces makes them share
-    /// their part of the capacity.
+    /// Returns the share of the capacity that requests of the workspace are charged to, a hash of the name.
+    /// A collision of two workspaces makes them share their part of the capacity.
     pub fn share_id(&self) -> u32 {
-        fnv1a(self.name.as_bytes()).max(1)
+        share_of_workspace(fnv1a(self.name.as_bytes()))
     }
 }
 
--- a/crates/core/tests/admission_shedding.rs
+++ b/crates/core/tests/admission_shedding.rs
@@ -5,10 +5,14 @@
 use std::ops::Range;
 
 use googletest::prelude::*;
+use plantainpost_core::admission::{NEW_REQUESTS, TARGET_CALLS};
 use shedding_model::{Load, Order, Outcome, Simulation, Stream};
 
 const SEEDS: Range<u64> = 0..4;
 
+/// Shares from this one on belong to workspaces.
+const FIRST_WORKSPACE: u32 = NEW_REQUESTS + 1;
+
 /// Seeds for the comparison of levels with few requests, whose shares vary by 5 in 100 in 4 seeds.
 const MANY_SEEDS: Range<u64> = 0..40;
 
@@ -75,9 +79,6 @@
     }
 }
 
-/// Index of the calls in [`three_levels`].
-const CALLS: usize = 2;
-
 /// All of the above at the same targets: three levels.
 fn three_levels() -> Load {
     let mut streams = reads_and_orders().streams;
@@ -162,7 +163,7 @@
 /// Returns a load of many workspaces, whose priorities differ.
 fn workspaces_of_three_levels() -> Load {
     let stream = |index: u32| Stream {
-        workspace: index + 1,
+        workspace: FIRST_WORKSPACE + index,
         priority: index % 3,
         per_second: 1.0 / f64::from(index + 1),
         ..BASE
@@ -205,7 +206,7 @@
 /// Returns a load of workspaces of the given usual rates, the first of which sends 7 times its usual.
 fn hot_workspace(name: &'static str, rates: &[f64]) -> Load {
     let stream = |(index, rate): (usize, &f64)| Stream {
-        workspace: index as u32 + 1,
+        workspace: FIRST_WORKSPACE + index as u32,
         per_second: *rate,
         burst: (if index == 0 { 7.0 } else { 1.0 }, 6_000_000),
         ..BASE
@@ -223,7 +224,7 @@
 /// Returns a load of two workspaces of different priority, each of which could use the whole capacity.
 fn unequal_workspaces() -> Load {
     let streams = [(0, 1.3), (2, 1.2)].map(|(priority, per_second)| Stream {
-        workspace: priority + 1,
+        workspace: FIRST_WORKSPACE + priority,
         priority,
         per_second,
         burst: (1.0, 6_000_000),
@@ -308,31 +309,59 @@
     }
 }
 
-/// Guards against calls for running reads that are lost in favour of new reads of the same priority. A
+/// Calls that take 0.8 of the capacity beside uploads that could use all of it.
+fn calls_beside_many_uploads() -> Load {
+    let mut load = calls_and_uploads();
+    for (stream, share) in load.streams.iter_mut().zip([0.8, 1.0]) {
+        stream.per_second = share * 18.0 * 1e6 / stream.service_us as f64;
+        stream.burst = (1.0, 5_600_000);
+    }
+    load
+}
+
+/// Guards against calls for running reads that are lost in favour of new reads of the same priority, and
+/// against new requests of any priority that go before calls as if they were an underserved workspace. A
 /// read whose calls are lost has run in vain.
 #[gtest]
 fn calls_of_running_work_are_served_first() {
-    // Calls whose latency target is shorter than that of reads go first in any case.
-    for due_us in [250_000, 2_000_000] {
-        for usual in [0.9, 1.1] {
-            // Without the distinction, all requests are charged to the share of the calls.
-            let [mixed, calls_first] = [0, 1].map(|share| {
-                let mut load = three_levels().at_usual_load(usual);
-                for (index, stream) in load.streams.iter_mut().enumerate() {
-                    stream.workspace = if index == CALLS { 0 } else { share };
-                }
-                load.streams[CALLS].due_us = due_us;
-                load.streams[CALLS].timeout_us = due_us + 1_000_000;
-                let outcomes = run(&load, Order::Shedding, SEEDS);
-                let served: Vec<f64> = outcomes.iter().map(Outcome::served).collect();
-                let lost = lost_value(&load, &outcomes);
-                println!("calls due after {due_us} us, {usual}: {served:.3?}, lost {lost:.0}");
-                served
-            });
-            expect_that!(calls_first[CALLS], ge(0.99), "{due_us} {usual}");
-            expect_that!(calls_first[CALLS], ge(mixed[CALLS]), "{due_us} {usual}");
-            // The less urgent levels pay nothing for it.
-            for index in [1, 3] {
+    let mut loads = vec![(calls_beside_many_uploads(), 250_000)];
+    for usual in [0.9, 1.1, 1.7, 2.5] {
+        // Calls whose latency target is shorter than that of reads go first in any case.
+        let load = three_levels().at_usual_load(usual);
+        loads.extend([250_000, 2_000_000].map(|due_us| (load.clone(), due_us)));
+    }
+    for (load, due_us) in loads {
+        let calls = load.streams.iter().position(|stream| stream.class == 3);
+        let calls = calls.expect("every load has calls");
+        // Without the distinction, all requests are charged to the share of the calls.
+        let [mixed, calls_first] = [TARGET_CALLS, NEW_REQUESTS].map(|share| {
+            let mut load = load.clone();
+            for stream in &mut load.streams {
+                stream.workspace = share;
+            }
+            let stream = &mut load.streams[calls];
+            stream.workspace = TARGET_CALLS;
+            stream.due_us = due_us;
+            stream.timeout_us = due_us + 1_000_000;
+            let outcomes = run(&load, Order::Shedding, SEEDS);
+            let served: Vec<f64> = outcomes.iter().map(Outcome::served).collect();
+            let lost = lost_value(&load, &outcomes);
+            println!(
+                "{}, due after {due_us} us: {served:.3?}, lost {lost:.0}",
+                load.name
+            );
+            served
+        });
+        expect_that!(calls_first[calls], ge(0.99), "{} {due_us}", load.name);
+        expect_that!(
+            calls_first[calls],
+            ge(mixed[calls] - 0.001),
+            "{} {due_us}",
+            load.name
+        );
+        // The less urgent levels pay nothing for it.
+        for (index, stream) in load.streams.iter().enumerate() {
+            if stream.priority > 0 {
                 expect_that!(calls_first[index], ge(mixed[index] - 0.01), "{index}");
             }
         }
--- a/crates/core/tests/workspace_access.rs
+++ b/crates/core/tests/workspace_access.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use plantainpost_core::{
-    admission::RefuseReason,
+    admission::{NEW_REQUESTS, RefuseReason, TARGET_CALLS},
     ids::ServiceName,
     routing::{CallerLimits, Repeat, Route, RouteTable, Share},
     workspace::{
@@ -191,8 +191,11 @@
     for is_from_own_host in [false, true] {
         let of_kola = capacity_share(&with, Some(&kola), is_from_own_host);
         expect_that!(of_kola, eq(kola.share_id()));
-        expect_that!(capacity_share(&with, None, is_from_own_host), eq(0));
+        expect_that!(
+            capacity_share(&with, None, is_from_own_host),
+            eq(TARGET_CALLS)
+        );
     }
-    expect_that!(capacity_share(&without, None, true), eq(0));
-    expect_that!(capacity_share(&without, None, false), ne(0));
+    expect_that!(capacity_share(&without, None, true), eq(TARGET_CALLS));
+    expect_that!(capacity_share(&without, None, false), eq(NEW_REQUESTS));
 }
