Admission: rename Urgency::workspace to capacity_share

The field holds the share of the capacity that a request is charged to, which is that of a workspace only with workspaces. Messages between nodes have no field names, so that the protocol is the same.

--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -68,7 +68,7 @@
     Contender {
         ticket,
         level: shedding::level_of(urgency.priority),
-        workspace: urgency.workspace,
+        capacity_share: urgency.capacity_share,
         is_late: now.saturating_add_micros(service_times.usual_maximum_us(urgency.class)) > due,
         due,
         slot_time_us,
@@ -78,7 +78,7 @@
 fn record_push(fair: &mut FairOrder, urgency: &Urgency, service_times: &ClassServiceTimes) {
     let level = shedding::level_of(urgency.priority);
     let slot_time_us = service_times.mean_us(urgency.class);
-    fair.record_push(level, urgency.workspace, slot_time_us);
+    fair.record_push(level, urgency.capacity_share, slot_time_us);
 }
 
 impl Queue {
@@ -133,7 +133,7 @@
     /// Counts a request that was refused on arrival.
     pub(super) fn record_refusal(&mut self, urgency: &Urgency) {
         if let Some(fair) = &mut self.fair {
-            fair.record_refusal(urgency.workspace);
+            fair.record_refusal(urgency.capacity_share);
         }
     }
 
@@ -141,7 +141,7 @@
     pub(super) fn record_direct_start(&mut self, urgency: &Urgency) {
         if let Some(fair) = &mut self.fair {
             let level = shedding::level_of(urgency.priority);
-            fair.record_direct_start(level, urgency.workspace);
+            fair.record_direct_start(level, urgency.capacity_share);
         }
     }
 
@@ -222,7 +222,7 @@
         let queued = self.take(ticket)?;
         if let Some(fair) = &mut self.fair {
             let level = shedding::level_of(queued.urgency.priority);
-            fair.record_removal(level, queued.urgency.workspace);
+            fair.record_removal(level, queued.urgency.capacity_share);
         }
         Some(queued)
     }
@@ -233,7 +233,7 @@
             && let Some(fair) = &mut self.fair
         {
             let level = shedding::level_of(queued.urgency.priority);
-            fair.record_cancellation(level, queued.urgency.workspace);
+            fair.record_cancellation(level, queued.urgency.capacity_share);
         }
     }
 
@@ -248,7 +248,7 @@
         if let Some(fair) = &mut self.fair {
             let level = shedding::level_of(queued.urgency.priority);
             let slot_time_us = service_times.mean_us(queued.urgency.class);
-            fair.record_start(level, queued.urgency.workspace, slot_time_us);
+            fair.record_start(level, queued.urgency.capacity_share, slot_time_us);
         }
         Some(queued)
     }
--- a/crates/core/src/admission/shedding.rs
+++ b/crates/core/src/admission/shedding.rs
@@ -30,8 +30,8 @@
     pub(super) ticket: Ticket,
     /// See [`level_of`]; below [`LEVELS`].
     pub(super) level: usize,
-    /// See `Urgency::workspace`.
-    pub(super) workspace: u32,
+    /// See `Urgency::capacity_share`.
+    pub(super) capacity_share: u32,
     /// Whether the latency target would probably be missed if the request started now.
     pub(super) is_late: bool,
     /// [`Instant::MAX`] without a latency target.
@@ -54,9 +54,9 @@
         (!fair.is_level_ahead(self.level), self.value())
     }
 
-    /// Returns the workspace's share that the request is charged to.
+    /// Returns the share of the level that the request is charged to.
     pub(super) fn share(&self) -> (usize, u32) {
-        (self.level, self.workspace)
+        (self.level, self.capacity_share)
     }
 
     /// Returns the cost of the request in steps of a factor of 1.4, so that the errors of estimates
@@ -68,8 +68,8 @@
 
     /// Returns the sort key of the order of starts; the smallest starts first.
     fn start_key(&self, virtual_time: u64, fair: &FairOrder) -> impl Ord + use<> {
-        let is_served_enough = !fair.is_underserved(self.workspace);
-        let is_new = self.workspace != TARGET_CALLS;
+        let is_served_enough = !fair.is_underserved(self.capacity_share);
+        let is_new = self.capacity_share != TARGET_CALLS;
         let by_share = (is_new, virtual_time, self.due, self.ticket);
         (is_served_enough, Reverse(self.rank(fair)), by_share)
     }
@@ -151,7 +151,7 @@
     let is_protected = |contender: &&Contender| {
         let is_last_of_level = per_level[contender.level] == 1;
         (is_last_of_level && fair.is_level_behind(contender.level))
-            || fair.is_underserved(contender.workspace)
+            || fair.is_underserved(contender.capacity_share)
     };
     let candidates = contenders.iter().filter(|c| !is_protected(c));
     let lowest_rank = candidates.clone().map(|c| c.rank(fair)).min()?;
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -44,9 +44,10 @@
     pub class: u32,
     /// Priority; 0 is the highest.
     pub priority: u32,
-    /// Share of the capacity that the request is charged to: its workspace as a hash of the name, 0 for
-    /// calls of targets; see [`capacity_share`](crate::workspace::capacity_share).
-    pub workspace: u32,
+    /// Share of the capacity that the request is charged to: [`TARGET_CALLS`](super::TARGET_CALLS),
+    /// [`NEW_REQUESTS`](super::NEW_REQUESTS), or that of a workspace; see
+    /// [`capacity_share`](crate::workspace::capacity_share).
+    pub capacity_share: u32,
     /// Instant at which the latency target is missed; `None` without a latency target.
     pub due: Option<Instant>,
 }
--- a/crates/core/src/workspace/access.rs
+++ b/crates/core/src/workspace/access.rs
@@ -61,7 +61,7 @@
 }
 
 /// Returns the share of a guard's capacity that a request is charged to, for
-/// [`Urgency::workspace`](crate::admission::Urgency).
+/// [`Urgency::capacity_share`](crate::admission::Urgency).
 ///
 /// Calls that targets make for running requests come from the target's host and have no key. With
 /// workspaces, every request without a key has the share of these calls.
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -437,7 +437,7 @@
         urgency: Urgency {
             class: 1,
             priority: u32::from(due_ms == 400),
-            workspace: 0,
+            capacity_share: 0,
             due: Some(now.saturating_add_millis(due_ms)),
         },
         deadline: Instant::MAX,
--- a/crates/core/tests/admission_displacement.rs
+++ b/crates/core/tests/admission_displacement.rs
@@ -62,11 +62,11 @@
     guard.offer(NOW, &offer)
 }
 
-fn of(class: u32, priority: u32, workspace: u32) -> Urgency {
+fn of(class: u32, priority: u32, capacity_share: u32) -> Urgency {
     Urgency {
         class,
         priority,
-        workspace,
+        capacity_share,
         due: Some(DEADLINE),
     }
 }
@@ -232,7 +232,7 @@
             urgency: Urgency {
                 class: 1 + priority,
                 priority,
-                workspace: 0,
+                capacity_share: 0,
                 due: Some(due),
             },
         };
--- a/crates/core/tests/admission_model/mod.rs
+++ b/crates/core/tests/admission_model/mod.rs
@@ -117,7 +117,7 @@
         Urgency {
             class: u32::from(key % 5),
             priority: u32::from(key % 3),
-            workspace: u32::from(key % 4),
+            capacity_share: u32::from(key % 4),
             due: key.is_multiple_of(2).then(|| converted_deadline(key, 500)),
         }
     }
--- a/crates/core/tests/admission_pace.rs
+++ b/crates/core/tests/admission_pace.rs
@@ -145,7 +145,7 @@
             urgency: Urgency {
                 class: 1,
                 priority: 2,
-                workspace: 0,
+                capacity_share: 0,
                 due: Some(self.now.saturating_add_micros(LATENCY_TARGET_US)),
             },
         };
--- a/crates/core/tests/shedding_model/mod.rs
+++ b/crates/core/tests/shedding_model/mod.rs
@@ -284,7 +284,7 @@
             urgency: Urgency {
                 class: stream.class,
                 priority: stream.priority,
-                workspace: stream.workspace,
+                capacity_share: stream.workspace,
                 due: Some(request.due),
             },
         };
--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -181,7 +181,7 @@
         Urgency {
             class: route.request_class(),
             priority: own_priority.unwrap_or(route.priority),
-            workspace: self.policy.capacity_share,
+            capacity_share: self.policy.capacity_share,
             due: Some(
                 self.received_at
                     .saturating_add_millis(route.latency_target_ms),
