Core: decisions on a request can be tried without effect

A dry run of the routing needs the decisions of real requests without their effects. Before, the filter of candidates was part of Balancer::choose_target_for, and no state could be copied.

Change: Balancer, Guard and the quota account of one workspace can be copied, with their policies. The filter of candidates moves to balance/choice.rs (narrow_choice), which explain_for uses to say which targets a request may be sent to and why not to the others. SampleOutlook says what the last load sample of a guard implies for a request that reaches it now.

--- a/crates/core/src/admission/class_service_times.rs
+++ b/crates/core/src/admission/class_service_times.rs
@@ -14,7 +14,7 @@
 const MIN_CLASS_SAMPLES: u32 = 5;
 
 /// Service times of the target, over all requests and by class.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct ClassServiceTimes {
     overall: ServiceTimeStats,
     by_class: HashMap<u32, ServiceTimeStats>,
--- a/crates/core/src/admission/fair_order.rs
+++ b/crates/core/src/admission/fair_order.rs
@@ -112,7 +112,7 @@
 }
 
 /// State of the order of starts while load is shed.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct FairOrder {
     /// By level and workspace. Holds every share with a waiting request; a share without one is only
     /// kept while its virtual time is after that of its level.
--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -63,8 +63,8 @@
     }
 }
 
-/// Decides which requests reach the target on the node's host.
-#[derive(Debug)]
+/// Decides which requests reach the target on the node's host. Offers can be tried on a copy.
+#[derive(Clone, Debug)]
 pub struct Guard {
     pub(super) cfg: GuardSettings,
     /// May have expired; see [`AnnouncedTarget::is_in_force`].
--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -59,7 +59,7 @@
 }
 
 /// Adaptive concurrency limit of one target.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ConcurrencyLimit {
     cfg: LimitSettings,
     /// Number of requests that the target announced to work on at once.
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -32,7 +32,7 @@
 type StartOrder = (bool, u32, Instant, Ticket);
 
 /// Queue of requests, with removal by ticket and an index by deadline.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     next_ticket: Ticket,
     by_ticket: BTreeMap<Ticket, QueuedRequest>,
--- a/crates/core/src/admission/records.rs
+++ b/crates/core/src/admission/records.rs
@@ -55,7 +55,7 @@
 }
 
 /// Table of request records by key, with a bound on their number.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct RecordTable {
     max_records: usize,
     by_key: HashMap<RequestKey, RequestRecord>,
--- a/crates/core/src/admission/resend.rs
+++ b/crates/core/src/admission/resend.rs
@@ -21,7 +21,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ResendBudget {
     cfg: ResendSettings,
     /// At most `cfg.max_saved_percent`.
--- a/crates/core/src/admission/service_time.rs
+++ b/crates/core/src/admission/service_time.rs
@@ -150,7 +150,7 @@
 ///
 /// Under steady load no request runs at low concurrency. The comparison then asks the
 /// limit to reduce the concurrency for a short time, which is called *sampling*.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ServiceTimeComparison {
     cfg: ComparisonSettings,
     /// Mean service time at low concurrency.
--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -168,12 +168,16 @@
         if slots == 0 {
             return u64::MAX;
         }
-        let wait_us = self
-            .wait_correction
-            .correct(self.predicted_wait_us(now, urgency));
+        let wait_us = self.expected_wait_us(now, urgency);
         wait_us.saturating_add(self.service_times.high_estimate_us(urgency.class))
     }
 
+    /// Predicts the wait of a request that is queued now, in microseconds.
+    pub fn expected_wait_us(&self, now: Instant, urgency: &Urgency) -> u64 {
+        self.wait_correction
+            .correct(self.predicted_wait_us(now, urgency))
+    }
+
     /// Predicts the wait of a request that is queued now, in microseconds, without the
     /// correction by observed waits.
     pub(super) fn predicted_wait_us(&self, now: Instant, urgency: &Urgency) -> u64 {
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -6,18 +6,15 @@
 use snafu::Snafu;
 
 use super::{
-    BalancerSettings, Candidate, ChoiceRequest, EjectionChange, EjectionEvent, LoadReport, Policy,
-    RequestObservation, RequestOutcome, ResponseSizes, Score, TargetEstimate, TargetQuery,
+    BalancerSettings, EjectionChange, EjectionEvent, LoadReport, Policy, RequestObservation,
+    RequestOutcome, ResponseSizes, Score, TargetEstimate,
     ejection::{EjectionState, EjectionTransition},
-    service_targets::{
-        NodeState, ServiceTarget, ServiceTargets, build_candidate, eligible_candidates,
-    },
-    start_limits::not_backed_off,
+    service_targets::{NodeState, ServiceTarget, ServiceTargets, build_candidate},
     subset::entry_position,
 };
 use crate::{
     collections::{HashMap, HashSet},
-    eligibility::{AllowedRegions, RequestScope},
+    eligibility::AllowedRegions,
     ids::{DataCentre, NodeName, Region, ServiceName},
     load::LoadSample,
     time::Instant,
@@ -84,16 +81,13 @@
 /// twice as slow as another, so a ratio of 2 would hedge requests at healthy targets.
 const SLOW_TARGET_RATIO: f64 = 3.0;
 
-/// Divisor that gives, of the time until a latency target is missed, the predicted completion time up to
-/// which a near target is preferred. The other half is for errors of the prediction.
-const NEAR_LIMIT_DIVISOR: u64 = 2;
-
-/// Chooses targets for the requests of one entry.
+/// Chooses targets for the requests of one entry. Choices can be tried on a copy.
+#[derive(Clone)]
 pub struct Balancer {
     pub(super) cfg: BalancerSettings,
-    policy: Box<dyn Policy>,
+    pub(super) policy: Box<dyn Policy>,
     /// See [`ChoiceRequest::first_request_position`].
-    entry_position: f64,
+    pub(super) entry_position: f64,
     pub(super) services: HashMap<ServiceName, ServiceTargets>,
     /// Has an entry for each target in `services`. At most half of the subset of a service is
     /// ejected.
@@ -162,110 +156,6 @@
         self.restore_excess_ejections(now, service);
     }
 
-    /// Chooses a target without regard to the size of the request and its allowed regions; see
-    /// [`Balancer::choose_target_for`]. `exclude` holds the nodes that the request was already sent to.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the service has no target, or none that is left to try.
-    pub fn choose_target(
-        &mut self,
-        now: Instant,
-        service: &str,
-        exclude: &[NodeName],
-        rng: &mut dyn Rng,
-    ) -> Result<NodeName, ChoiceError> {
-        let query = TargetQuery {
-            service,
-            scope: RequestScope {
-                tried: exclude,
-                ..RequestScope::default()
-            },
-            ..TargetQuery::default()
-        };
-        self.choose_target_for(now, &query, rng)
-    }
-
-    /// Chooses a target for a request.
-    ///
-    /// At the first attempt of a request, an ejected target that is due for a trial request takes
-    /// precedence over the choice of the policy.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the service has no target, or none that is left to try.
-    pub fn choose_target_for(
-        &mut self,
-        now: Instant,
-        query: &TargetQuery<'_>,
-        rng: &mut dyn Rng,
-    ) -> Result<NodeName, ChoiceError> {
-        let transfer_cost_us = self.cfg.transfer_cost_us(query.bytes);
-        let service_targets = self
-            .services
-            .get_mut(query.service)
-            .ok_or(ChoiceError::UnknownService)?;
-        let is_first = service_targets.last_request.replace(now).is_none();
-        let nodes = &self.nodes;
-        let mut candidates =
-            eligible_candidates(&self.cfg, nodes, now, service_targets, &query.scope)?;
-        for candidate in candidates
-            .iter_mut()
-            .filter(|candidate| !candidate.is_local)
-        {
-            candidate.transfer_cost_us = transfer_cost_us;
-        }
-        if query.scope.tried.is_empty() {
-            let due = candidates.iter().find(|c| {
-                nodes[c.node].ejection.is_trial_due(now) && c.estimate.own_in_flight() == 0
-            });
-            if let Some(trial) = due {
-                return Ok(NodeName::from(trial.node));
-            }
-        }
-        let in_use: Vec<Candidate<'_>> = candidates
-            .iter()
-            .filter(|candidate| nodes[candidate.node].ejection.is_in_use())
-            .copied()
-            .collect();
-        // If all targets are ejected, an ejected one is still better than none.
-        let candidates = if in_use.is_empty() {
-            &candidates
-        } else {
-            &in_use
-        };
-        // A target whose rate limit would delay the request is chosen only if no other can start it
-        // at once.
-        let startable: Vec<Candidate<'_>> = candidates
-            .iter()
-            .filter(|candidate| candidate.estimate.start_wait_us(now) == 0)
-            .copied()
-            .collect();
-        let startable = if startable.is_empty() {
-            not_backed_off(now, candidates)
-        } else {
-            startable
-        };
-        let candidates = if startable.is_empty() {
-            candidates
-        } else {
-            &startable
-        };
-        let choice_request = ChoiceRequest {
-            now,
-            candidates,
-            near_limit_us: query
-                .due
-                .map(|due| due.micros_since(now) / NEAR_LIMIT_DIVISOR),
-            first_request_position: is_first.then_some(self.entry_position),
-        };
-        let index = self
-            .policy
-            .choose_candidate(&choice_request, rng)
-            .ok_or(ChoiceError::NoTarget)?;
-        Ok(NodeName::from(candidates[index].node))
-    }
-
     /// Records the size of a complete response to a request of `class`, in bytes.
     pub fn record_response_size(&mut self, class: u32, bytes: u64) {
         self.response_sizes.record(class, bytes);
--- a/crates/core/src/balance/baseline.rs
+++ b/crates/core/src/balance/baseline.rs
@@ -8,7 +8,7 @@
 use super::{Candidate, ChoiceRequest, Policy};
 
 /// Chooses at random, in proportion to the weights.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct RandomChoice;
 
 impl RandomChoice {
@@ -21,13 +21,17 @@
         Self::NAME
     }
 
+    fn boxed_clone(&self) -> Box<dyn Policy> {
+        Box::new(self.clone())
+    }
+
     fn choose_candidate(&mut self, req: &ChoiceRequest<'_>, rng: &mut dyn Rng) -> Option<usize> {
         choose_by_weight(req.candidates, rng)
     }
 }
 
 /// Chooses the candidates in turn.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct RoundRobin {
     choice_count: usize,
 }
@@ -42,6 +46,10 @@
         Self::NAME
     }
 
+    fn boxed_clone(&self) -> Box<dyn Policy> {
+        Box::new(self.clone())
+    }
+
     fn choose_candidate(&mut self, req: &ChoiceRequest<'_>, _rng: &mut dyn Rng) -> Option<usize> {
         let index = self.choice_count.checked_rem(req.candidates.len())?;
         self.choice_count = self.choice_count.wrapping_add(1);
@@ -51,7 +59,7 @@
 
 /// Chooses the candidate with the fewest requests of this entry in flight; breaks ties at
 /// random.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct LeastInFlight;
 
 impl LeastInFlight {
@@ -64,6 +72,10 @@
         Self::NAME
     }
 
+    fn boxed_clone(&self) -> Box<dyn Policy> {
+        Box::new(self.clone())
+    }
+
     fn choose_candidate(&mut self, req: &ChoiceRequest<'_>, rng: &mut dyn Rng) -> Option<usize> {
         let own_in_flight = |index: &usize| req.candidates[*index].estimate.own_in_flight();
         let fewest = (0..req.candidates.len())
@@ -76,7 +88,7 @@
 }
 
 /// Samples two candidates at random and chooses the one that reports the lower load per slot.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct TwoChoicesReported;
 
 impl TwoChoicesReported {
@@ -89,6 +101,10 @@
         Self::NAME
     }
 
+    fn boxed_clone(&self) -> Box<dyn Policy> {
+        Box::new(self.clone())
+    }
+
     fn choose_candidate(&mut self, req: &ChoiceRequest<'_>, rng: &mut dyn Rng) -> Option<usize> {
         let mut sampled = (0..req.candidates.len()).sample(rng, 2);
         sampled.shuffle(rng);
--- a/crates/core/src/balance/ejection.rs
+++ b/crates/core/src/balance/ejection.rs
@@ -54,7 +54,7 @@
 }
 
 /// Ejection state of one target at one entry.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct EjectionTracker {
     state: EjectionState,
     consecutive_failures: u32,
--- a/crates/core/src/balance/estimate.rs
+++ b/crates/core/src/balance/estimate.rs
@@ -27,7 +27,7 @@
 }
 
 /// Observations of one target by one entry.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct TargetEstimate {
     /// When the slow start began: at the first announcement or after an ejection.
     pub slow_start_since: Instant,
--- a/crates/core/src/balance/explain.rs
+++ b/crates/core/src/balance/explain.rs
@@ -35,6 +35,15 @@
     Ineligible(Ineligibility),
     /// The target is not in the subset of this entry.
     OutsideSubset,
+    /// The node of the target stops, and others do not.
+    Stopping,
+    /// A rate limit, or a refusal by a cold target, delays requests longer than at others.
+    Delayed {
+        /// Expected wait, in microseconds.
+        wait_us: u64,
+    },
+    /// Another target is due for a trial request, which takes precedence.
+    Passed,
 }
 
 impl fmt::Display for TargetUsage {
@@ -47,6 +56,11 @@
             }
             TargetUsage::Ineligible(reason) => write!(f, "{reason}"),
             TargetUsage::OutsideSubset => f.write_str("not in the subset of this entry"),
+            TargetUsage::Stopping => f.write_str("its node is stopping"),
+            TargetUsage::Delayed { wait_us } => {
+                write!(f, "others can start a request earlier than in {wait_us} us")
+            }
+            TargetUsage::Passed => f.write_str("another target gets a trial request"),
         }
     }
 }
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -6,12 +6,14 @@
 
 mod balancer;
 mod baseline;
+mod choice;
 mod coldness;
 mod ejection;
 mod eligible;
 mod estimate;
 mod explain;
 mod observation;
+mod outlook;
 mod policy;
 mod predicted_completion;
 mod response_sizes;
@@ -30,6 +32,7 @@
 pub use estimate::{LoadReport, TargetEstimate};
 pub use explain::{EjectionChange, EjectionEvent, Explanation, TargetUsage};
 pub use observation::{RequestObservation, RequestOutcome};
+pub use outlook::{SampleOutlook, TargetOption};
 pub use policy::{Candidate, ChoiceRequest, Policy, policy_by_name};
 pub use predicted_completion::PredictedCompletion;
 pub use response_sizes::ResponseSizes;
--- a/crates/core/src/balance/policy.rs
+++ b/crates/core/src/balance/policy.rs
@@ -51,6 +51,15 @@
 
     /// Returns the index of the chosen candidate, or `None` if there are no candidates.
     fn choose_candidate(&mut self, req: &ChoiceRequest<'_>, rng: &mut dyn Rng) -> Option<usize>;
+
+    /// Returns a copy, with which choices can be tried without effect.
+    fn boxed_clone(&self) -> Box<dyn Policy>;
+}
+
+impl Clone for Box<dyn Policy> {
+    fn clone(&self) -> Self {
+        self.as_ref().boxed_clone()
+    }
 }
 
 /// Creates the policy with the given name in the settings; returns `None` if the name is unknown.
--- a/crates/core/src/balance/predicted_completion.rs
+++ b/crates/core/src/balance/predicted_completion.rs
@@ -29,7 +29,7 @@
 /// The sample is random, so that entries with the same observations do not all choose the same
 /// target. If the weights differ, the configuration sets the shares: candidates are then sampled
 /// by weight, and round-trip time and transfer cost do not count.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct PredictedCompletion {
     cfg: ScoreSettings,
     /// Indices of the current sample, a field only to reuse the allocation.
@@ -80,6 +80,10 @@
         Self::NAME
     }
 
+    fn boxed_clone(&self) -> Box<dyn Policy> {
+        Box::new(self.clone())
+    }
+
     fn choose_candidate(&mut self, req: &ChoiceRequest<'_>, rng: &mut dyn Rng) -> Option<usize> {
         let first = req.candidates.first()?;
         let weights_differ = req.candidates.iter().any(|c| c.weight != first.weight);
--- a/crates/core/src/balance/response_sizes.rs
+++ b/crates/core/src/balance/response_sizes.rs
@@ -12,7 +12,7 @@
 const MAX_CLASSES: usize = 4_096;
 
 /// Moving averages of the sizes of responses.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ResponseSizes {
     /// Mean size in bytes by class; at most [`MAX_CLASSES`].
     by_class: HashMap<u32, f64>,
--- a/crates/core/src/balance/room.rs
+++ b/crates/core/src/balance/room.rs
@@ -7,7 +7,7 @@
 
 /// Age from which on load samples say nothing about the room, in microseconds. Every refusal carries
 /// a sample, so that of a refused request is always younger.
-const MAX_SAMPLE_AGE_US: u64 = 1_000_000;
+pub(super) const MAX_SAMPLE_AGE_US: u64 = 1_000_000;
 
 /// Shortest time after which a refused request may be sent again, in microseconds.
 const MIN_RETRY_AFTER_US: u64 = 50_000;
--- a/crates/core/src/balance/score.rs
+++ b/crates/core/src/balance/score.rs
@@ -13,7 +13,7 @@
 const QUEUE_WEIGHT: f64 = 2.0;
 
 /// Requests per slot at which a guard refuses requests: one in service and two in the queue.
-const FULL_REQUESTS_PER_SLOT: f64 = 3.0;
+pub(super) const FULL_REQUESTS_PER_SLOT: f64 = 3.0;
 
 /// Minimum requests per slot at which a refusal is likely.
 const NEARLY_FULL_REQUESTS_PER_SLOT: f64 = 2.4;
--- a/crates/core/src/balance/service_targets.rs
+++ b/crates/core/src/balance/service_targets.rs
@@ -20,7 +20,7 @@
 /// By then this entry knows of the evacuation, or the guard knows of its end.
 const EVACUATED_REFUSAL_TTL_US: u64 = 1_000 * MICROS_PER_MILLI;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ServiceTarget {
     pub(super) node: NodeName,
     pub(super) data_centre: DataCentre,
@@ -49,7 +49,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct ServiceTargets {
     pub(super) targets: Vec<ServiceTarget>,
     /// When a request for the service last asked for a target, whether or not one was found.
@@ -95,7 +95,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct NodeState {
     /// Service of the target; a node serves one target and so one service.
     pub(super) service: ServiceName,
@@ -202,11 +202,29 @@
     }
 }
 
+/// Returns how the entry uses the target, whatever a request demands.
 pub(super) fn target_usage(now: Instant, target: &ServiceTarget, state: &NodeState) -> TargetUsage {
-    if let Err(reason) = target.facts(now, state).check() {
+    target_usage_for(
+        now,
+        target,
+        state,
+        &RequestScope::default(),
+        target.in_subset,
+    )
+}
+
+/// Returns how the entry uses the target for requests of a scope, for which it is in the subset or not.
+pub(super) fn target_usage_for(
+    now: Instant,
+    target: &ServiceTarget,
+    state: &NodeState,
+    scope: &RequestScope<'_>,
+    in_subset: bool,
+) -> TargetUsage {
+    if let Err(reason) = target.facts(now, state).check_for(scope) {
         return TargetUsage::Ineligible(reason);
     }
-    if !target.in_subset {
+    if !in_subset {
         return TargetUsage::OutsideSubset;
     }
     match state.ejection.state() {
--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -38,7 +38,7 @@
 const USE_PERIOD_US: u64 = 300_000;
 
 /// Credit for several requests from one grant.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Lot {
     /// Above zero.
     count: u32,
@@ -47,7 +47,7 @@
 }
 
 /// A claim without an answer.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct OpenClaim {
     claim: Claim,
     /// The node that was asked last.
@@ -60,7 +60,7 @@
 }
 
 /// Estimate of the credit used in the last [`USE_PERIOD_US`].
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct RecentUse {
     /// Start of the current period.
     since: Instant,
@@ -88,7 +88,7 @@
 }
 
 /// State of one workspace at a holder.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Account {
     workspace: Rc<str>,
     limit: QuotaLimit,
--- a/crates/core/src/quota/holder.rs
+++ b/crates/core/src/quota/holder.rs
@@ -122,6 +122,16 @@
         (decision.ok_or(ticket), out)
     }
 
+    /// Returns a copy that knows only one workspace, for decisions without effect.
+    pub fn copy_for(&self, workspace: &str) -> Self {
+        let account = self.accounts.get_key_value(workspace);
+        let copy = account.map(|(name, account)| (Rc::clone(name), account.clone()));
+        QuotaHolder {
+            accounts: copy.into_iter().collect(),
+            ..*self
+        }
+    }
+
     fn output(&self) -> HolderOutput {
         HolderOutput {
             last_number: self.last_number,
--- a/crates/core/src/quota/owner.rs
+++ b/crates/core/src/quota/owner.rs
@@ -56,7 +56,7 @@
 }
 
 /// What an owner knows of one holder of a workspace's credit.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct HolderRecord {
     incarnation: Incarnation,
     /// Number of the last claim that was answered.
@@ -77,7 +77,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct OwnedWorkspace {
     /// When this node starts to grant credit.
     opens_at: Instant,
@@ -118,6 +118,16 @@
         }
     }
 
+    /// Returns a copy that owns only one workspace, if this node does, for answers without effect.
+    pub fn copy_for(&self, workspace: &str) -> Self {
+        let owned = self.owned.get_key_value(workspace);
+        let copy = owned.map(|(name, owned)| (Rc::clone(name), owned.clone()));
+        QuotaOwner {
+            owned: copy.into_iter().collect(),
+            ..*self
+        }
+    }
+
     /// Returns when the node has run long enough to own workspaces.
     pub fn settled_at(&self) -> Instant {
         self.settled_at
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -224,7 +224,7 @@
 }
 
 /// Returns why a request must not be sent again, regardless of the budget; `None` if it may be.
-fn permanent_refusal(now: Instant, query: &RetryQuery<'_>) -> Option<RetryDecision> {
+pub fn permanent_refusal(now: Instant, query: &RetryQuery<'_>) -> Option<RetryDecision> {
     let unknown = query.outcome == AttemptOutcome::Unknown;
     if query.answer_started {
         Some(RetryDecision::AnswerStarted)
--- a/crates/core/src/workspace/access.rs
+++ b/crates/core/src/workspace/access.rs
@@ -60,6 +60,11 @@
     pub claim: KeyClaim,
 }
 
+/// Returns whether requests on a route need a key of a workspace.
+pub fn needs_key(table: &RouteTable, route: &Route) -> bool {
+    table.workspaces().is_some() && !route.public
+}
+
 /// Returns the workspace of a request, or `None` if the request needs no key. The key is hashed only if
 /// it is needed.
 ///
@@ -71,7 +76,7 @@
     route: &Route,
     key: SentKey<'_>,
 ) -> Result<Option<Identity>, KeyError> {
-    let Some(workspaces) = table.workspaces().filter(|_| !route.public) else {
+    let Some(workspaces) = table.workspaces().filter(|_| needs_key(table, route)) else {
         return Ok(None);
     };
     let key = match key {
--- a/crates/core/src/workspace/mod.rs
+++ b/crates/core/src/workspace/mod.rs
@@ -7,7 +7,7 @@
 mod usage;
 
 pub use self::{
-    access::{Identity, KeyClaim, KeyError, SentKey, identify},
+    access::{Identity, KeyClaim, KeyError, SentKey, identify, needs_key},
     usage::{RequestCounts, WorkspaceUsage},
 };
 
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -16,6 +16,8 @@
 
 #[path = "balance/cold.rs"]
 mod cold;
+#[path = "balance/dry_run.rs"]
+mod dry_run;
 #[path = "balance/ejection.rs"]
 mod ejection;
 
--- a/crates/core/tests/quota/holder.rs
+++ b/crates/core/tests/quota/holder.rs
@@ -264,3 +264,23 @@
     expect_that!(f.request(155).0.ok(), some(eq(&refused)));
     expect_that!(numbers(&f.request(356).1), elements_are![eq(&(3, 1))]);
 }
+
+/// Guards against a dry run that uses credit, or that decides otherwise than the next request.
+#[gtest]
+fn copies_decide_alike_and_use_no_credit() {
+    let mut f = Fixture::new();
+    f.request(0).0.expect_err("a ticket");
+    f.on_grant(3, 1, 3).expect("an answer to the claim");
+    for ms in [4, 5, 6] {
+        for _ in 0..3 {
+            let copy = f.holder.copy_for("swaps");
+            let mut tried = Fixture {
+                holder: copy,
+                ..Fixture::new()
+            };
+            let is_granted = credit(tried.request(ms).0).is_some();
+            expect_that!(is_granted, eq(ms < 6));
+        }
+        expect_that!(credit(f.request(ms).0).is_some(), eq(ms < 6));
+    }
+}
