Command route: where a request would go now, and why

Operators had to send a request to learn where it goes, or to read samples, quotas and evacuations one by one.

`plantainpost route HOST` asks a node through POST /v1/route. The request takes the decisions of a real one in the same order, on copies of the balancer, the guard of this host and the quota account (entry/dry_run.rs, quota/preview.rs). Decisions without state move from RequestExecution to entry/decisions.rs and serve both. The answer has the outcome with status, reason and Retry-After, the attempts, all targets with their predicted times and why some are excluded, and what was not asked of other nodes and how old it is. Exit codes: 0 start, 5 wait, 6 refused, 1 error.

Result: route_dry_run::dry_run_says_what_requests_get compares the command with the requests before and after it, for a normal request here and in another data centre, unknown key, no route, no allowed region, exhausted quota, full guard on this host and on another, evacuated data centre and cold target. 48 dry runs change no counter of entry, guard and quota and take no credit.

--- a/crates/cli/commands.rs
+++ b/crates/cli/commands.rs
@@ -1,6 +1,10 @@
 //! Implementation of the subcommands.
 
-use std::{fs, future::Future};
+use std::{
+    fs,
+    future::Future,
+    io::{self, Read},
+};
 
 use serde_json::{Value, json};
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -8,7 +12,7 @@
 use crate::{
     admin::{AdminClient, AdminError},
     exit::Exit,
-    flags::{Audit, Check, Command, Confirm, Explain, Plan, Run, Status},
+    flags::{Audit, Check, Command, Confirm, Explain, Plan, Route, Run, Status},
     intent::{self, IntentError},
     keys, logging,
     node::{self, RunError},
@@ -62,11 +66,23 @@
     #[snafu(display("explain: give either --request or --target"))]
     ExplainArguments,
 
+    #[snafu(display("route: give either --workspace or --key-file"))]
+    RouteArguments,
+
+    #[snafu(display("{file}: can't read key: {source}; check name and permissions"))]
+    ReadKeyFile {
+        file: String,
+        source: std::io::Error,
+    },
+
     #[snafu(display(
         "confirm: the outcome is unknown: {source}; see `audit`, or confirm the same plan again"
     ))]
     UnknownOutcome { source: AdminError },
 
+    #[snafu(display("{address}: response without outcome; check the version of the node"))]
+    MissingVerdict { address: std::net::SocketAddr },
+
     #[snafu(display("{address}: response without outcome; see `audit`"))]
     MissingOutcome { address: std::net::SocketAddr },
 }
@@ -78,6 +94,7 @@
             CommandError::Intent { .. }
             | CommandError::CheckArguments
             | CommandError::ExplainArguments
+            | CommandError::RouteArguments
             | CommandError::Trace {
                 source: TraceError::NoFile,
             } => Exit::Usage,
@@ -122,6 +139,7 @@
         Command::Status(flags) => block_on(status(flags)),
         Command::Audit(flags) => block_on(audit(flags)),
         Command::Explain(flags) => block_on(explain(flags)),
+        Command::Route(flags) => block_on(route(flags)),
         Command::Trace(flags) => Ok(CommandOutput::success(trace::trace_request(
             &flags.id,
             &flags.files,
@@ -252,6 +270,51 @@
     Ok(CommandOutput::success(format_output(&response, flags.json)))
 }
 
+async fn route(flags: Route) -> Result<CommandOutput> {
+    if flags.workspace.is_some() && flags.key_file.is_some() {
+        return RouteArgumentsSnafu.fail();
+    }
+    let admin = AdminClient::new(flags.access())?;
+    let key = flags.key_file.as_deref().map(read_key).transpose()?;
+    let body = json!({
+        "host": flags.host,
+        "path": flags.path,
+        "method": flags.method,
+        "workspace": flags.workspace,
+        "key": key,
+        "body_bytes": flags.body,
+        "timeout_ms": flags.timeout,
+    });
+    let response = admin.post("/v1/route", &body).await?;
+    let outcome = response.get("outcome").and_then(Value::as_str);
+    let exit = match outcome {
+        Some("start") => Exit::Done,
+        Some("wait") => Exit::WouldWait,
+        Some("refused") => Exit::WouldBeRefused,
+        _ => {
+            let address = admin.address();
+            return MissingVerdictSnafu { address }.fail();
+        }
+    };
+    Ok(CommandOutput {
+        text: format_output(&response, flags.json),
+        exit,
+    })
+}
+
+/// Reads a key, without the line end, from a file or from standard input.
+fn read_key(file: &str) -> Result<String> {
+    let text = match file {
+        "-" => {
+            let mut text = String::new();
+            io::stdin().read_to_string(&mut text).map(|_| text)
+        }
+        file => fs::read_to_string(file),
+    };
+    let text = text.context(ReadKeyFileSnafu { file })?;
+    Ok(text.trim_ascii_end().to_owned())
+}
+
 fn format_output(value: &Value, json: bool) -> String {
     if json {
         format!("{value:#}\n")
--- a/crates/cli/exit.rs
+++ b/crates/cli/exit.rs
@@ -15,6 +15,10 @@
     Void = 3,
     /// The outcome is unknown: the confirmation may have taken effect.
     Unknown = 4,
+    /// The request of a dry run would wait for a slot or a rate limit.
+    WouldWait = 5,
+    /// The request of a dry run would be refused.
+    WouldBeRefused = 6,
 }
 
 /// Section on exit codes at the end of the help text.
@@ -25,6 +29,8 @@
   2                 wrong command line
   3                 plan void, another confirmation was decided first
   4                 outcome unknown, the confirmation may have taken effect
+  5                 route: the request would wait
+  6                 route: the request would be refused
 ";
 
 impl From<Exit> for ExitCode {
--- a/crates/cli/flags.rs
+++ b/crates/cli/flags.rs
@@ -22,6 +22,7 @@
     Status(Status),
     Audit(Audit),
     Explain(Explain),
+    Route(Route),
     Trace(Trace),
 }
 
@@ -166,6 +167,40 @@
     }
 }
 
+admin_command! {
+    /// Show where a request would go now, and why, without sending it.
+    #[argh(subcommand, name = "route")]
+    Route {
+        /// host of the request, or service where requests are routed by service
+        #[argh(positional, arg_name = "host")]
+        pub(crate) host: String,
+
+        /// path of the request (default /)
+        #[argh(option, default = "\"/\".to_owned()", arg_name = "path")]
+        pub(crate) path: String,
+
+        /// method of the request (default GET)
+        #[argh(option, default = "\"GET\".to_owned()", arg_name = "method")]
+        pub(crate) method: String,
+
+        /// name of the workspace that the request belongs to, in place of a key
+        #[argh(option, arg_name = "name")]
+        pub(crate) workspace: Option<String>,
+
+        /// file with the key of a workspace, or - for standard input; the key is never printed
+        #[argh(option, arg_name = "file")]
+        pub(crate) key_file: Option<String>,
+
+        /// length of the body in bytes (default 0)
+        #[argh(option, default = "0", arg_name = "bytes")]
+        pub(crate) body: u64,
+
+        /// time until the deadline in milliseconds (default as for a caller that gives none)
+        #[argh(option, arg_name = "ms")]
+        pub(crate) timeout: Option<u64>,
+    }
+}
+
 #[derive(FromArgs, Debug)]
 #[argh(subcommand)]
 pub(crate) enum IntentFlags {
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -18,7 +18,9 @@
 
 use crate::{
     audit::{self, AuditEvent},
-    clock, confirm, fleet,
+    clock, confirm,
+    entry::dry_run::dry_run,
+    fleet,
     node::Node,
     status,
 };
@@ -64,6 +66,10 @@
             Ok(request) => handle_confirm(&node, request).await,
             Err(response) => response,
         },
+        (&Method::POST, "/v1/route") => with_json(&body, |query| match dry_run(&node, query) {
+            Ok(report) => json_response(StatusCode::OK, &report),
+            Err(message) => error_response(StatusCode::BAD_REQUEST, &message),
+        }),
         (&Method::GET, "/v1/status") => json_response(StatusCode::OK, &status::node_status(&node)),
         (&Method::GET, "/v1/metrics") => {
             json_response(StatusCode::OK, &status::metrics_json(&node))
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 use plantainpost_core::{
     admission::{RefuseReason, RequestKey},
-    balance::{self, WaitingRequest},
+    balance,
     ids::{Incarnation, NodeName},
     load::LoadSample,
     time::Instant,
@@ -20,7 +20,9 @@
 
 use crate::{
     entry::{
-        caller_request::{BadRequest, BodyRemainder, BodyRestClaim, CallerRequest},
+        body_remainder::BodyRemainder,
+        caller_request::{BadRequest, BodyRestClaim, CallerRequest},
+        decisions,
         exchange::{Exchange, ExchangeLoss},
         in_flight::InFlightAttempt,
         response::CallerOutcome,
@@ -247,14 +249,13 @@
         }
         GuardReply::Refused { refusal, load } => {
             in_flight.report(balance::RequestOutcome::Refused, Some(load));
-            match refusal {
-                RefuseReason::Evacuated => {
-                    let mut balancer = node.balancer.borrow_mut();
-                    balancer.on_evacuated_refusal(node.now(), attempt.peer.as_str());
-                }
-                RefuseReason::Cold => back_off(node, request, &attempt.peer),
-                _ => (),
-            }
+            decisions::record_refusal(
+                &mut node.balancer.borrow_mut(),
+                node.now(),
+                &attempt.peer,
+                request,
+                refusal,
+            );
             if reusable {
                 node.peer_pool.release(&attempt.peer, conn);
             }
@@ -281,17 +282,6 @@
     }
 }
 
-/// Tells the balancer that the target is too cold for requests like this one.
-fn back_off(node: &Node, request: &CallerRequest, peer: &NodeName) {
-    let waiting = WaitingRequest {
-        deadline: request.deadline,
-        priority: request.urgency().priority,
-    };
-    let now = node.now();
-    let mut balancer = node.balancer.borrow_mut();
-    balancer.on_cold_refusal(now, peer.as_str(), &waiting);
-}
-
 /// Sends the request and waits for the guard's response, refusal or failure message.
 async fn exchange_with_guard(
     request: &CallerRequest,
--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use plantainpost_core::{
     admission::{RefuseReason, Urgency},
     eligibility::AllowedRegions,
@@ -14,11 +14,15 @@
 };
 use plantainpost_http1::{self as http1, Framing, RequestHead};
 use plantainpost_wire::message::{BodyLength, Header, MAX_BODY_FRAME_BYTES};
+use rand::Rng;
 use uuid::Uuid;
 
 use crate::{
     config_recheck,
-    entry::conn::{BodyError, RequestBody},
+    entry::{
+        body_remainder::BodyRemainder,
+        conn::{BodyError, RequestBody},
+    },
     headers,
     node::Node,
     settings::Routing,
@@ -221,60 +225,6 @@
     }
 }
 
-/// The part of a request body that is streamed, because the body exceeds [`MAX_BODY_FRAME_BYTES`].
-pub(crate) struct BodyRemainder {
-    body: RequestBody,
-    /// Bytes that were read from the caller but not returned by [`BodyRemainder::next`].
-    pending: BytesMut,
-    /// Bytes returned so far, including the prefix.
-    forwarded_bytes: u64,
-}
-
-impl BodyRemainder {
-    /// Returns the next piece of at most [`MAX_BODY_FRAME_BYTES`] bytes, or `None` at the end of a
-    /// complete body.
-    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, BadRequest> {
-        while self.pending.is_empty() {
-            match self.body.next().await? {
-                Some(bytes) => self.pending.extend_from_slice(&bytes),
-                None => return Ok(None),
-            }
-        }
-        let count = self.pending.len().min(MAX_BODY_FRAME_BYTES);
-        let piece = self.pending.split_to(count).freeze();
-        self.forwarded_bytes += count as u64;
-        Ok(Some(piece))
-    }
-
-    /// Returns the number of body bytes returned so far, including the prefix.
-    pub(crate) fn forwarded_bytes(&self) -> u64 {
-        self.forwarded_bytes
-    }
-
-    /// Reads up to [`MAX_BODY_FRAME_BYTES`] bytes. The flag is `true` if they are the whole body.
-    ///
-    /// Whether a body of exactly that length is complete is known only once something follows: its
-    /// end, or a further piece.
-    async fn read_prefix(
-        &mut self,
-        content_length: Option<u64>,
-    ) -> Result<(Bytes, bool), BadRequest> {
-        let is_longer = content_length.is_some_and(|length| length > MAX_BODY_FRAME_BYTES as u64);
-        let mut body_prefix = BytesMut::new();
-        while body_prefix.len() < MAX_BODY_FRAME_BYTES || (!is_longer && self.pending.is_empty()) {
-            let Some(piece) = self.body.next().await? else {
-                self.forwarded_bytes = body_prefix.len() as u64;
-                return Ok((body_prefix.freeze(), true));
-            };
-            let fits = (MAX_BODY_FRAME_BYTES - body_prefix.len()).min(piece.len());
-            body_prefix.extend_from_slice(&piece[..fits]);
-            self.pending.extend_from_slice(&piece[fits..]);
-        }
-        self.forwarded_bytes = body_prefix.len() as u64;
-        Ok((body_prefix.freeze(), false))
-    }
-}
-
 /// Returns the request id that callers and targets see: the caller's own id where callers
 /// choose it, otherwise `id`.
 pub(crate) fn public_id(node: &Node, id: RequestId, head: &RequestHead) -> Bytes {
@@ -308,6 +258,17 @@
 }
 
 fn known_policy(node: &Node, head: &RequestHead) -> Result<RequestPolicy, BadRequest> {
+    policy_of(node, head, None, &mut *node.rng.borrow_mut())
+}
+
+/// Determines the policy of a request from its head and the configuration that this node knows. A
+/// workspace that is given takes the place of a key.
+pub(crate) fn policy_of(
+    node: &Node,
+    head: &RequestHead,
+    workspace: Option<&Rc<Workspace>>,
+    rng: &mut dyn Rng,
+) -> Result<RequestPolicy, BadRequest> {
     let host = requested_host(head).ok_or(BadRequest::InvalidHost)?;
     match node.settings.routing {
         Routing::ByHostName => Ok(policy_by_host_name(
@@ -315,7 +276,7 @@
             ServiceName::from(&*host),
             &head.method,
         )),
-        Routing::ByRouteTable => policy_by_route_table(node, &host, head),
+        Routing::ByRouteTable => policy_by_route_table(node, &host, head, workspace, rng),
     }
 }
 
@@ -338,17 +299,27 @@
     node: &Node,
     host: &str,
     head: &RequestHead,
+    workspace: Option<&Rc<Workspace>>,
+    rng: &mut dyn Rng,
 ) -> Result<RequestPolicy, BadRequest> {
     let register = node.config.borrow();
     let table = register.routes().ok_or(BadRequest::NoConfiguration)?;
     let route = table
         .find_route(host, &head.path)
         .ok_or(BadRequest::NoRoute)?;
-    let key = node.settings.headers.sent_key(&head.headers);
-    let identity = workspace::identify(table, route, key).map_err(BadRequest::Key)?;
-    let (workspace, claim) = identity.map(|i| (i.workspace, i.claim)).unzip();
+    let (workspace, claim) = match workspace {
+        Some(workspace) => {
+            let needs_key = workspace::needs_key(table, route);
+            (needs_key.then(|| Rc::clone(workspace)), None)
+        }
+        None => {
+            let key = node.settings.headers.sent_key(&head.headers);
+            let identity = workspace::identify(table, route, key).map_err(BadRequest::Key)?;
+            identity.map(|i| (i.workspace, i.claim)).unzip()
+        }
+    };
     Ok(RequestPolicy {
-        service: route.choose_service(&mut *node.rng.borrow_mut()).clone(),
+        service: route.choose_service(rng).clone(),
         idempotent: route.is_idempotent(),
         max_targets_reached: route.attempts,
         timeout_ms: route.timeout_ms,
@@ -370,7 +341,36 @@
     head: RequestHead,
     body: RequestBody,
 ) -> Result<CallerRequest, BadRequest> {
-    let deadline = request_deadline(node, &head, &policy, received_at)?;
+    let (deadline, content_length) = check_head(node, &head, &policy, received_at)?;
+    let mut body_rest = BodyRemainder::new(body);
+    let (body_prefix, is_complete) = body_rest.read_prefix(content_length).await?;
+    let length = body_length(content_length, body_prefix.len(), is_complete);
+    let body = match is_complete {
+        true => BodyRest::Empty,
+        false => BodyRest::Unclaimed(body_rest),
+    };
+    Ok(CallerRequest {
+        body_prefix,
+        body_rest: RefCell::new(body),
+        ..request_without_body(
+            node,
+            (id, public_id),
+            policy,
+            (received_at, deadline),
+            head,
+            length,
+        )
+    })
+}
+
+/// Returns the deadline of a request and the length of its body, if it is stated.
+pub(crate) fn check_head(
+    node: &Node,
+    head: &RequestHead,
+    policy: &RequestPolicy,
+    received_at: Instant,
+) -> Result<(Instant, Option<u64>), BadRequest> {
+    let deadline = request_deadline(node, head, policy, received_at)?;
     let content_length = match head.framing {
         Framing::Sized(length) => Some(length),
         _ => None,
@@ -378,12 +378,18 @@
     if content_length.is_some_and(|length| length > node.caller_limits().body_bytes) {
         return Err(BadRequest::BodyTooLong);
     }
-    let mut body_rest = BodyRemainder {
-        body,
-        pending: BytesMut::new(),
-        forwarded_bytes: 0,
-    };
-    let (body_prefix, is_complete) = body_rest.read_prefix(content_length).await?;
+    Ok((deadline, content_length))
+}
+
+/// Returns a request with its head and the length of its body, but none of the body.
+pub(crate) fn request_without_body(
+    node: &Node,
+    (id, public_id): (RequestId, Bytes),
+    policy: RequestPolicy,
+    (received_at, deadline): (Instant, Instant),
+    head: RequestHead,
+    body_length: BodyLength,
+) -> CallerRequest {
     let names = &node.settings.headers;
     let mut headers = names.forwarded_request_headers(&head.headers);
     headers.push(headers::header(names.request_id, public_id.clone()));
@@ -396,7 +402,7 @@
         let service = Bytes::copy_from_slice(service.as_str().as_bytes());
         headers.push(headers::header(name, service));
     }
-    Ok(CallerRequest {
+    CallerRequest {
         id,
         public_id,
         policy,
@@ -404,15 +410,12 @@
         received_at,
         deadline,
         hedged: http1::header_value(&head.headers, headers::HEDGED).is_some(),
-        body_length: body_length(content_length, body_prefix.len(), is_complete),
+        body_length,
         method: head.method,
         path: head.path,
-        body_prefix,
-        body_rest: RefCell::new(match is_complete {
-            true => BodyRest::Empty,
-            false => BodyRest::Unclaimed(body_rest),
-        }),
-    })
+        body_prefix: Bytes::new(),
+        body_rest: RefCell::new(BodyRest::Empty),
+    }
 }
 
 fn body_length(content_length: Option<u64>, prefix_bytes: usize, is_complete: bool) -> BodyLength {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -2,9 +2,12 @@
 //! on the target's host, with retries and hedges.
 
 mod attempt;
+mod body_remainder;
 mod caller_request;
 mod caller_write;
 mod conn;
+mod decisions;
+pub(crate) mod dry_run;
 mod exchange;
 mod hedge;
 mod held_body;
@@ -23,11 +26,10 @@
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use plantainpost_core::{
     admission::RefuseReason,
-    balance::{ChoiceError, TargetQuery, WaitingRequest},
-    eligibility::RequestScope,
+    balance::ChoiceError,
     ids::{NodeName, RequestId},
     quota::Credit,
-    retry::{AttemptOutcome, RetryDecision, RetryQuery},
+    retry::{AttemptOutcome, RetryDecision},
     time::Instant,
 };
 use plantainpost_http1::RequestHead;
@@ -151,11 +153,6 @@
     }
 }
 
-/// Attempts per request that a guard may refuse because its target's host is temporarily slow.
-/// A further attempt waits until the host is fast again. Hosts become slow mostly
-/// independently, so three slow ones in a row are rare.
-const MAX_SLOW_HOST_REFUSALS: usize = 3;
-
 type AttemptFuture = LocalBoxFuture<'static, (Attempt, AttemptEnd)>;
 
 /// The attempts of one request.
@@ -185,12 +182,19 @@
 
 impl<'a> RequestExecution<'a> {
     fn new(node: &'a Rc<Node>, request: &'a Rc<CallerRequest>) -> Self {
+        RequestExecution {
+            hedge_plan: HedgePlan::new(node, request),
+            ..Self::new_without_hedge(node, request)
+        }
+    }
+
+    fn new_without_hedge(node: &'a Rc<Node>, request: &'a Rc<CallerRequest>) -> Self {
         RequestExecution {
             node,
             request,
             in_flight: FuturesUnordered::new(),
             tried_nodes: Vec::new(),
-            hedge_plan: HedgePlan::new(node, request),
+            hedge_plan: None,
             unknown_reason: None,
             targets_reached: 0,
             evacuated_refusals: 0,
@@ -214,7 +218,7 @@
 
     /// Runs attempts until one receives a response or no further attempt is allowed.
     async fn run_attempts(&mut self) -> AttemptEnd {
-        if self.is_too_cold(self.request.deadline) {
+        if self.is_too_cold(&self.node.balancer.borrow(), self.request.deadline) {
             self.node.metrics.count("entry.refused_cold");
             return AttemptEnd::NotRun {
                 reason: RefuseReason::Cold.as_str(),
@@ -273,13 +277,7 @@
             .map_err(RefuseReason::as_str)?;
         let chosen = {
             let mut balancer = self.node.balancer.borrow_mut();
-            let response_bytes = balancer.expected_response_bytes(self.request.class());
-            let query = TargetQuery {
-                service: self.request.policy.service.as_str(),
-                bytes: self.request.estimated_transfer_bytes(response_bytes),
-                due: self.request.urgency().due,
-                scope: self.scope(),
-            };
+            let query = self.target_query(&balancer);
             balancer.choose_target_for(now, &query, &mut *self.node.rng.borrow_mut())
         };
         let peer = chosen.map_err(ChoiceError::reason)?;
@@ -296,7 +294,7 @@
             peer: peer.clone(),
             number: self.tried_nodes.len() as u32,
             cause,
-            may_refuse_if_slow: self.may_refuse_if_slow(now, &peer),
+            may_refuse_if_slow: self.may_refuse_if_slow(&self.node.balancer.borrow(), now, &peer),
             claim,
             started_at: now,
             unresponsive: Rc::clone(&self.unresponsive),
@@ -310,42 +308,6 @@
         Ok(())
     }
 
-    /// Returns the number of attempts without those that were refused because of an evacuation.
-    fn attempts(&self) -> usize {
-        self.tried_nodes.len() - self.evacuated_refusals
-    }
-
-    /// Returns what the request demands of its target.
-    fn scope(&self) -> RequestScope<'_> {
-        RequestScope {
-            tried: &self.tried_nodes,
-            regions: self.request.policy.allowed_regions(),
-        }
-    }
-
-    /// Returns whether all targets are known to be cold, and none can start the request before
-    /// `deadline`.
-    fn is_too_cold(&self, deadline: Instant) -> bool {
-        let waiting = WaitingRequest {
-            deadline,
-            priority: self.request.urgency().priority,
-        };
-        let (now, service) = (self.node.now(), self.request.policy.service.as_str());
-        let balancer = self.node.balancer.borrow();
-        balancer.is_too_cold(now, service, &self.scope(), &waiting)
-    }
-
-    /// Returns whether the guard on `peer` may refuse the request because its host is slow.
-    fn may_refuse_if_slow(&self, now: Instant, peer: &NodeName) -> bool {
-        let service = self.request.policy.service.as_str();
-        let is_untried = |node: &NodeName| node != peer && !self.tried_nodes.contains(node);
-        let balancer = self.node.balancer.borrow();
-        self.attempts() < MAX_SLOW_HOST_REFUSALS
-            && balancer
-                .startable_targets(now, service, self.request.policy.allowed_regions())
-                .any(is_untried)
-    }
-
     /// Sends a hedge if the target is slow or the request is past `overdue_at`. Hedges for
     /// requests in the normal latency tail of healthy targets would use up the budget.
     fn consider_hedge(&mut self) {
@@ -373,7 +335,7 @@
         self.hedge_plan = None;
         // A hedge that has to wait at a cold target would come too late, and take a start from another
         // request.
-        if self.is_too_cold(now.saturating_add_millis(1)) {
+        if self.is_too_cold(&self.node.balancer.borrow(), now.saturating_add_millis(1)) {
             return;
         }
         let allowed = self.node.retry_budgets.borrow_mut().try_hedge(now, service);
@@ -413,23 +375,11 @@
         targets_reached: u32,
         last_reached_target: bool,
     ) -> bool {
-        if self.is_too_cold(self.request.deadline) {
+        if self.is_too_cold(&self.node.balancer.borrow(), self.request.deadline) {
             self.node.metrics.count("entry.refused_cold");
             return false;
         }
-        let query = RetryQuery {
-            service: self.request.policy.service.as_str(),
-            outcome,
-            idempotent: self.request.policy.idempotent,
-            // No response was forwarded yet. But a request whose body is streamed by an attempt
-            // can't be sent again either, because the streamed bytes are not kept.
-            answer_started: self.request.is_body_rest_claimed(),
-            attempts: self.attempts() as u32,
-            targets_reached,
-            last_reached_target,
-            max_targets_reached: self.request.policy.max_targets_reached,
-            deadline: self.request.deadline,
-        };
+        let query = self.retry_query(outcome, targets_reached, last_reached_target);
         let now = self.node.now();
         let decision = self.node.retry_budgets.borrow_mut().try_retry(now, &query);
         if decision != RetryDecision::Retry {
@@ -465,14 +415,9 @@
                 LocalResponse::key_withdrawn()
             }
             AttemptEnd::NotRun { reason, .. } => {
-                let service = request.policy.service.as_str();
-                let regions = request.policy.allowed_regions();
                 let balancer = node.balancer.borrow();
-                let start_wait_us = balancer.start_wait_us(node.now(), service, regions);
-                drop(balancer);
-                LocalResponse::not_run(reason)
-                    .with_retry_after(start_wait_us)
-                    .with_exact_retry_after(shedding::retry_after_us(node, &request.policy, reason))
+                let rng = &mut *node.rng.borrow_mut();
+                decisions::not_run_response(node, &balancer, &request.policy, reason, rng)
             }
             AttemptEnd::OverQuota(refusal) => LocalResponse::over_quota(refusal.wait_us),
             AttemptEnd::Unknown(reason) => {
--- a/crates/node/src/entry/response.rs
+++ b/crates/node/src/entry/response.rs
@@ -127,7 +127,7 @@
     }
 
     /// Returns the value of the `retry-after` header.
-    fn retry_after(&self) -> Option<String> {
+    pub(crate) fn retry_after(&self) -> Option<String> {
         let Some(micros) = self.retry_after_us else {
             return self.retry_after_s.map(|seconds| seconds.to_string());
         };
--- a/crates/node/src/entry/shedding.rs
+++ b/crates/node/src/entry/shedding.rs
@@ -1,6 +1,10 @@
 //! When a caller may repeat a request that was refused for lack of capacity.
 
-use plantainpost_core::{admission::RefuseReason, balance};
+use plantainpost_core::{
+    admission::RefuseReason,
+    balance::{self, Balancer},
+};
+use rand::Rng;
 
 use crate::{entry::caller_request::RequestPolicy, node::Node};
 
@@ -16,7 +20,13 @@
 
 /// Returns the time after which the caller of a refused request should send it again, in
 /// microseconds; `None` if load is not shed, or if the refusal has another reason.
-pub(super) fn retry_after_us(node: &Node, policy: &RequestPolicy, reason: &str) -> Option<u64> {
+pub(super) fn retry_after_us(
+    node: &Node,
+    balancer: &Balancer,
+    policy: &RequestPolicy,
+    reason: &str,
+    rng: &mut dyn Rng,
+) -> Option<u64> {
     let is_for_capacity = CAPACITY_REASONS
         .iter()
         .any(|refusal| refusal.as_str() == reason);
@@ -25,8 +35,6 @@
         return None;
     }
     let service = policy.service.as_str();
-    let balancer = node.balancer.borrow();
     let wait_us = balancer.room_wait_us(node.now(), service, policy.allowed_regions())?;
-    let rng = &mut *node.rng.borrow_mut();
     Some(balance::retry_after_us(wait_us, rng))
 }
--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -1,6 +1,10 @@
 //! Quotas of workspaces: connects the owner and the holder of [`plantainpost_core::quota`] to the
 //! requests and datagrams of the node.
 
+mod preview;
+
+pub(crate) use self::preview::{QuotaPreview, preview};
+
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -100,6 +100,9 @@
         &["confirm", "--author", "a"],
         &["explain"],
         &["explain", "--request", "1", "--target", "a"],
+        &["route"],
+        &["route", "a", "--workspace", "w", "--key-file", "f"],
+        &["route", "a", "--key", "secret"],
     ];
     for args in rows {
         let output = dir.run(args);
--- a/tests/cli/admin_calls.rs
+++ b/tests/cli/admin_calls.rs
@@ -118,6 +118,16 @@
      StubResponse::Json(200, r#"{"target":"stock-1"}"#), "GET /v1/explain?request=a%26b%3Dc", 0, "stock-1"),
     ("a target is not named", &["explain", "--target", "stock-1"],
      StubResponse::Json(200, r#"{"why":"set aside"}"#), "GET /v1/explain?target=stock-1", 0, "set aside"),
+    ("a request that would start has another exit code", &["route", "shop"],
+     StubResponse::Json(200, r#"{"outcome":"start","target":"stock-1"}"#), "POST /v1/route", 0, "stock-1"),
+    ("a request that would wait is reported as one that starts", &["route", "shop", "--workspace", "w"],
+     StubResponse::Json(200, r#"{"outcome":"wait","target":"stock-1"}"#), "POST /v1/route", 5, "stock-1"),
+    ("a request that would be refused is reported as an error", &["route", "shop", "--json"],
+     StubResponse::Json(200, r#"{"outcome":"refused","reason":"quota"}"#), "POST /v1/route", 6, "\"reason\": \"quota\""),
+    ("an invalid request is reported as one that would be refused", &["route", "shop", "--workspace", "x"],
+     StubResponse::Json(400, r#"{"error":"workspace: x is not configured"}"#), "POST /v1/route", 1, "x is not configured"),
+    ("a response without outcome is reported as an outcome", &["route", "shop"],
+     StubResponse::Json(200, "{}"), "POST /v1/route", 1, "response without outcome"),
 ];
 
 /// Guards against the failure named in each row.
@@ -189,6 +199,24 @@
     expect_that!(json_body(&handle.join().expect("request")), eq(&confirmed));
 }
 
+/// Guards against a key that is read with its line end, or that is printed.
+#[gtest]
+fn key_of_a_dry_run_is_sent_and_not_printed() {
+    let dir = TestDir::new();
+    dir.write("k", "secret-key\n");
+    for file in ["k", "-"] {
+        let refused = r#"{"outcome":"refused","reason":"key-unknown"}"#;
+        let (address, handle) = serve_one_request(StubResponse::Json(200, refused));
+        let args = ["route", "shop", "--admin", &address, "--key-file", file];
+        let key = fs::File::open(dir.0.join("k")).expect("key");
+        let output = dir.command(&args).stdin(key).output().expect("program");
+        let sent = json_body(&handle.join().expect("request"));
+        expect_that!(sent["key"], eq("secret-key"));
+        let printed = format!("{output:?}");
+        expect_that!(printed, not(contains_substring("secret-key")));
+    }
+}
+
 fn json_body(request: &str) -> Value {
     let (_, body) = request.split_once("\r\n\r\n").expect("body");
     serde_json::from_str(body).expect("JSON")
@@ -210,6 +238,9 @@
         ("none.json", address.as_str(), "can't read plan"),
         ("saved.json", "localhost:1", "not an address"),
     ];
+    let output = dir.run(&["route", "shop", "--admin", &address]);
+    expect_that!(output.status.code(), some(eq(1)));
+    expect_that!(error_message(&output), contains_substring("can't connect"));
     for (file, address, want) in rows {
         let output = dir.run(&["confirm", "--admin", address, "--author", "ama", file]);
         expect_that!(output.status.code(), some(eq(1)), "{want}");
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -28,6 +28,7 @@
 mod platform_stop;
 mod quotas;
 mod requests;
+mod route_dry_run;
 mod scripted_entry;
 mod scripted_guard;
 mod scripted_peer;
