Merge: placement index, shares of calls, wait after the start

Conflicts and how they are resolved:

- balance/choice.rs exists on both sides.
It has narrow_choice, which real requests and explain_for use, and the errors of a choice.
The candidates come from the index of a service (ServiceTargets::subset_in); only explain_for looks at all targets.
- request_policy waits for the configuration after a start and passes on whether the caller is on this host. policy_of, without a wait, serves the dry run, for which the caller is on another host.
- The response to a request that was not run comes from decisions::not_run_response, now called in entry/outcome.rs.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -3,7 +3,6 @@
 use std::collections::VecDeque;
 
 use rand::{Rng, seq::IteratorRandom};
-use snafu::Snafu;
 
 use super::{
     BalancerSettings, EjectionChange, EjectionEvent, LoadReport, Policy, RequestObservation,
@@ -30,30 +29,6 @@
 /// Weight of the newest outcome in the moving average of failures.
 const FAILURE_EWMA_WEIGHT: f64 = 0.2;
 
-/// Why no target can be chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
-pub enum ChoiceError {
-    /// No target of the service was ever announced to this entry.
-    #[snafu(display("the service is unknown"))]
-    UnknownService,
-    /// No target of the service has a share above zero.
-    #[snafu(display("the service has no target with a share above zero"))]
-    NoTarget,
-    /// All targets with a share above zero are leaving.
-    #[snafu(display("all targets of the service are leaving"))]
-    AllDraining,
-    /// The data centres of all targets that the request could be sent to are evacuated, or these
-    /// targets are leaving.
-    #[snafu(display("the data centres of the targets are evacuated"))]
-    Evacuated,
-    /// No target with a share above zero is in a region that the request may be sent to.
-    #[snafu(display("no target of the service is in an allowed region"))]
-    NoRegion,
-    /// The request has already been sent to all targets that could take it.
-    #[snafu(display("all targets of the service have been tried"))]
-    AllExcluded,
-}
-
 /// Input of [`Balancer::set_targets`]: a target as membership and configuration describe it.
 #[derive(Clone, Copy, Debug)]
 pub struct TargetView<'a> {
@@ -151,7 +126,7 @@
             }
         });
         let service_targets = self.services.entry(name).or_default();
-        let previous = std::mem::replace(&mut service_targets.targets, targets.collect());
+        let previous = service_targets.replace(targets.collect(), self.cfg.subset_size);
         self.begin_slow_starts(now, service, &previous);
         self.restore_excess_ejections(now, service);
     }
@@ -328,9 +303,7 @@
         }
         let previous = std::mem::replace(state, NodeState::new(now, service, target.slots));
         if let Some(previous_service) = self.services.get_mut(&previous.service) {
-            previous_service
-                .targets
-                .retain(|other| other.node.as_str() != target.node);
+            previous_service.remove_node(target.node, self.cfg.subset_size);
         }
     }
 
--- a/crates/core/src/balance/choice.rs
+++ b/crates/core/src/balance/choice.rs
@@ -1,14 +1,39 @@
 //! The choice of a target for a request.
 
 use rand::Rng;
+use snafu::Snafu;
 
 use super::{
-    Balancer, BalancerSettings, Candidate, ChoiceError, ChoiceRequest, TargetQuery,
+    Balancer, BalancerSettings, Candidate, ChoiceRequest, TargetQuery,
     service_targets::{NodeState, ServiceTargets, eligible_candidates},
     start_limits::not_backed_off,
 };
 use crate::{collections::HashMap, eligibility::RequestScope, ids::NodeName, time::Instant};
 
+/// Why no target can be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum ChoiceError {
+    /// No target of the service was ever announced to this entry.
+    #[snafu(display("the service is unknown"))]
+    UnknownService,
+    /// No target of the service has a share above zero.
+    #[snafu(display("the service has no target with a share above zero"))]
+    NoTarget,
+    /// All targets with a share above zero are leaving.
+    #[snafu(display("all targets of the service are leaving"))]
+    AllDraining,
+    /// The data centres of all targets that the request could be sent to are evacuated, or these
+    /// targets are leaving.
+    #[snafu(display("the data centres of the targets are evacuated"))]
+    Evacuated,
+    /// No target with a share above zero is in a region that the request may be sent to.
+    #[snafu(display("no target of the service is in an allowed region"))]
+    NoRegion,
+    /// The request has already been sent to all targets that could take it.
+    #[snafu(display("all targets of the service have been tried"))]
+    AllExcluded,
+}
+
 /// Divisor that gives, of the time until a latency target is missed, the predicted completion time up to
 /// which a near target is preferred. The other half is for errors of the prediction.
 const NEAR_LIMIT_DIVISOR: u64 = 2;
--- a/crates/core/src/balance/outlook.rs
+++ b/crates/core/src/balance/outlook.rs
@@ -70,7 +70,7 @@
             .subset_in(query.scope.regions, size)
             .map(|target| &target.node)
             .collect();
-        let options = service.targets.iter().filter_map(|target| {
+        let options = service.all().iter().filter_map(|target| {
             let state = self.nodes.get(&target.node)?;
             let mut candidate = build_candidate(&self.cfg, target, state);
             if !candidate.is_local {
--- a/crates/core/src/member/tick.rs
+++ b/crates/core/src/member/tick.rs
@@ -7,7 +7,7 @@
 use super::probe::{Probe, ProbeSubject, Verification};
 use super::send::{MessageBuilder, StepContext, build_records_message, datagram_bytes};
 use super::{Action, MemberRecord, MemberState, Membership, Message};
-use crate::ids::NodeName;
+use crate::ids::{DataCentre, NodeName};
 use crate::time::{Instant, MICROS_PER_MILLI};
 
 /// Interval between two purges of dead members.
@@ -16,6 +16,10 @@
 /// Verification probes sent per tick.
 const VERIFICATIONS_PER_TICK: usize = 1;
 
+/// Unknown contacts that are probed per tick after the first ones were added. Spread over several ticks, the
+/// later ones find contacts that have started meanwhile and know more members.
+const CONTACTS_PER_TICK: usize = 2;
+
 /// Messages with changed records that may be pushed per tick within the byte budget. Each
 /// goes to `fanout` peers.
 const PUSHES_PER_TICK: usize = 2;
@@ -33,6 +37,7 @@
         self.expire_suspicions(&mut cx);
         self.push_changes(&mut cx);
         self.probe_next(&mut cx);
+        self.probe_new_contacts(&mut cx);
         self.send_verification_probes(&mut cx);
         self.reconnect_lost_members(&mut cx);
         self.start_due_sync(&mut cx);
@@ -80,7 +85,11 @@
             if indirect {
                 self.counters.indirect_probes += 1;
                 self.send_ping_reqs(cx, seq, &record);
-                let ping = self.add_piggyback(ping, &records_to_refute(&record));
+                let ping = self.add_piggyback(
+                    ping,
+                    Some(&record.data_centre),
+                    &records_to_refute(&record),
+                );
                 self.send(cx, record.udp_addr(), ping);
             } else if record.state == MemberState::Suspect {
                 self.send_ping_to_refute(cx, ping, &record);
@@ -221,7 +230,8 @@
             false => ProbeSubject::Member(name, record.incarnation),
         };
         self.counters.probes += 1;
-        self.send_probe(cx, subject, record.udp_addr(), to_refute);
+        let to = (record.udp_addr(), Some(&record.data_centre));
+        self.send_probe(cx, subject, to, to_refute);
     }
 
     fn probe_contact(&mut self, cx: &mut StepContext<'_>) {
@@ -229,7 +239,7 @@
             |addr: &&SocketAddr| **addr != self.local.udp_addr() && !self.table.has_addr(**addr);
         let contacts: Vec<SocketAddr> = self.contacts.iter().filter(unknown).copied().collect();
         if let Some(&addr) = contacts.choose(cx.rng) {
-            self.send_probe(cx, ProbeSubject::Contact, addr, &[]);
+            self.send_probe(cx, ProbeSubject::Contact, (addr, None), &[]);
         }
     }
 
@@ -237,11 +247,11 @@
         &mut self,
         cx: &mut StepContext<'_>,
         subject: ProbeSubject,
-        to: SocketAddr,
+        (to, data_centre): (SocketAddr, Option<&DataCentre>),
         to_refute: &[MemberRecord],
     ) {
         let ping = self.start_probe(cx, subject);
-        let ping = self.add_piggyback(ping, to_refute);
+        let ping = self.add_piggyback(ping, data_centre, to_refute);
         self.send(cx, to, ping);
     }
 
@@ -279,6 +289,14 @@
         }
     }
 
+    /// Probes unknown contacts after the first ones were added.
+    fn probe_new_contacts(&mut self, cx: &mut StepContext<'_>) {
+        for _ in 0..self.early_contact_probes.min(CONTACTS_PER_TICK) {
+            self.early_contact_probes -= 1;
+            self.probe_contact(cx);
+        }
+    }
+
     /// Sends queued verification probes, except to members whose incarnation has become
     /// higher than the reported one.
     fn send_verification_probes(&mut self, cx: &mut StepContext<'_>) {
--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -87,6 +87,8 @@
     pub(crate) workspace: Option<Rc<Workspace>>,
     /// Key by which the request belongs to `workspace`; `None` without one.
     pub(crate) claim: Option<KeyClaim>,
+    /// See [`workspace::capacity_share`].
+    pub(crate) capacity_share: u32,
     /// Version of the configuration that the policy comes from; zero if none is known.
     pub(crate) version: u64,
 }
@@ -183,7 +185,7 @@
         Urgency {
             class: route.request_class(),
             priority: own_priority.unwrap_or(route.priority),
-            workspace: workspace.map_or(0, Workspace::share_id),
+            workspace: self.policy.capacity_share,
             due: Some(
                 self.received_at
                     .saturating_add_millis(route.latency_target_ms),
@@ -244,21 +246,39 @@
 
 /// Determines the policy of a request from its head alone. Before it refuses a key, it waits until the
 /// configuration may be relied on: the key may have been added while this node was suspended, and
-/// callers do not send a request again after 401.
+/// callers do not send a request again after 401. A node that has just started waits for its
+/// configuration.
 pub(crate) async fn request_policy(
     node: &Rc<Node>,
     head: &RequestHead,
+    is_from_own_host: bool,
 ) -> Result<RequestPolicy, BadRequest> {
-    let policy = known_policy(node, head);
+    let (startup, clock) = (&node.startup, node.clock);
+    let mut policy = known_policy(node, head, is_from_own_host);
+    while matches!(policy, Err(BadRequest::NoConfiguration))
+        && startup.wait_for_change(clock, Instant::MAX).await
+    {
+        policy = known_policy(node, head, is_from_own_host);
+    }
     let is_unknown = matches!(policy, Err(BadRequest::Key(KeyError::Unknown)));
     match is_unknown && config_recheck::wait_until_current(node).await {
-        true => known_policy(node, head),
+        true => known_policy(node, head, is_from_own_host),
         false => policy,
     }
 }
 
-fn known_policy(node: &Node, head: &RequestHead) -> Result<RequestPolicy, BadRequest> {
-    policy_of(node, head, None, &mut *node.rng.borrow_mut())
+fn known_policy(
+    node: &Node,
+    head: &RequestHead,
+    is_from_own_host: bool,
+) -> Result<RequestPolicy, BadRequest> {
+    policy_of(
+        node,
+        head,
+        is_from_own_host,
+        None,
+        &mut *node.rng.borrow_mut(),
+    )
 }
 
 /// Determines the policy of a request from its head and the configuration that this node knows. A
@@ -266,6 +286,7 @@
 pub(crate) fn policy_of(
     node: &Node,
     head: &RequestHead,
+    is_from_own_host: bool,
     workspace: Option<&Rc<Workspace>>,
     rng: &mut dyn Rng,
 ) -> Result<RequestPolicy, BadRequest> {
@@ -276,7 +297,9 @@
             ServiceName::from(&*host),
             &head.method,
         )),
-        Routing::ByRouteTable => policy_by_route_table(node, &host, head, workspace, rng),
+        Routing::ByRouteTable => {
+            policy_by_route_table(node, &host, head, is_from_own_host, workspace, rng)
+        }
     }
 }
 
@@ -291,6 +314,7 @@
         route: None,
         workspace: None,
         claim: None,
+        capacity_share: 0,
         version: register.version().unwrap_or_default(),
     }
 }
@@ -299,6 +323,7 @@
     node: &Node,
     host: &str,
     head: &RequestHead,
+    is_from_own_host: bool,
     workspace: Option<&Rc<Workspace>>,
     rng: &mut dyn Rng,
 ) -> Result<RequestPolicy, BadRequest> {
@@ -324,6 +349,7 @@
         max_targets_reached: route.attempts,
         timeout_ms: route.timeout_ms,
         route: Some(Rc::clone(route)),
+        capacity_share: workspace::capacity_share(table, workspace.as_deref(), is_from_own_host),
         workspace,
         claim,
         version: table.version(),
--- a/crates/node/src/entry/dry_run.rs
+++ b/crates/node/src/entry/dry_run.rs
@@ -166,7 +166,7 @@
         workspace: Option<&Rc<Workspace>>,
     ) -> Result<Rc<CallerRequest>, BadRequest> {
         let node = self.node;
-        let policy = caller_request::policy_of(node, &head, workspace, &mut self.rng)?;
+        let policy = caller_request::policy_of(node, &head, false, workspace, &mut self.rng)?;
         let (deadline, length) = caller_request::check_head(node, &head, &policy, self.now)?;
         let id = caller_request::new_request_id();
         let request = caller_request::request_without_body(
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod held_body;
 mod in_flight;
 pub(crate) mod listener;
+mod outcome;
 mod response;
 mod response_writer;
 mod shedding;
@@ -33,17 +34,16 @@
     time::Instant,
 };
 use plantainpost_http1::RequestHead;
-use plantainpost_wire::message::FailReason;
 
 pub(crate) use self::response::CallerOutcome;
 
 use self::{
     attempt::{Attempt, AttemptCause, AttemptEnd},
-    caller_request::{BadRequest, CallerRequest},
+    caller_request::{BadRequest, CallerRequest, RequestPolicy},
     conn::{IncomingRequest, RequestBody},
     hedge::{HedgePlan, wait_for_hedge},
     response::LocalResponse,
-    response_writer::{CallerGone, ResponseWriter},
+    response_writer::ResponseWriter,
 };
 use slog::info;
 use tokio::sync::Notify;
@@ -51,8 +51,7 @@
 use crate::{
     node::Node,
     quota::{self, OverQuota},
-    trace::{AttemptTrace, RequestTrace},
-    workspace_usage,
+    trace::AttemptTrace,
 };
 
 /// Spawns the task that responds to one request of a caller.
@@ -66,6 +65,7 @@
         head,
         body,
         received_at,
+        is_from_own_host,
         writer,
     } = incoming;
     let id = caller_request::new_request_id();
@@ -74,7 +74,9 @@
         return refuse_at_stop(&node, &public_id, writer).await;
     }
     let public_id = caller_request::public_id(&node, id, &head);
-    let request = receive_before_timeout(&node, id, &public_id, received_at, head, body).await;
+    let policy = caller_request::request_policy(&node, &head, is_from_own_host).await;
+    let request =
+        receive_before_timeout(&node, id, &public_id, policy, received_at, head, body).await;
     let sent = match request {
         Ok(request) => {
             let request = Rc::new(request);
@@ -126,12 +128,12 @@
     node: &Rc<Node>,
     id: RequestId,
     public_id: &Bytes,
+    policy: Result<RequestPolicy, BadRequest>,
     received_at: Instant,
     head: RequestHead,
     body: RequestBody,
 ) -> Result<CallerRequest, LocalResponse> {
     let to_response = |reason| LocalResponse::bad_request(reason, CallerOutcome::NotRun);
-    let policy = caller_request::request_policy(node, &head).await;
     let policy = policy.map_err(to_response)?;
     let body_deadline = received_at.saturating_add_millis(policy.timeout_ms);
     let request = caller_request::receive_request(
@@ -225,7 +227,7 @@
                 reached_target: false,
             };
         }
-        if let Err(reason) = self.start_attempt(AttemptCause::First) {
+        if let Err(reason) = self.start_first_attempt().await {
             return AttemptEnd::NotRun {
                 reason,
                 reached_target: false,
@@ -269,6 +271,18 @@
         }
     }
 
+    /// Starts the first attempt, when there is a target if this node has just started.
+    async fn start_first_attempt(&mut self) -> Result<(), &'static str> {
+        let (startup, clock) = (&self.node.startup, self.node.clock);
+        loop {
+            let started = self.start_attempt(AttemptCause::First);
+            let may_change = started.is_err();
+            if !may_change || !startup.wait_for_change(clock, self.request.deadline).await {
+                return started;
+            }
+        }
+    }
+
     fn start_attempt(&mut self, cause: AttemptCause) -> Result<(), &'static str> {
         let now = self.node.now();
         let claim = self
@@ -389,77 +403,4 @@
         self.node.metrics.count("entry.retry");
         self.start_attempt(AttemptCause::Retry).is_ok()
     }
-
-    fn record_attempt(&mut self, attempt: &Attempt, end: &AttemptEnd) {
-        self.traces.push(AttemptTrace {
-            node: attempt.peer.clone(),
-            cause: attempt.cause.as_str(),
-            result: end.describe(),
-            micros: self.node.now().micros_since(attempt.started_at),
-        });
-    }
-
-    /// Records how the request ended and sends the response.
-    async fn finish_request(
-        self,
-        end: AttemptEnd,
-        writer: ResponseWriter,
-    ) -> Result<(), CallerGone> {
-        let (node, request) = (self.node, self.request);
-        self.record_trace(&end);
-        let names = &node.settings.headers;
-        let response = match end {
-            AttemptEnd::Response(response) => return response.forward(request, writer).await,
-            AttemptEnd::NotRun { .. } if request.check_key(node).is_err() => {
-                node.metrics.count("entry.unauthorized");
-                LocalResponse::key_withdrawn()
-            }
-            AttemptEnd::NotRun { reason, .. } => {
-                let balancer = node.balancer.borrow();
-                let rng = &mut *node.rng.borrow_mut();
-                decisions::not_run_response(node, &balancer, &request.policy, reason, rng)
-            }
-            AttemptEnd::OverQuota(refusal) => LocalResponse::over_quota(refusal.wait_us),
-            AttemptEnd::Unknown(reason) => {
-                // The guard may report the deadline slightly before the local clock reaches it.
-                let is_past_deadline = reason == FailReason::Deadline.as_str();
-                LocalResponse::unknown(reason, is_past_deadline || node.now() >= request.deadline)
-            }
-            AttemptEnd::BadRequest(reason) => {
-                LocalResponse::bad_request(reason, CallerOutcome::Unknown)
-            }
-        };
-        response.send(names, &request.public_id, writer).await
-    }
-
-    fn record_trace(self, end: &AttemptEnd) {
-        let (node, request) = (self.node, self.request);
-        let outcome = end.outcome();
-        let micros = node.now().micros_since(request.received_at);
-        node.metrics.count(match outcome {
-            CallerOutcome::Answered => "entry.answered",
-            CallerOutcome::NotRun => "entry.not_run",
-            CallerOutcome::Unknown => "entry.unknown",
-        });
-        node.metrics.latency("entry.head_us", micros);
-        if let Some(workspace) = &request.policy.workspace {
-            workspace_usage::record(node, &workspace.name, outcome);
-        }
-        let attempts: Vec<String> = self.traces.iter().map(AttemptTrace::describe).collect();
-        info!(node.logger, "request ended"; "request" => %request.public_id_text(),
-            "service" => request.policy.service.as_str(),
-            "route" => request.policy.route.as_ref().map(|route| route.name.to_string()),
-            "workspace" => request.policy.workspace.as_ref().map(|w| w.name.to_string()),
-            "version" => request.policy.version, "outcome" => outcome.as_str(),
-            "result" => end.describe(), "attempts" => attempts.join(", "), "us" => micros);
-        node.traces.borrow_mut().push(RequestTrace {
-            id: request.id,
-            service: request.policy.service.as_str().to_owned(),
-            method: request.method.clone(),
-            idempotent: request.policy.idempotent,
-            outcome: outcome.as_str(),
-            micros,
-            attempts: self.traces,
-        });
-    }
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -37,6 +37,7 @@
 mod silent_connections;
 mod soak;
 mod stale_configuration;
+mod startup;
 mod stop;
 mod target_statements;
 mod uploads;
