Dry run: keep a key of a wrong type out of the error

POST /v1/route answered `invalid type: integer ...` with the value if the key in the body was not a text. The command always sends a text, but the listener also serves other clients, and the answer must not contain a key. The field now takes any value, and request_head refuses all but texts with a message of its own.

--- a/crates/node/src/entry/dry_run.rs
+++ b/crates/node/src/entry/dry_run.rs
@@ -41,8 +41,9 @@
     host: String,
     path: String,
     method: String,
-    /// Key of a workspace, as a caller would send it.
-    key: Option<String>,
+    /// Key of a workspace, as a caller would send it. Any value is accepted here, because the error of a
+    /// wrong type would contain the value; [`request_head`] requires a text.
+    key: Option<Value>,
     /// Name of a workspace, in place of a key.
     workspace: Option<String>,
     #[serde(default)]
@@ -136,12 +137,17 @@
     if query.method.is_empty() || !query.method.chars().all(is_token) {
         return Err("method: upper-case letters are required".to_owned());
     }
+    let key = match query.key {
+        None => None,
+        Some(Value::String(key)) => Some(key),
+        Some(_) => return Err("key: a text is required".to_owned()),
+    };
     let names = &node.settings.headers;
     let mut list = vec![headers::header("host", query.host)];
     if let Some(millis) = query.timeout_ms {
         list.push(headers::header(names.timeout_ms, millis.to_string()));
     }
-    if let (Some(name), Some(key)) = (names.workspace_key, query.key) {
+    if let (Some(name), Some(key)) = (names.workspace_key, key) {
         list.push(headers::header(name, key));
     }
     Ok(RequestHead {
--- a/tests/integration/route_dry_run.rs
+++ b/tests/integration/route_dry_run.rs
@@ -313,6 +313,16 @@
     let (report, code) = fleet.route_with(0, "/tt/1", &["--workspace", "nobody"], "");
     expect_that!((report, code), eq(&(Value::Null, 1)));
 
+    // The message about an invalid key must not contain it.
+    let body = r#"{"host":"shop.example","path":"/tt/1","method":"GET","key":5550123}"#;
+    let length = body.len();
+    let request = format!(
+        "POST /v1/route HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+    );
+    let text = exchange(platform.hosts[0].admin, request.as_bytes());
+    expect_that!(text, starts_with("HTTP/1.1 400"));
+    expect_that!(text, not(contains_substring("5550123")));
+
     let before = [fleet.counters(0), fleet.counters(1)];
     for (path, key) in [
         ("/tt/1", KEY),
