Dry run: copy the guard only if the request is offered to it

Each dry run copied the guard of the host with up to 65,536 records, also for refused requests and for targets on other hosts, which never use the copy. The node handles no other request meanwhile. Now the copy is made where the request is offered, which happens at most once, since a tried target is not chosen again.

Dry runs that end at another host or without an attempt save it. route_dry_run passes. No test of its own: the answers are the same, and a test of the time would depend on the machine.

--- a/crates/node/src/entry/dry_run.rs
+++ b/crates/node/src/entry/dry_run.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use plantainpost_core::{
-    admission::{Admission, Guard, Offer, RefuseReason, RequestKey},
+    admission::{Admission, Offer, RefuseReason, RequestKey},
     balance::{Balancer, ChoiceError, RequestObservation, RequestOutcome, TargetOption},
     ids::{NodeName, Region},
     load::LoadSample,
@@ -76,7 +76,6 @@
     now: Instant,
     rng: StdRng,
     balancer: Balancer,
-    guard: Guard,
     options: Vec<TargetOption>,
     trials: Vec<Trial>,
 }
@@ -97,7 +96,6 @@
         now,
         rng: rand::make_rng(),
         balancer: node.balancer.borrow().clone(),
-        guard: node.guard.borrow().clone(),
         options: Vec::new(),
         trials: Vec::new(),
     };
@@ -296,10 +294,12 @@
         trial
     }
 
-    fn offer(&mut self, peer: &NodeName, offer: &Offer<'_>) -> (Trial, Option<LoadSample>) {
+    /// Copies the guard only here, as it may have 65,536 records. A request is offered to it at most once.
+    fn offer(&self, peer: &NodeName, offer: &Offer<'_>) -> (Trial, Option<LoadSample>) {
         let now = self.now;
-        let wait_us = self.guard.expected_wait_us(now, &offer.urgency);
-        let admission = self.guard.offer(now, offer);
+        let mut guard = self.node.guard.borrow().clone();
+        let wait_us = guard.expected_wait_us(now, &offer.urgency);
+        let admission = guard.offer(now, offer);
         let trial = Trial {
             node: peer.clone(),
             admission,
@@ -310,7 +310,7 @@
             sample_age_us: None,
             decided_by: "the guard of this node",
         };
-        (trial, Some(self.guard.load_sample(now)))
+        (trial, Some(guard.load_sample(now)))
     }
 
     fn expect(&self, peer: &NodeName, request: &CallerRequest) -> Trial {
