Dry run: say for which caller the request is decided

policy_of took a bare `false`. Its name and the reason are now at the call. No change of behaviour; route_dry_run and the tests of the command line pass.

--- a/crates/node/src/entry/dry_run.rs
+++ b/crates/node/src/entry/dry_run.rs
@@ -170,7 +170,10 @@
         workspace: Option<&Rc<Workspace>>,
     ) -> Result<Rc<CallerRequest>, BadRequest> {
         let node = self.node;
-        let policy = caller_request::policy_of(node, &head, false, workspace, &mut self.rng)?;
+        // Calls of a target on this host have another share of the capacity of guards.
+        let is_from_own_host = false;
+        let rng = &mut self.rng;
+        let policy = caller_request::policy_of(node, &head, is_from_own_host, workspace, rng)?;
         let (deadline, length) = caller_request::check_head(node, &head, &policy, self.now)?;
         let id = caller_request::new_request_id();
         let request = caller_request::request_without_body(
