--- a/crates/node/src/entry/dry_run.rs
+++ b/crates/node/src/entry/dry_run.rs
@@ -170,6 +170,8 @@
         workspace: Option<&Rc<Workspace>>,
     ) -> Result<Rc<CallerRequest>, BadRequest> {
         let node = self.node;
+        // As in `request_policy`, an invalid timeout is refused before the configuration is consulted.
+        caller_request::caller_timeout_ms(node, &head)?;
         // Calls of a target on this host have another share of the capacity of guards.
         let is_from_own_host = false;
         let rng = &mut self.rng;
