--- a/crates/core/src/admission/class_service_times.rs
+++ b/crates/core/src/admission/class_service_times.rs
@@ -8,13 +8,13 @@
 const MAX_CLASSES: usize = 256;
 
 /// Class of requests without a class.
-const NO_CLASS: u32 = 0;
+pub(crate) const NO_CLASS: u32 = 0;
 
 /// Minimum number of samples of a class before its own service time is used.
 const MIN_CLASS_SAMPLES: u32 = 5;
 
 /// Service times of the target, over all requests and by class.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct ClassServiceTimes {
     overall: ServiceTimeStats,
     by_class: HashMap<u32, ServiceTimeStats>,
--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -18,8 +18,8 @@
 };
 use crate::{load::LoadSample, time::Instant};
 
-/// Decides which requests reach the target on the node's host.
-#[derive(Debug)]
+/// Decides which requests reach the target on the node's host. Offers can be tried on a copy.
+#[derive(Clone, Debug)]
 pub struct Guard {
     pub(super) cfg: GuardSettings,
     /// May have expired; see [`AnnouncedTarget::is_in_force`].
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -45,6 +45,7 @@
 mod warm_up;
 
 pub(crate) use self::capacity_share::share_of_workspace;
+pub(crate) use self::class_service_times::NO_CLASS;
 pub use self::{
     capacity_share::{NEW_REQUESTS, TARGET_CALLS},
     closed::ClosedReason,
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -56,7 +56,8 @@
 /// twice as slow as another, so a ratio of 2 would hedge requests at healthy targets.
 const SLOW_TARGET_RATIO: f64 = 3.0;
 
-/// Chooses targets for the requests of one entry.
+/// Chooses targets for the requests of one entry. Choices can be tried on a copy.
+#[derive(Clone)]
 pub struct Balancer {
     pub(super) cfg: BalancerSettings,
     pub(super) policy: Box<dyn Policy>,
--- a/crates/core/src/workspace/access.rs
+++ b/crates/core/src/workspace/access.rs
@@ -60,6 +60,11 @@
     pub claim: KeyClaim,
 }
 
+/// Returns whether requests on a route need a key of a workspace.
+pub fn needs_key(table: &RouteTable, route: &Route) -> bool {
+    table.workspaces().is_some() && !route.public
+}
+
 /// Returns the share of a guard's capacity that a request is charged to, for
 /// [`Urgency::capacity_share`](crate::admission::Urgency).
 ///
@@ -88,7 +93,7 @@
     route: &Route,
     key: SentKey<'_>,
 ) -> Result<Option<Identity>, KeyError> {
-    let Some(workspaces) = table.workspaces().filter(|_| !route.public) else {
+    let Some(workspaces) = table.workspaces().filter(|_| needs_key(table, route)) else {
         return Ok(None);
     };
     let key = match key {
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -18,6 +18,8 @@
 mod cold;
 #[path = "balance/decision_cost.rs"]
 mod decision_cost;
+#[path = "balance/dry_run.rs"]
+mod dry_run;
 #[path = "balance/ejection.rs"]
 mod ejection;
 
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -6,9 +6,9 @@
 use super::{
     CallerOutcome, RequestExecution,
     attempt::{Attempt, AttemptEnd},
+    decisions,
     response::LocalResponse,
     response_writer::{CallerGone, ResponseWriter},
-    shedding,
 };
 use crate::{
     trace::{AttemptTrace, RequestTrace},
@@ -41,14 +41,9 @@
                 LocalResponse::key_withdrawn()
             }
             AttemptEnd::NotRun { reason, .. } => {
-                let service = request.policy.service.as_str();
-                let regions = request.policy.allowed_regions();
                 let balancer = node.balancer.borrow();
-                let start_wait_us = balancer.start_wait_us(node.now(), service, regions);
-                drop(balancer);
-                LocalResponse::not_run(reason)
-                    .with_retry_after(start_wait_us)
-                    .with_exact_retry_after(shedding::retry_after_us(node, &request.policy, reason))
+                let rng = &mut *node.rng.borrow_mut();
+                decisions::not_run_response(node, &balancer, &request.policy, reason, rng)
             }
             AttemptEnd::OverQuota(refusal) => LocalResponse::over_quota(refusal.wait_us),
             AttemptEnd::Unknown(reason) => {
