Cold targets: keep the ramp when an announcement lapses

Cause: Guard::announce takes the first announcement after a lapse for that of another target, also if the same instance sends it, and reset the warm-up limit.

Change: the limit is reset only for an instance other than that of the newest announcement. An instance that does not identify itself counts as another one, as before.

Result: lapsed_announcement_does_not_end_the_limit passes. Without the change it failed: the load sample said not cold, with a start interval of 0 instead of 100 ms, and no wait.

--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -143,10 +143,9 @@
     /// Applies an announcement of a target or its renewal, unless it is late.
     pub fn announce(&mut self, now: Instant, announcement: Announcement<'_>) -> AnnouncementEffect {
         self.withdraw_expired_target(now);
-        if !self
-            .newest_announcement
-            .record_if_newer(now, &announcement.instance)
-        {
+        let newest = &mut self.newest_announcement;
+        let is_same_instance = newest.is_of(&announcement.instance);
+        if !newest.record_if_newer(now, &announcement.instance) {
             return AnnouncementEffect::Late;
         }
         let target = AnnouncedTarget::new(&announcement);
@@ -167,7 +166,9 @@
             self.limit = ConcurrencyLimit::new(self.cfg.limit, target.capacity());
             self.pace = HostPace::default();
             self.rate_limit = RateLimit::default();
-            self.warm_up.on_new_target();
+            if !is_same_instance {
+                self.warm_up.on_new_target();
+            }
         }
         self.target = Some(target);
         self.update_end_of_starts(now);
--- a/crates/core/src/admission/target.rs
+++ b/crates/core/src/admission/target.rs
@@ -124,6 +124,14 @@
 }
 
 impl NewestAnnouncement {
+    /// Returns whether the newest announcement was of the same instance; false if the instance is not
+    /// identified.
+    pub(super) fn is_of(&self, instance: &TargetInstance<'_>) -> bool {
+        instance.started_unix_ms != 0
+            && instance.started_unix_ms == self.started_unix_ms
+            && *instance.id == *self.id
+    }
+
     /// Records an announcement if it is newer than all others and its instance has not left, and
     /// returns whether it was recorded.
     pub(super) fn record_if_newer(&mut self, now: Instant, instance: &TargetInstance<'_>) -> bool {
@@ -133,9 +141,7 @@
         if instance.started_unix_ms == 0 {
             return true;
         }
-        let same_instance =
-            instance.started_unix_ms == self.started_unix_ms && *instance.id == *self.id;
-        let is_late = match same_instance {
+        let is_late = match self.is_of(instance) {
             true => self.is_leaving || instance.seq <= self.seq,
             false => instance.started_unix_ms < self.started_unix_ms,
         };
--- a/crates/core/tests/admission_warm_up.rs
+++ b/crates/core/tests/admission_warm_up.rs
@@ -87,6 +87,11 @@
             .record_cold(at(ms), generation, ColdReport::Heartbeat(warmup_ms));
     }
 
+    /// Ends the announcement of the target, as if it had expired.
+    fn lapse(&mut self, ms: u64) {
+        self.guard.withdraw_target(at(ms));
+    }
+
     /// Checks the health of the target as a node does before a start. The check fails if
     /// `is_lost`.
     fn check_health(&mut self, ms: u64, is_lost: bool) {
@@ -372,6 +377,32 @@
     expect_that!(host.guard.is_cold(at(2)), eq(false));
 }
 
+/// Guards against a target that gets its full rate, or more than the bound while it is cold, because its
+/// announcement lapsed and the same instance returned.
+#[gtest]
+fn lapsed_announcement_does_not_end_the_limit() {
+    let mut host = Host::new(warm_up(10));
+    host.cold_until_ms = 2_000;
+    host.check_health(0, false);
+    for ms in [1_000, 3_000] {
+        host.check_health(ms, false);
+        for _ in 0..30 {
+            host.offer(ms, 100);
+        }
+        let before = host.guard.load_sample(at(ms));
+        host.lapse(ms);
+        host.heartbeat(ms, 0);
+        let after = host.guard.load_sample(at(ms));
+        expect_that!(
+            (after.cold, after.start_interval_us),
+            eq((true, before.start_interval_us)),
+            "{ms}"
+        );
+        expect_that!(host.guard.is_cold(at(ms)), eq(ms < 2_000));
+        expect_that!(after.start_wait_us, gt(0), "{ms}");
+    }
+}
+
 /// Guards against a late heartbeat, from before a target became cold again, that ends the limit, and
 /// against one from before it became warm that limits it again.
 #[gtest]
