--- a/tests/integration/evacuation_fixture.rs
+++ b/tests/integration/evacuation_fixture.rs
@@ -58,12 +58,16 @@
     address_of: impl FnMut(usize, SocketAddr) -> SocketAddr,
 ) -> PlatformFleet {
     PlatformFleet::start_with_settings(places.len(), address_of, |i, text| {
-        let (data_centre, region) = places[i];
-        let place = format!("data_centre = {data_centre}\nregion = {region}\n");
-        *text = text.replace("data_centre = pos\nregion = tt\n", &place);
+        set_place(text, places[i]);
     })
 }
 
+/// Sets the data centre and the region in the settings of a node.
+pub(crate) fn set_place(text: &mut String, (data_centre, region): (&str, &str)) {
+    let place = format!("data_centre = {data_centre}\nregion = {region}\n");
+    *text = text.replace("data_centre = pos\nregion = tt\n", &place);
+}
+
 impl EvacuationFleet {
     /// Starts nodes, each with a target that answers at once, and waits until each has routes and knows
     /// all targets.
