Balancer: probe and eject targets that only requests with allowed regions use

Cause: probes went only to the subset for requests without allowed regions, and the bound of ejections counted only that subset. A target outside it that requests with allowed regions use got no probes, and its ejection was neither counted nor shown.

Used targets are probed. A target may be ejected if that leaves half of the subset and half of the used targets in its region in use, for each group that it is in. The bound is computed only for failures now; it was computed at the end of every request.

Result: targets_of_allowed_regions_are_probed_and_ejected_like_others passes.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -8,7 +8,7 @@
 use super::{
     BalancerSettings, Candidate, ChoiceRequest, EjectionChange, EjectionEvent, LoadReport, Policy,
     RequestObservation, RequestOutcome, ResponseSizes, Score, TargetEstimate, TargetQuery,
-    ejection::{EjectionState, EjectionTransition},
+    ejection::EjectionTransition,
     service_targets::{
         NodeState, ServiceTarget, ServiceTargets, build_candidate, eligible_candidates,
     },
@@ -95,8 +95,8 @@
     /// See [`ChoiceRequest::first_request_position`].
     entry_position: f64,
     pub(super) services: HashMap<ServiceName, ServiceTargets>,
-    /// Has an entry for each target in `services`. At most half of the subset of a service is
-    /// ejected.
+    /// Has an entry for each target in `services`. At most half of each group of targets is ejected; see
+    /// [`super::ejection_bound`].
     pub(super) nodes: HashMap<NodeName, NodeState>,
     /// Whether a member record says that a target is cold.
     pub(super) has_announced_cold: bool,
@@ -206,6 +206,9 @@
             .get_mut(query.service)
             .ok_or(ChoiceError::UnknownService)?;
         let is_first = service_targets.last_request.replace(now).is_none();
+        if !query.scope.regions.is_unrestricted() {
+            service_targets.last_regional_request = Some(now);
+        }
         let nodes = &self.nodes;
         let mut candidates =
             eligible_candidates(&self.cfg, nodes, now, service_targets, &query.scope)?;
@@ -298,7 +301,7 @@
 
     /// Records the end of a request. Must be called once per [`Balancer::on_request_sent`].
     pub fn on_request_ended(&mut self, now: Instant, node: &str, observation: &RequestObservation) {
-        let may_eject = self.may_eject(node);
+        let may_eject = observation.outcome.is_failure() && self.may_eject(now, node);
         if let Some(sample) = &observation.load {
             self.note_cold_sample(now, sample);
         }
@@ -374,7 +377,7 @@
             .services
             .values()
             .filter(|service| service.has_recent_traffic(now, &self.cfg))
-            .flat_map(ServiceTargets::subset_targets)
+            .flat_map(|service| service.used_targets(&self.nodes, now, &self.cfg))
             .filter_map(|target| {
                 let state = self.nodes.get(&target.node)?;
                 let newest = state.estimate.sampled_at().max(state.probe_requested_at);
@@ -444,51 +447,12 @@
         }
     }
 
-    fn may_eject(&self, node: &str) -> bool {
-        let service = self
-            .nodes
-            .get(node)
-            .and_then(|state| self.services.get(&state.service));
-        service.is_some_and(|service| {
-            let (ejected, all) = self.count_ejected(service);
-            (ejected + 1) * 2 <= all
-        })
-    }
-
-    fn count_ejected(&self, service: &ServiceTargets) -> (usize, usize) {
-        let ejected = |target: &&ServiceTarget| !self.nodes[&target.node].ejection.is_in_use();
-        (
-            service.subset_targets().filter(ejected).count(),
-            service.subset_targets().count(),
-        )
-    }
-
-    /// Restores targets until at most half of the subset is ejected, in the order in which their
-    /// ejections end. More than half can be ejected after other targets have left.
-    fn restore_excess_ejections(&mut self, now: Instant, service: &str) {
-        loop {
-            let service = &self.services[service];
-            let (ejected, all) = self.count_ejected(service);
-            if ejected * 2 <= all {
-                return;
-            }
-            let first = service
-                .subset_targets()
-                .filter_map(|target| match self.nodes[&target.node].ejection.state() {
-                    EjectionState::InUse => None,
-                    EjectionState::Ejected { until, .. } => Some((until, target.node.clone())),
-                })
-                .min();
-            let Some((_, node)) = first else { return };
-            if let Some(state) = self.nodes.get_mut(&node) {
-                state.ejection.restore(now);
-                state.estimate.begin_slow_start(now);
-            }
-            self.record_event(now, node.as_str(), EjectionTransition::Restored);
-        }
-    }
-
-    fn record_event(&mut self, now: Instant, node: &str, transition: EjectionTransition) {
+    pub(super) fn record_event(
+        &mut self,
+        now: Instant,
+        node: &str,
+        transition: EjectionTransition,
+    ) {
         let Some(state) = self.nodes.get(node) else {
             return;
         };
--- a/crates/core/src/balance/explain.rs
+++ b/crates/core/src/balance/explain.rs
@@ -90,7 +90,7 @@
                     score: Score::new(now, &candidate, &self.cfg.score),
                     own_in_flight: state.estimate.own_in_flight(),
                     sampled_at: state.estimate.sampled_at(),
-                    usage: target_usage(now, target, state),
+                    usage: target_usage(&self.cfg, now, target, state),
                 })
             })
             .collect()
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -8,6 +8,7 @@
 mod baseline;
 mod coldness;
 mod ejection;
+mod ejection_bound;
 mod eligible;
 mod estimate;
 mod explain;
--- a/crates/core/src/balance/service_targets.rs
+++ b/crates/core/src/balance/service_targets.rs
@@ -1,5 +1,7 @@
 //! The targets of each service and the state kept about their nodes.
 
+use std::cell::Cell;
+
 use super::{
     BalancerSettings, Candidate, ChoiceError, TargetEstimate, TargetUsage,
     ejection::{EjectionState, EjectionTracker},
@@ -54,13 +56,12 @@
     pub(super) targets: Vec<ServiceTarget>,
     /// When a request for the service last asked for a target, whether or not one was found.
     pub(super) last_request: Option<Instant>,
+    /// When a request with allowed regions last asked for a target. No target has regional use that is
+    /// newer.
+    pub(super) last_regional_request: Option<Instant>,
 }
 
 impl ServiceTargets {
-    pub(super) fn subset_targets(&self) -> impl Iterator<Item = &ServiceTarget> {
-        self.targets.iter().filter(|target| target.in_subset)
-    }
-
     /// Returns the targets that this entry uses for requests with these allowed regions: the first
     /// `size` allowed ones in its order of preference.
     pub(super) fn subset_in<'a>(
@@ -89,12 +90,30 @@
     }
 
     pub(super) fn has_recent_traffic(&self, now: Instant, cfg: &BalancerSettings) -> bool {
-        let recent_us = cfg.recent_traffic_ms * MICROS_PER_MILLI;
-        self.last_request
-            .is_some_and(|at| now.micros_since(at) < recent_us)
+        is_recent(self.last_request, now, cfg)
+    }
+
+    /// Returns the targets that requests use: those in the subset, and those outside it that requests with
+    /// allowed regions have lately used.
+    pub(super) fn used_targets<'a>(
+        &'a self,
+        nodes: &'a HashMap<NodeName, NodeState>,
+        now: Instant,
+        cfg: &'a BalancerSettings,
+    ) -> impl Iterator<Item = &'a ServiceTarget> {
+        let is_any_regional = is_recent(self.last_regional_request, now, cfg);
+        self.targets.iter().filter(move |target| {
+            target.in_subset || (is_any_regional && nodes[&target.node].has_regional_use(now, cfg))
+        })
     }
 }
 
+/// Returns whether a request counts as recent traffic.
+fn is_recent(at: Option<Instant>, now: Instant, cfg: &BalancerSettings) -> bool {
+    let recent_us = cfg.recent_traffic_ms * MICROS_PER_MILLI;
+    at.is_some_and(|at| now.micros_since(at) < recent_us)
+}
+
 #[derive(Debug)]
 pub(super) struct NodeState {
     /// Service of the target; a node serves one target and so one service.
@@ -105,6 +124,9 @@
     pub(super) draining_seen_at: Option<Instant>,
     /// When the guard last refused a request because of an evacuation.
     pub(super) evacuation_seen_at: Option<Instant>,
+    /// When a request with allowed regions could last be sent to the target although it is outside the
+    /// subset for other requests.
+    pub(super) regional_use_at: Cell<Option<Instant>>,
     /// When a probe was last requested; `None` after its reply.
     pub(super) probe_requested_at: Option<Instant>,
 }
@@ -117,10 +139,16 @@
             ejection: EjectionTracker::new(),
             draining_seen_at: None,
             evacuation_seen_at: None,
+            regional_use_at: Cell::new(None),
             probe_requested_at: None,
         }
     }
 
+    /// Returns whether requests with allowed regions have lately used the target from outside the subset.
+    pub(super) fn has_regional_use(&self, now: Instant, cfg: &BalancerSettings) -> bool {
+        is_recent(self.regional_use_at.get(), now, cfg)
+    }
+
     fn is_draining(&self, now: Instant) -> bool {
         self.draining_seen_at
             .is_some_and(|at| now.micros_since(at) < DRAINING_SAMPLE_TTL_US)
@@ -151,6 +179,11 @@
         .map(with_state)
         .filter(|(target, state)| target.facts(now, state).check().is_ok())
         .collect();
+    if !scope.regions.is_unrestricted() {
+        for (_, state) in usable.iter().filter(|(target, _)| !target.in_subset) {
+            state.regional_use_at.set(Some(now));
+        }
+    }
     if usable.is_empty() {
         let all = service.targets.iter().map(with_state);
         let facts = all.map(|(target, state)| target.facts(now, state));
@@ -202,11 +235,16 @@
     }
 }
 
-pub(super) fn target_usage(now: Instant, target: &ServiceTarget, state: &NodeState) -> TargetUsage {
+pub(super) fn target_usage(
+    cfg: &BalancerSettings,
+    now: Instant,
+    target: &ServiceTarget,
+    state: &NodeState,
+) -> TargetUsage {
     if let Err(reason) = target.facts(now, state).check() {
         return TargetUsage::Ineligible(reason);
     }
-    if !target.in_subset {
+    if !target.in_subset && !state.has_regional_use(now, cfg) {
         return TargetUsage::OutsideSubset;
     }
     match state.ejection.state() {
--- a/crates/core/tests/eligibility.rs
+++ b/crates/core/tests/eligibility.rs
@@ -3,8 +3,8 @@
 use googletest::prelude::*;
 use plantainpost_core::{
     balance::{
-        Balancer, BalancerSettings, ChoiceError, TargetQuery, TargetUsage, TargetView,
-        policy_by_name,
+        Balancer, BalancerSettings, ChoiceError, RequestObservation, RequestOutcome, TargetQuery,
+        TargetUsage, TargetView, policy_by_name,
     },
     eligibility::{
         Absence, AllowedRegions, Ineligibility, RequestScope, TargetFacts, explain_absence,
@@ -232,6 +232,42 @@
     expect_that!(used(&mut balancer, &regions(&["b"]), &[]).len(), eq(20));
 }
 
+/// Guards against targets that only requests with allowed regions use, and that get no probes, or are
+/// ejected without a bound, and against probes of them after the last such request.
+#[gtest]
+fn targets_of_allowed_regions_are_probed_and_ejected_like_others() {
+    let fleet = fleet(90);
+    let mut balancer = balancer();
+    balancer.set_targets(Instant::default(), SERVICE, &views(&fleet, ""));
+    let only_c = regions(&["c"]);
+    let restricted = used(&mut balancer, &only_c, &[]);
+    let mut rng = StdRng::seed_from_u64(0);
+    let next = || balancer.next_probe_target(LATER, &mut rng);
+    let probed: Vec<NodeName> = std::iter::from_fn(next).collect();
+    expect_that!(probed.len(), gt(20));
+    expect_true!(restricted.iter().all(|node| probed.contains(node)));
+
+    let failure = RequestObservation {
+        outcome: RequestOutcome::Failed,
+        latency_us: 0,
+        load: None,
+    };
+    for node in restricted.iter().cycle().take(5 * restricted.len()) {
+        balancer.on_request_sent(LATER, node.as_str());
+        balancer.on_request_ended(LATER, node.as_str(), &failure);
+    }
+    let usages = balancer.explain(LATER, SERVICE).into_iter();
+    let usages = usages.filter(|e| restricted.contains(&e.node));
+    let ejected = usages.filter(|e| matches!(e.usage, TargetUsage::Ejected { .. }));
+    expect_that!(ejected.count(), eq(10));
+
+    let much_later = LATER.saturating_add_millis(6_000);
+    let unrestricted = choose(&mut balancer, much_later, (&[], &[]), 0);
+    expect_that!(unrestricted, ok(anything()));
+    let next = || balancer.next_probe_target(much_later, &mut rng);
+    expect_that!(std::iter::from_fn(next).count(), le(20));
+}
+
 /// Guards against reasons in the answer to the caller that differ from those of the guards.
 #[gtest]
 fn choice_errors_have_the_reasons_of_refusals() {
