Tests: the guard's model includes held starts

Both tests of the model pass; the one of pairs of faults failed when Guard::can_start did not look at the hold.

--- a/crates/core/tests/admission_model/mod.rs
+++ b/crates/core/tests/admission_model/mod.rs
@@ -36,6 +36,10 @@
     Withdraw,
     Drain(bool),
     Close(bool),
+    /// Holds all starts.
+    Hold {
+        millis: u64,
+    },
     /// `early_ms` is how much too early the connection converted the deadline.
     Offer {
         key: u8,
@@ -76,6 +80,7 @@
 pub(crate) struct Model {
     guard: Guard,
     now: Instant,
+    held_until: Instant,
     histories: BTreeMap<u8, RequestHistory>,
 }
 
@@ -106,6 +111,7 @@
         Model {
             guard,
             now: Instant::default(),
+            held_until: Instant::default(),
             histories: BTreeMap::new(),
         }
     }
@@ -151,6 +157,7 @@
     }
 
     fn record_start(&mut self, key: u8) {
+        assert!(self.held_until <= self.now, "{key} is started in a hold");
         let history = self.history(key);
         assert!(
             history.ended < history.accepted,
@@ -325,6 +332,10 @@
                 let closed = on.then_some(ClosedReason::Evacuated);
                 self.guard.set_closed(self.now, closed);
             }
+            Event::Hold { millis } => {
+                self.held_until = self.now.saturating_add_millis(millis);
+                self.guard.hold_starts(self.now, self.held_until);
+            }
             Event::Offer { key, early_ms } => self.offer(key, early_ms),
             Event::Dispatch { key } => self.dispatch(key),
             Event::Finish {
--- a/crates/core/tests/admission_pairs.rs
+++ b/crates/core/tests/admission_pairs.rs
@@ -35,6 +35,8 @@
         Event::Drain(true),
         Event::Close(true),
         Event::Close(false),
+        Event::Hold { millis: 0 },
+        Event::Hold { millis: 1_000 },
         Event::Offer { key, early_ms: 0 },
         Event::Offer { key, early_ms: 900 },
         Event::Dispatch { key },
--- a/crates/core/tests/admission_properties.rs
+++ b/crates/core/tests/admission_properties.rs
@@ -16,6 +16,7 @@
         1 => Just(Event::Withdraw),
         1 => prop::bool::weighted(0.2).prop_map(Event::Drain),
         1 => prop::bool::weighted(0.4).prop_map(Event::Close),
+        1 => (0_u64..1_000).prop_map(|millis| Event::Hold { millis }),
         10 => (key(), early_ms()).prop_map(|(key, early_ms)| Event::Offer { key, early_ms }),
         8 => key().prop_map(|key| Event::Dispatch { key }),
         5 => (key(), 0..OUTCOMES.len(), 1..50_u64)
