Freshness: bound the wait for peers over several suspensions

Cause: each suspension of more than 1 s began a new wait of 1 s and a new task that asks peers. A node that no peer answers and that is suspended again before 1 s of running has passed never started a request. Tasks of earlier suspensions asked on while a later doubt lasted, and logged that the configuration was confirmed although their reply had no effect.

A task that asks ends when its doubt is no longer the current one, and logs what its reply has confirmed. It asks at least once, also without a wait.

--- a/crates/node/src/config_recheck.rs
+++ b/crates/node/src/config_recheck.rs
@@ -53,7 +53,8 @@
 #[cold]
 fn on_resumed(node: &Rc<Node>, now: Instant, pause_us: u64) {
     if random_peers(node, 1).is_empty() {
-        return confirm(node, now);
+        confirm(node, now);
+        return;
     }
     node.metrics.count("config.recheck");
     let until = node.config_recheck.freshness.borrow().doubted_until(now);
@@ -85,7 +86,8 @@
             && config_sync::refresh_from(&node, &peer, 0).await
         {
             info!(node.logger, "configuration checked after the start"; "peer" => %peer);
-            return confirm(&node, asked_at);
+            confirm(&node, asked_at);
+            return;
         }
         let next_try = asked_at.saturating_add_millis(CHECK_INTERVAL_MS);
         node.clock.sleep_until(next_try).await;
@@ -100,10 +102,12 @@
     peers.into_iter().map(|(name, _)| name).collect()
 }
 
-fn confirm(node: &Node, asked_at: Instant) {
+/// Ends the doubt if a reply of a peer asked at `asked_at` is newer than the last suspension. Returns
+/// whether it is.
+fn confirm(node: &Node, asked_at: Instant) -> bool {
     let now = node.now();
     let config_recheck = &node.config_recheck;
-    config_recheck.freshness.borrow_mut().confirm(asked_at);
+    let is_confirmed = config_recheck.freshness.borrow_mut().confirm(asked_at);
     if !is_doubted(node, now) {
         let wakeups = {
             let mut guard = node.guard.borrow_mut();
@@ -113,6 +117,7 @@
         node.wake_waiters(wakeups);
     }
     config_recheck.confirmed.notify_waiters();
+    is_confirmed
 }
 
 /// Waits until the configuration may be relied on: not at all unless the node has just started or was
@@ -144,20 +149,26 @@
     }
 }
 
-/// Asks peers until one has replied or the node goes on without.
+/// Asks peers until one has replied, the node goes on without, or it was suspended again: the next task
+/// asks then. At least one round of peers is asked, also if nothing waits for it, because a reply ends the
+/// time in which further suspensions cause no wait.
 async fn ask_peers(node: Rc<Node>, resumed_at: Instant, pause_us: u64) {
     let mut asked_at = resumed_at;
-    let mut is_confirmed = false;
-    while !is_confirmed && is_doubted(&node, asked_at) {
-        is_confirmed = ask_some_peers(&node).await;
-        if is_confirmed {
-            confirm(&node, asked_at);
-        } else {
-            let next_try = asked_at.saturating_add_millis(CHECK_INTERVAL_MS);
-            node.clock.sleep_until(next_try).await;
-            asked_at = node.now();
+    let is_confirmed = loop {
+        if ask_some_peers(&node).await {
+            break confirm(&node, asked_at);
         }
-    }
+        let next_try = asked_at.saturating_add_millis(CHECK_INTERVAL_MS);
+        node.clock.sleep_until(next_try).await;
+        asked_at = node.now();
+        let is_own_doubt = {
+            let freshness = node.config_recheck.freshness.borrow();
+            freshness.is_doubted_since(resumed_at)
+        };
+        if !is_own_doubt || !is_doubted(&node, asked_at) {
+            break false;
+        }
+    };
     info!(node.logger, "configuration checked after a suspension"; "pause_us" => pause_us,
         "confirmed" => is_confirmed, "us" => node.now().micros_since(resumed_at));
 }
