Configuration check: notice a suspension during the wait for a peer

Cause: the wait looked for a suspension only before it began. If the node was suspended during the wait, its timer, or a reply from before that suspension, ended the wait on resume. The final check before a dispatch looks again, but the resend of an idempotent request and the answer 401 of an entry rely on this wait alone.

Change: each turn of the wait, and each reply before it counts, first records that the node runs, which notices the suspension.

Result: no test of its own.

--- a/crates/node/src/config_recheck.rs
+++ b/crates/node/src/config_recheck.rs
@@ -104,7 +104,9 @@
 
 /// Ends the doubt if a reply of a peer asked at `asked_at` is newer than the last suspension. Returns
 /// whether it is.
-fn confirm(node: &Node, asked_at: Instant) -> bool {
+fn confirm(node: &Rc<Node>, asked_at: Instant) -> bool {
+    // The node may have been suspended again since the reply arrived.
+    observe(node);
     let now = node.now();
     let config_recheck = &node.config_recheck;
     let is_confirmed = config_recheck.freshness.borrow_mut().confirm(asked_at);
@@ -135,9 +137,10 @@
     node: &Rc<Node>,
     doubted_until: fn(&Freshness, Instant) -> Option<Instant>,
 ) -> bool {
-    observe(node);
     let mut has_waited = false;
     loop {
+        // The node may be suspended again while it waits.
+        observe(node);
         let confirmed = node.config_recheck.confirmed.notified();
         let until = doubted_until(&node.config_recheck.freshness.borrow(), node.now());
         let Some(until) = until else {
