Guard: serve the link and the deadline while a request waits for the configuration

Cause: after a suspension, a request waits up to 1 s for the reply of a peer before its key is checked and, if it holds a slot, before it is dispatched. Neither wait looked at the connection of the entry or at the deadline: no sign of life was sent, Resume got no reply, a request whose entry had gone was still written to the target, and a deadline was reported late.

Change: both waits are one function, which also handles the events of the link and ends at the deadline.

--- a/crates/node/src/guard/key_check.rs
+++ b/crates/node/src/guard/key_check.rs
@@ -9,18 +9,10 @@
 use super::request::PendingRequest;
 use crate::{config_recheck, node::Node};
 
-/// Like [`refuse_if_withdrawn`], but waits first until the configuration may be relied on.
-pub(super) async fn check_key(node: &Rc<Node>, req: &PendingRequest) -> Option<RefuseReason> {
-    if req.head.claim.is_some() {
-        config_recheck::wait_until_current(node).await;
-    }
-    refuse_if_withdrawn(node, req)
-}
-
 /// Waits until a request may be dispatched as far as the age of the configuration is concerned, which may
 /// lack a withdrawal or an evacuation. Returns whether it has waited.
-pub(super) async fn wait_until_startable(node: &Rc<Node>, req: &PendingRequest) -> bool {
-    match req.head.claim.is_some() {
+pub(super) async fn wait_until_startable(node: &Rc<Node>, req_has_claim: bool) -> bool {
+    match req_has_claim {
         true => config_recheck::wait_until_current(node).await,
         false => config_recheck::wait_after_suspension(node).await,
     }
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -17,7 +17,7 @@
 
 use super::{
     ConnState, InboundConn,
-    key_check::{check_key, refuse_if_withdrawn, wait_for_key_change, wait_until_startable},
+    key_check::{refuse_if_withdrawn, wait_for_key_change, wait_until_startable},
     link::{ExchangeLink, LinkEvent},
     relay,
     slot::{Slot, UndispatchedRequest},
@@ -156,7 +156,13 @@
     };
     let key = req.head.key;
     pace::refresh_pace(node).await;
-    let admission = match check_key(node, &req).await {
+    // An entry that is cut off or was frozen may have admitted the request by a key that was withdrawn.
+    if req.head.claim.is_some()
+        && let ConfigWait::EntryGone = wait_for_config(node, link, &mut req).await
+    {
+        return ConnState::MustClose;
+    }
+    let admission = match refuse_if_withdrawn(node, &req) {
         Some(reason) => Admission::Refused(reason),
         None => offer_request(node, &req),
     };
@@ -259,7 +265,7 @@
 async fn dispatch_request(
     node: &Rc<Node>,
     link: &mut ExchangeLink,
-    req: PendingRequest,
+    mut req: PendingRequest,
     undispatched: UndispatchedRequest,
 ) -> ConnState {
     let key = req.head.key;
@@ -277,11 +283,15 @@
                 return relay::send_failure(node, link, key, false, FailReason::Connect).await;
             }
         };
-        if !wait_until_startable(node, &req).await || req.deadline <= node.now() {
+        let wait_result = wait_for_config(node, link, &mut req).await;
+        if let ConfigWait::Current | ConfigWait::Deadline = wait_result {
             break target_conn;
         }
         // The target may have closed the connection meanwhile.
         node.target_pool.release(target_conn, node.now());
+        if let ConfigWait::EntryGone = wait_result {
+            return ConnState::MustClose;
+        }
     };
     let decision = match refuse_if_withdrawn(node, &req) {
         Some(reason) => DispatchDecision::Refused(reason),
@@ -298,6 +308,41 @@
     relay::relay_request(node, link, req, slot, target_conn).await
 }
 
+/// Result of waiting until the configuration may be relied on.
+enum ConfigWait {
+    /// It may be relied on without a wait.
+    Current,
+    Waited,
+    Deadline,
+    /// The entry closed the connection or violated the protocol.
+    EntryGone,
+}
+
+/// Waits until the configuration may be relied on, at most until the deadline. Meanwhile receives the
+/// body, serves the link, and detects that the entry closes the connection.
+async fn wait_for_config(
+    node: &Rc<Node>,
+    link: &mut ExchangeLink,
+    req: &mut PendingRequest,
+) -> ConfigWait {
+    let wait = wait_until_startable(node, req.head.claim.is_some());
+    let mut wait = std::pin::pin!(wait);
+    loop {
+        let event = tokio::select! {
+            biased;
+            has_waited = &mut wait => return match has_waited {
+                true => ConfigWait::Waited,
+                false => ConfigWait::Current,
+            },
+            event = link.next_event() => event,
+            () = node.clock.sleep_until(req.deadline) => return ConfigWait::Deadline,
+        };
+        if handle_link_event(link, req, event).await.is_err() {
+            return ConfigWait::EntryGone;
+        }
+    }
+}
+
 /// Why the request can't be sent to the target.
 enum ConnectFailure {
     NoTarget,
--- a/tests/integration/workspace_withdrawal.rs
+++ b/tests/integration/workspace_withdrawal.rs
@@ -24,7 +24,7 @@
         PlatformFleet, ScriptedReply, ScriptedTarget, answer, exchange, header, read_head,
         request_head, start_process,
     },
-    scripted_peer::{ScriptedPeer, describe, post_head, request_key, run_script},
+    scripted_peer::{ScriptedPeer, describe, now, post_head, request_key, run_script},
     workspaces::publish_workspaces,
 };
 
@@ -213,20 +213,69 @@
     expect_that!(target.received_heads().is_empty(), eq(true));
 }
 
-/// Sends a request with a claim to the guard of node 0 and returns its reply.
-async fn guard_reply(platform: &PlatformFleet, id: u128, claim: Option<KeyClaim>) -> String {
-    let mut peer = ScriptedPeer::connect(platform.hosts[0].peers).await;
+/// Returns a request of a scripted entry with a claim.
+fn claim_request(id: u128, timeout_ms: u64, claim: Option<KeyClaim>) -> PeerMessage {
     let public_id = format!("p{id}");
     let headers = [("plantainpost-request-id", &*public_id)];
-    let head = PeerRequestHead {
+    PeerMessage::Request(PeerRequestHead {
         service: ServiceName::from("shelf"),
         claim: claim.map(Box::new),
+        deadline: now().saturating_add_millis(timeout_ms),
         ..post_head(request_key(id), "claim", &headers)
-    };
-    peer.send(PeerMessage::Request(head)).await;
+    })
+}
+
+/// Sends a request with a claim to the guard of node 0 and returns its reply.
+async fn guard_reply(platform: &PlatformFleet, id: u128, claim: Option<KeyClaim>) -> String {
+    let mut peer = ScriptedPeer::connect(platform.hosts[0].peers).await;
+    peer.send(claim_request(id, 5_000, claim)).await;
     describe(&peer.next_reply().await).to_string()
 }
 
+fn key_claim(workspace: &str, key: &str, version: u64) -> Option<KeyClaim> {
+    Some(KeyClaim {
+        workspace: workspace.into(),
+        key: KeyHash::of(key.as_bytes()),
+        version,
+    })
+}
+
+/// Guards against a request that waits for the configuration of its guard after a suspension and is still
+/// written to the target after its entry has gone, or is refused long after its deadline.
+#[gtest]
+fn request_that_waits_after_a_suspension_ends_with_its_entry_and_deadline() {
+    let target = ScriptedTarget::start(|head| ScriptedReply::Keep(answer(head, "200 OK", "stock")));
+    let platform = PlatformFleet::start(2);
+    publish_workspaces(&platform, 4, BOTH_KEYS);
+    platform.announce(0, &target, "i-1", 1, "ready");
+    process::wait_until("an answer", WAIT_TIMEOUT, || {
+        get_with_key(&platform, 1, "/safe/1", "k1").starts_with("HTTP/1.1 200")
+    })
+    .expect("the nodes know each other");
+    run_script(async {
+        let mut patient = ScriptedPeer::connect(platform.hosts[0].peers).await;
+        let mut hasty = ScriptedPeer::connect(platform.hosts[0].peers).await;
+        for host in &platform.hosts {
+            host.process.signal(Signal::Stop).expect("the node runs");
+        }
+        thread::sleep(Duration::from_millis(1_200));
+        let claim = || key_claim("acme", "k1", 4);
+        patient.send(claim_request(1, 5_000, claim())).await;
+        hasty.send(claim_request(2, 300, claim())).await;
+        let resumed_at = Instant::now();
+        let process = &platform.hosts[0].process;
+        process.signal(Signal::Cont).expect("the node runs");
+        let reply = describe(&hasty.next_reply().await);
+        expect_that!(&*reply, eq("refused deadline"));
+        // The node waits for 1 s, because the other one stays suspended.
+        expect_that!(resumed_at.elapsed(), lt(Duration::from_secs(1)));
+    });
+    let answer = get_with_key(&platform, 0, "/safe/1", "k1");
+    expect_that!(answer, starts_with("HTTP/1.1 200"));
+    let heads = target.received_heads();
+    expect_that!(heads.iter().any(|head| head.contains("claim")), eq(false));
+}
+
 /// Guards against a guard that runs requests of an entry with an old configuration by a withdrawn key,
 /// that runs them before it has a configuration itself, or that refuses keys which only the entry's
 /// newer configuration has.
@@ -235,27 +284,20 @@
     let target = ScriptedTarget::start(|head| ScriptedReply::Keep(answer(head, "200 OK", "stock")));
     let platform = PlatformFleet::start(1);
     platform.announce(0, &target, "i-1", 1, "ready");
-    let claim = |workspace: &str, key: &str, version| {
-        Some(KeyClaim {
-            workspace: workspace.into(),
-            key: KeyHash::of(key.as_bytes()),
-            version,
-        })
-    };
     run_script(async {
-        let early = guard_reply(&platform, 1, claim("acme", "k2", 4)).await;
+        let early = guard_reply(&platform, 1, key_claim("acme", "k2", 4)).await;
         expect_that!(early, eq("refused no-configuration"));
         publish_workspaces(&platform, 5, ONE_KEY);
         platform.wait_readyz(0, "200");
         let rows = [
-            (2, claim("acme", "k1", 4), "refused key-withdrawn"),
-            (3, claim("zeta", "k2", 4), "refused key-withdrawn"),
-            (4, claim("acme", "k2", 4), "response 200"),
-            (5, claim("acme", "k3", 6), "response 200"),
+            (2, key_claim("acme", "k1", 4), "refused key-withdrawn"),
+            (3, key_claim("zeta", "k2", 4), "refused key-withdrawn"),
+            (4, key_claim("acme", "k2", 4), "response 200"),
+            (5, key_claim("acme", "k3", 6), "response 200"),
             (6, None, "response 200"),
             // The refusals of the first attempts hold for copies as well.
-            (1, claim("acme", "k2", 5), "refused fenced"),
-            (2, claim("acme", "k2", 5), "refused fenced"),
+            (1, key_claim("acme", "k2", 5), "refused fenced"),
+            (2, key_claim("acme", "k2", 5), "refused fenced"),
         ];
         for (id, claim, expected) in rows {
             let reply = guard_reply(&platform, id, claim).await;
