Configuration check: ask a peer of another data centre, and wait for several replies

Cause: after a suspension, the first of three replies ended the wait, and the other fetches were dropped. If a whole data centre is suspended across its evacuation, its nodes resume together, and a neighbour that knows nothing newer may reply first; the fetch that carries the evacuation was cancelled then.

Change: one of the three peers is in another data centre if there is one. The node waits up to 100 ms for all replies, and after that for the first one. Fetches that take longer finish, and their state is adopted.

Result: spread_peers_include_another_data_centre passes. The order of the replies has no test of its own, because it can't be controlled in the fixture without a scripted member.

--- a/crates/core/src/member/send.rs
+++ b/crates/core/src/member/send.rs
@@ -167,6 +167,21 @@
         peers.map(|r| (r.name.clone(), r.udp_addr())).collect()
     }
 
+    /// Like [`Membership::random_peers`], but at least one is in another data centre than this node, if
+    /// there is such a member and `n` is not zero.
+    pub fn spread_peers(&self, n: usize, rng: &mut dyn Rng) -> Vec<NodeName> {
+        let own = &self.local.data_centre;
+        let is_remote = |r: &MemberRecord| r.state == MemberState::Alive && r.data_centre != *own;
+        let remote = self.table.sample(n.min(1), rng, is_remote).into_iter();
+        let mut names: Vec<_> = remote.map(|r| r.name.clone()).collect();
+        for (name, _) in self.random_peers(n, rng) {
+            if names.len() < n && !names.contains(&name) {
+                names.push(name);
+            }
+        }
+        names
+    }
+
     /// Returns the next sequence number, which is never zero. The first one is random,
     /// so that answers to an earlier incarnation of this node match no probe.
     pub(super) fn next_seq(&mut self, rng: &mut dyn Rng) -> u32 {
--- a/crates/core/tests/member/messages.rs
+++ b/crates/core/tests/member/messages.rs
@@ -281,3 +281,29 @@
         prop_assert_eq!(snapshot(&first), snapshot(&second));
     }
 }
+
+/// Guards against a node that asks only members of its own data centre, which may have been suspended
+/// together with it, and against one that asks the same member twice.
+#[gtest]
+fn spread_peers_include_another_data_centre() {
+    for remote in [None, Some(1)] {
+        let mut member = member();
+        // Every fourth host of the fixture is in the same data centre.
+        let hosts = (1..10).map(|i| 4 * i).chain(remote);
+        let records: Vec<_> = hosts
+            .map(|i| record(&format!("m{i}"), i, INCARNATION))
+            .collect();
+        for records in records.chunks(3) {
+            receive_records(&mut member, 100, records);
+        }
+        let mut rng = rng();
+        for choice in 0..50 {
+            let mut names = member.spread_peers(3, &mut rng);
+            let has_remote = names.iter().any(|name| name.as_str() == "m1");
+            expect_that!(has_remote, eq(remote.is_some()), "{choice}");
+            names.sort();
+            names.dedup();
+            expect_that!(names.len(), eq(3), "{choice}");
+        }
+    }
+}
--- a/crates/node/src/config_recheck.rs
+++ b/crates/node/src/config_recheck.rs
@@ -7,10 +7,9 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use futures_util::{StreamExt, stream::FuturesUnordered};
 use plantainpost_core::{config::Freshness, ids::NodeName, time::Instant};
 use slog::info;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
 use crate::{config_sync, node::Node};
 
@@ -23,6 +22,10 @@
 /// Shortest interval of the tries to ask a peer, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 50;
 
+/// Time for which a node that has a reply waits for those of the other peers, from the resume or the try on,
+/// in milliseconds. Running nodes reply within a few.
+const OTHER_REPLIES_TIMEOUT_MS: u64 = 100;
+
 /// Whether the configuration may be relied on.
 pub(crate) struct ConfigRecheck {
     freshness: RefCell<Freshness>,
@@ -158,7 +161,7 @@
 async fn ask_peers(node: Rc<Node>, resumed_at: Instant, pause_us: u64) {
     let mut asked_at = resumed_at;
     let is_confirmed = loop {
-        if ask_some_peers(&node).await {
+        if ask_some_peers(&node, asked_at).await {
             break confirm(&node, asked_at);
         }
         let next_try = asked_at.saturating_add_millis(CHECK_INTERVAL_MS);
@@ -181,18 +184,36 @@
     freshness.doubted_until(now).is_some()
 }
 
-/// Returns whether one of a few random peers has replied.
-async fn ask_some_peers(node: &Rc<Node>) -> bool {
-    let peers = random_peers(node, ASKED_PEERS);
+/// Asks a few peers. Returns whether one has replied.
+///
+/// Waits some time for the replies of all, because one that was suspended as well may reply first, with an
+/// old configuration. Replies that come later are still used.
+async fn ask_some_peers(node: &Rc<Node>, asked_at: Instant) -> bool {
+    let peers = {
+        let mut rng = node.rng.borrow_mut();
+        node.members.borrow().spread_peers(ASKED_PEERS, &mut *rng)
+    };
     let read_to = node.config.borrow().read_to();
-    let replies = peers
-        .iter()
-        .map(|peer| config_sync::refresh_from(node, peer, read_to));
-    let mut replies: FuturesUnordered<_> = replies.collect();
-    while let Some(has_replied) = replies.next().await {
-        if has_replied {
-            return true;
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    for peer in peers {
+        let (node, tx) = (Rc::clone(node), tx.clone());
+        actix_rt::spawn(async move {
+            let has_replied = config_sync::refresh_from(&node, &peer, read_to).await;
+            // Fails if the wait is over.
+            let _ = tx.send(has_replied);
+        });
+    }
+    drop(tx);
+    let others_until = asked_at.saturating_add_millis(OTHER_REPLIES_TIMEOUT_MS);
+    let mut has_reply = false;
+    loop {
+        let reply = match has_reply {
+            true => node.clock.timeout_at(others_until, rx.recv()).await,
+            false => Some(rx.recv().await),
+        };
+        match reply {
+            Some(Some(has_replied)) => has_reply |= has_replied,
+            Some(None) | None => return has_reply,
         }
     }
-    false
 }
