Balancer: bound ejections outside the subset as one group

Cause: a target had to leave half of each of its groups in use, and the targets of a region with used targets outside the subset were a group. The only used target of a region was never ejected, even if requests might go to many others. Ejections of targets outside the subset used up the half of their region, so that failing targets of the subset there stayed in use for requests without allowed regions.

Change: the subset has its bound alone, as before regions existed. All used targets outside it are one more group. All targets of a region can be ejected now; requests that may go nowhere else use them nevertheless.

Result: the tests of eligibility and of core pass. Without the change only_target_of_a_region_is_ejected_while_others_are_allowed failed (nothing ejected), and targets_of_allowed_regions_are_probed_and_ejected_like_others failed with 10 of 18 targets outside the subset ejected, where 9 are wanted, and 0 of the 2 in it, where 2 are wanted.

--- a/crates/core/src/balance/ejection_bound.rs
+++ b/crates/core/src/balance/ejection_bound.rs
@@ -5,32 +5,32 @@
     ejection::{EjectionState, EjectionTransition},
     service_targets::{ServiceTarget, ServiceTargets},
 };
-use crate::{
-    collections::HashSet,
-    ids::{NodeName, Region},
-    time::Instant,
-};
+use crate::{ids::NodeName, time::Instant};
 
-/// Targets of a service of which at most half may be ejected.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum TargetGroup<'a> {
+/// Used targets of a service of which at most half may be ejected. Each used target is in one group, so
+/// that failures of targets which other requests use never keep a failing target in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TargetGroup {
     /// The subset for requests without allowed regions.
     Subset,
-    /// The used targets in a region in which some are outside the subset.
-    InRegion(&'a Region),
+    /// The targets outside it that only requests with allowed regions use. One group for all regions,
+    /// because a region may have a single target.
+    OutsideSubset,
 }
 
-impl TargetGroup<'_> {
-    fn contains(self, target: &ServiceTarget) -> bool {
-        match self {
-            TargetGroup::Subset => target.in_subset,
-            TargetGroup::InRegion(region) => target.region == *region,
+impl TargetGroup {
+    const ALL: [TargetGroup; 2] = [TargetGroup::Subset, TargetGroup::OutsideSubset];
+
+    fn of(target: &ServiceTarget) -> Self {
+        match target.in_subset {
+            true => TargetGroup::Subset,
+            false => TargetGroup::OutsideSubset,
         }
     }
 }
 
 impl Balancer {
-    /// Returns whether one more target may be ejected in each group of a target. A target that no request
+    /// Returns whether one more target may be ejected in the group of a target. A target that no request
     /// uses is in no group and is not ejected.
     pub(super) fn may_eject(&self, now: Instant, node: &str) -> bool {
         let state = self.nodes.get(node);
@@ -40,12 +40,8 @@
         let used = self.used_targets(now, service);
         let target = used.iter().find(|target| target.node.as_str() == node);
         target.is_some_and(|target| {
-            let groups = target_groups(&used);
-            let mut groups = groups.iter().filter(|group| group.contains(target));
-            groups.all(|group| {
-                let (ejected, all) = self.count_ejected(&used, *group);
-                (ejected + 1) * 2 <= all
-            })
+            let (ejected, all) = self.count_ejected(&used, TargetGroup::of(target));
+            (ejected + 1) * 2 <= all
         })
     }
 
@@ -63,11 +59,13 @@
 
     fn first_excess_ejection(&self, now: Instant, service: &str) -> Option<NodeName> {
         let used = self.used_targets(now, self.services.get(service)?);
-        let group = target_groups(&used).into_iter().find(|group| {
+        let group = TargetGroup::ALL.into_iter().find(|group| {
             let (ejected, all) = self.count_ejected(&used, *group);
             ejected * 2 > all
         })?;
-        let members = used.iter().filter(|target| group.contains(target));
+        let members = used
+            .iter()
+            .filter(|target| TargetGroup::of(target) == group);
         let ejections =
             members.filter_map(|target| match self.nodes[&target.node].ejection.state() {
                 EjectionState::InUse => None,
@@ -85,20 +83,13 @@
     }
 
     /// Returns the numbers of ejected targets and of all targets of a group.
-    fn count_ejected(&self, used: &[&ServiceTarget], group: TargetGroup<'_>) -> (usize, usize) {
-        let members = used.iter().filter(|target| group.contains(target));
+    fn count_ejected(&self, used: &[&ServiceTarget], group: TargetGroup) -> (usize, usize) {
+        let members = used
+            .iter()
+            .filter(|target| TargetGroup::of(target) == group);
         members.fold((0, 0), |(ejected, all), target| {
             let is_ejected = !self.nodes[&target.node].ejection.is_in_use();
             (ejected + usize::from(is_ejected), all + 1)
         })
     }
 }
-
-fn target_groups<'a>(used: &[&'a ServiceTarget]) -> Vec<TargetGroup<'a>> {
-    let outside = used.iter().filter(|target| !target.in_subset);
-    let regions: HashSet<&Region> = outside.map(|target| &target.region).collect();
-    let regional = regions.into_iter().map(TargetGroup::InRegion);
-    std::iter::once(TargetGroup::Subset)
-        .chain(regional)
-        .collect()
-}
