Guard: notice a suspension before requests are offered and expired

Cause: after a suspension, requests read from the sockets and the timer of the queue can run before the next tick, and gave slots before the hold began. They were not dispatched, but held their slots during the wait, and started together after it, which the hold prevents for the sake of cold targets.

Change: both places first record that the node runs, like the final check before a dispatch.

Result: no test of its own, as the order of timers and sockets after a resume can't be controlled in the fixture.

--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -210,6 +210,8 @@
         node.clock
             .sleep_until(next_expiry.clamp(earliest, latest))
             .await;
+        // After a suspension this may run before the next tick, and would give slots.
+        config_recheck::observe(&node);
         let wakeups = node.guard.borrow_mut().expire(node.now());
         node.wake_waiters(wakeups);
     }
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -23,7 +23,7 @@
     slot::{Slot, UndispatchedRequest},
     state_after_write, to_local_clock,
 };
-use crate::{node::Node, pace};
+use crate::{config_recheck, node::Node, pace};
 
 /// Time for reading the rest of the body of a request from its entry after the request has
 /// ended, in milliseconds.
@@ -187,7 +187,9 @@
     }
 }
 
-fn offer_request(node: &Node, req: &PendingRequest) -> Admission {
+fn offer_request(node: &Rc<Node>, req: &PendingRequest) -> Admission {
+    // After a suspension this may run before the next tick, and would give a slot.
+    config_recheck::observe(node);
     let offer = Offer {
         key: req.head.key,
         service: req.head.service.as_str(),
