Tests: measure the wait of a resumed guard by its refusal

Cause: suspended_guard_starts_nothing_in_an_evacuated_data_centre allowed 900 ms for the answers to all requests, which other nodes give too. A busy machine can exceed that without a fault of the guard.

Change: the refusal of the guard itself must come in less than the bound of the wait, 1 s, and the log must say that a peer has confirmed the configuration. All answers must come within 3 s.

--- a/tests/integration/evacuation_faults.rs
+++ b/tests/integration/evacuation_faults.rs
@@ -134,14 +134,18 @@
             process.signal(Signal::Cont).expect("the node runs");
             let reply = describe(&peer.next_reply().await);
             expect_that!(&*reply, eq("refused evacuated"));
+            // Without a reply of the other node, the guard waits for 1 s.
+            expect_that!(resumed_at.elapsed(), lt(Duration::from_secs(1)));
             resumed_at
         });
         let answers = requests
             .into_iter()
             .map(|request| request.join().expect("no panic"));
         let answers: Vec<_> = answers.collect();
-        // Much less than the bound on the wait, which is 1 s.
-        expect_that!(resumed_at.elapsed(), lt(Duration::from_millis(900)));
+        // The answers of the second node take longer on a busy machine than the refusals.
+        expect_that!(resumed_at.elapsed(), lt(Duration::from_secs(3)));
+        let line = process.wait_line("configuration checked after a suspension", WAIT_TIMEOUT);
+        expect_that!(line, ok(contains_substring("confirmed: true")));
         let count = |wanted| answers.iter().filter(|text| body(text) == wanted).count();
         expect_that!(
             (count("pos"), count("arima")),
