--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -37,6 +37,8 @@
     pub(super) draining: bool,
     /// See [`Guard::set_closed`]. Nothing is queued while it is set.
     pub(super) closed: Option<ClosedReason>,
+    /// Instant until which nothing starts; see [`Guard::hold_starts`].
+    pub(super) held_until: Instant,
     /// Instant at which the node stops and cuts the requests still in progress; `None` unless
     /// it is stopping.
     pub(super) stop_deadline: Option<Instant>,
@@ -74,6 +76,7 @@
             may_have_left: false,
             draining: false,
             closed: None,
+            held_until: Instant::default(),
             stop_deadline: None,
             limit: ConcurrencyLimit::new(cfg.limit, 0),
             rate_limit: RateLimit::default(),
@@ -95,10 +98,9 @@
     /// Applies an announcement of a target or its renewal, unless it is late.
     pub fn announce(&mut self, now: Instant, announcement: Announcement<'_>) -> AnnouncementEffect {
         self.withdraw_expired_target(now);
-        if !self
-            .newest_announcement
-            .record_if_newer(now, &announcement.instance)
-        {
+        let newest = &mut self.newest_announcement;
+        let is_same_instance = newest.is_of(&announcement.instance);
+        if !newest.record_if_newer(now, &announcement.instance) {
             return AnnouncementEffect::Late;
         }
         let target = AnnouncedTarget::new(&announcement);
@@ -119,7 +121,9 @@
             self.limit = ConcurrencyLimit::new(self.cfg.limit, target.capacity());
             self.pace = HostPace::default();
             self.rate_limit = RateLimit::default();
-            self.warm_up.on_new_target();
+            if !is_same_instance {
+                self.warm_up.on_new_target();
+            }
         }
         self.target = Some(target);
         self.update_end_of_starts(now);
@@ -368,7 +372,7 @@
                 let first = self
                     .queue
                     .next_to_start(Instant::default(), &self.service_times);
-                let earliest = self.next_limited_start();
+                let earliest = self.next_limited_start().max(self.held_until);
                 first.map(|(_, queued)| self.delay_start_until(queued).max(earliest))
             }
             false => None,
