Entry: bound the bytes of a response that come after its deadline

Cause: the entry went on after the deadline while parts arrived, since the guard was taken to have cut a late target at the deadline. But the guard adds the time for which it can pass nothing on to its own deadline. Over a slow link, or to a slow entry, that is most of the time, so a target that sends without end kept the slot, the connection and the link until the deadline plus max_timeout (120 s by default) at the longest.

Change: ArrivalTime::on_part gets the length of each part, and the entry cuts the response after 2 MiB past its own deadline, like the guard does. One ArrivalTime now covers the whole body, also the part that is kept for a retry.

Not run: a slow link or a slow entry between real nodes.

--- a/crates/core/src/delivery.rs
+++ b/crates/core/src/delivery.rs
@@ -6,7 +6,7 @@
 
 use crate::time::Instant;
 
-/// Bytes that are still taken from a target after its deadline if they are there without waiting.
+/// Bytes of a response that a node still takes after the deadline, from the target or from its guard.
 ///
 /// They may have arrived in time, and a busy node reads them late. The limit is of the order of
 /// what sockets buffer, and ends a response of a target that sends without a pause.
@@ -14,8 +14,8 @@
 
 /// Longest wait of an entry for the next part of a response after the deadline, in milliseconds.
 ///
-/// The guard ends a response whose target is late at the deadline, so later parts are in transit. TCP
-/// sends a lost packet again after 200 ms or more, and the second time after 400 ms more.
+/// Parts that the target gave in time may be in transit. TCP sends a lost packet again after 200 ms or
+/// more, and the second time after 400 ms more.
 const MAX_TRANSIT_GAP_MS: u64 = 1_000;
 
 /// The time that a target has for a response that is being forwarded.
@@ -89,8 +89,10 @@
 
 /// The time that an entry has for a response which it takes from the guard.
 ///
-/// The guard bounds the work of the target. What the target has given in time can reach the entry after
-/// the deadline, so the entry goes on while parts arrive.
+/// What the target has given in time can reach the entry after the deadline, so the entry goes on while
+/// parts arrive, within [`MAX_LATE_BYTES`]. The guard alone is no bound: it adds the time for which the
+/// link or the entry is slow to its own deadline, and that is most of the time if a target sends without
+/// end.
 #[derive(Clone, Copy, Debug)]
 pub struct ArrivalTime {
     target: TargetTime,
@@ -108,9 +110,11 @@
         }
     }
 
-    /// Records that a part of the response has arrived.
-    pub fn on_part(&mut self, now: Instant) {
+    /// Records that a part of the response has arrived, with this many bytes of the body. Returns
+    /// whether the response may go on.
+    pub fn on_part(&mut self, now: Instant, bytes: usize) -> bool {
         self.waits_since = now;
+        self.target.on_bytes(now, bytes)
     }
 
     /// Returns when the next part must have arrived. Meaningless while blocked.
--- a/crates/core/tests/delivery.rs
+++ b/crates/core/tests/delivery.rs
@@ -83,7 +83,7 @@
     for (arrivals, deadline) in rows {
         let mut time = ArrivalTime::new(at_ms(0), at_ms(1_200), 10_000);
         for ms in arrivals {
-            time.on_part(at_ms(*ms));
+            expect_true!(time.on_part(at_ms(*ms), 1), "{arrivals:?}");
         }
         expect_that!(time.deadline(), eq(at_ms(deadline)), "{arrivals:?}");
     }
@@ -94,6 +94,23 @@
     expect_that!(time.give_up_at(), eq(at_ms(11_200)));
 }
 
+/// Guards against a response without end that keeps its slot until it is given up, since its guard is
+/// blocked for most of the time and so has a later deadline than the entry.
+#[gtest]
+fn parts_after_the_deadline_are_limited() {
+    const PART_BYTES: usize = 64 * 1024;
+    // Time without reading, and the arrival of the first part that is not taken, in milliseconds. Parts
+    // arrive every 50 ms.
+    for (blocked_ms, end_ms) in [(0, 1_200 + 32 * 50), (3_000, 4_200 + 32 * 50)] {
+        let mut time = ArrivalTime::new(at_ms(0), at_ms(1_200), 100_000);
+        time.block(at_ms(0));
+        time.unblock(at_ms(blocked_ms));
+        let mut arrivals = (blocked_ms..60_000).step_by(50);
+        let end = arrivals.find(|ms| !time.on_part(at_ms(*ms), PART_BYTES));
+        expect_that!(end, some(eq(end_ms)));
+    }
+}
+
 /// Guards against responses that together hold more than the budget and one piece each, and against
 /// bytes that stay counted.
 #[gtest]
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -6,6 +6,7 @@
 use plantainpost_core::{
     admission::{RefuseReason, RequestKey},
     balance::{self, WaitingRequest},
+    delivery::ArrivalTime,
     ids::{Incarnation, NodeName},
     load::LoadSample,
     time::Instant,
@@ -226,6 +227,7 @@
 ) -> AttemptEnd {
     match reply {
         GuardReply::Response(head) => {
+            let max_delay_ms = node.settings.limits.max_timeout_ms;
             let mut response = TargetResponse {
                 node: Rc::clone(node),
                 peer: attempt.peer.clone(),
@@ -235,10 +237,11 @@
                 reusable,
                 buffered: BytesMut::new(),
                 received_bytes: 0,
+                time: ArrivalTime::new(node.now(), request.deadline, max_delay_ms),
                 parts_left: PARTS_PER_TURN,
                 end_load: None,
             };
-            match response.fill_retry_buffer(request).await {
+            match response.fill_retry_buffer().await {
                 Ok(()) => AttemptEnd::Response(Box::new(response)),
                 Err(ResponseTruncated) => {
                     response.report_failure();
--- a/crates/node/src/entry/target_response.rs
+++ b/crates/node/src/entry/target_response.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use plantainpost_core::{
-    balance::RequestOutcome, delivery::ArrivalTime, ids::NodeName, load::LoadSample, time::Instant,
+    balance::RequestOutcome, delivery::ArrivalTime, ids::NodeName, load::LoadSample,
 };
 use plantainpost_wire::message::{BodyLength, PeerMessage, PeerResponseHead};
 use slog::info;
@@ -62,6 +62,8 @@
     pub(crate) buffered: BytesMut,
     /// Bytes of the body received so far.
     pub(crate) received_bytes: u64,
+    /// The time for the rest of the body.
+    pub(crate) time: ArrivalTime,
     /// Parts that may be taken before other tasks get a turn, at most [`PARTS_PER_TURN`].
     pub(crate) parts_left: u32,
     /// Load of the target at the end of the response. `None` until the body is complete.
@@ -70,28 +72,18 @@
 
 impl TargetResponse {
     /// Reads at least [`RETRY_BUFFER_BYTES`] of the body, or all of a shorter one.
-    pub(crate) async fn fill_retry_buffer(
-        &mut self,
-        request: &CallerRequest,
-    ) -> Result<(), ResponseTruncated> {
+    pub(crate) async fn fill_retry_buffer(&mut self) -> Result<(), ResponseTruncated> {
         if self.head.body == BodyLength::None {
             self.end_load = Some(self.head.load);
         }
-        let mut time = self.arrival_time(request);
         while self.end_load.is_none() && self.received_bytes < RETRY_BUFFER_BYTES {
-            if let Some(piece) = self.read_part(time.deadline()).await? {
+            if let Some(piece) = self.read_part().await? {
                 self.buffered.extend_from_slice(&piece);
             }
-            time.on_part(self.node.now());
         }
         Ok(())
     }
 
-    fn arrival_time(&self, request: &CallerRequest) -> ArrivalTime {
-        let max_delay_ms = self.node.settings.limits.max_timeout_ms;
-        ArrivalTime::new(self.node.now(), request.deadline, max_delay_ms)
-    }
-
     /// Forwards the response to the caller.
     ///
     /// A truncated response is not terminated, so that the caller can't mistake it for a
@@ -115,16 +107,16 @@
             held.send_or_hold(buffered.freeze(), &writer)?;
         }
         let node = Rc::clone(&self.node);
-        let mut time = self.arrival_time(request);
-        let end = self.relay_body(&mut time, &mut held, &writer).await?;
-        self.in_flight.exclude_us(time.blocked_us());
+        let end = self.relay_body(&mut held, &writer).await?;
+        self.in_flight.exclude_us(self.time.blocked_us());
+        let give_up_at = self.time.give_up_at();
         match end {
             RelayEnd::Complete => self.report_completion(request),
             RelayEnd::Truncated => self.report_failure(),
             // Its caller was too slow, which says nothing about the target.
             RelayEnd::Late => drop(self),
         }
-        let end = match held.send_rest(&writer, time.give_up_at()).await {
+        let end = match held.send_rest(&writer, give_up_at).await {
             Ok(()) => end,
             Err(SendFailure::CallerGone) => return Err(CallerGone),
             Err(SendFailure::Late) => RelayEnd::Late,
@@ -147,17 +139,17 @@
     /// target is not kept waiting, and a target that is late is noticed.
     async fn relay_body(
         &mut self,
-        time: &mut ArrivalTime,
         held: &mut HeldBody,
         writer: &ResponseWriter,
     ) -> Result<RelayEnd, CallerGone> {
         let clock = self.node.clock;
         while self.end_load.is_none() {
             if !held.has_room() {
-                time.block(self.node.now());
-                let waited = clock.timeout_at(time.give_up_at(), held.wait_for_room(writer));
+                self.time.block(self.node.now());
+                let give_up_at = self.time.give_up_at();
+                let waited = clock.timeout_at(give_up_at, held.wait_for_room(writer));
                 let waited = waited.await;
-                time.unblock(self.node.now());
+                self.time.unblock(self.node.now());
                 match waited {
                     Some(result) => result?,
                     None => return Ok(RelayEnd::Late),
@@ -171,9 +163,8 @@
                     sent?;
                     continue;
                 }
-                part = self.read_part(time.deadline()) => part,
+                part = self.read_part() => part,
             };
-            time.on_part(self.node.now());
             match part {
                 Ok(Some(piece)) => held.send_or_hold(piece, writer)?,
                 Ok(None) => (),
@@ -183,17 +174,21 @@
         Ok(RelayEnd::Complete)
     }
 
-    /// Reads the next piece of the body. Returns `None` at the end, after setting `end_load`.
-    async fn read_part(&mut self, deadline: Instant) -> Result<Option<Bytes>, ResponseTruncated> {
+    /// Reads the next piece of the body. Returns `None` at the end, after setting `end_load`. Fails if
+    /// it is late, or if too much of the body comes after the deadline.
+    async fn read_part(&mut self) -> Result<Option<Bytes>, ResponseTruncated> {
         if self.parts_left == 0 {
             actix_rt::task::yield_now().await;
             self.parts_left = PARTS_PER_TURN;
         }
         let clock = self.node.clock;
-        let part = clock.timeout_at(deadline, self.conn.rx.read()).await;
+        let part = clock
+            .timeout_at(self.time.deadline(), self.conn.rx.read())
+            .await;
         self.parts_left -= 1;
+        let now = self.node.now();
         match part {
-            Some(Ok(PeerMessage::Body(piece))) => {
+            Some(Ok(PeerMessage::Body(piece))) if self.time.on_part(now, piece.len()) => {
                 self.received_bytes += piece.len() as u64;
                 Ok(Some(piece))
             }
