Entry: let a late refusal as cold not end the back-off in force

Cause: a refusal as `cold` replaced an earlier one of the same or a less urgent priority. A refusal that arrives after the deadline of its request has no time left, so it put an empty back-off in the place of a valid one, and the entry sent to the cold target again.

Change: while a refusal of the same priority is in force, the longer time left of the two counts, and a refusal with no time left is ignored.

--- a/crates/core/src/balance/coldness.rs
+++ b/crates/core/src/balance/coldness.rs
@@ -64,18 +64,27 @@
         request: &WaitingRequest,
         entries: usize,
     ) {
+        let left_us = request.deadline.micros_since(now);
+        if left_us == 0 {
+            // Any target would refuse the request by now.
+            return;
+        }
         let interval_us = self
             .sample
             .map_or(0, |(_, sample)| sample.start_interval_us);
         let backoff_us = u64::from(interval_us) * entries as u64 / 2;
         let backoff_us = backoff_us.clamp(MIN_BACKOFF_US, MAX_BACKOFF_US);
-        let refusal = ColdRefusal {
+        let mut refusal = ColdRefusal {
             until: now.saturating_add_micros(backoff_us),
-            max_left_us: request.deadline.micros_since(now) * SIMILAR_TIME_PERCENT / 100,
+            max_left_us: left_us * SIMILAR_TIME_PERCENT / 100,
             priority: request.priority,
         };
-        // A refusal of a more urgent request also applies to less urgent ones.
         let old = self.coldness.refusal.filter(|old| now < old.until);
+        if let Some(old) = old.filter(|old| old.priority == refusal.priority) {
+            // A refusal with little time left is no evidence that requests with more would start.
+            refusal.max_left_us = refusal.max_left_us.max(old.max_left_us);
+        }
+        // A refusal of a more urgent request also applies to less urgent ones.
         if old.is_none_or(|old| refusal.priority <= old.priority) {
             self.coldness.refusal = Some(refusal);
         }
--- a/crates/core/tests/balance/cold.rs
+++ b/crates/core/tests/balance/cold.rs
@@ -105,6 +105,38 @@
     expect_that!(count_choices(&mut balancer, LATER, 50), eq([0, 50, 0, 0]));
 }
 
+/// Guards against a refusal that arrives with little or no time left and ends the back-off of requests
+/// that have more.
+#[gtest]
+fn late_refusal_does_not_shorten_a_back_off() {
+    // Time left and priority of the second refusal, which comes 100 ms after the first.
+    for (left_ms, priority) in [(0, 1), (0, 0), (50, 1), (0, 2), (50, 2)] {
+        let mut balancer = all_cold(100);
+        let now = LATER.saturating_add_millis(100);
+        for node in NODES {
+            balancer.on_cold_refusal(LATER, node, &request(LATER, 1_000, 1));
+            balancer.on_cold_refusal(now, node, &request(now, left_ms, priority));
+        }
+        let is_too_cold = |left_ms, priority| {
+            balancer.is_too_cold(now, SERVICE, &after(&[]), &request(now, left_ms, priority))
+        };
+        expect_that!(is_too_cold(900, 1), eq(true), "{left_ms}, {priority}");
+        expect_that!(is_too_cold(900, 0), eq(false), "{left_ms}, {priority}");
+    }
+    // A back-off that has ended is not taken up again.
+    let mut balancer = all_cold(100);
+    let now = LATER.saturating_add_millis(400);
+    for node in NODES {
+        balancer.on_cold_refusal(LATER, node, &request(LATER, 1_000, 1));
+        balancer.on_cold_refusal(now, node, &request(now, 300, 1));
+    }
+    let waiting = request(now, 900, 1);
+    expect_that!(
+        balancer.is_too_cold(now, SERVICE, &after(&[]), &waiting),
+        eq(false)
+    );
+}
+
 /// Guards against a burst of an entry to a target of which only the member record says that it is
 /// cold, also after it was warm.
 #[gtest]
