Tests: check the order of the steps of a soak again

Cause: additional_faults_leave_the_faults_of_a_seed_unchanged looked up each step of the seed by its value, so a change of their order passed, which an earlier comparison had noticed.

Change: the steps of the seed must be found in their order, and what remains is what was added.

--- a/crates/standin/tests/soak_schedule.rs
+++ b/crates/standin/tests/soak_schedule.rs
@@ -41,10 +41,10 @@
             expect_that!(steps, eq(&plain), "{name}");
             add(&mut steps, seed, 1);
             expect_true!(steps.is_sorted_by_key(|step| step.at_ms), "{name}");
-            for step in &plain {
-                let i = steps.iter().position(|other| other == step);
-                steps.remove(i.expect("each fault of the seed"));
-            }
+            // The steps of the seed, in their order; what remains was added.
+            let mut kept = plain.iter().peekable();
+            steps.retain(|step| kept.next_if_eq(&step).is_none());
+            expect_that!(kept.next(), none(), "{name}");
             let [start, end] = &steps[..] else {
                 panic!("one start and one end: {steps:?}");
             };
