Tests: compare the wait of other callers with the time of the response

Cause: entry_answers_others_while_it_takes_small_parts had an absolute limit of 500 ms, which a busy machine can exceed without a fault.

Change: the longest wait must be below a quarter of the time that the response takes in the same run, which is about 500 ms where that takes 2 s.

Measured (debug build, load average 8 to 9): 6, 9, 7 and 6 ms of 2.0 to 2.1 s. With all parts taken in one turn, the waits are 1.00 to 1.02 s of 1.26 to 1.28 s (4 runs); the new limit failed in the one of these that had it.

--- a/tests/integration/response_parts.rs
+++ b/tests/integration/response_parts.rs
@@ -48,7 +48,7 @@
         }
         longest
     });
-    let text = run_script(async {
+    let (text, total) = run_script(async {
         let listener = TcpListener::bind(scripted.guard_addresses[0])
             .await
             .expect("a listener");
@@ -62,14 +62,16 @@
             peer.tx.queue(&part).expect("a short message");
         }
         let length = PARTS as u64;
+        let sent = Instant::now();
         peer.send(PeerMessage::BodyEnd { length, load: None }).await;
-        caller.join().expect("no panic")
+        (caller.join().expect("no panic"), sent.elapsed())
     });
     is_done.store(true, Ordering::Relaxed);
     let longest = asker.join().expect("no panic");
-    println!("others were answered within {longest:?}");
+    println!("others were answered within {longest:?}, the response took {total:?}");
     expect_that!(outcome_header(&text), eq("answered"));
-    expect_that!(longest, lt(Duration::from_millis(500)));
+    // An entry that takes all parts in one turn keeps others waiting for four fifths of this time.
+    expect_that!(longest, lt(total / 4));
 }
 
 /// Number of callers whose answers fill the memory of an entry for answers that wait.
