Tests: bound the wait for a response that is lost in transit

Cause: the rows "lost" of answer_in_transit_is_delivered_after_its_deadline accepted a wait of up to 20 s, and the caller of the test ends it after 3.5 s anyway. A gap of 8 s instead of 1 s passed.

Change: the entry must close the connection within 2.5 s, 0.2 s before the caller would.

--- a/tests/integration/scripted_guard.rs
+++ b/tests/integration/scripted_guard.rs
@@ -7,7 +7,7 @@
     pin::Pin,
     sync::Mutex,
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use actix_rt::net::TcpListener;
@@ -369,7 +369,11 @@
                 peer.send(PeerMessage::Body(last.to_vec().into())).await;
                 peer.send(end_message(length as u64)).await;
             } else {
+                let waits_since = Instant::now();
                 expect_true!(peer.next_message().await.is_err(), "{name}");
+                // The entry ends the wait 0.7 s from here, and the caller would 2.7 s from here.
+                let waited = waits_since.elapsed();
+                expect_that!(waited, lt(Duration::from_millis(2_500)), "{name}");
             }
             let text = caller.join().expect("no panic");
             let received = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
