Entry: wake waiting responses less often for memory of held bodies

Cause: whenever the held bytes fell below the budget, all waiting responses were woken, also those at their own limit. While the sum is about 8 MiB, each block that leaves does so, and most of the woken ones find no room.

Change: a budget that was used up has room again only once a sixteenth of it (512 KiB) is free, and the waiting responses are woken at that moment. Both follow one flag, so no response waits while there is room. A response at its own limit waits only for its own caller.

The number of wakeups in a running node was not measured.

--- a/crates/core/src/delivery.rs
+++ b/crates/core/src/delivery.rs
@@ -165,6 +165,10 @@
     }
 }
 
+/// Divisor of the part of a used-up budget that must become free before others may read again. If any
+/// block were enough, each one would wake all waiting responses, and most would find no room.
+const MIN_FREE_DIVISOR: usize = 16;
+
 /// Memory for responses that an entry takes from their targets before their callers can receive
 /// them.
 #[derive(Debug, Default)]
@@ -172,30 +176,45 @@
     cfg: HoldSettings,
     /// Sum of the bytes that all responses hold.
     held_bytes: usize,
+    /// Whether the budget was used up and is not yet free again by [`MIN_FREE_DIVISOR`]. While it is
+    /// not, no response waits for others.
+    is_used_up: bool,
 }
 
 impl HoldBudget {
     /// Creates a budget of which nothing is used.
     pub fn new(cfg: HoldSettings) -> Self {
-        HoldBudget { cfg, held_bytes: 0 }
+        HoldBudget {
+            cfg,
+            ..HoldBudget::default()
+        }
     }
 
     /// Returns whether a response that holds `own_bytes` may read a further piece. The piece may
     /// exceed the budget, since its length is known only once it has been read.
     pub fn has_room(&self, own_bytes: usize) -> bool {
-        own_bytes < self.cfg.response_bytes && self.held_bytes < self.cfg.total_bytes
+        !self.is_own_limit_reached(own_bytes) && !self.is_used_up
+    }
+
+    /// Returns whether a response that holds `own_bytes` has no room whatever the others hold.
+    pub fn is_own_limit_reached(&self, own_bytes: usize) -> bool {
+        own_bytes >= self.cfg.response_bytes
     }
 
     /// Adds bytes that a response holds.
     pub fn add(&mut self, bytes: usize) {
         self.held_bytes += bytes;
+        self.is_used_up |= self.held_bytes >= self.cfg.total_bytes;
     }
 
     /// Removes bytes that a response has held. Returns whether others that had no room now may have.
     pub fn remove(&mut self, bytes: usize) -> bool {
-        let was_used_up = self.held_bytes >= self.cfg.total_bytes;
         self.held_bytes = self.held_bytes.saturating_sub(bytes);
-        was_used_up && self.held_bytes < self.cfg.total_bytes
+        let total_bytes = self.cfg.total_bytes;
+        let has_room = self.held_bytes < total_bytes - total_bytes / MIN_FREE_DIVISOR;
+        let is_freed = self.is_used_up && has_room;
+        self.is_used_up &= !has_room;
+        is_freed
     }
 
     /// Returns the bytes that all responses hold.
--- a/crates/core/tests/delivery.rs
+++ b/crates/core/tests/delivery.rs
@@ -140,4 +140,26 @@
     expect_that!(budget.held_bytes(), eq(0));
     expect_true!(budget.has_room(99));
     expect_false!(budget.has_room(100));
+    expect_true!(budget.is_own_limit_reached(100));
+}
+
+/// Guards against a budget that wakes all waiting responses for each block that leaves it, and against
+/// one that has room and has woken nobody.
+#[gtest]
+fn budget_in_steady_use_wakes_few() {
+    let mut budget = HoldBudget::new(HoldSettings {
+        response_bytes: 1_600,
+        total_bytes: 1_600,
+    });
+    budget.add(1_600);
+    for _ in 0..20 {
+        expect_false!(budget.remove(100));
+        expect_false!(budget.has_room(0));
+        budget.add(100);
+    }
+    expect_false!(budget.remove(100));
+    expect_true!(budget.remove(1));
+    expect_true!(budget.has_room(0));
+    expect_false!(budget.remove(1));
+    expect_true!(budget.has_room(0));
 }
--- a/crates/node/src/entry/held_body.rs
+++ b/crates/node/src/entry/held_body.rs
@@ -56,6 +56,11 @@
         self.is_empty() || self.node.hold_budget.borrow().has_room(self.held_bytes)
     }
 
+    fn is_own_limit_reached(&self) -> bool {
+        let budget = self.node.hold_budget.borrow();
+        budget.is_own_limit_reached(self.held_bytes)
+    }
+
     /// Passes on a piece, or holds it if the connection has no room.
     ///
     /// # Errors
@@ -124,10 +129,11 @@
         writer: &ResponseWriter,
     ) -> Result<(), CallerGone> {
         let node = Rc::clone(&self.node);
+        let waits_for_others = !self.is_own_limit_reached();
         tokio::select! {
             biased;
             sent = self.send_block(writer) => sent,
-            () = node.hold_budget_freed.notified() => Ok(()),
+            () = node.hold_budget_freed.notified(), if waits_for_others => Ok(()),
         }
     }
 
