--- a/crates/core/src/admission/transitions.rs
+++ b/crates/core/src/admission/transitions.rs
@@ -119,7 +119,7 @@
     }
 
     /// Returns whether a slot is free, and neither a hold nor a rate limit delays the start of a request.
-    fn can_start(&self, now: Instant) -> bool {
+    pub(super) fn can_start(&self, now: Instant) -> bool {
         let earliest = self.next_limited_start().max(self.held_until);
         self.in_flight < self.limit.effective_limit() && earliest <= now
     }
--- a/crates/core/src/delivery.rs
+++ b/crates/core/src/delivery.rs
@@ -6,7 +6,7 @@
 
 use crate::time::Instant;
 
-/// Bytes that are still taken from a target after its deadline if they are there without waiting.
+/// Bytes of a response that a node still takes after the deadline, from the target or from its guard.
 ///
 /// They may have arrived in time, and a busy node reads them late. The limit is of the order of
 /// what sockets buffer, and ends a response of a target that sends without a pause.
@@ -14,8 +14,8 @@
 
 /// Longest wait of an entry for the next part of a response after the deadline, in milliseconds.
 ///
-/// The guard ends a response whose target is late at the deadline, so later parts are in transit. TCP
-/// sends a lost packet again after 200 ms or more, and the second time after 400 ms more.
+/// Parts that the target gave in time may be in transit. TCP sends a lost packet again after 200 ms or
+/// more, and the second time after 400 ms more.
 const MAX_TRANSIT_GAP_MS: u64 = 1_000;
 
 /// The time that a target has for a response that is being forwarded.
@@ -89,8 +89,10 @@
 
 /// The time that an entry has for a response which it takes from the guard.
 ///
-/// The guard bounds the work of the target. What the target has given in time can reach the entry after
-/// the deadline, so the entry goes on while parts arrive.
+/// What the target has given in time can reach the entry after the deadline, so the entry goes on while
+/// parts arrive, within [`MAX_LATE_BYTES`]. The guard alone is no bound: it adds the time for which the
+/// link or the entry is slow to its own deadline, and that is most of the time if a target sends without
+/// end.
 #[derive(Clone, Copy, Debug)]
 pub struct ArrivalTime {
     target: TargetTime,
@@ -108,9 +110,11 @@
         }
     }
 
-    /// Records that a part of the response has arrived.
-    pub fn on_part(&mut self, now: Instant) {
+    /// Records that a part of the response has arrived, with this many bytes of the body. Returns
+    /// whether the response may go on.
+    pub fn on_part(&mut self, now: Instant, bytes: usize) -> bool {
         self.waits_since = now;
+        self.target.on_bytes(now, bytes)
     }
 
     /// Returns when the next part must have arrived. Meaningless while blocked.
@@ -161,6 +165,10 @@
     }
 }
 
+/// Divisor of the part of a used-up budget that must become free before others may read again. If any
+/// block were enough, each one would wake all waiting responses, and most would find no room.
+const MIN_FREE_DIVISOR: usize = 16;
+
 /// Memory for responses that an entry takes from their targets before their callers can receive
 /// them.
 #[derive(Debug, Default)]
@@ -168,30 +176,45 @@
     cfg: HoldSettings,
     /// Sum of the bytes that all responses hold.
     held_bytes: usize,
+    /// Whether the budget was used up and is not yet free again by [`MIN_FREE_DIVISOR`]. While it is
+    /// not, no response waits for others.
+    is_used_up: bool,
 }
 
 impl HoldBudget {
     /// Creates a budget of which nothing is used.
     pub fn new(cfg: HoldSettings) -> Self {
-        HoldBudget { cfg, held_bytes: 0 }
+        HoldBudget {
+            cfg,
+            ..HoldBudget::default()
+        }
     }
 
     /// Returns whether a response that holds `own_bytes` may read a further piece. The piece may
     /// exceed the budget, since its length is known only once it has been read.
     pub fn has_room(&self, own_bytes: usize) -> bool {
-        own_bytes < self.cfg.response_bytes && self.held_bytes < self.cfg.total_bytes
+        !self.is_own_limit_reached(own_bytes) && !self.is_used_up
+    }
+
+    /// Returns whether a response that holds `own_bytes` has no room whatever the others hold.
+    pub fn is_own_limit_reached(&self, own_bytes: usize) -> bool {
+        own_bytes >= self.cfg.response_bytes
     }
 
     /// Adds bytes that a response holds.
     pub fn add(&mut self, bytes: usize) {
         self.held_bytes += bytes;
+        self.is_used_up |= self.held_bytes >= self.cfg.total_bytes;
     }
 
     /// Removes bytes that a response has held. Returns whether others that had no room now may have.
     pub fn remove(&mut self, bytes: usize) -> bool {
-        let was_used_up = self.held_bytes >= self.cfg.total_bytes;
         self.held_bytes = self.held_bytes.saturating_sub(bytes);
-        was_used_up && self.held_bytes < self.cfg.total_bytes
+        let total_bytes = self.cfg.total_bytes;
+        let has_room = self.held_bytes < total_bytes - total_bytes / MIN_FREE_DIVISOR;
+        let is_freed = self.is_used_up && has_room;
+        self.is_used_up &= !has_room;
+        is_freed
     }
 
     /// Returns the bytes that all responses hold.
