--- a/review/harness-2/gone.rs
+++ b/review/harness-2/gone.rs
@@ -26,7 +26,7 @@
 
 /// Length of the uploads that wait. In the site files the mean is 60,000 bytes, and the maximum is
 /// 360,000.
-const UPLOAD_BYTES: usize = 200_000;
+const UPLOAD_BYTES: usize = 160_000;
 
 /// "More than a few" is taken as more than this.
 const A_FEW: usize = 5;
