Review: a request reaches a service that has reused an address

A guard sends a safe request once more to the address of its target after another service has taken it.

--- a/review/harness-2/endpoint.rs
+++ b/review/harness-2/endpoint.rs
@@ -38,6 +38,8 @@
     pub id: String,
     pub service: String,
     pub zone: String,
+    /// Where it listens. Equals `addr` without a proxy.
+    listen: SocketAddr,
     pub addr: SocketAddr,
     pub control: SocketAddr,
     born: u64,
@@ -63,12 +65,23 @@
         (addr, control): (SocketAddr, SocketAddr),
         record: &Record,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(addr)?;
+        Self::start_behind(id, (service, zone), (addr, addr, control), record)
+    }
+
+    /// Starts an endpoint that listens at `listen`, and announces the address `addr` of a proxy.
+    pub fn start_behind(
+        id: &str,
+        (service, zone): (&str, &str),
+        (listen, addr, control): (SocketAddr, SocketAddr, SocketAddr),
+        record: &Record,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
+            listen,
             addr,
             control,
             born: born.as_millis() as u64,
@@ -149,12 +162,17 @@
         http::call(self.0.control, "DELETE", &path, "");
         self.0.has_ended.store(true, Ordering::SeqCst);
         // Wakes the listener, which is closed then.
-        let _ = TcpStream::connect_timeout(&self.0.addr, Duration::from_secs(1));
+        let _ = TcpStream::connect_timeout(&self.0.listen, Duration::from_secs(1));
         for io in self.0.open.lock().unwrap().drain(..) {
             let _ = io.shutdown(Shutdown::Both);
         }
     }
 
+    /// Sends no further heartbeats.
+    pub fn fall_silent(&self) {
+        self.0.has_ended.store(true, Ordering::SeqCst);
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.0.arrivals.lock().unwrap().clone()
     }
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -10,7 +10,9 @@
 mod gone;
 mod http;
 mod origin;
+mod proxy;
 mod record;
+mod reuse;
 mod stop;
 mod store;
 
@@ -37,6 +39,7 @@
     let run: Run = match name.as_str() {
         "gone" => gone::run,
         "origin" => origin::run,
+        "reuse" => reuse::run,
         "stop-late" => stop::run_late,
         "stop-reloaded" => stop::run_reloaded,
         _ => {
