Entry: notice that a caller has left while its connection is not read

Cause: CallerConn noticed the end of a connection only by reading it, and does not read while the queue to the reader of a body is full, or while no further request may start on the connection. The first is so for bodies of more than about 100,000 bytes until the guard asks for the rest, the second with 16 requests in progress, and in a stop with anything behind a request in progress.

Evidence: a scripted guard that never asks for the rest. The exchange was still open 20 s after the caller had left, with a body that fits into the socket buffers, so the guard and its queue have no part in it.

Change: in both states the entry checks every 100 ms whether the peer has closed or reset the connection. The kernel reports this with the readiness of the socket, also behind unread bytes, so no byte is read for it and the back-pressure on the caller stays.

--- a/crates/node/src/entry/conn.rs
+++ b/crates/node/src/entry/conn.rs
@@ -15,7 +15,7 @@
 };
 use plantainpost_wire::{frame, message::BodyLength};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, Interest},
     net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     sync::mpsc,
 };
@@ -29,7 +29,7 @@
         response_channel,
     },
 };
-use crate::node::Node;
+use crate::{clock::Clock, node::Node};
 
 /// Requests of one connection that run at the same time. Further ones are not read.
 const MAX_PIPELINED_REQUESTS: usize = 16;
@@ -50,6 +50,10 @@
 /// could lose the last response.
 const LINGERING_CLOSE_MS: u64 = 1_000;
 
+/// Interval between checks whether a caller has closed a connection that is not being read, in
+/// milliseconds.
+const CLOSE_CHECK_INTERVAL_MS: u64 = 100;
+
 /// A request received on a connection, whose body may still be arriving.
 pub(crate) struct IncomingRequest {
     pub(crate) head: RequestHead,
@@ -106,9 +110,10 @@
 enum ReadWait {
     /// More bytes from the socket.
     SocketBytes,
-    /// Room in the queue to the task that reads the body.
+    /// Room in the queue to the task that reads the body, or the end of the connection.
     BodyReader,
-    /// Responses, because no further request may start until one is complete.
+    /// Responses, because no further request may start until one is complete, or the end of the
+    /// connection.
     Responses,
     /// Nothing: no further request is accepted, and input is discarded.
     Closed,
@@ -176,6 +181,17 @@
     Closing,
 }
 
+/// Waits until the caller closes or resets the connection, without reading from it.
+async fn wait_until_closed(clock: Clock, rx: &OwnedReadHalf) {
+    // Unread bytes keep the socket readable, so no event announces the close behind them.
+    while let Ok(ready) = rx.ready(Interest::READABLE).await
+        && !ready.is_read_closed()
+    {
+        let next_check = clock.now().saturating_add_millis(CLOSE_CHECK_INTERVAL_MS);
+        clock.sleep_until(next_check).await;
+    }
+}
+
 impl CallerConn {
     async fn run(&mut self) -> ConnEnd {
         loop {
@@ -227,7 +243,10 @@
                 ReadWait::SocketBytes | ReadWait::Closed => {
                     frame::read_when_ready(rx, read_buf).await
                 }
-                ReadWait::BodyReader | ReadWait::Responses => std::future::pending().await,
+                ReadWait::BodyReader | ReadWait::Responses => {
+                    wait_until_closed(clock, rx).await;
+                    Ok(0)
+                }
             }
         };
         let body_tx = self
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -7,6 +7,7 @@
 mod body_paths;
 mod cold_targets;
 mod configuration;
+mod departed_callers;
 mod eligible_targets;
 mod endless_answers;
 mod evacuation;
