Stop: accept requests for a fixed time, however long the grace period is

Cause: the time for which a stopping node accepts requests was 45% of the grace period. Its purpose, to let the platform notice two failed readiness checks 1 s apart, takes the same time whatever the grace period is. From 6.7 s of grace on, requests were accepted later than 3 s after the SIGTERM, from when on none may be cut. The guard's check against the usual service time of the class can't exclude a single long request.

Evidence: in the record of the case the requests are accepted with 4.4 s left and 0.9 s as the usual service time, and need 4.6 s. With a grace period of 6 s, for which the shares fit, the node accepts for 2.7 s and refuses them.

Change: the time is 2.7 s at most. Cutting at 85% of the grace period then hits only requests that were sent within 3 s, in the last sixth of the grace period.

--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -47,10 +47,14 @@
 /// rest is left for the process to exit before the platform kills it.
 const STOP_TIMEOUT_PERCENT_OF_GRACE: u64 = 85;
 
-/// Percentage of the grace period during which a stopping node still accepts requests. The
-/// platform needs two failed readiness checks, 1 s apart, to send callers elsewhere.
+/// Percentage of the grace period during which a stopping node still accepts requests.
 const DRAIN_DELAY_PERCENT_OF_GRACE: u64 = 45;
 
+/// Longest time for which a stopping node on the platform still accepts requests, in milliseconds. The
+/// platform needs two failed readiness checks, 1 s apart, to send callers elsewhere, however long the
+/// grace period is.
+const MAX_DRAIN_DELAY_MS: u64 = 2_700;
+
 fn external_systems(file: &str, settings: &Settings) -> ExternalSystems {
     let store = Rc::new(Store::new(StoreSettings {
         address: settings.log.address.clone(),
@@ -137,7 +141,10 @@
         },
         serves_during_drain_delay: settings.platform.grace.is_some(),
         drain_delay_ms: match settings.platform.grace {
-            Some(grace) => as_millis(grace) * DRAIN_DELAY_PERCENT_OF_GRACE / 100,
+            Some(grace) => {
+                let share_ms = as_millis(grace) * DRAIN_DELAY_PERCENT_OF_GRACE / 100;
+                share_ms.min(MAX_DRAIN_DELAY_MS)
+            }
             None => Limits::default().drain_delay_ms,
         },
         ..Default::default()
--- a/tests/integration/platform_stop.rs
+++ b/tests/integration/platform_stop.rs
@@ -1,15 +1,21 @@
 //! Planned stops of nodes on the platform, which kills a node at the end of its grace period.
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use googletest::prelude::*;
 use plantainpost_standin::process::{Signal, wait_until};
 
 use crate::{
     fleet_fixture::WAIT_TIMEOUT,
-    platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer, exchange},
+    platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer, exchange, header},
 };
 
+/// Routes that allow a request 10 s.
+const ROUTES: &[(&str, &str, u64)] = &[("/safe/", "safe", 10_000), ("/once/", "unsafe", 10_000)];
+
 /// Service time of the target. With the grace period of 6 s, a node cuts requests 5.1 s after the
 /// signal.
 const SERVICE_TIME: Duration = Duration::from_millis(2_800);
@@ -31,10 +37,7 @@
         ScriptedReply::After(SERVICE_TIME, answer(head, "200 OK", "done"))
     });
     let platform = PlatformFleet::start(2);
-    platform.publish_route_list(
-        4,
-        &[("/safe/", "safe", 10_000), ("/once/", "unsafe", 10_000)],
-    );
+    platform.publish_route_list(4, ROUTES);
     platform.announce(1, &target, "i-1", 1, "ready");
     platform.wait_readyz(0, "200");
     platform.wait_readyz(1, "200");
@@ -66,3 +69,37 @@
     let late = heads.iter().filter(|head| head.contains("late")).count();
     expect_that!(late, eq(0));
 }
+
+/// Service time of the requests that come late in a grace period of 10 s, in which a node cuts requests
+/// 8.5 s after the signal.
+const LATE_SERVICE_TIME: Duration = Duration::from_millis(5_800);
+
+/// Guards against a stopping node that accepts requests for longer the longer its grace period is, and
+/// cuts those that take unusually long. From 3 s after the signal on, no accepted request may be cut.
+#[gtest]
+fn long_grace_period_does_not_delay_the_end_of_acceptance() {
+    let target = ScriptedTarget::start(|head| {
+        let answer = answer(head, "200 OK", "done");
+        match header(head, "plantainpost-request-id") {
+            "late" => ScriptedReply::After(LATE_SERVICE_TIME, answer),
+            _ => ScriptedReply::Keep(answer),
+        }
+    });
+    let set_grace = |_, text: &mut String| *text = text.replace("grace = 6 s", "grace = 10 s");
+    let platform = PlatformFleet::start_with_settings(1, |_, store| store, set_grace);
+    platform.publish_route_list(4, ROUTES);
+    platform.announce(0, &target, "i-1", 1, "ready");
+    platform.wait_readyz(0, "200");
+    expect_that!(post(&platform, "usual"), starts_with("HTTP/1.1 200"));
+    let signalled_at = Instant::now();
+    let term = platform.hosts[0].process.signal(Signal::Term);
+    term.expect("the node runs");
+    // The platform sends callers to another node only after two failed readiness checks, 1 s apart.
+    thread::sleep(Duration::from_millis(2_100));
+    expect_that!(post(&platform, "early"), starts_with("HTTP/1.1 200"));
+    thread::sleep(Duration::from_millis(3_100).saturating_sub(signalled_at.elapsed()));
+    let text = post(&platform, "late");
+    let heads = target.received_heads();
+    let late = heads.iter().filter(|head| head.contains("late")).count();
+    expect_that!(late, eq(0), "{text}");
+}
