Guard: keep the request behind an upload that was answered early

Callers saw: after a target had answered an upload before it had read it, the next request between the same two nodes was refused after 300 ms with 503, reason connection-lost, although the target was idle.

Cause: after an answer to an unfinished upload the guard read and discarded what came on the connection of the entry for up to 5 s, beyond the end of the upload. The entry had sent the end, so the exchange was complete for it, and it sent the next request on the same connection. That request was discarded; the entry heard nothing, asked on another connection, and the guard fenced a request that it did not know.

Evidence: the log line "exchange with a node interrupted, silent_us: 301260, lost: false" for such requests, and no head of them at the target.

Change: the guard discards the rest of the upload up to its end, as it already did after a refusal, and then uses the connection for further requests.

Measured: request_after_an_early_answer_is_served, 40 uploads with early answers one after the other.

--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -19,7 +19,7 @@
     framing::{has_body, needs_continue, request_framing, response_length, target_headers},
     link::{ExchangeLink, LinkEvent},
     relay_time::RelayTime,
-    request::{BODY_DRAIN_TIMEOUT_MS, PendingRequest, handle_link_event, send_refusal},
+    request::{PendingRequest, discard_body_rest, handle_link_event, send_refusal},
     slot::Slot,
     target_headers::record_target_headers,
 };
@@ -88,7 +88,7 @@
                 return handle_target_refusal(node, link, req, slot, &head).await;
             }
             let state = send_response(node, link, &req, slot, head, *body, request_sent).await;
-            return drain_and_finish(node, link, &req, state).await;
+            return drain_and_finish(node, link, &mut req, state).await;
         }
         Some(ExchangeEnd::EntryGone) => {
             node.metrics.count("guard.cancelled");
@@ -102,7 +102,7 @@
         "reason" => reason.as_str(), "after_us" => slot.elapsed_us());
     drop(slot);
     let state = send_failure(node, link, key, true, reason).await;
-    drain_and_finish(node, link, &req, state).await
+    drain_and_finish(node, link, &mut req, state).await
 }
 
 /// Returns `true` if the response says that the target did not run the request.
@@ -484,14 +484,11 @@
 async fn drain_and_finish(
     node: &Node,
     link: &mut ExchangeLink,
-    req: &PendingRequest,
+    req: &mut PendingRequest,
     state: ConnState,
 ) -> ConnState {
-    if req.body.is_complete {
-        return state;
+    match discard_body_rest(node, &mut link.conn, req).await {
+        ConnState::Reusable => state,
+        drained => drained,
     }
-    let drain_deadline = node.now().saturating_add_millis(BODY_DRAIN_TIMEOUT_MS);
-    let drain = async { while link.conn.rx.read().await.is_ok() {} };
-    let _ = node.clock.timeout_at(drain_deadline, drain).await;
-    ConnState::MustClose
 }
--- a/crates/node/src/guard/request.rs
+++ b/crates/node/src/guard/request.rs
@@ -27,7 +27,7 @@
 
 /// Time for reading the rest of the body of a request from its entry after the request has
 /// ended, in milliseconds.
-pub(super) const BODY_DRAIN_TIMEOUT_MS: u64 = 5_000;
+const BODY_DRAIN_TIMEOUT_MS: u64 = 5_000;
 
 /// The part of a request body that was received from the entry.
 pub(super) struct ReceivedBody {
@@ -397,11 +397,21 @@
     if state_after_write(conn.tx.write(&msg).await) == ConnState::MustClose {
         return ConnState::MustClose;
     }
+    discard_body_rest(node, conn, &mut req).await
+}
+
+/// Reads the rest of the body and discards it. What follows its end belongs to the next request, which
+/// the entry may send as soon as it has received the end of this one.
+pub(super) async fn discard_body_rest(
+    node: &Node,
+    conn: &mut InboundConn,
+    req: &mut PendingRequest,
+) -> ConnState {
     let drain_deadline = node.now().saturating_add_millis(BODY_DRAIN_TIMEOUT_MS);
     let drain = async {
         while !req.body.is_complete && req.is_body_expected() {
             let msg = conn.rx.read().await;
-            receive_body(&mut req, msg)?;
+            receive_body(req, msg)?;
             req.body.pieces.clear();
         }
         Ok::<(), ()>(())
--- /dev/null
+++ b/tests/integration/early_answers.rs
@@ -0,0 +1,71 @@
+//! Targets that answer an upload before they have read it.
+
+use googletest::prelude::*;
+use plantainpost_standin::process::wait_until;
+
+use crate::{
+    fleet_fixture::WAIT_TIMEOUT,
+    platform_fixture::{
+        PlatformFleet, ScriptedReply, ScriptedTarget, answer, body, exchange, request_head,
+    },
+};
+
+/// Length of the body of each answer, in bytes.
+const ANSWER_BYTES: usize = 20_000;
+
+/// Number of uploads of each length. When the reset arrives differs from one to the next.
+const TRIES: usize = 10;
+
+/// Starts two nodes, the first of them beside the target, and waits until both know it.
+fn start_fleet(target: &ScriptedTarget) -> PlatformFleet {
+    let platform = PlatformFleet::start(2);
+    let routes = [("/safe/", "safe", 10_000), ("/once/", "unsafe", 10_000)];
+    platform.publish_route_list_with_limit(4, &routes, 10_000_000);
+    platform.announce(0, target, "i-1", 1, "ready");
+    for i in [0, 1] {
+        platform.wait_readyz(i, "200");
+        wait_until("the node knows the target", WAIT_TIMEOUT, || {
+            platform
+                .get(i, "/safe/a", "first")
+                .starts_with("HTTP/1.1 200")
+        })
+        .expect("the target answers");
+    }
+    platform
+}
+
+fn upload(platform: &PlatformFleet, i: usize, id: &str, length: usize) -> String {
+    let headers = format!("Connection: close\r\nContent-Length: {length}\r\n");
+    let head = request_head("POST", "/once/a", id, &headers);
+    exchange(
+        platform.hosts[i].callers,
+        &[head, vec![b'u'; length]].concat(),
+    )
+}
+
+/// Returns a complete answer with a length.
+fn sized_answer(head: &str) -> Vec<u8> {
+    answer(head, "200 OK", &"x".repeat(ANSWER_BYTES))
+}
+
+/// Guards against a request that is discarded together with the rest of the body before it on the
+/// connection between the nodes, after the target has answered early.
+#[gtest]
+fn request_after_an_early_answer_is_served() {
+    let target = ScriptedTarget::start(|head| match head.starts_with("post /once/") {
+        true => ScriptedReply::Early(sized_answer(head)),
+        false => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
+    });
+    let platform = start_fleet(&target);
+    for i in [0, 1] {
+        for length in [100_000, 300_000] {
+            for attempt in 0..TRIES {
+                let id = format!("e{i}-{length}-{attempt}");
+                let text = upload(&platform, i, &id, length);
+                let status = text.lines().next().unwrap_or_default();
+                expect_that!(status, starts_with("HTTP/1.1 200"), "{id}");
+                expect_that!(body(&text).len(), eq(ANSWER_BYTES), "{id}");
+            }
+        }
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod cold_targets;
 mod configuration;
 mod departed_callers;
+mod early_answers;
 mod eligible_targets;
 mod endless_answers;
 mod evacuation;
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -34,6 +34,9 @@
     Keep(Vec<u8>),
     /// Writes these bytes and closes the connection.
     Close(Vec<u8>),
+    /// Writes these bytes before it reads the body, which must have a stated length, and keeps the
+    /// connection open.
+    Early(Vec<u8>),
     /// Writes the first bytes, then the second ones again and again until the node closes the
     /// connection.
     Endless(Vec<u8>, &'static [u8]),
@@ -94,6 +97,15 @@
         let (bytes, keep) = match script(&head) {
             ScriptedReply::Keep(bytes) => (bytes, true),
             ScriptedReply::Close(bytes) => (bytes, false),
+            ScriptedReply::Early(bytes) => {
+                let length = header(&head, "content-length").parse().unwrap_or_default();
+                let body_of_request = io.try_clone().expect("a second handle").take(length);
+                let written = io.write_all(&bytes);
+                if written.and(read_to_end(body_of_request)).is_err() {
+                    return;
+                }
+                continue;
+            }
             ScriptedReply::Endless(first, repeated) => {
                 let mut written = io.write_all(&first);
                 while written.is_ok() {
@@ -117,6 +129,11 @@
     }
 }
 
+/// Reads and discards bytes.
+fn read_to_end(mut bytes: impl Read) -> std::io::Result<()> {
+    std::io::copy(&mut bytes, &mut std::io::sink()).map(|_| ())
+}
+
 /// Reads a request head and returns it in lower case, or `None` at the end of the
 /// connection.
 pub(crate) fn read_head(io: &mut TcpStream) -> Option<String> {
@@ -265,8 +282,18 @@
     }
 
     /// Writes routes to the service `shelf` to the store. Each has a path prefix, a kind, and a
-    /// timeout in milliseconds.
+    /// timeout in milliseconds. Request bodies may have 1,000 bytes.
     pub(crate) fn publish_route_list(&self, version: u64, routes: &[(&str, &str, u64)]) {
+        self.publish_route_list_with_limit(version, routes, 1_000);
+    }
+
+    /// Like [`PlatformFleet::publish_route_list`], with another limit on the length of request bodies.
+    pub(crate) fn publish_route_list_with_limit(
+        &self,
+        version: u64,
+        routes: &[(&str, &str, u64)],
+        max_body_bytes: usize,
+    ) {
         let routes = routes.iter().map(|(prefix, kind, timeout)| {
             format!(
                 r#""r{prefix}":{{"host":"shop.example","pathPrefix":"{prefix}","kind":"{kind}",
@@ -278,7 +305,7 @@
         let text = format!(
             r#"{{"version":{version},"routes":{{{routes}}},"services":{{"shelf":
             {{"healthPath":"/healthz","maxConns":260}}}},"limits":{{"maxHeaderBytes":16384,
-            "maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
+            "maxBodyBytes":{max_body_bytes},"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
         );
         self.store
             .append_keyed("keyed.op", "config", text.as_bytes());
