Guard: close at once when a target breaks off its answer to an unread upload

Callers saw: a target answered an upload early and broke off. The caller waited until its deadline for a 504, although the connection to the target had long ended.

Cause: when the relaying of an answer ended and part of the upload was unread, the guard read the rest for up to 5 s before it closed the connection to the entry, so that the entry does not lose the answer. It did so for a cut answer too. The entry had stopped sending and learns only from the end of the connection that the answer is cut.

Evidence: answer_that_is_cut_during_the_upload_ends_the_request_at_once. Uploads of 1,000,000 bytes from another node ended with 504; the log of the guard has "answer of the target cut" at once.

Change: after a cut answer the guard closes the connection at once. The rest of an upload is read only after a complete answer or a failure message.

--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -66,11 +66,10 @@
     slot: Slot,
     target_conn: Connection,
 ) -> ConnState {
-    let (key, deadline) = (req.head.key, req.deadline);
     let end = node
         .clock
         .timeout_at(
-            deadline,
+            req.deadline,
             exchange_with_target(node, link, &mut req, target_conn),
         )
         .await;
@@ -87,8 +86,12 @@
             if says_not_run(node, &head) {
                 return handle_target_refusal(node, link, req, slot, &head).await;
             }
-            let state = send_response(node, link, &req, slot, head, *body, request_sent).await;
-            return drain_and_finish(node, link, &mut req, state).await;
+            let response = (head, *body, request_sent);
+            return match send_response(node, link, &mut req, slot, response).await {
+                ConnState::Reusable => discard_body_rest(node, &mut link.conn, &mut req).await,
+                // The entry notices only by the end of the connection that the response is cut.
+                state => state,
+            };
         }
         Some(ExchangeEnd::EntryGone) => {
             node.metrics.count("guard.cancelled");
@@ -101,8 +104,7 @@
     warn!(node.logger, "no answer of the target"; "request" => %req.public_id(node),
         "reason" => reason.as_str(), "after_us" => slot.elapsed_us());
     drop(slot);
-    let state = send_failure(node, link, key, true, reason).await;
-    drain_and_finish(node, link, &mut req, state).await
+    fail_exchange(node, link, &mut req, reason).await
 }
 
 /// Returns `true` if the response says that the target did not run the request.
@@ -320,18 +322,16 @@
 async fn send_response(
     node: &Rc<Node>,
     link: &mut ExchangeLink,
-    req: &PendingRequest,
+    req: &mut PendingRequest,
     mut slot: Slot,
-    target_head: TargetResponseHead,
-    mut body: ResponseBody,
-    request_sent: bool,
+    (target_head, mut body, request_sent): (TargetResponseHead, ResponseBody, bool),
 ) -> ConnState {
     let key = req.head.key;
     let status = target_head.status;
     if target_head.framing == Framing::UntilClose && !node.settings.allow_close_delimited_responses
     {
         slot.finish(ExchangeOutcome::Failed);
-        return send_failure(node, link, key, true, FailReason::Unframed).await;
+        return fail_exchange(node, link, req, FailReason::Unframed).await;
     }
     let length = response_length(target_head.framing);
     let head = PeerResponseHead {
@@ -346,7 +346,7 @@
     };
     if link.queue_answer(&PeerMessage::Response(head)).is_err() {
         slot.finish(ExchangeOutcome::Failed);
-        return send_failure(node, link, key, true, FailReason::Malformed).await;
+        return fail_exchange(node, link, req, FailReason::Malformed).await;
     }
     let mut time = RelayTime::new(node, req.deadline);
     let sent = send_body_pieces(link, req, &mut body, &mut time).await;
@@ -477,18 +477,17 @@
     ConnState::MustClose
 }
 
-/// Ends the exchange with the entry.
+/// Ends the exchange of a request that was started and has no response.
 ///
 /// If part of the body is unread, closing at once would reset the connection and the entry
-/// could lose the response, so the rest is read first.
-async fn drain_and_finish(
+/// could lose the message, so the rest is read first.
+async fn fail_exchange(
     node: &Node,
     link: &mut ExchangeLink,
     req: &mut PendingRequest,
-    state: ConnState,
+    reason: FailReason,
 ) -> ConnState {
-    match discard_body_rest(node, &mut link.conn, req).await {
-        ConnState::Reusable => state,
-        drained => drained,
-    }
+    let state = send_failure(node, link, req.head.key, true, reason).await;
+    discard_body_rest(node, &mut link.conn, req).await;
+    state
 }
--- a/tests/integration/early_answers.rs
+++ b/tests/integration/early_answers.rs
@@ -34,6 +34,12 @@
     platform
 }
 
+/// Announces the target again, which would count as gone after some seconds.
+fn announce_again(platform: &PlatformFleet, target: &ScriptedTarget, seq: &mut u64) {
+    *seq += 1;
+    platform.announce(0, target, "i-1", *seq, "ready");
+}
+
 fn upload(platform: &PlatformFleet, i: usize, id: &str, length: usize) -> String {
     let headers = format!("Connection: close\r\nContent-Length: {length}\r\n");
     let head = request_head("POST", "/once/a", id, &headers);
@@ -69,3 +75,31 @@
         }
     }
 }
+
+/// Guards against a caller that waits for its deadline, although the target has broken off its answer to
+/// the upload.
+#[gtest]
+fn answer_that_is_cut_during_the_upload_ends_the_request_at_once() {
+    let target = ScriptedTarget::start(|head| match head.starts_with("post /once/") {
+        true => {
+            let mut answer = sized_answer(head);
+            answer.truncate(answer.len() - ANSWER_BYTES / 2);
+            ScriptedReply::Close(answer)
+        }
+        false => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
+    });
+    let platform = start_fleet(&target);
+    let mut seq = 1;
+    for i in [0, 1] {
+        for length in [100_000, 1_000_000] {
+            announce_again(&platform, &target, &mut seq);
+            for attempt in 0..TRIES {
+                let id = format!("c{i}-{length}-{attempt}");
+                let text = upload(&platform, i, &id, length);
+                let status = text.lines().next().unwrap_or_default();
+                // At the deadline it would be 504.
+                expect_that!(status, starts_with("HTTP/1.1 502"), "{id}");
+            }
+        }
+    }
+}
