Http1: treat an answer without a length as cut if its connection is reset

Callers saw: a target answered an upload at once with a 200 without a length, and closed or reset the connection while the upload was still being written. The caller got what had arrived as a complete 200.

Cause: an answer without a length is complete when its connection ends regularly. Three cases look like that and are none. (1) The reset is reported to the write of the upload, and only once; the read after it sees a regular end. (2) The target closes before it has received the whole upload: that is a regular end, and a reset follows when the rest arrives. Reads never report it. (3) The same, but the guard has not sent the rest yet and never does.

Change: after a failed write the end of a connection completes no body. After the end of an answer without a length to a request with a body, the connection is watched for a reset for 20 ms. If the answer begins before the request was sent as a whole, the request ends at once with 502, reason unframed.

Answers without a length to requests that were read are still passed on whole, 20 ms later if the request has a body.

--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -1,9 +1,12 @@
 //! HTTP/1.1 client connections.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use tokio::{io::AsyncWriteExt, net::TcpStream};
+use tokio::{
+    io::{AsyncWriteExt, Interest},
+    net::TcpStream,
+};
 
 use crate::{
     Framing, Header,
@@ -18,6 +21,9 @@
 /// Maximum length of a response head, and of all informational responses before it, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Time within which a reset is expected that follows the end of a connection.
+const RESET_WAIT: Duration = Duration::from_millis(20);
+
 /// An open connection to a server.
 pub struct Connection {
     io: TcpStream,
@@ -25,6 +31,11 @@
     addr: SocketAddr,
     /// Length of the informational responses since the last head that was returned, in bytes.
     informational_bytes: usize,
+    /// Whether the current request has a body.
+    has_request_body: bool,
+    /// Whether a write has failed. The operating system reports a reset only once, and later reads see
+    /// what looks like a regular end of the connection.
+    has_write_failed: bool,
     /// Whether the connection carried an earlier request; set by the code that pools
     /// connections.
     pub reused: bool,
@@ -73,6 +84,8 @@
             buf: BytesMut::new(),
             addr,
             informational_bytes: 0,
+            has_request_body: false,
+            has_write_failed: false,
             reused: false,
         })
     }
@@ -105,6 +118,7 @@
         framing: Framing,
         first_data: &[Bytes],
     ) -> io::Result<()> {
+        self.has_request_body = framing != Framing::None;
         let mut out = Vec::with_capacity(512);
         out.extend_from_slice(method.as_bytes());
         out.push(b' ');
@@ -124,7 +138,7 @@
         for data in first_data {
             push_body_data(&mut out, data, framing);
         }
-        self.io.write_all(&out).await
+        self.write_all(&out).await
     }
 
     /// Sends some bytes of the body, as one chunk if the body is chunked.
@@ -134,11 +148,11 @@
     /// Returns an error if the connection fails.
     pub async fn send_body_data(&mut self, data: &Bytes, framing: Framing) -> io::Result<()> {
         if framing != Framing::Chunked {
-            return self.io.write_all(data).await;
+            return self.write_all(data).await;
         }
         let mut out = Vec::with_capacity(data.len() + 16);
         push_body_data(&mut out, data, framing);
-        self.io.write_all(&out).await
+        self.write_all(&out).await
     }
 
     /// Finishes the body; a chunked one needs a final empty chunk.
@@ -148,11 +162,32 @@
     /// Returns an error if the connection fails.
     pub async fn finish_body(&mut self, framing: Framing) -> io::Result<()> {
         match framing {
-            Framing::Chunked => self.io.write_all(b"0\r\n\r\n").await,
+            Framing::Chunked => self.write_all(b"0\r\n\r\n").await,
             Framing::None | Framing::Sized(_) | Framing::UntilClose => Ok(()),
         }
     }
 
+    /// Returns whether the server resets the connection that it has just ended.
+    ///
+    /// A server that closes before it has received all of the request ends the connection regularly and
+    /// resets it when more arrives. Reads don't report a reset that follows a regular end.
+    async fn is_reset_after_end(&self) -> bool {
+        if self.has_write_failed {
+            return true;
+        }
+        if !self.has_request_body {
+            return false;
+        }
+        let reset = self.io.ready(Interest::ERROR);
+        tokio::time::timeout(RESET_WAIT, reset).await.is_ok()
+    }
+
+    async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let result = self.io.write_all(bytes).await;
+        self.has_write_failed |= result.is_err();
+        result
+    }
+
     /// Reads the head of the response to a request with `method`. Informational (1xx)
     /// responses are skipped.
     ///
@@ -227,8 +262,13 @@
                 Err(_) => return BodyPart::Truncated,
             }
             match self.conn.read_when_ready().await {
-                Ok(0) if self.decoder.ends_with_connection() => return BodyPart::End,
                 // A connection reset truncates even a body that ends with the connection.
+                Ok(0) if self.decoder.ends_with_connection() => {
+                    return match self.conn.is_reset_after_end().await {
+                        true => BodyPart::Truncated,
+                        false => BodyPart::End,
+                    };
+                }
                 Ok(0) | Err(_) => return BodyPart::Truncated,
                 Ok(_) => (),
             }
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -47,9 +47,12 @@
     Response {
         head: TargetResponseHead,
         body: Box<ResponseBody>,
-        /// Whether the whole request was sent, so that the connection can take another request.
-        request_sent: bool,
+        /// Whether the connection can take another request after the response.
+        is_conn_reusable: bool,
     },
+    /// The response ends with the connection, but the target can't have read the whole request, so that
+    /// the end may come too early.
+    Unframed,
     /// The target closed the connection without a response.
     Closed,
     /// The response is not valid HTTP, or too many belonged to other requests.
@@ -77,7 +80,7 @@
         Some(ExchangeEnd::Response {
             head,
             body,
-            request_sent,
+            is_conn_reusable,
         }) => {
             // A misdirected request was answered by another target.
             if head.status != MISDIRECTED_REQUEST {
@@ -86,7 +89,7 @@
             if says_not_run(node, &head) {
                 return handle_target_refusal(node, link, req, slot, &head).await;
             }
-            let response = (head, *body, request_sent);
+            let response = (head, *body, is_conn_reusable);
             return match send_response(node, link, &mut req, slot, response).await {
                 ConnState::Reusable => discard_body_rest(node, &mut link.conn, &mut req).await,
                 // The entry notices only by the end of the connection that the response is cut.
@@ -97,6 +100,7 @@
             node.metrics.count("guard.cancelled");
             return ConnState::MustClose;
         }
+        Some(ExchangeEnd::Unframed) => FailReason::Unframed,
         Some(ExchangeEnd::Closed) => FailReason::Closed,
         Some(ExchangeEnd::Malformed) => FailReason::Malformed,
         None => FailReason::Deadline,
@@ -222,12 +226,18 @@
             RelayEvent::EntryGone => return ExchangeEnd::EntryGone,
             RelayEvent::ResponseHead(Ok(head)) => match response_owner(node, req, &head, is_reused)
             {
+                ResponseOwner::ThisRequest
+                    if head.framing == Framing::UntilClose && !request_sent =>
+                {
+                    return ExchangeEnd::Unframed;
+                }
                 ResponseOwner::ThisRequest => {
                     let body = Box::new(target_conn.into_body(&head));
                     return ExchangeEnd::Response {
                         head,
                         body,
-                        request_sent,
+                        // A later response can't be trusted to be the only one to its request.
+                        is_conn_reusable: request_sent && stray_responses == 0,
                     };
                 }
                 ResponseOwner::OtherRequest if stray_responses < MAX_STRAY_RESPONSES => {
@@ -239,9 +249,7 @@
                         Some(conn) => target_conn = conn,
                         None => return ExchangeEnd::Closed,
                     }
-                    // A later response can't be trusted to be the only one to its request, so
-                    // the connection is not reused and gets no more of the body.
-                    request_sent = false;
+                    // The connection is not reused and gets no more of the body.
                     target_accepts_body = false;
                 }
                 ResponseOwner::OtherRequest => return ExchangeEnd::Malformed,
@@ -324,7 +332,7 @@
     link: &mut ExchangeLink,
     req: &mut PendingRequest,
     mut slot: Slot,
-    (target_head, mut body, request_sent): (TargetResponseHead, ResponseBody, bool),
+    (target_head, mut body, is_conn_reusable): (TargetResponseHead, ResponseBody, bool),
 ) -> ConnState {
     let key = req.head.key;
     let status = target_head.status;
@@ -370,7 +378,7 @@
     });
     let target_conn = body
         .into_reusable_conn()
-        .filter(|conn| request_sent && conn.has_no_unread_data());
+        .filter(|conn| is_conn_reusable && conn.has_no_unread_data());
     if let Some(target_conn) = target_conn {
         node.target_pool.release(target_conn, node.now());
     }
--- a/tests/integration/early_answers.rs
+++ b/tests/integration/early_answers.rs
@@ -6,7 +6,7 @@
 use crate::{
     fleet_fixture::WAIT_TIMEOUT,
     platform_fixture::{
-        PlatformFleet, ScriptedReply, ScriptedTarget, answer, body, exchange, request_head,
+        PlatformFleet, ScriptedReply, ScriptedTarget, answer, body, exchange, header, request_head,
     },
 };
 
@@ -49,6 +49,15 @@
     )
 }
 
+/// Returns the start of an answer that ends with its connection.
+fn close_delimited_answer(head: &str) -> Vec<u8> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nPlantainpost-Request-Id: {}\r\nPlantainpost-Server-Stamp: s1\r\n\r\n",
+        header(head, "plantainpost-request-id")
+    );
+    [head.as_bytes(), &[b'x'; ANSWER_BYTES]].concat()
+}
+
 /// Returns a complete answer with a length.
 fn sized_answer(head: &str) -> Vec<u8> {
     answer(head, "200 OK", &"x".repeat(ANSWER_BYTES))
@@ -103,3 +112,45 @@
         }
     }
 }
+
+/// Guards against an answer without a length that is passed on as complete although its connection was
+/// reset, because the reset was reported to a write of the request, and against a caller that waits for
+/// its deadline after the reset.
+#[gtest]
+fn answer_without_length_that_is_reset_during_the_upload_is_not_complete() {
+    let target = ScriptedTarget::start(|head| match head.starts_with("post /once/") {
+        // The target closes with unread bytes of the upload, which resets the connection.
+        true => ScriptedReply::Close(close_delimited_answer(head)),
+        false => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
+    });
+    let platform = start_fleet(&target);
+    let mut seq = 1;
+    for i in [0, 1] {
+        for length in [60_000, 100_000, 300_000, 1_000_000] {
+            announce_again(&platform, &target, &mut seq);
+            for attempt in 0..TRIES {
+                let id = format!("u{i}-{length}-{attempt}");
+                let text = upload(&platform, i, &id, length);
+                let status = text.lines().next().unwrap_or_default();
+                expect_that!(status, starts_with("HTTP/1.1 502"), "{id}");
+            }
+        }
+    }
+}
+
+/// Guards against a complete answer without a length that is given up as truncated.
+#[gtest]
+fn answer_without_length_that_ends_with_its_connection_is_complete() {
+    let target = ScriptedTarget::start(|head| match head.starts_with("post /once/") {
+        true => ScriptedReply::CloseAfterBody(close_delimited_answer(head)),
+        false => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
+    });
+    let platform = start_fleet(&target);
+    for i in [0, 1] {
+        for length in [0, 100, 1_000_000] {
+            let text = upload(&platform, i, &format!("w{i}-{length}"), length);
+            expect_that!(text, starts_with("HTTP/1.1 200"), "{length}");
+            expect_that!(body(&text).len(), eq(ANSWER_BYTES), "{length}");
+        }
+    }
+}
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -37,6 +37,8 @@
     /// Writes these bytes before it reads the body, which must have a stated length, and keeps the
     /// connection open.
     Early(Vec<u8>),
+    /// Reads the body, which must have a stated length, writes these bytes and closes the connection.
+    CloseAfterBody(Vec<u8>),
     /// Writes the first bytes, then the second ones again and again until the node closes the
     /// connection.
     Endless(Vec<u8>, &'static [u8]),
@@ -98,14 +100,15 @@
             ScriptedReply::Keep(bytes) => (bytes, true),
             ScriptedReply::Close(bytes) => (bytes, false),
             ScriptedReply::Early(bytes) => {
-                let length = header(&head, "content-length").parse().unwrap_or_default();
-                let body_of_request = io.try_clone().expect("a second handle").take(length);
-                let written = io.write_all(&bytes);
-                if written.and(read_to_end(body_of_request)).is_err() {
+                if io.write_all(&bytes).is_err() || discard_body(&io, &head).is_err() {
                     return;
                 }
                 continue;
             }
+            ScriptedReply::CloseAfterBody(bytes) => match discard_body(&io, &head) {
+                Ok(()) => (bytes, false),
+                Err(_) => return,
+            },
             ScriptedReply::Endless(first, repeated) => {
                 let mut written = io.write_all(&first);
                 while written.is_ok() {
@@ -129,9 +132,10 @@
     }
 }
 
-/// Reads and discards bytes.
-fn read_to_end(mut bytes: impl Read) -> std::io::Result<()> {
-    std::io::copy(&mut bytes, &mut std::io::sink()).map(|_| ())
+/// Reads and discards the body of a request with this head, if it states a length.
+fn discard_body(io: &TcpStream, head: &str) -> std::io::Result<()> {
+    let length = header(head, "content-length").parse().unwrap_or_default();
+    std::io::copy(&mut io.take(length), &mut std::io::sink()).map(|_| ())
 }
 
 /// Reads a request head and returns it in lower case, or `None` at the end of the
