Http1: reject responses with an invalid status

Callers saw: a target sent an answer with status 000. It was skipped like an informational response, the bytes after its head, among them its body, were read as the next head, and an answer in them was passed on as the target's. 099 and 101 were skipped in the same way, 600 and 999 were passed on.

Cause: the parser took every status below 200 for informational and every other one for an answer.

Evidence: answer_with_an_invalid_status_is_never_passed_on, where the body of such an answer is a complete 200.

Change: a status that is not in 100 to 599 (RFC 9110, section 15) makes a response malformed. So does 101: no request asks for another protocol, and what follows a 101 is not HTTP. The caller gets 502, and the connection is closed.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,5 +1,7 @@
 //! Parsing of request and response heads.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Buf, Bytes, BytesMut};
 
 use crate::Header;
@@ -7,6 +9,12 @@
 /// Maximum number of headers in a message. A message with more is rejected.
 const MAX_HEADERS: usize = 96;
 
+/// Status codes that a response can have (RFC 9110, section 15).
+const VALID_STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
+/// Status of a response after which the connection carries another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// How the body of a message is delimited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -127,7 +135,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the bytes are not a valid response head, or the head is too long.
+/// Returns an error if the bytes are not a valid response head, or the head is too long. A status of
+/// 101 is not valid either, as the requests ask for no other protocol.
 pub fn parse_response_head(
     buf: &mut BytesMut,
     method: &str,
@@ -142,6 +151,9 @@
         Err(_) => return Err(HeadError::Malformed),
     };
     let status = parsed.code.unwrap_or_default();
+    if !VALID_STATUS_CODES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(HeadError::Malformed);
+    }
     let is_http10 = parsed.version == Some(0);
     let headers = to_owned_headers(parsed.headers);
     buf.advance(length);
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -134,6 +134,29 @@
     }
 }
 
+/// Guards against a head with an invalid status that is skipped like an informational response, so that
+/// the bytes after it are taken for the response, and against one that is forwarded.
+#[gtest]
+fn responses_with_an_invalid_status_are_rejected() {
+    for status in ["000", "001", "099", "101", "600", "999"] {
+        let text = format!("HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n");
+        let mut buf = BytesMut::from(text.as_bytes());
+        let parsed = parse_response_head(&mut buf, "GET", MAX_HEAD_BYTES);
+        expect_that!(
+            parsed.map(|_| ()),
+            err(eq(HeadError::Malformed)),
+            "{status}"
+        );
+    }
+    for status in [100, 102, 103, 199, 200, 299, 304, 404, 500, 599] {
+        let text = format!("HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n");
+        let mut buf = BytesMut::from(text.as_bytes());
+        let parsed = parse_response_head(&mut buf, "GET", MAX_HEAD_BYTES);
+        let parsed_status = parsed.expect("valid").map(|head| head.status);
+        expect_that!(parsed_status, some(eq(status)));
+    }
+}
+
 /// Guards against forwarding a request target in absolute form as if it were a path.
 #[gtest]
 fn absolute_form_becomes_origin_form() {
--- a/tests/integration/faulty_targets.rs
+++ b/tests/integration/faulty_targets.rs
@@ -146,3 +146,28 @@
         expect_that!(runs, eq(1), "{id}");
     }
 }
+
+/// Guards against an answer with an invalid status that reaches the caller, or is skipped like an
+/// informational one, so that bytes of its body reach the caller as an answer.
+#[gtest]
+fn answer_with_an_invalid_status_is_never_passed_on() {
+    let target = ScriptedTarget::start(|head| {
+        let id = header(head, "plantainpost-request-id");
+        ScriptedReply::Keep(match id.strip_prefix("status-") {
+            Some(status) => {
+                let hidden = answer(head, "200 OK", "hidden");
+                answer(head, status, &String::from_utf8_lossy(&hidden))
+            }
+            None => answer(head, "200 OK", "whole"),
+        })
+    });
+    let platform = PlatformFleet::start_with_target(&target);
+    for status in ["000", "099", "101", "600", "999"] {
+        let text = platform.send(0, "POST", "/once/1", &format!("status-{status}"));
+        expect_that!(text, starts_with("HTTP/1.1 502"), "{status}");
+        expect_that!(text, not(contains_substring("hidden")), "{status}");
+        // The connection is not used again.
+        let text = platform.get(0, "/safe/1", "next");
+        expect_that!(body(&text), eq("whole"), "{status}");
+    }
+}
