Reload: apply the grace period and the other bounds of the platform

Callers saw: the grace period in the settings was changed from 6 s to 10 s, and the node got SIGHUP.

Cause: a reload applied the service of the target only; the rest stayed as it was at the start, without a log line.

Evidence: the node logged "settings reloaded" before the stop; with 10 s from the start all requests are answered.

Change: a reload also applies the grace period, the interval of announcements, the limit on health checks and the extra requests of the fleet, and logs that another address of the store needs a restart. A file that lacks the grace period, the extra requests or the transfer cost of the running node is refused as unfinished, as one without service was.

--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -9,7 +9,7 @@
 use plantainpost_node::{
     Limits, NodeError, NodeSettings, Routing, RunSummary,
     external::{ExternalSystems, FleetStore, Platform},
-    settings::FleetRetryBudget,
+    settings::{FleetRetryBudget, StopLimits},
 };
 use plantainpost_platform::{ControlCodec, HEADERS, Store, StoreSettings};
 use plantainpost_wire::auth::{FleetKeys, Key, KeyError};
@@ -135,22 +135,26 @@
         connect_timeout_ms: as_millis(limits.connect_timeout),
         head_timeout_ms: as_millis(limits.head_timeout),
         idle_timeout_ms: as_millis(limits.idle_timeout),
-        stop_timeout_ms: match settings.platform.grace {
-            Some(grace) => as_millis(grace) * STOP_TIMEOUT_PERCENT_OF_GRACE / 100,
-            None => as_millis(limits.stop_timeout),
-        },
-        serves_during_drain_delay: settings.platform.grace.is_some(),
-        drain_delay_ms: match settings.platform.grace {
-            Some(grace) => {
-                let share_ms = as_millis(grace) * DRAIN_DELAY_PERCENT_OF_GRACE / 100;
-                share_ms.min(MAX_DRAIN_DELAY_MS)
-            }
-            None => Limits::default().drain_delay_ms,
-        },
+        stop: stop_limits(settings),
         ..Default::default()
     }
 }
 
+fn stop_limits(settings: &Settings) -> StopLimits {
+    let Some(grace) = settings.platform.grace else {
+        return StopLimits {
+            timeout_ms: as_millis(settings.limits.stop_timeout),
+            ..Default::default()
+        };
+    };
+    let drain_delay_ms = as_millis(grace) * DRAIN_DELAY_PERCENT_OF_GRACE / 100;
+    StopLimits {
+        timeout_ms: as_millis(grace) * STOP_TIMEOUT_PERCENT_OF_GRACE / 100,
+        drain_delay_ms: drain_delay_ms.min(MAX_DRAIN_DELAY_MS),
+        serves_during_drain_delay: true,
+    }
+}
+
 fn retry_budget_settings(settings: &Settings) -> RetryBudgetSettings {
     let has_fleet_budget = settings.retry.fleet_slack.is_some();
     let default = RetryBudgetSettings::default();
--- a/crates/core/src/admission/guard.rs
+++ b/crates/core/src/admission/guard.rs
@@ -6,7 +6,7 @@
     TargetLeave, Wakeup,
     class_service_times::ClassServiceTimes,
     limit::ConcurrencyLimit,
-    pace::HostPace,
+    pace::{HostPace, PaceSettings},
     queue::Queue,
     rate_limit::RateLimit,
     records::{RecordTable, RequestState},
@@ -207,6 +207,11 @@
         self.draining = draining;
     }
 
+    /// Changes how often the speed of the target's host is measured.
+    pub fn set_pace_settings(&mut self, pace: PaceSettings) {
+        self.cfg.pace = pace;
+    }
+
     /// Sets the instant at which requests still in progress will be cut. From now on, requests
     /// that would probably take longer are not started.
     pub fn set_stop_deadline(&mut self, stop_deadline: Instant) {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -59,7 +59,7 @@
         return StatusCode::BAD_REQUEST;
     }
     let now = node.now();
-    let ttl_ms = node.settings.announce_interval_ms * HEARTBEAT_TTL_INTERVALS;
+    let ttl_ms = node.settings_state.current().announce_interval_ms * HEARTBEAT_TTL_INTERVALS;
     let connections = {
         let config = node.config.borrow();
         let rule = config
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -93,8 +93,8 @@
 
 /// Limits the saved retry credit of this node to its share of the extra requests that the whole
 /// fleet may send.
-fn set_retry_budget_share(node: &Node) {
-    let Some(budget) = &node.settings.fleet_retry_budget else {
+pub(crate) fn set_retry_budget_share(node: &Node) {
+    let Some(budget) = node.settings_state.current().fleet_retry_budget else {
         return;
     };
     // Dead members count, because they may return with a new retry budget.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -209,7 +209,7 @@
 
     /// Reports whether the node refuses new requests of peers because of a graceful stop.
     pub(crate) fn is_draining_for_stop(&self) -> bool {
-        match self.settings.limits.serves_during_drain_delay {
+        match self.settings_state.current().stop.serves_during_drain_delay {
             true => self.stop.is_closing(),
             false => self.stop.has_started(),
         }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -7,28 +7,60 @@
 };
 
 use actix_rt::signal::unix::{SignalKind, signal};
+use plantainpost_core::admission::PaceSettings;
 use serde_json::{Value, json};
 use slog::{info, warn};
 
-use crate::{clock, node::Node, settings::NodeSettings};
+use crate::{
+    clock, fleet,
+    node::Node,
+    settings::{FleetRetryBudget, NodeSettings, StopLimits},
+};
 
 /// Milliseconds in a second.
 const MILLIS_PER_SECOND: u64 = 1_000;
 
-/// When the settings in force were loaded, and how the last reload ended.
+/// Settings that a reload changes, except for the service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReloadableSettings {
+    pub(crate) stop: StopLimits,
+    /// See [`NodeSettings::announce_interval_ms`].
+    pub(crate) announce_interval_ms: u64,
+    /// See [`NodeSettings::fleet_retry_budget`].
+    pub(crate) fleet_retry_budget: Option<FleetRetryBudget>,
+}
+
+impl From<&NodeSettings> for ReloadableSettings {
+    fn from(settings: &NodeSettings) -> Self {
+        ReloadableSettings {
+            stop: settings.limits.stop,
+            announce_interval_ms: settings.announce_interval_ms,
+            fleet_retry_budget: settings.fleet_retry_budget,
+        }
+    }
+}
+
+/// The settings in force that a reload changes, when they were loaded, and how the last reload ended.
 pub(crate) struct SettingsState {
+    current: Cell<ReloadableSettings>,
     loaded_unix_ms: Cell<u64>,
     /// Why the last reload failed; `None` if it succeeded or there was none.
     last_error: RefCell<Option<String>>,
 }
 
-impl Default for SettingsState {
-    fn default() -> Self {
+impl SettingsState {
+    pub(crate) fn new(settings: &NodeSettings) -> Self {
         SettingsState {
+            current: Cell::new(settings.into()),
             loaded_unix_ms: Cell::new(clock::unix_ms()),
             last_error: RefCell::default(),
         }
     }
+
+    /// Returns the settings in force.
+    pub(crate) fn current(&self) -> ReloadableSettings {
+        self.current.get()
+    }
 }
 
 /// Returns the state of the settings for operators.
@@ -84,14 +116,45 @@
     if addresses(&new) != addresses(old) {
         return Err("[listen] differs, which needs a restart".to_owned());
     }
-    if new.service.is_none() && old.service.is_some() {
-        return Err("`service` in [node] is missing".to_owned());
+    let has_grace = |cfg: &NodeSettings| cfg.limits.stop.serves_during_drain_delay;
+    let has_fleet_budget = |cfg: &NodeSettings| cfg.fleet_retry_budget.is_some();
+    let has_transfer_cost = |cfg: &NodeSettings| cfg.transfer_cost_us_per_kib > 0;
+    let required: [(&str, bool, bool); 4] = [
+        (
+            "`service` in [node]",
+            old.service.is_some(),
+            new.service.is_some(),
+        ),
+        ("`grace` in [platform]", has_grace(old), has_grace(&new)),
+        (
+            "`fleet_slack` in [retry]",
+            has_fleet_budget(old),
+            has_fleet_budget(&new),
+        ),
+        (
+            "`transfer_cost` in [balance]",
+            has_transfer_cost(old),
+            has_transfer_cost(&new),
+        ),
+    ];
+    match required
+        .iter()
+        .find(|(_, was_set, is_set)| *was_set && !is_set)
+    {
+        Some((name, _, _)) => Err(format!("{name} is missing")),
+        None => Ok(new),
     }
-    Ok(new)
 }
 
-/// Applies the settings that can change without a restart: the service of the target.
+/// Applies the settings that can change without a restart. A stop that has started keeps its deadlines.
 fn apply_settings(node: &Node, settings: NodeSettings) {
+    node.settings_state.current.set((&settings).into());
+    fleet::set_retry_budget_share(node);
+    let pace = PaceSettings::with_max_rate(settings.max_health_checks_per_second);
+    node.guard.borrow_mut().set_pace_settings(pace);
+    if settings.log_address != node.settings.log_address {
+        warn!(node.logger, "`address` in [log] differs, which needs a restart"; "address" => &settings.log_address);
+    }
     let old_service = node.service.replace(settings.service.clone());
     let old_service = old_service
         .as_ref()
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -35,9 +35,16 @@
     pub idle_timeout_ms: u64,
     /// Largest number of requests queued for the target, as a multiple of its slots.
     pub queue_factor: u32,
-    /// Longest time that a graceful stop waits for requests in flight, in milliseconds. It is
-    /// longer than `max_timeout_ms`, so that no request is aborted.
-    pub stop_timeout_ms: u64,
+    /// Limits of a graceful stop.
+    pub stop: StopLimits,
+}
+
+/// Limits of a graceful stop.
+#[derive(Clone, Copy, Debug)]
+pub struct StopLimits {
+    /// Longest time that a stop waits for requests in flight, in milliseconds. Without a limit of
+    /// the platform it is longer than `max_timeout_ms`, so that no request is aborted.
+    pub timeout_ms: u64,
     /// Time before a stopping node starts to close its connections, in milliseconds. Until then it
     /// still responds to its peers.
     pub drain_delay_ms: u64,
@@ -46,6 +53,16 @@
     pub serves_during_drain_delay: bool,
 }
 
+impl Default for StopLimits {
+    fn default() -> Self {
+        StopLimits {
+            timeout_ms: 130_000,
+            drain_delay_ms: 1_000,
+            serves_during_drain_delay: false,
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Limits {
@@ -59,9 +76,7 @@
             head_timeout_ms: 5_000,
             idle_timeout_ms: 30_000,
             queue_factor: 2,
-            stop_timeout_ms: 130_000,
-            drain_delay_ms: 1_000,
-            serves_during_drain_delay: false,
+            stop: StopLimits::default(),
         }
     }
 }
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -81,9 +81,9 @@
 pub(crate) async fn stop_node(node: &Rc<Node>, caller_connections: &Rc<Cell<usize>>) -> RunSummary {
     info!(node.logger, "stopping");
     audit::record(node, AuditEvent::Stopping);
-    let limits = &node.settings.limits;
+    let limits = node.settings_state.current().stop;
     let started = node.now();
-    let deadline = started.saturating_add_millis(limits.stop_timeout_ms);
+    let deadline = started.saturating_add_millis(limits.timeout_ms);
     node.stop.start(deadline);
     let is_draining = node.is_draining_for_stop();
     node.guard.borrow_mut().set_draining(is_draining);
--- a/tests/integration/platform_reload.rs
+++ b/tests/integration/platform_reload.rs
@@ -21,7 +21,7 @@
 }
 
 /// Sends SIGHUP to a node and waits until it has read its settings.
-fn reload(platform: &PlatformFleet, i: usize) {
+pub(crate) fn reload(platform: &PlatformFleet, i: usize) {
     let total = || {
         let names = [
             "plantainpost_settings_reload",
@@ -66,8 +66,12 @@
     texts.push(("of another node".to_owned(), Some(other)));
     let without_service = whole.replace("service = counter\n", "");
     texts.push(("without service".to_owned(), Some(without_service)));
+    for line in ["grace = 6 s\n", "fleet_slack = 50\n"] {
+        texts.push((format!("without {line}"), Some(whole.replace(line, ""))));
+    }
     texts.push(("empty".to_owned(), Some(String::new())));
     texts.push(("gone".to_owned(), None));
+    let refused = texts.len() as u64;
     for (name, text) in texts {
         match text {
             Some(text) => fs::write(&file, text).expect("the file can be written"),
@@ -82,7 +86,7 @@
     }
     expect_that!(
         metric(&platform, 0, "plantainpost_settings_reload_error"),
-        ge(3)
+        eq(refused)
     );
     let reloads = metric(&platform, 0, "plantainpost_settings_reload");
     fs::write(&file, whole.replace("service = counter", "service = desk")).expect("a file");
--- a/tests/integration/platform_stop.rs
+++ b/tests/integration/platform_stop.rs
@@ -1,7 +1,7 @@
 //! Planned stops of nodes on the platform, which kills a node at the end of its grace period.
 
 use std::{
-    thread,
+    fs, thread,
     time::{Duration, Instant},
 };
 
@@ -11,6 +11,7 @@
 use crate::{
     fleet_fixture::WAIT_TIMEOUT,
     platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer, exchange, header},
+    platform_reload::reload,
 };
 
 /// Routes that allow a request 10 s.
@@ -70,21 +71,26 @@
     expect_that!(late, eq(0));
 }
 
-/// Service time of the requests that come late in a grace period of 10 s, in which a node cuts requests
-/// 8.5 s after the signal.
+/// Service time of the request `late`. With a grace period of 10 s, a node cuts requests 8.5 s after the
+/// signal.
 const LATE_SERVICE_TIME: Duration = Duration::from_millis(5_800);
 
-/// Guards against a stopping node that accepts requests for longer the longer its grace period is, and
-/// cuts those that take unusually long. From 3 s after the signal on, no accepted request may be cut.
-#[gtest]
-fn long_grace_period_does_not_delay_the_end_of_acceptance() {
-    let target = ScriptedTarget::start(|head| {
+/// Returns a target that needs [`LATE_SERVICE_TIME`] for the request `late`.
+fn start_target() -> ScriptedTarget {
+    ScriptedTarget::start(|head| {
         let answer = answer(head, "200 OK", "done");
         match header(head, "plantainpost-request-id") {
             "late" => ScriptedReply::After(LATE_SERVICE_TIME, answer),
             _ => ScriptedReply::Keep(answer),
         }
-    });
+    })
+}
+
+/// Guards against a stopping node that accepts requests for longer the longer its grace period is, and
+/// cuts those that take unusually long. From 3 s after the signal on, no accepted request may be cut.
+#[gtest]
+fn long_grace_period_does_not_delay_the_end_of_acceptance() {
+    let target = start_target();
     let set_grace = |_, text: &mut String| *text = text.replace("grace = 6 s", "grace = 10 s");
     let platform = PlatformFleet::start_with_settings(1, |_, store| store, set_grace);
     platform.publish_route_list(4, ROUTES);
@@ -103,3 +109,22 @@
     let late = heads.iter().filter(|head| head.contains("late")).count();
     expect_that!(late, eq(0), "{text}");
 }
+
+/// Guards against a reload that keeps the old grace period, so that a stop cuts requests long before the
+/// node would be killed.
+#[gtest]
+fn reload_changes_the_grace_period() {
+    let target = start_target();
+    let platform = PlatformFleet::start(1);
+    platform.publish_route_list(4, ROUTES);
+    platform.announce(0, &target, "i-1", 1, "ready");
+    platform.wait_readyz(0, "200");
+    expect_that!(post(&platform, "usual"), starts_with("HTTP/1.1 200"));
+    let file = &platform.hosts[0].settings;
+    let text = fs::read_to_string(file).expect("a settings file");
+    fs::write(file, text.replace("grace = 6 s", "grace = 10 s")).expect("the file can be written");
+    reload(&platform, 0);
+    let term = platform.hosts[0].process.signal(Signal::Term);
+    term.expect("the node runs");
+    expect_that!(post(&platform, "late"), starts_with("HTTP/1.1 200"));
+}
