Reload: notice a change of the settings without a signal

Cause: a node read its settings at the start and at SIGHUP only.

Evidence: without a signal the metrics settings.reload and settings.reload_error stay as they are for 20 s.

Change: a node on the platform reads its settings file twice a second and reloads it when it differs from what was last read. A missing file changes nothing, and an unfinished one is refused until it is complete.

A change may now be noticed before the signal, so that the same file is loaded twice: each refused file is counted at least once, the accepted one once or twice.

--- a/crates/cli/node.rs
+++ b/crates/cli/node.rs
@@ -1,6 +1,6 @@
 //! Runs a node with the settings of its file.
 
-use std::{rc::Rc, time::Duration};
+use std::{fs, io, rc::Rc, time::Duration};
 
 use plantainpost_core::{
     ids::{DataCentre, NodeName, ServiceName},
@@ -8,7 +8,7 @@
 };
 use plantainpost_node::{
     Limits, NodeError, NodeSettings, Routing, RunSummary,
-    external::{ExternalSystems, FleetStore, Platform},
+    external::{ExternalSystems, FleetStore, Platform, SettingsSource},
     settings::{FleetRetryBudget, StopLimits},
 };
 use plantainpost_platform::{ControlCodec, HEADERS, Store, StoreSettings};
@@ -64,17 +64,27 @@
         store: Rc::clone(&store) as Rc<dyn FleetStore>,
         control: Rc::new(ControlCodec),
     });
-    let file = file.to_owned();
     ExternalSystems {
         log: store,
-        reload: Box::new(move || {
-            let (settings, _) = Settings::load(&file).map_err(|e| e.to_string())?;
-            node_settings(&settings).map_err(|e| e.to_string())
-        }),
+        settings: Box::new(SettingsFile(file.to_owned())),
         platform,
     }
 }
 
+/// The settings file with this path.
+struct SettingsFile(String);
+
+impl SettingsSource for SettingsFile {
+    fn read(&self) -> io::Result<Vec<u8>> {
+        fs::read(&self.0)
+    }
+
+    fn load(&self) -> Result<NodeSettings, String> {
+        let (settings, _) = Settings::load(&self.0).map_err(|e| e.to_string())?;
+        node_settings(&settings).map_err(|e| e.to_string())
+    }
+}
+
 fn node_settings(settings: &Settings) -> Result<NodeSettings, KeyError> {
     let security = &settings.security;
     let key = |secret: &Secret| Key::new(secret.expose());
--- a/crates/node/src/external.rs
+++ b/crates/node/src/external.rs
@@ -3,6 +3,7 @@
 //! Implementations only translate names and formats. All decisions are made in the node.
 
 use std::{
+    io,
     net::{IpAddr, SocketAddr},
     rc::Rc,
 };
@@ -17,12 +18,29 @@
 pub struct ExternalSystems {
     /// Log service with the configuration and the audit trail.
     pub log: Rc<dyn LogService>,
-    /// Reloads the settings of the node.
-    pub reload: Box<dyn Fn() -> Result<NodeSettings, String>>,
+    /// Settings of the node, which can change while it runs.
+    pub settings: Box<dyn SettingsSource>,
     /// Platform that the node runs on; `None` if it runs without one.
     pub platform: Option<Platform>,
 }
 
+/// The place from which the settings of a node are loaded.
+pub trait SettingsSource {
+    /// Returns the unparsed settings. They are compared to notice a change.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they can't be read.
+    fn read(&self) -> io::Result<Vec<u8>>;
+
+    /// Loads the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns why they can't be read, or what is invalid.
+    fn load(&self) -> Result<NodeSettings, String>;
+}
+
 /// The platform that a node runs on.
 pub struct Platform {
     /// Contacts of the nodes and the routes, in the platform's store.
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -12,14 +12,19 @@
 use slog::{info, warn};
 
 use crate::{
-    clock, fleet,
+    clock,
+    external::SettingsSource,
+    fleet,
     node::Node,
-    settings::{FleetRetryBudget, NodeSettings, StopLimits},
+    settings::{FleetRetryBudget, NodeSettings, Routing, StopLimits},
 };
 
 /// Milliseconds in a second.
 const MILLIS_PER_SECOND: u64 = 1_000;
 
+/// Interval between checks whether the settings have changed without a signal, in milliseconds.
+const CHANGE_CHECK_INTERVAL_MS: u64 = 500;
+
 /// Settings that a reload changes, except for the service.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReloadableSettings {
@@ -74,30 +79,49 @@
     })
 }
 
-/// Reloads the settings on each SIGHUP, until the process exits.
-pub(crate) fn reload_on_sighup(
-    node: &Rc<Node>,
-    reload: Box<dyn Fn() -> Result<NodeSettings, String>>,
-) -> io::Result<()> {
+/// Reloads the settings on each SIGHUP, until the process exits. On the platform, which may change them
+/// without a signal, also when they have changed.
+pub(crate) fn spawn_reloads(node: &Rc<Node>, source: Box<dyn SettingsSource>) -> io::Result<()> {
     let mut hangup = signal(SignalKind::hangup())?;
     let node = Rc::clone(node);
     record_load(&node);
+    let is_watched = node.settings.routing == Routing::ByRouteTable;
     actix_rt::spawn(async move {
-        while hangup.recv().await.is_some() {
-            let checked = reload().and_then(|new| check_settings(&node.settings, new));
-            match checked {
-                Ok(settings) => apply_settings(&node, settings),
-                Err(e) => {
-                    node.metrics.count("settings.reload_error");
-                    warn!(node.logger, "settings not reloaded; the old ones stay"; "error" => &e);
-                    node.settings_state.last_error.replace(Some(e));
-                }
+        let mut last_read = source.read().ok();
+        loop {
+            let check_at = node.now().saturating_add_millis(CHANGE_CHECK_INTERVAL_MS);
+            let is_signalled = tokio::select! {
+                signal = hangup.recv() => match signal {
+                    Some(()) => true,
+                    None => return,
+                },
+                () = node.clock.sleep_until(check_at), if is_watched => false,
+            };
+            let read = source.read().ok();
+            // A file that is being replaced may be missing for a moment.
+            if is_signalled || (read.is_some() && read != last_read) {
+                last_read = read;
+                reload(&node, &*source);
             }
         }
     });
     Ok(())
 }
 
+fn reload(node: &Node, source: &dyn SettingsSource) {
+    let checked = source
+        .load()
+        .and_then(|new| check_settings(&node.settings, new));
+    match checked {
+        Ok(settings) => apply_settings(node, settings),
+        Err(e) => {
+            node.metrics.count("settings.reload_error");
+            warn!(node.logger, "settings not reloaded; the old ones stay"; "error" => &e);
+            node.settings_state.last_error.replace(Some(e));
+        }
+    }
+}
+
 /// Returns `new` unless it belongs to another node or lacks what the running node has. Both are
 /// signs of a file that is being written.
 fn check_settings(old: &NodeSettings, new: NodeSettings) -> Result<NodeSettings, String> {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -165,7 +165,7 @@
     let listeners = Listeners::open(&settings).await?;
     let ExternalSystems {
         log,
-        reload,
+        settings: settings_source,
         platform,
     } = external_systems;
     let node = build_node(settings, keys, log, logger, listeners.peer_udp)?;
@@ -199,7 +199,7 @@
         Some(platform) => spawn_platform_tasks(&node, &platform, listeners.control),
         None => spawn_log_tasks(&node),
     }
-    reload::reload_on_sighup(&node, reload).context(SetupSnafu { what: "signals" })?;
+    reload::spawn_reloads(&node, settings_source).context(SetupSnafu { what: "signals" })?;
     stop::wait_for_stop_signal(&node)
         .await
         .context(SetupSnafu { what: "signals" })?;
