Guard: send a request again only to the target it was dispatched to

Callers saw: a target fell silent, and a target of another service took its address.

Change: try_resend gets the generation of the target at the dispatch, and refuses if it differs. The same is checked again after the new connection was opened.

--- a/crates/core/src/admission/start_rate.rs
+++ b/crates/core/src/admission/start_rate.rs
@@ -60,11 +60,11 @@
         true
     }
 
-    /// Returns whether a request that was dispatched may be sent once more, and counts it against
-    /// the rate limits and the budget for such sends.
-    pub fn try_resend(&mut self, now: Instant) -> bool {
+    /// Returns whether a request that was dispatched to the target of this generation may be sent once
+    /// more, and counts it against the rate limits and the budget for such sends.
+    pub fn try_resend(&mut self, now: Instant, target_generation: u64) -> bool {
         let is_allowed = self.next_limited_start() <= now
-            && self.closed.is_none()
+            && self.is_open_for_resend(target_generation)
             && !self.have_starts_ended(now)
             && self.resends.try_take();
         if is_allowed {
@@ -73,6 +73,12 @@
         is_allowed
     }
 
+    /// Returns whether a request that was dispatched to the target of this generation may still be sent
+    /// there. Another target, even of another service, may have its address by now.
+    pub fn is_open_for_resend(&self, target_generation: u64) -> bool {
+        self.closed.is_none() && self.target_generation == target_generation
+    }
+
     /// Returns whether the health of the target must be checked periodically although no request
     /// arrives, because queued requests wait for a slow host or will start at a target that may become
     /// cold meanwhile.
--- a/crates/core/tests/admission_closed.rs
+++ b/crates/core/tests/admission_closed.rs
@@ -80,7 +80,11 @@
         offer(&mut guard, 4),
         eq(Admission::Refused(RefuseReason::Evacuated))
     );
-    expect_false!(guard.try_resend(NOW), "a resend of the request in flight");
+    let target = guard.target_generation();
+    expect_false!(
+        guard.try_resend(NOW, target),
+        "a resend of the request in flight"
+    );
     let load = guard.load_sample(NOW);
     expect_that!((load.in_flight, load.queued), eq((1, 0)));
     let outcome = ExchangeOutcome::Completed {
--- a/crates/core/tests/admission_leave.rs
+++ b/crates/core/tests/admission_leave.rs
@@ -235,7 +235,8 @@
     let wakeups = guard.expire(Instant::from_millis(3_000));
     expect_that!(wakeups, elements_are![eq(&refused(2)), eq(&refused(3))]);
     expect_that!(finish_first(&mut guard, 3_100), is_empty());
-    expect_false!(guard.try_resend(Instant::from_millis(3_100)));
+    let target = guard.target_generation();
+    expect_false!(guard.try_resend(Instant::from_millis(3_100), target));
 }
 
 /// Guards against a queued request that waits in vain for a target which leaves before its turn.
--- a/crates/core/tests/admission_rate.rs
+++ b/crates/core/tests/admission_rate.rs
@@ -174,9 +174,10 @@
 #[gtest]
 fn repeated_sends_count_against_the_limit() {
     let mut guard = guard_with_target();
-    expect_that!(guard.try_resend(at(0)), eq(true));
+    let target = guard.target_generation();
+    expect_that!(guard.try_resend(at(0), target), eq(true));
     state_limit(&mut guard, at(0), Some(1.0));
-    expect_that!(guard.try_resend(at(0)), eq(true));
-    expect_that!(guard.try_resend(at(0)), eq(false));
-    expect_that!(guard.try_resend(at(1_000)), eq(true));
+    expect_that!(guard.try_resend(at(0), target), eq(true));
+    expect_that!(guard.try_resend(at(0), target), eq(false));
+    expect_that!(guard.try_resend(at(1_000), target), eq(true));
 }
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -73,7 +73,7 @@
         .clock
         .timeout_at(
             req.deadline,
-            exchange_with_target(node, link, &mut req, target_conn),
+            exchange_with_target(node, link, &mut req, target_conn, slot.target_generation()),
         )
         .await;
     let reason = match end {
@@ -147,6 +147,7 @@
     link: &mut ExchangeLink,
     req: &mut PendingRequest,
     target_conn: Connection,
+    target_generation: u64,
 ) -> ExchangeEnd {
     let may_resend = req.head.idempotent && target_conn.reused && is_replayable(req);
     let target_addr = target_conn.addr();
@@ -155,7 +156,8 @@
     if !may_resend || !matches!(end, ExchangeEnd::Closed) {
         return end;
     }
-    if !node.guard.borrow_mut().try_resend(node.now()) {
+    let now = node.now();
+    if !node.guard.borrow_mut().try_resend(now, target_generation) {
         return end;
     }
     // The target may close an idle connection while a request is being sent on it. An
@@ -164,7 +166,7 @@
         return end;
     };
     config_recheck::wait_after_suspension(node).await;
-    if node.guard.borrow().closed().is_some() {
+    if !node.guard.borrow().is_open_for_resend(target_generation) {
         return end;
     }
     node.metrics.count("guard.reopened");
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -30,6 +30,7 @@
 mod platform_reload;
 mod platform_stop;
 mod quotas;
+mod replaced_targets;
 mod requests;
 mod response_parts;
 mod route_dry_run;
