--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -8,6 +8,7 @@
 mod relay;
 mod relay_time;
 mod request;
+mod response_owner;
 mod slot;
 mod target_headers;
 
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -6,8 +6,7 @@
 use futures_util::FutureExt;
 use plantainpost_core::admission::{ExchangeOutcome, RefuseReason, RequestKey};
 use plantainpost_http1::{
-    self as http1, BodyPart, Connection, Framing, ResponseBody, ResponseError,
-    ResponseHead as TargetResponseHead,
+    BodyPart, Connection, Framing, ResponseBody, ResponseError, ResponseHead as TargetResponseHead,
 };
 use plantainpost_wire::message::{
     BodyLength, FailReason, MAX_BODY_FRAME_BYTES, PeerMessage, PeerResponseHead,
@@ -20,6 +19,7 @@
     link::{ExchangeLink, LinkEvent},
     relay_time::RelayTime,
     request::{PendingRequest, discard_body_rest, handle_link_event, send_refusal},
+    response_owner::{MISDIRECTED_REQUEST, ResponseOwner, response_owner, says_not_run},
     slot::Slot,
     target_headers::record_target_headers,
 };
@@ -28,9 +28,6 @@
 /// Status with which a target sheds load, and of a health check that fails.
 pub(super) const SERVICE_UNAVAILABLE: u16 = 503;
 
-/// Status with which a target refuses a request that is meant for another target.
-const MISDIRECTED_REQUEST: u16 = 421;
-
 /// Responses to earlier requests that are discarded on one connection.
 const MAX_STRAY_RESPONSES: usize = 4;
 
@@ -111,14 +108,6 @@
     fail_exchange(node, link, &mut req, reason).await
 }
 
-/// Returns `true` if the response says that the target did not run the request.
-fn says_not_run(node: &Node, head: &TargetResponseHead) -> bool {
-    let names = &node.settings.headers;
-    let not_run_header = names.not_run;
-    not_run_header.is_some_and(|name| http1::header_value(&head.headers, name).is_some())
-        || (names.expected_target.is_some() && head.status == MISDIRECTED_REQUEST)
-}
-
 /// Ends a request that the target refused to run, and tells the entry so.
 async fn handle_target_refusal(
     node: &Rc<Node>,
@@ -264,35 +253,6 @@
     }
 }
 
-/// The request that a received response belongs to.
-enum ResponseOwner {
-    ThisRequest,
-    OtherRequest,
-}
-
-/// Decides by the request id of a response whether it belongs to the request.
-///
-/// A target that echoes request ids omits the id only when it refuses a request. On a connection
-/// that has carried other requests, such a refusal may be a copy of an earlier one, while the target
-/// runs this request.
-fn response_owner(
-    node: &Node,
-    req: &PendingRequest,
-    head: &TargetResponseHead,
-    is_reused: bool,
-) -> ResponseOwner {
-    let names = &node.settings.headers;
-    if !names.callers_choose_id {
-        return ResponseOwner::ThisRequest;
-    }
-    let request_id = http1::header_value(&req.head.headers, names.request_id);
-    match http1::header_value(&head.headers, names.request_id) {
-        Some(response_id) if Some(response_id) == request_id => ResponseOwner::ThisRequest,
-        None if says_not_run(node, head) && !is_reused => ResponseOwner::ThisRequest,
-        _ => ResponseOwner::OtherRequest,
-    }
-}
-
 async fn discard_body(target_conn: Connection, head: &TargetResponseHead) -> Option<Connection> {
     let mut body = target_conn.into_body(head);
     let mut remaining = MAX_STRAY_BODY_BYTES;
