Guard: read the answer of a target that reads no more of the upload

Callers saw: a target answered a long upload without reading on. The caller waited until its deadline for a 504. The same came of a long answer that was sent before the upload was read.

Cause: the guard wrote a piece of the upload and did nothing else until the socket had taken it. With full buffers it waited for the target to read, and the answer, which had arrived, was not read. A target that writes a long answer first and the guard waited for each other.

Change: while the socket takes no byte, the guard reads. When the head of an answer arrives, it stops sending the upload, and does not use the connection again. Informational responses do not stop it.

--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -27,10 +27,8 @@
 /// An open connection to a server.
 pub struct Connection {
     io: TcpStream,
-    buf: BytesMut,
+    received: Received,
     addr: SocketAddr,
-    /// Length of the informational responses since the last head that was returned, in bytes.
-    informational_bytes: usize,
     /// Whether the current request has a body.
     has_request_body: bool,
     /// Whether a write has failed. The operating system reports a reset only once, and later reads see
@@ -41,6 +39,14 @@
     pub reused: bool,
 }
 
+/// What was received on a connection and not returned.
+#[derive(Default)]
+struct Received {
+    buf: BytesMut,
+    /// Length of the informational responses since the last head that was returned, in bytes.
+    informational_bytes: usize,
+}
+
 /// Why no response head was received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseError {
@@ -81,9 +87,8 @@
         socket::set_tcp_keepalive(&io)?;
         Ok(Connection {
             io,
-            buf: BytesMut::new(),
+            received: Received::default(),
             addr,
-            informational_bytes: 0,
             has_request_body: false,
             has_write_failed: false,
             reused: false,
@@ -100,7 +105,7 @@
     pub fn is_open_and_idle(&self) -> bool {
         let mut probe = [0; 1];
         match self.io.try_read(&mut probe) {
-            Err(e) => e.kind() == io::ErrorKind::WouldBlock && self.buf.is_empty(),
+            Err(e) => e.kind() == io::ErrorKind::WouldBlock && self.received.buf.is_empty(),
             Ok(_) => false,
         }
     }
@@ -143,16 +148,48 @@
 
     /// Sends some bytes of the body, as one chunk if the body is chunked.
     ///
+    /// A server may respond to a request with `method` and take no more of its body. If it has begun the
+    /// response while no byte can be sent, the head of the response is returned, and the rest of the
+    /// body can't be sent any more.
+    ///
     /// # Errors
     ///
-    /// Returns an error if the connection fails.
-    pub async fn send_body_data(&mut self, data: &Bytes, framing: Framing) -> io::Result<()> {
-        if framing != Framing::Chunked {
-            return self.write_all(data).await;
+    /// Returns an error if the connection fails, or the server sends something else than a response
+    /// while no byte can be sent.
+    pub async fn send_body_data(
+        &mut self,
+        method: &str,
+        data: &Bytes,
+        framing: Framing,
+    ) -> io::Result<Option<ResponseHead>> {
+        let chunk;
+        let mut unsent = &data[..];
+        if framing == Framing::Chunked {
+            let mut out = Vec::with_capacity(data.len() + 16);
+            push_body_data(&mut out, data, framing);
+            chunk = out;
+            unsent = &chunk;
         }
-        let mut out = Vec::with_capacity(data.len() + 16);
-        push_body_data(&mut out, data, framing);
-        self.write_all(&out).await
+        while !unsent.is_empty() {
+            let (io, received) = (&self.io, &mut self.received);
+            tokio::select! {
+                biased;
+                ready = io.writable() => ready?,
+                head = received.read_head(io, method) => {
+                    let failed = |_| io::Error::from(io::ErrorKind::ConnectionAborted);
+                    return head.map(Some).map_err(failed);
+                }
+            }
+            match self.io.try_write(unsent) {
+                Ok(count) => unsent = &unsent[count..],
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => (),
+                Err(e) => {
+                    self.has_write_failed = true;
+                    return Err(e);
+                }
+            }
+        }
+        Ok(None)
     }
 
     /// Finishes the body; a chunked one needs a final empty chunk.
@@ -198,6 +235,26 @@
     /// Returns an error if the connection ends first, the bytes are not a valid response head, or
     /// the server sends informational responses without end.
     pub async fn read_head(&mut self, method: &str) -> Result<ResponseHead, ResponseError> {
+        self.received.read_head(&self.io, method).await
+    }
+
+    /// Starts reading the body that follows `head`.
+    pub fn into_body(self, head: &ResponseHead) -> ResponseBody {
+        ResponseBody {
+            conn: self,
+            decoder: BodyDecoder::new(head.framing),
+            keep_alive: head.keep_alive,
+        }
+    }
+}
+
+impl Received {
+    /// See [`Connection::read_head`].
+    async fn read_head(
+        &mut self,
+        io: &TcpStream,
+        method: &str,
+    ) -> Result<ResponseHead, ResponseError> {
         loop {
             let buffered_bytes = self.buf.len();
             match head::parse_response_head(&mut self.buf, method, MAX_HEAD_BYTES) {
@@ -215,7 +272,7 @@
                 Ok(None) => (),
                 Err(_) => return Err(ResponseError::Malformed),
             }
-            match self.read_when_ready().await {
+            match self.read_when_ready(io).await {
                 Ok(count) if count > 0 => (),
                 _ if self.buf.is_empty() => return Err(ResponseError::Closed),
                 _ => return Err(ResponseError::Malformed),
@@ -225,28 +282,19 @@
 
     /// Reads what the socket has received. An empty buffer is freed while the connection waits, because
     /// many connections wait for responses at the same time. This method is cancel safe.
-    async fn read_when_ready(&mut self) -> io::Result<usize> {
+    async fn read_when_ready(&mut self, io: &TcpStream) -> io::Result<usize> {
         loop {
             if self.buf.is_empty() {
                 self.buf = BytesMut::new();
             }
-            self.io.readable().await?;
+            io.readable().await?;
             self.buf.reserve(READ_BUFFER_BYTES);
-            match self.io.try_read_buf(&mut self.buf) {
+            match io.try_read_buf(&mut self.buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => (),
                 result => return result,
             }
         }
     }
-
-    /// Starts reading the body that follows `head`.
-    pub fn into_body(self, head: &ResponseHead) -> ResponseBody {
-        ResponseBody {
-            conn: self,
-            decoder: BodyDecoder::new(head.framing),
-            keep_alive: head.keep_alive,
-        }
-    }
 }
 
 impl ResponseBody {
@@ -255,13 +303,13 @@
     /// This method is cancel safe: dropping the future loses no bytes.
     pub async fn next(&mut self) -> BodyPart {
         loop {
-            match self.decoder.decode(&mut self.conn.buf) {
+            match self.decoder.decode(&mut self.conn.received.buf) {
                 Ok(Decoded::Data(data)) => return BodyPart::Data(data),
                 Ok(Decoded::End) => return BodyPart::End,
                 Ok(Decoded::NeedMore) => (),
                 Err(_) => return BodyPart::Truncated,
             }
-            match self.conn.read_when_ready().await {
+            match self.conn.received.read_when_ready(&self.conn.io).await {
                 // A connection reset truncates even a body that ends with the connection.
                 Ok(0) if self.decoder.ends_with_connection() => {
                     return match self.conn.is_reset_after_end().await {
@@ -285,7 +333,7 @@
 impl Connection {
     /// Returns whether no bytes were received beyond the last response.
     pub fn has_no_unread_data(&self) -> bool {
-        self.buf.is_empty()
+        self.received.buf.is_empty()
     }
 }
 
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -203,16 +203,23 @@
     let mut stray_responses = 0;
     let is_reused = target_conn.reused;
     loop {
+        let mut early_head = None;
         while let Some(piece) = req.body.pieces.pop_front() {
-            if target_accepts_body && target_conn.send_body_data(&piece, length).await.is_err() {
-                target_accepts_body = false;
+            if target_accepts_body {
+                let sent = target_conn.send_body_data(&method, &piece, length).await;
+                target_accepts_body = matches!(sent, Ok(None));
+                early_head = sent.unwrap_or_default();
             }
         }
         if req.body.is_complete && target_accepts_body && !request_sent {
             target_accepts_body = target_conn.finish_body(length).await.is_ok();
             request_sent = target_accepts_body;
         }
-        match next_relay_event(link, req, &mut target_conn, &method).await {
+        let event = match early_head {
+            Some(head) => RelayEvent::ResponseHead(Ok(head)),
+            None => next_relay_event(link, req, &mut target_conn, &method).await,
+        };
+        match event {
             RelayEvent::Continues => (),
             RelayEvent::EntryGone => return ExchangeEnd::EntryGone,
             RelayEvent::ResponseHead(Ok(head)) => match response_owner(node, req, &head, is_reused)
--- a/tests/integration/early_answers.rs
+++ b/tests/integration/early_answers.rs
@@ -1,12 +1,19 @@
 //! Targets that answer an upload before they have read it.
 
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread,
+    time::Duration,
+};
+
 use googletest::prelude::*;
 use plantainpost_standin::process::wait_until;
 
 use crate::{
     fleet_fixture::WAIT_TIMEOUT,
     platform_fixture::{
-        PlatformFleet, ScriptedReply, ScriptedTarget, answer, body, exchange, header, request_head,
+        PlatformFleet, ScriptedReply, ScriptedTarget, answer, body, header, request_head,
     },
 };
 
@@ -40,13 +47,21 @@
     platform.announce(0, target, "i-1", *seq, "ready");
 }
 
+/// Sends an upload to a node and returns the answer, which is read while the upload is being sent.
 fn upload(platform: &PlatformFleet, i: usize, id: &str, length: usize) -> String {
     let headers = format!("Connection: close\r\nContent-Length: {length}\r\n");
     let head = request_head("POST", "/once/a", id, &headers);
-    exchange(
-        platform.hosts[i].callers,
-        &[head, vec![b'u'; length]].concat(),
-    )
+    let mut io = TcpStream::connect(platform.hosts[i].callers).expect("the node accepts");
+    io.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a timeout");
+    let mut tx = io.try_clone().expect("a second handle");
+    thread::spawn(move || {
+        // The node may close before it has read everything.
+        let _ = tx.write_all(&[head, vec![b'u'; length]].concat());
+    });
+    let mut text = Vec::new();
+    // A reset also ends the answer; what was received before it counts.
+    let _ = io.read_to_end(&mut text);
+    String::from_utf8_lossy(&text).into_owned()
 }
 
 /// Returns the start of an answer that ends with its connection.
@@ -154,3 +169,38 @@
         }
     }
 }
+
+/// Length of an upload and of an answer that do not fit into the buffers between two nodes, in bytes.
+const LONG_BYTES: usize = 9_000_000;
+
+/// Guards against an early answer and an upload that wait for each other, as the entry does not read the
+/// answer while the guard does not read the upload.
+#[gtest]
+fn long_early_answer_to_a_long_upload_is_delivered() {
+    let target = ScriptedTarget::start(|head| match head.starts_with("post /once/") {
+        true => ScriptedReply::Early(answer(head, "200 OK", &"x".repeat(LONG_BYTES))),
+        false => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
+    });
+    let platform = start_fleet(&target);
+    for i in [0, 1] {
+        let text = upload(&platform, i, &format!("l{i}"), LONG_BYTES);
+        expect_that!(text, starts_with("HTTP/1.1 200"), "{i}");
+        expect_that!(body(&text).len(), eq(LONG_BYTES), "{i}");
+    }
+}
+
+/// Guards against a caller that waits for its deadline because the target has stopped reading the upload
+/// before it answers.
+#[gtest]
+fn answer_of_a_target_that_reads_no_more_of_the_upload_is_delivered() {
+    let target = ScriptedTarget::start(|head| match head.starts_with("post /once/") {
+        true => ScriptedReply::Unread(Duration::from_millis(300), sized_answer(head)),
+        false => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
+    });
+    let platform = start_fleet(&target);
+    for i in [0, 1] {
+        let text = upload(&platform, i, &format!("n{i}"), LONG_BYTES);
+        expect_that!(text, starts_with("HTTP/1.1 200"), "{i}");
+        expect_that!(body(&text).len(), eq(ANSWER_BYTES), "{i}");
+    }
+}
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -37,6 +37,8 @@
     /// Writes these bytes before it reads the body, which must have a stated length, and keeps the
     /// connection open.
     Early(Vec<u8>),
+    /// Waits, writes these bytes, reads nothing more and keeps the connection open.
+    Unread(Duration, Vec<u8>),
     /// Reads the body, which must have a stated length, writes these bytes and closes the connection.
     CloseAfterBody(Vec<u8>),
     /// Writes the first bytes, then the second ones again and again until the node closes the
@@ -105,6 +107,12 @@
                 }
                 continue;
             }
+            ScriptedReply::Unread(pause, bytes) => {
+                thread::sleep(pause);
+                let _ = io.write_all(&bytes);
+                thread::sleep(WAIT_TIMEOUT);
+                return;
+            }
             ScriptedReply::CloseAfterBody(bytes) => match discard_body(&io, &head) {
                 Ok(()) => (bytes, false),
                 Err(_) => return,
