Entry: take the answer to an upload that the guard does not read on

Callers saw: a target on the host of the caller sent a long answer before it read a long upload.

Cause: the entry wrote a piece of the upload and did nothing else until the guard had taken it. The guard had begun to pass on the answer and reads the upload only after it. With full buffers, of eight messages within one process, each waited for the other.

Change: while a piece of the upload is being written, the entry reads. If a reply arrives, it stops sending and passes the reply on; the connection is not used again, as for any reply before the end of the upload.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -397,15 +397,35 @@
                 None => continue,
             },
         };
-        match piece {
-            Ok(Some(piece)) => conn.tx.write(&PeerMessage::Body(piece)).await?,
-            Ok(None) => {
-                conn.tx
-                    .write(&body_end(body_rest.forwarded_bytes()))
-                    .await?;
-                return Ok(None);
-            }
+        let msg = match piece {
+            Ok(Some(piece)) => PeerMessage::Body(piece),
+            Ok(None) => body_end(body_rest.forwarded_bytes()),
             Err(reason) => return Ok(Some(GuardReply::BadRequest(reason))),
+        };
+        let reply = write_unless_answered(key, conn, &msg).await?;
+        if reply.is_some() || matches!(msg, PeerMessage::BodyEnd { .. }) {
+            return Ok(reply);
+        }
+    }
+}
+
+/// Sends a message, or gives it up if the guard replies before it is sent. A guard that has begun a
+/// response reads on only when the response is taken.
+async fn write_unless_answered(
+    key: RequestKey,
+    conn: &mut PeerConn,
+    msg: &PeerMessage,
+) -> Result<Option<GuardReply>, FrameError> {
+    let (rx, tx) = (&mut conn.rx, &mut conn.tx);
+    let mut write = std::pin::pin!(tx.write(msg));
+    loop {
+        let received = tokio::select! {
+            biased;
+            written = &mut write => return written.map(|()| None),
+            received = rx.read() => received?,
+        };
+        if let Some(reply) = guard_reply(key, received) {
+            return Ok(Some(reply));
         }
     }
 }
