Guard: pass on an early refusal without a length

Callers saw: nothing yet; found on reading the change. Since an answer without a length that begins before the whole request was sent ends as unframed, a target that refused an upload in this form was reported as an unknown outcome, 502, although its refusal says that the request was not run.

Cause: the check came before the refusal was looked at. A refusal needs no body, so its end does not matter.

--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -162,14 +162,15 @@
         data: &Bytes,
         framing: Framing,
     ) -> io::Result<Option<ResponseHead>> {
-        let chunk;
-        let mut unsent = &data[..];
-        if framing == Framing::Chunked {
-            let mut out = Vec::with_capacity(data.len() + 16);
-            push_body_data(&mut out, data, framing);
-            chunk = out;
-            unsent = &chunk;
-        }
+        let bytes = match framing {
+            Framing::Chunked => {
+                let mut chunk = Vec::with_capacity(data.len() + 16);
+                push_chunk(&mut chunk, data);
+                Bytes::from(chunk)
+            }
+            Framing::None | Framing::Sized(_) | Framing::UntilClose => data.clone(),
+        };
+        let mut unsent = &bytes[..];
         while !unsent.is_empty() {
             let (io, received) = (&self.io, &mut self.received);
             tokio::select! {
--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -225,7 +225,9 @@
             RelayEvent::ResponseHead(Ok(head)) => match response_owner(node, req, &head, is_reused)
             {
                 ResponseOwner::ThisRequest
-                    if head.framing == Framing::UntilClose && !request_sent =>
+                    if head.framing == Framing::UntilClose
+                        && !request_sent
+                        && !says_not_run(node, &head) =>
                 {
                     return ExchangeEnd::Unframed;
                 }
--- a/tests/integration/early_answers.rs
+++ b/tests/integration/early_answers.rs
@@ -204,3 +204,26 @@
         expect_that!(body(&text).len(), eq(ANSWER_BYTES), "{i}");
     }
 }
+
+/// Guards against an early refusal without a length that is reported as an unknown outcome. Its head
+/// says that the request was not run, and its body is not passed on.
+#[gtest]
+fn early_refusal_without_a_length_is_passed_on() {
+    let target = ScriptedTarget::start(|head| match head.starts_with("post /once/") {
+        true => {
+            let id = header(head, "plantainpost-request-id");
+            let refusal = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nPlantainpost-Request-Id: {id}\r\n\
+                 Plantainpost-Not-Run: 1\r\n\r\n"
+            );
+            ScriptedReply::Unread(Duration::ZERO, refusal.into_bytes())
+        }
+        false => ScriptedReply::Keep(answer(head, "200 OK", "stock")),
+    });
+    let platform = start_fleet(&target);
+    for i in [0, 1] {
+        let text = upload(&platform, i, &format!("r{i}"), LONG_BYTES);
+        expect_that!(text, starts_with("HTTP/1.1 503"), "{i}");
+        expect_that!(text, contains_substring("target-refused"), "{i}");
+    }
+}
