--- a/crates/node/src/entry/conn.rs
+++ b/crates/node/src/entry/conn.rs
@@ -15,12 +15,13 @@
 };
 use plantainpost_wire::{frame, message::BodyLength};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt, Interest},
+    io::{AsyncReadExt, AsyncWriteExt},
     net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     sync::mpsc,
 };
 
 use super::{
+    caller_close::wait_until_closed,
     caller_write::write_to_caller,
     listener::is_from_own_host,
     response,
@@ -29,7 +30,7 @@
         response_channel,
     },
 };
-use crate::{clock::Clock, node::Node};
+use crate::node::Node;
 
 /// Requests of one connection that run at the same time. Further ones are not read.
 const MAX_PIPELINED_REQUESTS: usize = 16;
@@ -50,10 +51,6 @@
 /// could lose the last response.
 const LINGERING_CLOSE_MS: u64 = 1_000;
 
-/// Interval between checks whether a caller has closed a connection that is not being read, in
-/// milliseconds.
-const CLOSE_CHECK_INTERVAL_MS: u64 = 100;
-
 /// A request received on a connection, whose body may still be arriving.
 pub(crate) struct IncomingRequest {
     pub(crate) head: RequestHead,
@@ -112,8 +109,7 @@
     SocketBytes,
     /// Room in the queue to the task that reads the body, or the end of the connection.
     BodyReader,
-    /// Responses, because no further request may start until one is complete, or the end of the
-    /// connection.
+    /// Responses, because no further request may start before one ends, or the end of the connection.
     Responses,
     /// Nothing: no further request is accepted, and input is discarded.
     Closed,
@@ -181,17 +177,6 @@
     Closing,
 }
 
-/// Waits until the caller closes or resets the connection, without reading from it.
-async fn wait_until_closed(clock: Clock, rx: &OwnedReadHalf) {
-    // Unread bytes keep the socket readable, so no event announces the close behind them.
-    while let Ok(ready) = rx.ready(Interest::READABLE).await
-        && !ready.is_read_closed()
-    {
-        let next_check = clock.now().saturating_add_millis(CLOSE_CHECK_INTERVAL_MS);
-        clock.sleep_until(next_check).await;
-    }
-}
-
 impl CallerConn {
     async fn run(&mut self) -> ConnEnd {
         loop {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod body_remainder;
+mod caller_close;
 mod caller_request;
 mod caller_write;
 mod conn;
