Guard: accept an answer without a length once the stated length was sent

A target read a whole upload and answered without a length, and the caller got 502, reason unframed.

Cause: the guard took the request for sent only after the entry's message about the end of the body. A target can answer the last byte of a body with a stated length before that message arrives.

Change: for such a body it is enough that as many bytes were sent as the head states. A chunked body needs its end.

--- a/crates/node/src/guard/relay.rs
+++ b/crates/node/src/guard/relay.rs
@@ -226,7 +226,7 @@
             {
                 ResponseOwner::ThisRequest
                     if head.framing == Framing::UntilClose
-                        && !request_sent
+                        && !(request_sent || target_accepts_body && has_stated_length(req))
                         && !says_not_run(node, &head) =>
                 {
                     return ExchangeEnd::Unframed;
@@ -262,6 +262,12 @@
     }
 }
 
+/// Returns whether as many bytes of the body were received as its head states. The target can answer
+/// them before the entry's message about the end of the body arrives.
+fn has_stated_length(req: &PendingRequest) -> bool {
+    req.head.body == BodyLength::Sized(req.body.received_bytes)
+}
+
 async fn discard_body(target_conn: Connection, head: &TargetResponseHead) -> Option<Connection> {
     let mut body = target_conn.into_body(head);
     let mut remaining = MAX_STRAY_BODY_BYTES;
