Store: count and log reads of records that the store does not have

Of the reads that failed, only the first left a line, and reads answered with 410 left none, so that a reader in a loop of such reads looked healthy. A counter and a line now tell such reads and where they began; the end of an outage states how many calls failed.

--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -54,24 +54,26 @@
 
 /// Logs when the store becomes unavailable and available again.
 struct StoreAvailability {
-    is_up: bool,
     task: &'static str,
+    /// Calls that have failed since the last successful one.
+    failed_calls: u64,
 }
 
 impl StoreAvailability {
     /// Records the result of a call that began at `started_at`.
     fn update(&mut self, node: &Node, started_at: Instant, error: Option<&StoreError>) {
-        if error.is_none() == self.is_up {
-            return;
-        }
-        self.is_up = error.is_none();
-        let micros = node.now().micros_since(started_at);
-        match error {
-            None => info!(node.logger, "the store answers again"; "task" => self.task),
-            Some(e) => {
-                warn!(node.logger, "the store does not answer"; "task" => self.task, "error" => %e,
-                    "us" => micros);
+        let Some(e) = error else {
+            let failed_calls = std::mem::take(&mut self.failed_calls);
+            if failed_calls > 0 {
+                info!(node.logger, "the store answers again"; "task" => self.task,
+                    "failed_calls" => failed_calls);
             }
+            return;
+        };
+        self.failed_calls += 1;
+        if self.failed_calls == 1 {
+            warn!(node.logger, "the store does not answer"; "task" => self.task, "error" => %e,
+                "us" => node.now().micros_since(started_at));
         }
     }
 }
@@ -88,8 +90,8 @@
     };
     let mut backoff = Backoff::new();
     let mut availability = StoreAvailability {
-        is_up: true,
         task: "join",
+        failed_calls: 0,
     };
     loop {
         let started_at = node.now();
@@ -125,10 +127,12 @@
 pub(crate) async fn follow_routes(node: Rc<Node>, store: Rc<dyn FleetStore>) {
     let mut backoff = Backoff::new();
     let mut availability = StoreAvailability {
-        is_up: true,
         task: "routes",
+        failed_calls: 0,
     };
     let mut from: Option<u64> = None;
+    // Reads in a row of records that the store does not have.
+    let mut expired_reads = 0_u32;
     let mut may_read_from = None;
     loop {
         let mut started_at = node.now();
@@ -152,13 +156,24 @@
             Ok(published) => {
                 availability.update(&node, started_at, None);
                 backoff = Backoff::new();
+                if published.from.is_some() {
+                    expired_reads = 0;
+                }
                 node.members.borrow_mut().set_store_reads_fail(false);
                 from = Some(published.read_to);
                 let first_reader_at = node.now().saturating_add_millis(FIRST_READER_DELAY_MS);
                 may_read_from.get_or_insert(first_reader_at);
                 apply_published(&node, published).await;
             }
-            Err(StoreError::Expired) => from = None,
+            Err(e @ StoreError::Expired) => {
+                node.metrics.count("store.expired");
+                if expired_reads == 0 {
+                    warn!(node.logger, "records of the store are missing"; "error" => %e,
+                        "from" => from, "read_to" => node.config.borrow().read_to());
+                }
+                expired_reads += 1;
+                from = None;
+            }
             Err(e) => {
                 node.metrics.count("store.read_error");
                 availability.update(&node, started_at, Some(&e));
