Entry: state the version of the routes in traces and refusals

`explain` did not state it and kept no trace of requests that were refused on receipt, and the `request refused` line of a stopping node left it out.

Change: a trace has `version`, the version of the routes by which the request was routed or refused; null where services are addressed by name and before the first routes. Requests that are refused on receipt have a trace as well, with the reason. Their line, trace and response come from one place, `RefusedRequest::finish`, which gets the version as it was when the policy of the request was determined, not when the refusal is logged: the routes may change while a body is read. The lines of a stopping node now state the status, too. A routed request copies a number; only refusals on receipt push a trace.

Result: without the change, explain_states_the_version_of_the_routes finds no version in the traces of requests before and after a change of the routes and of a 503, no trace at all of refusals with `no-configuration` and `no-route`, and no version in the line of the reason `stopping`; explain_shows_requests_and_targets misses the field.

--- a/crates/node/src/entry/caller_request.rs
+++ b/crates/node/src/entry/caller_request.rs
@@ -103,6 +103,12 @@
             workspace: workspace.map_or(&[], |workspace| &workspace.allowed_regions),
         }
     }
+
+    /// Returns the version of the routes that the policy comes from; `None` when requests are routed by
+    /// service name.
+    pub(crate) fn routes_version(&self) -> Option<u64> {
+        self.route.as_ref().map(|_| self.version)
+    }
 }
 
 /// A validated request, ready to be sent to a guard.
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -43,10 +43,10 @@
     caller_request::{BadRequest, CallerRequest, RequestPolicy},
     conn::{IncomingRequest, RequestBody},
     hedge::{HedgePlan, wait_for_hedge},
+    outcome::RefusedRequest,
     response::LocalResponse,
-    response_writer::ResponseWriter,
+    response_writer::{CallerGone, ResponseWriter},
 };
-use slog::info;
 use tokio::sync::Notify;
 
 use crate::{
@@ -70,34 +70,40 @@
         writer,
     } = incoming;
     let id = caller_request::new_request_id();
-    if node.stop.is_closing() {
-        let public_id = caller_request::public_id(&node, id, &head);
-        return refuse_at_stop(&node, &public_id, writer).await;
-    }
     let public_id = caller_request::public_id(&node, id, &head);
-    let policy = caller_request::request_policy(&node, &head, is_from_own_host).await;
-    let request =
-        receive_before_timeout(&node, id, &public_id, policy, received_at, head, body).await;
-    let sent = match request {
-        Ok(request) => {
-            let request = Rc::new(request);
-            let workspace = request.policy.workspace.as_ref();
-            let credit = quota::take_credit(&node, workspace, request.deadline).await;
-            let mut execution = RequestExecution::new(&node, &request);
-            let end = execution.run_with_credit(credit).await;
-            execution.finish_request(end, writer).await
-        }
-        Err(response) => {
-            node.metrics.count("entry.bad_request");
-            if response.status == StatusCode::UNAUTHORIZED {
-                node.metrics.count("entry.unauthorized");
+    let refused = |version| RefusedRequest {
+        id,
+        public_id: &public_id,
+        received_at,
+        version,
+    };
+    let sent = if node.stop.is_closing() {
+        node.metrics.count("entry.refused_at_stop");
+        // The response to a request that arrives now could be truncated.
+        let response = LocalResponse {
+            close: true,
+            ..LocalResponse::not_run("stopping")
+        };
+        let refused = refused(routes_version(&node));
+        refused.finish(&node, response, writer).await
+    } else {
+        let policy = caller_request::request_policy(&node, &head, is_from_own_host).await;
+        // Taken before the body is read, as the routes may change meanwhile.
+        let version = match &policy {
+            Ok(policy) => policy.routes_version(),
+            Err(_) => routes_version(&node),
+        };
+        let request =
+            receive_before_timeout(&node, id, &public_id, policy, received_at, head, body).await;
+        match request {
+            Ok(request) => run_request(&node, request, writer).await,
+            Err(response) => {
+                node.metrics.count("entry.bad_request");
+                if response.status == StatusCode::UNAUTHORIZED {
+                    node.metrics.count("entry.unauthorized");
+                }
+                refused(version).finish(&node, response, writer).await
             }
-            info!(node.logger, "request refused"; "request" => %String::from_utf8_lossy(&public_id),
-                "status" => response.status.as_u16(), "reason" => response.reason,
-                "version" => node.config.borrow().routes().map(|table| table.version()));
-            response
-                .send(&node.settings.headers, &public_id, writer)
-                .await
         }
     };
     if sent.is_err() {
@@ -105,23 +111,24 @@
     }
 }
 
-/// Refuses a request that arrives after the node began to close connections for its stop, as
-/// its response could be truncated.
-async fn refuse_at_stop(node: &Node, public_id: &Bytes, writer: ResponseWriter) {
-    node.metrics.count("entry.refused_at_stop");
-    let response = LocalResponse {
-        close: true,
-        ..LocalResponse::not_run("stopping")
-    };
-    info!(node.logger, "request refused"; "request" => %String::from_utf8_lossy(public_id),
-        "reason" => response.reason);
-    if response
-        .send(&node.settings.headers, public_id, writer)
-        .await
-        .is_err()
-    {
-        node.metrics.count("entry.caller_gone");
-    }
+/// Returns the version of the routes in force, if there are any.
+fn routes_version(node: &Node) -> Option<u64> {
+    let config = node.config.borrow();
+    config.routes().map(|table| table.version())
+}
+
+/// Runs a request within the quota of its workspace and sends the response.
+async fn run_request(
+    node: &Rc<Node>,
+    request: CallerRequest,
+    writer: ResponseWriter,
+) -> Result<(), CallerGone> {
+    let request = Rc::new(request);
+    let workspace = request.policy.workspace.as_ref();
+    let credit = quota::take_credit(node, workspace, request.deadline).await;
+    let mut execution = RequestExecution::new(node, &request);
+    let end = execution.run_with_credit(credit).await;
+    execution.finish_request(end, writer).await
 }
 
 /// Validates a request and reads the start of its body within the timeout of its policy.
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -1,5 +1,7 @@
 //! The end of a request: its response, metrics, log line and trace.
 
+use bytes::Bytes;
+use plantainpost_core::{ids::RequestId, time::Instant};
 use plantainpost_wire::message::FailReason;
 use slog::info;
 
@@ -11,10 +13,49 @@
     response_writer::{CallerGone, ResponseWriter},
 };
 use crate::{
+    node::Node,
     trace::{AttemptTrace, RequestTrace},
     workspace_usage,
 };
 
+/// A request that is refused on receipt: because of its head, key or body, the lack of routes, or the stop of
+/// the node.
+pub(super) struct RefusedRequest<'a> {
+    pub(super) id: RequestId,
+    pub(super) public_id: &'a Bytes,
+    pub(super) received_at: Instant,
+    /// Version of the routes by which the request is refused, if there are any.
+    pub(super) version: Option<u64>,
+}
+
+impl RefusedRequest<'_> {
+    /// Records the refusal and sends the response.
+    pub(super) async fn finish(
+        self,
+        node: &Node,
+        response: LocalResponse,
+        writer: ResponseWriter,
+    ) -> Result<(), CallerGone> {
+        info!(node.logger, "request refused"; "request" => %String::from_utf8_lossy(self.public_id),
+            "status" => response.status.as_u16(), "reason" => response.reason,
+            "version" => self.version);
+        node.traces.borrow_mut().push(RequestTrace {
+            id: self.id,
+            service: None,
+            method: None,
+            idempotent: None,
+            version: self.version,
+            outcome: response.outcome.as_str(),
+            reason: Some(response.reason),
+            micros: node.now().micros_since(self.received_at),
+            attempts: Vec::new(),
+        });
+        response
+            .send(&node.settings.headers, self.public_id, writer)
+            .await
+    }
+}
+
 impl RequestExecution<'_> {
     pub(super) fn record_attempt(&mut self, attempt: &Attempt, end: &AttemptEnd) {
         self.traces.push(AttemptTrace {
@@ -80,10 +121,12 @@
             "result" => end.describe(), "attempts" => attempts.join(", "), "us" => micros);
         node.traces.borrow_mut().push(RequestTrace {
             id: request.id,
-            service: request.policy.service.as_str().to_owned(),
-            method: request.method.clone(),
-            idempotent: request.policy.idempotent,
+            service: Some(request.policy.service.as_str().to_owned()),
+            method: Some(request.method.clone()),
+            idempotent: Some(request.policy.idempotent),
+            version: request.policy.routes_version(),
             outcome: outcome.as_str(),
+            reason: None,
             micros,
             attempts: self.traces,
         });
--- a/crates/node/src/trace.rs
+++ b/crates/node/src/trace.rs
@@ -40,14 +40,19 @@
 pub(crate) struct RequestTrace {
     #[serde(skip)]
     pub(crate) id: RequestId,
-    /// Requested service.
-    pub(crate) service: String,
-    /// HTTP method.
-    pub(crate) method: String,
-    /// Whether the request may run more than once.
-    pub(crate) idempotent: bool,
+    /// Requested service; `None` if the request was refused on receipt.
+    pub(crate) service: Option<String>,
+    /// HTTP method; `None` like `service`.
+    pub(crate) method: Option<String>,
+    /// Whether the request may run more than once; `None` like `service`.
+    pub(crate) idempotent: Option<bool>,
+    /// Version of the routes by which the request was routed or refused. `None` if services are
+    /// addressed by name, and before the first routes.
+    pub(crate) version: Option<u64>,
     /// Outcome as reported to the caller.
     pub(crate) outcome: &'static str,
+    /// Why the request was refused on receipt; `None` for other requests.
+    pub(crate) reason: Option<&'static str>,
     /// Time until the head of the response, in microseconds.
     pub(crate) micros: u64,
     /// Attempts, in the order in which they ended.
--- a/tests/integration/platform.rs
+++ b/tests/integration/platform.rs
@@ -13,13 +13,15 @@
     log::LogFaults,
     process::{self, Signal},
 };
+use serde_json::Value;
 
 use crate::{
     acknowledged_leave::unix_ms,
+    evacuation_fixture::admin,
     fleet_fixture::WAIT_TIMEOUT,
     platform_fixture::{
         FIRST_BORN_MS, PlatformFleet, ScriptedReply, ScriptedTarget, answer, body, exchange,
-        header, request_head, start_process,
+        exchange_on, header, request_head, start_process,
     },
 };
 
@@ -113,6 +115,96 @@
     expect_that!(target.received_heads().len(), eq(3));
 }
 
+/// Sends a request whose id the node chooses, as `explain` finds requests by that id. Returns the status
+/// and what `explain` says about the request: an error if it is not known.
+fn send_and_explain(platform: &PlatformFleet, path: &str) -> (String, Value) {
+    let head = format!("GET {path} HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\r\n");
+    let text = exchange(platform.hosts[0].callers, head.as_bytes()).to_lowercase();
+    let id = header(&text, "plantainpost-request-id");
+    let trace = admin(platform, 0, &format!("/v1/explain?request={id}"));
+    let status = text.split_whitespace().nth(1).unwrap_or_default();
+    (status.to_owned(), trace)
+}
+
+/// Guards against requests of which nothing tells by which version of the routes the node has handled
+/// them: one that was run by the service of older routes, or refused because of them, looks the same as
+/// one that arrived before the change (issue 49).
+#[gtest]
+fn explain_states_the_version_of_the_routes() {
+    let target = ScriptedTarget::start(|head| {
+        let answer = answer(head, "200 OK", "stock");
+        match head.starts_with("get /safe/slow ") {
+            true => ScriptedReply::After(Duration::from_secs(2), answer),
+            false => ScriptedReply::Keep(answer),
+        }
+    });
+    let set_grace = |_, text: &mut String| *text = text.replace("grace = 6 s", "grace = 4 s");
+    let platform = PlatformFleet::start_with_settings(1, |_, store| store, set_grace);
+    let (status, trace) = send_and_explain(&platform, "/safe/1");
+    expect_that!(status, eq("503"));
+    expect_that!(trace["reason"], eq("no-configuration"), "{trace}");
+    expect_that!(trace["version"], eq(&Value::Null), "{trace}");
+    let publish = |version: u64| {
+        platform.publish_routes(version);
+        process::wait_until("routes in force", WAIT_TIMEOUT, || {
+            admin(&platform, 0, "/v1/status")["routes"]["version"] == version
+        })
+        .expect("the routes are in force");
+    };
+    publish(4);
+    // No target is known.
+    let (status, trace) = send_and_explain(&platform, "/safe/1");
+    expect_that!(status, eq("503"));
+    expect_that!(trace["outcome"], eq("not-run"));
+    expect_that!(trace["version"], eq(4), "{trace}");
+    platform.announce(0, &target, "i-1", 1, "ready");
+    platform.wait_readyz(0, "200");
+    // The first request is at the target when the routes change.
+    let (status, trace) = thread::scope(|scope| {
+        let early = scope.spawn(|| send_and_explain(&platform, "/safe/slow"));
+        process::wait_until("the request reaches the target", WAIT_TIMEOUT, || {
+            target.received_heads().len() == 1
+        })
+        .expect("a request");
+        publish(5);
+        early.join().expect("no panic")
+    });
+    expect_that!(status, eq("200"));
+    expect_that!(trace["version"], eq(4), "{trace}");
+    let rows = [("/safe/2", "200", ""), ("/none/1", "404", "no-route")];
+    for (path, wanted, reason) in rows {
+        let (status, trace) = send_and_explain(&platform, path);
+        expect_that!(status, eq(wanted), "{path}");
+        expect_that!(trace["version"], eq(5), "{path}: {trace}");
+        let stated = trace["reason"].as_str().unwrap_or_default();
+        expect_that!(stated, eq(reason), "{path}: {trace}");
+    }
+    // A connection with an incomplete head stays open when the node closes the others. The node stops
+    // accepting requests 1.8 s after the signal, and waits 3 s for the rest of a head.
+    let host = &platform.hosts[0];
+    let mut io = TcpStream::connect(host.callers).expect("the node accepts");
+    io.write_all(b"GET /safe/4 HTTP/1.1\r\n")
+        .expect("the node reads");
+    host.process.signal(Signal::Term).expect("the process runs");
+    process::wait_until("the end of acceptance", WAIT_TIMEOUT, || {
+        admin(&platform, 0, "/v1/status")["guard"]["draining"] == true
+    })
+    .expect("the node closes its connections");
+    let text = exchange_on(io, b"Host: shop.example\r\n\r\n").to_lowercase();
+    expect_that!(header(&text, "plantainpost-reason"), eq("stopping"));
+    for (reason, version) in [
+        ("no-configuration", "None"),
+        ("no-route", "5"),
+        ("stopping", "5"),
+    ] {
+        let text = format!("reason: {reason}, ");
+        let line = host.process.wait_line(&text, WAIT_TIMEOUT).expect("a line");
+        expect_that!(line, contains_substring("request refused, version"));
+        let stated = format!("version: {version}, ");
+        expect_that!(line, contains_substring(stated.as_str()), "{reason}");
+    }
+}
+
 /// Guards against a body in an answer of the node itself to a `HEAD` request: on a kept connection its
 /// bytes would be taken for the beginning of the next answer.
 #[gtest]
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -420,7 +420,8 @@
     exchange_on(io.expect("the node accepts"), bytes)
 }
 
-fn exchange_on(mut io: TcpStream, bytes: &[u8]) -> String {
+/// Like [`exchange`], over an open connection.
+pub(crate) fn exchange_on(mut io: TcpStream, bytes: &[u8]) -> String {
     io.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a timeout");
     io.write_all(bytes).expect("the node reads");
     let mut text = Vec::new();
--- a/tests/integration/requests.rs
+++ b/tests/integration/requests.rs
@@ -85,6 +85,8 @@
     let output = fleet.run_command(1, &["explain", "--request", id, "--json"]);
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     expect_that!(text, contains_substring("answered, status 200"));
+    // Requests that are addressed to services by name have no routes.
+    expect_that!(text, contains_substring("\"version\": null"));
     let output = fleet.run_command(1, &["explain", "--target", "stock-0", "--json"]);
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     expect_that!(text, contains_substring("in use"));
