Stand-in of the log service: restore from an older copy

The stand-in could only trim or lose all records.

Change: LogHandle::copy and LogHandle::restore, and POST /copy and POST /restore on the control listener. With LogSettings::era (--era on the command line), all answers have the header Store-Era, which rises by one with each restore; reads from beyond the end get 410 with the oldest offset; a restore ends waiting reads, which are answered by the restored content. Without an era, the stand-in behaves as before: no header, and reads from beyond the end wait.

--- a/crates/standin/src/bin/plantainpost-standin/args.rs
+++ b/crates/standin/src/bin/plantainpost-standin/args.rs
@@ -43,6 +43,9 @@
     /// age in ms after which records are dropped; 0 for never
     #[argh(option, default = "0")]
     keep_ms: u64,
+    /// era that the service states in its answers; it rises with each restore (default: none)
+    #[argh(option)]
+    era: Option<u64>,
 }
 
 impl Log {
@@ -53,6 +56,7 @@
             control: self.control,
             keep_records: self.keep_records,
             keep_ms: self.keep_ms,
+            era: self.era,
         }
     }
 }
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -21,7 +21,7 @@
 };
 
 use bytes::Bytes;
-pub use store::TopicRecord;
+pub use store::{StoreCopy, TopicRecord};
 use store::{TopicStore, encode_keyed_record};
 
 /// Settings of the log service.
@@ -35,6 +35,9 @@
     pub keep_records: u64,
     /// Age in ms after which a record is dropped; 0 means no limit.
     pub keep_ms: u64,
+    /// Era that the service states in the header `Store-Era` of all answers. It rises by one with
+    /// each restore. `None` for a service that states none and lets reads from beyond the end wait.
+    pub era: Option<u64>,
 }
 
 impl Default for LogSettings {
@@ -44,6 +47,7 @@
             control: SocketAddr::from(([127, 0, 0, 1], 0)),
             keep_records: 1_000_000,
             keep_ms: 0,
+            era: None,
         }
     }
 }
@@ -92,6 +96,16 @@
     store: TopicStore,
     faults: LogFaults,
     call_count: u64,
+    era: Option<u64>,
+    /// The copy taken by a control request.
+    kept_copy: Option<StoreCopy>,
+}
+
+impl LogState {
+    fn restore(&mut self, copy: &StoreCopy) {
+        self.store.restore(copy);
+        self.era = self.era.map(|era| era + 1);
+    }
 }
 
 impl SharedLog {
@@ -131,6 +145,7 @@
     let shared = Arc::new(SharedLog {
         state: Mutex::new(LogState {
             store: TopicStore::new(settings.keep_records, settings.keep_ms),
+            era: settings.era,
             ..Default::default()
         }),
         accept_mode: Arc::clone(&accept_mode),
@@ -162,7 +177,9 @@
     }
 
     /// Returns the control address. It serves `GET /faults`, `PUT /faults`, `POST /append`,
-    /// `POST /trim` and `POST /restart`.
+    /// `POST /trim`, `POST /restart`, `POST /copy` and `POST /restore`. `POST /copy` keeps a copy of
+    /// all topics in place of an earlier one; `POST /restore` puts it back, and is answered with 409
+    /// if there is none.
     pub fn control(&self) -> SocketAddr {
         self.control
     }
@@ -199,6 +216,22 @@
         self.shared.lock().store.clear();
     }
 
+    /// Returns a copy of all topics.
+    pub fn copy(&self) -> StoreCopy {
+        self.shared.lock().store.copy()
+    }
+
+    /// Replaces all topics by those of a copy and raises the era by one. Records that are not in the
+    /// copy are lost, and their offsets are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        self.shared.lock().restore(copy);
+    }
+
+    /// Returns the era that the service states; `None` if it states none.
+    pub fn era(&self) -> Option<u64> {
+        self.shared.lock().era
+    }
+
     /// Appends a record, regardless of the fault switches, and returns its offset.
     pub fn append(&self, topic: &str, data: &str) -> u64 {
         let record = Bytes::from(data.to_owned());
--- a/crates/standin/src/log/store.rs
+++ b/crates/standin/src/log/store.rs
@@ -35,7 +35,11 @@
     keep_us: u64,
 }
 
-#[derive(Debug, Default)]
+/// A copy of all topics.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(BTreeMap<String, Topic>);
+
+#[derive(Clone, Debug, Default)]
 struct Topic {
     /// The offset of the first element of `records`.
     oldest_offset: u64,
@@ -94,6 +98,14 @@
         self.topics.clear();
     }
 
+    pub(super) fn copy(&self) -> StoreCopy {
+        StoreCopy(self.topics.clone())
+    }
+
+    pub(super) fn restore(&mut self, copy: &StoreCopy) {
+        self.topics.clone_from(&copy.0);
+    }
+
     /// Drops the records of a topic that exceed the retention by count or by age.
     fn apply_retention(&mut self, name: &str) {
         let Some(topic) = self.topics.get_mut(name) else {
--- a/crates/standin/tests/log.rs
+++ b/crates/standin/tests/log.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::call;
+use common::{call, send_raw};
 use googletest::prelude::*;
 use plantainpost_standin::log::{self, DownMode, LogFaults, LogHandle, LogSettings};
 
@@ -230,6 +230,7 @@
         ("PUT /faults", "", 400),
         ("POST /trim", "{}", 400),
         ("POST /append", "{}", 400),
+        ("POST /restore", "", 409),
         ("GET /other", "", 404),
     ] {
         let (answer, _) = call(log.control(), line, body)?;
@@ -237,3 +238,190 @@
     }
     Ok(())
 }
+
+/// Returns the era that the answer to a request states; `None` if it states none.
+fn stated_era(log: &LogHandle, line: &str, body: &str) -> Result<Option<u64>> {
+    let head = format!("{line} HTTP/1.1\r\nconnection: close");
+    let answer = send_raw(log.address(), &head, body)?.to_ascii_lowercase();
+    let head = answer.split("\r\n\r\n").next().unwrap_or_default();
+    let era = head
+        .lines()
+        .find_map(|line| line.strip_prefix("store-era: "));
+    Ok(era.map(str::parse).transpose()?)
+}
+
+fn start_with_era(era: u64) -> Result<LogHandle> {
+    Ok(log::start(&LogSettings {
+        era: Some(era),
+        ..Default::default()
+    })?)
+}
+
+/// Guards against a restore that keeps lost records or doesn't give their offsets out again.
+#[gtest]
+fn restore_loses_the_records_after_the_copy() -> Result<()> {
+    let log = start_with_era(0)?;
+    log.append("config", "a");
+    log.append_keyed("keyed.op", "k", b"1");
+    let copy = log.copy();
+    log.append("config", "lost");
+    log.append_keyed("keyed.op", "k", b"2");
+    log.append("later", "lost");
+    log.restore(&copy);
+    let batch = read(&log, 0)?;
+    verify_that!((batch.oldest_offset, batch.next_offset), eq((0, 1)))?;
+    verify_that!(batch.records, elements_are![eq("a")])?;
+    verify_that!(log.records("keyed.op").len(), eq(1))?;
+    verify_that!(log.records("later"), is_empty())?;
+    verify_that!(log.append("config", "b"), eq(1))?;
+    // A copy can be restored again.
+    log.restore(&copy);
+    verify_that!(read(&log, 0)?.records, elements_are![eq("a")])?;
+    verify_that!(log.era(), some(eq(2)))
+}
+
+/// Guards against answers without the era, also errors, and against an era that a restore does not
+/// raise.
+#[gtest]
+fn each_answer_states_the_era() -> Result<()> {
+    let log = start_with_era(7)?;
+    log.append("config", "a");
+    log.append("config", "b");
+    log.trim_before("config", 1);
+    let rows = [
+        ("append", APPEND, encode_record("c"), false),
+        ("truncated record", APPEND, "\0\0\0\u{9}d".to_owned(), false),
+        (
+            "read",
+            "GET /-/log-read?topic=config&from=1",
+            String::new(),
+            false,
+        ),
+        (
+            "expired",
+            "GET /-/log-read?topic=config&from=0",
+            String::new(),
+            false,
+        ),
+        (
+            "beyond the end",
+            "GET /-/log-read?topic=config&from=99",
+            String::new(),
+            false,
+        ),
+        (
+            "newest",
+            "GET /-/log-newest?topic=config",
+            String::new(),
+            false,
+        ),
+        ("no topic", "GET /-/log-read", String::new(), false),
+        (
+            "unknown path",
+            "GET /other?topic=config",
+            String::new(),
+            false,
+        ),
+        (
+            "fault switch",
+            "GET /-/log-read?topic=config&from=1",
+            String::new(),
+            true,
+        ),
+    ];
+    let copy = log.copy();
+    for era in [7, 8] {
+        for (name, line, body, refuse) in &rows {
+            log.set_faults(LogFaults {
+                refuse: *refuse,
+                ..Default::default()
+            });
+            expect_that!(stated_era(&log, line, body)?, some(eq(era)), "{name}");
+        }
+        log.set_faults(LogFaults::default());
+        log.restore(&copy);
+    }
+    let without_era = log::start(&LogSettings::default())?;
+    without_era.restore(&copy);
+    for (name, line, body, _) in &rows {
+        expect_that!(stated_era(&without_era, line, body)?, none(), "{name}");
+    }
+    Ok(())
+}
+
+/// Guards against a read from beyond the end of a restored log that waits for its old offset, and
+/// against a 410 from a service that states no era.
+#[gtest]
+fn only_a_service_with_eras_refuses_reads_beyond_the_end() -> Result<()> {
+    let line = "GET /-/log-read?topic=config&from=3&waitMs=300";
+    let (with_era, without_era) = (start_with_era(0)?, log::start(&LogSettings::default())?);
+    for log in [&with_era, &without_era] {
+        for data in ["a", "b", "c"] {
+            log.append("config", data);
+        }
+        log.trim_before("config", 1);
+        let start = Instant::now();
+        expect_that!(call(log.address(), line, "")?.0, eq(200));
+        expect_that!(start.elapsed(), ge(Duration::from_millis(300)));
+        let copy = log.copy();
+        log.append("config", "lost");
+        log.restore(&copy);
+    }
+    let line = "GET /-/log-read?topic=config&from=4&waitMs=300";
+    let refused = call(with_era.address(), line, "")?;
+    expect_that!(refused, eq(&(410, "{\"first\":1}".to_owned())));
+    let start = Instant::now();
+    expect_that!(call(without_era.address(), line, "")?.0, eq(200));
+    expect_that!(start.elapsed(), ge(Duration::from_millis(300)));
+    Ok(())
+}
+
+/// Guards against a read that keeps waiting at its old offset while the service is restored.
+#[gtest]
+fn waiting_read_is_answered_by_the_restored_log() -> Result<()> {
+    // Each row: number of records at the restore, status of the answer to a read from offset 3.
+    for (kept, status) in [(1, 410), (3, 200), (5, 200)] {
+        let source = start_with_era(0)?;
+        for _ in 0..kept {
+            source.append("config", "a");
+        }
+        let copy = source.copy();
+        let log = start_with_era(0)?;
+        for _ in 0..3 {
+            log.append("config", "a");
+        }
+        let calls = log.call_count();
+        let address = log.address();
+        let waiting = std::thread::spawn(move || {
+            let line =
+                "GET /-/log-read?topic=config&from=3&waitMs=9000 HTTP/1.1\r\nconnection: close";
+            let start = Instant::now();
+            send_raw(address, line, "").map(|answer| (answer, start.elapsed()))
+        });
+        while log.call_count() == calls {}
+        log.restore(&copy);
+        let (answer, delay) = waiting.join().expect("the thread does not panic")?;
+        expect_that!(answer, starts_with(format!("HTTP/1.1 {status} ")), "{kept}");
+        expect_that!(
+            answer.to_ascii_lowercase(),
+            contains_substring("store-era: 1\r\n")
+        );
+        expect_that!(delay, lt(Duration::from_secs(3)), "{kept}");
+    }
+    Ok(())
+}
+
+/// Guards against control requests that keep no copy or restore none.
+#[gtest]
+fn control_requests_take_and_restore_a_copy() -> Result<()> {
+    let log = start_with_era(0)?;
+    log.append("config", "a");
+    verify_that!(call(log.control(), "POST /copy", "")?.0, eq(204))?;
+    for era in [1, 2] {
+        log.append("config", "lost");
+        verify_that!(call(log.control(), "POST /restore", "")?.0, eq(204))?;
+        verify_that!(read(&log, 0)?.records, elements_are![eq("a")])?;
+        verify_that!(log.era(), some(eq(era)))?;
+    }
+    Ok(())
+}
