Tests: a store that was restored from an older copy

No test covered this.

Change: tests/integration/restored_store.rs, with real nodes in fleets of 3 (all are readers) and 6 (two are none). The fixture can start a store that states eras, and add a node to a running fleet.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -33,6 +33,7 @@
 mod replaced_targets;
 mod requests;
 mod response_parts;
+mod restored_store;
 mod route_dry_run;
 mod scripted_entry;
 mod scripted_guard;
--- a/tests/integration/platform_fixture.rs
+++ b/tests/integration/platform_fixture.rs
@@ -5,6 +5,7 @@
     fs,
     io::{Read, Write},
     net::{IpAddr, SocketAddr, TcpListener, TcpStream},
+    path::Path,
     sync::{Arc, Mutex},
     thread,
     time::Duration,
@@ -194,7 +195,7 @@
 pub(crate) struct PlatformFleet {
     pub(crate) store: LogHandle,
     pub(crate) hosts: Vec<PlatformHost>,
-    _dir: TempDir,
+    dir: TempDir,
 }
 
 /// Path prefix, kind and timeout in milliseconds of the routes that most tests use.
@@ -205,7 +206,7 @@
 ];
 
 /// Starts a node with a settings file.
-pub(crate) fn start_process(settings: &std::path::Path) -> Process {
+pub(crate) fn start_process(settings: &Path) -> Process {
     Process::start(&ProcessSettings {
         program: BINARY.into(),
         args: vec!["run".into(), settings.into()],
@@ -214,6 +215,39 @@
     .expect("the binary starts")
 }
 
+/// Starts node `i` in a folder with the fleet key. `at` are its addresses; `edit` may change its
+/// settings.
+fn start_host(
+    dir: &Path,
+    i: usize,
+    at: &[SocketAddr],
+    store: SocketAddr,
+    edit: impl FnOnce(&mut String),
+) -> PlatformHost {
+    let [callers, admin, peers, control] = [at[0], at[1], at[2], at[3]];
+    let metrics = at[4];
+    let mut text = format!(
+        "[node]\nname = host-{i}\ndata_centre = pos\nregion = tt\nip = 127.0.0.1\n\
+         service = counter\ninterface = platform\n[listen]\ncallers = {callers}\nadmin = {admin}\n\
+         peer_tcp = {peers}\npeer_udp = {peers}\ncontrol = {control}\nmetrics = {metrics}\n\
+         [log]\naddress = {store}\n[platform]\ngrace = 6 s\n\
+         [retry]\nfleet_slack = 50\n[security]\nkey_file = {}\n",
+        dir.join("fleet.key").display()
+    );
+    edit(&mut text);
+    let settings = dir.join(format!("host-{i}.ini"));
+    fs::write(&settings, text).expect("settings can be written");
+    PlatformHost {
+        callers,
+        admin,
+        peers,
+        control,
+        metrics,
+        process: start_process(&settings),
+        settings,
+    }
+}
+
 impl PlatformFleet {
     /// Starts nodes without routes or targets and waits until each answers `/-/readyz` with
     /// 503.
@@ -232,52 +266,47 @@
 
     /// Like [`PlatformFleet::start_with_store_addresses`]; `edit` may change the settings of each node.
     pub(crate) fn start_with_settings(
+        count: usize,
+        address_of: impl FnMut(usize, SocketAddr) -> SocketAddr,
+        edit: impl FnMut(usize, &mut String),
+    ) -> Self {
+        Self::start_with_store(&LogSettings::default(), count, address_of, edit)
+    }
+
+    /// Like [`PlatformFleet::start_with_settings`], with settings of the store.
+    pub(crate) fn start_with_store(
+        store: &LogSettings,
         count: usize,
         mut address_of: impl FnMut(usize, SocketAddr) -> SocketAddr,
         mut edit: impl FnMut(usize, &mut String),
     ) -> Self {
-        let store = log::start(&LogSettings::default()).expect("the store starts");
+        let store = log::start(store).expect("the store starts");
         let dir = TempDir::new().expect("a temporary directory");
         let key = dir.path().join("fleet.key");
         fs::write(&key, FLEET_KEY).expect("the key can be written");
         let addresses = fleet::free_node_addresses(count * ADDRESSES_PER_NODE);
-        let hosts = addresses.chunks(ADDRESSES_PER_NODE).enumerate().map(|(i, at)| {
-            let [callers, admin, peers, control] = [at[0], at[1], at[2], at[3]];
-            let metrics = at[4];
-            let mut text = format!(
-                "[node]\nname = host-{i}\ndata_centre = pos\nregion = tt\nip = 127.0.0.1\n\
-                 service = counter\ninterface = platform\n[listen]\ncallers = {callers}\nadmin = {admin}\n\
-                 peer_tcp = {peers}\npeer_udp = {peers}\ncontrol = {control}\nmetrics = {metrics}\n\
-                 [log]\naddress = {}\n[platform]\ngrace = 6 s\n\
-                 [retry]\nfleet_slack = 50\n[security]\nkey_file = {}\n",
-                address_of(i, store.address()),
-                key.display()
-            );
-            edit(i, &mut text);
-            let settings = dir.path().join(format!("host-{i}.ini"));
-            fs::write(&settings, text).expect("settings can be written");
-            PlatformHost {
-                callers,
-                admin,
-                peers,
-                control,
-                metrics,
-                process: start_process(&settings),
-                settings,
-            }
+        let hosts = addresses.chunks(ADDRESSES_PER_NODE).enumerate();
+        let hosts = hosts.map(|(i, at)| {
+            let store = address_of(i, store.address());
+            start_host(dir.path(), i, at, store, |text| edit(i, text))
         });
         let hosts = hosts.collect();
-        let platform = PlatformFleet {
-            store,
-            hosts,
-            _dir: dir,
-        };
+        let platform = PlatformFleet { store, hosts, dir };
         for i in 0..count {
             platform.wait_readyz(i, "503");
         }
         platform
     }
 
+    /// Starts a further node, which knows no other one, and returns its index.
+    pub(crate) fn add_node(&mut self) -> usize {
+        let (i, store) = (self.hosts.len(), self.store.address());
+        let addresses = fleet::free_node_addresses(ADDRESSES_PER_NODE);
+        let host = start_host(self.dir.path(), i, &addresses, store, |_| ());
+        self.hosts.push(host);
+        i
+    }
+
     /// Starts one node with a target and routes to it, and waits until it is ready.
     pub(crate) fn start_with_target(target: &ScriptedTarget) -> Self {
         let platform = PlatformFleet::start(1);
