Config: order positions in the log by the era of the store

Cause: a position in the log of the store was a bare offset, in reads, in the register of evacuations, and in what nodes tell each other. After the store was restored from an older copy it gives offsets out again.

Change: positions are an era and an offset, ordered by the era. The client of the store takes the era from the header of every response, also of failed calls, and refuses responses of an earlier era. Routes never get older by it, and an evacuation whose record was lost stays until a newer record. Peers compare positions and the version of the routes, since a node that starts after a restore can have read further and still have the routes of the copy. The wire format changes: peer protocol 6, which datagrams are now signed with as well.

--- a/crates/core/examples/membership/cost.rs
+++ b/crates/core/examples/membership/cost.rs
@@ -3,6 +3,7 @@
 use std::{hint::black_box, time::Instant as Clock};
 
 use plantainpost_core::{
+    config::Progress,
     ids::NodeName,
     member::{Action, MemberRecord, MemberSettings, Membership, Message},
     time::Instant,
@@ -70,11 +71,11 @@
                 ..
             } = message
         {
-            let (read_to, records) = (0, Vec::new());
+            let (progress, records) = (Progress::default(), Vec::new());
             let ack = Message::Ack {
                 seq,
                 from,
-                read_to,
+                progress,
                 records,
             };
             member.receive(now, to, &ack, rng);
@@ -88,7 +89,7 @@
         seq,
         from,
         to,
-        read_to: 0,
+        progress: Progress::default(),
         records,
     }
 }
--- a/crates/core/examples/membership/sim/scenario.rs
+++ b/crates/core/examples/membership/sim/scenario.rs
@@ -3,6 +3,7 @@
 use std::{fmt, net::SocketAddr};
 
 use plantainpost_core::{
+    config::{Position, Progress},
     member::{MemberEvent, MemberSettings, MemberState, TargetInfo},
     time::{Instant, MICROS_PER_SECOND},
 };
@@ -203,7 +204,11 @@
     let measurement = Measurement::start(sim);
     let version = 200_000;
     for i in 0..sim.nodes.len() {
-        sim.nodes[i].member.set_config(version, version);
+        let progress = Progress {
+            read_to: Position::from(version),
+            routes: None,
+        };
+        sim.nodes[i].member.set_config(version, progress);
     }
     let reached = sim.run_until(MAX_WAIT_MS, |sim| {
         sim.running().all(|i| {
--- a/crates/core/src/config/evacuations.rs
+++ b/crates/core/src/config/evacuations.rs
@@ -1,13 +1,13 @@
 //! Evacuated data centres, whose targets get no requests.
 //!
-//! Operators write and remove one record for each data centre. The records have no version; their offsets
+//! Operators write and remove one record for each data centre. The records have no version; their positions
 //! order them.
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
-use super::{ContentError, content::validate_name};
+use super::{ContentError, Position, content::validate_name};
 use crate::ids::DataCentre;
 
 /// Largest number of data centres with a record, so that a state stays small.
@@ -18,8 +18,8 @@
 pub struct EvacuationChange {
     /// Data centre that the record names.
     pub data_centre: DataCentre,
-    /// Offset of the record.
-    pub offset: u64,
+    /// Position of the record.
+    pub position: Position,
     /// Whether the data centre is evacuated from then on.
     pub is_evacuated: bool,
 }
@@ -28,8 +28,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EvacuationState {
-    /// Offset of the record, or of the last record of a snapshot that did not contain it any more.
-    pub offset: u64,
+    /// Position of the record, or of the last record of a snapshot that did not contain it any more.
+    #[serde(rename = "offset")]
+    pub position: Position,
     /// Whether the data centre is evacuated.
     pub is_evacuated: bool,
 }
@@ -70,22 +71,31 @@
     /// has changed.
     pub fn apply(&mut self, change: &EvacuationChange) -> bool {
         let state = EvacuationState {
-            offset: change.offset,
+            position: change.position,
             is_evacuated: change.is_evacuated,
         };
         self.put(&change.data_centre, state)
     }
 
-    /// Applies the newest records of all data centres up to offset `end`: a known evacuation that is not
+    /// Applies the newest records of all data centres up to `end`: a known evacuation that is not
     /// among them was removed. Returns whether the register has changed.
-    pub fn apply_snapshot(&mut self, end: u64, newest: &[EvacuationChange]) -> bool {
+    ///
+    /// A known record of an earlier era is compared by its offset, because the store was restored from a
+    /// copy of the log that it was in. If the snapshot does not reach it, the store has lost it: it takes
+    /// precedence over the snapshot, until a later record.
+    pub fn apply_snapshot(&mut self, end: Position, newest: &[EvacuationChange]) -> bool {
         let mut changed = false;
+        let last = end.before();
         for (data_centre, state) in &mut self.by_data_centre {
             let is_missing = newest.iter().all(|known| known.data_centre != *data_centre);
-            if state.is_evacuated && is_missing && state.offset.saturating_add(1) < end {
+            let is_lost = state.position.era < end.era && state.position.offset >= end.offset;
+            let is_removed = state.is_evacuated && is_missing && state.position < last;
+            // Without any record, nothing precedes the next one.
+            let is_empty = end.offset == 0;
+            if (is_lost || is_removed) && !is_empty {
                 *state = EvacuationState {
-                    offset: end - 1,
-                    is_evacuated: false,
+                    position: last,
+                    is_evacuated: is_lost && state.is_evacuated,
                 };
                 changed = true;
             }
@@ -102,7 +112,7 @@
         changed
     }
 
-    /// Adds the records of another register. The higher offset takes precedence. Returns whether this
+    /// Adds the records of another register. The higher position takes precedence. Returns whether this
     /// register has changed.
     pub fn merge(&mut self, other: &Evacuations) -> bool {
         let mut changed = false;
@@ -114,7 +124,7 @@
 
     fn put(&mut self, data_centre: &DataCentre, state: EvacuationState) -> bool {
         if let Some(known) = self.by_data_centre.get_mut(data_centre) {
-            let is_newer = known.offset < state.offset;
+            let is_newer = known.position < state.position;
             if is_newer {
                 *known = state;
             }
@@ -130,7 +140,7 @@
     /// Drops the oldest removed evacuation. Returns false if there is none.
     fn drop_oldest_removal(&mut self) -> bool {
         let removed = self.iter().filter(|(_, state)| !state.is_evacuated);
-        let oldest = removed.min_by_key(|(_, state)| state.offset);
+        let oldest = removed.min_by_key(|(_, state)| state.position);
         let Some(data_centre) = oldest.map(|(data_centre, _)| data_centre.clone()) else {
             return false;
         };
--- a/crates/core/src/config/fetch.rs
+++ b/crates/core/src/config/fetch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use super::Progress;
 use crate::ids::NodeName;
 
 /// Maximum number of peers that are remembered.
@@ -11,10 +12,10 @@
 struct FetchCandidate {
     peer: NodeName,
     /// How far the peer said that it has read.
-    read_to: u64,
+    progress: Progress,
 }
 
-/// Peers that have read the log further than this node, in the order in which they are asked.
+/// Peers that have something newer than this node, in the order in which they are asked.
 ///
 /// A peer that does not answer goes to the end, so that a dead connection or a frozen host does not
 /// delay a configuration that other peers have too.
@@ -25,23 +26,23 @@
 }
 
 impl FetchCandidates {
-    /// Records that a peer has read as far as `read_to`.
-    pub fn add(&mut self, peer: &NodeName, read_to: u64) {
+    /// Records how far a peer has read.
+    pub fn add(&mut self, peer: &NodeName, progress: Progress) {
         if let Some(known) = self.queue.iter_mut().find(|known| known.peer == *peer) {
-            known.read_to = known.read_to.max(read_to);
+            known.progress = known.progress.merged(progress);
         } else if self.queue.len() < MAX_CANDIDATES {
             self.queue.push_back(FetchCandidate {
                 peer: peer.clone(),
-                read_to,
+                progress,
             });
         }
     }
 
-    /// Returns the peer to ask next, for a node that has itself read as far as `own_read_to`.
-    /// Forgets peers that have read no further.
-    pub fn next(&mut self, own_read_to: u64) -> Option<NodeName> {
+    /// Returns the peer to ask next, for a node that has itself read as far as `own`. Forgets peers
+    /// that have nothing newer.
+    pub fn next(&mut self, own: Progress) -> Option<NodeName> {
         self.queue
-            .retain(|candidate| candidate.read_to > own_read_to);
+            .retain(|candidate| candidate.progress.is_ahead_of(own));
         self.queue.front().map(|candidate| candidate.peer.clone())
     }
 
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -16,6 +16,7 @@
 mod gap_scan;
 mod intent;
 mod plan;
+mod position;
 mod record;
 mod replica;
 mod state;
@@ -30,6 +31,7 @@
 pub use freshness::Freshness;
 pub use intent::Intent;
 pub use plan::{KnownTarget, Plan, PlanError, VerifyError};
+pub use position::{Position, Progress};
 pub use record::{
     Batch, Confirm, LogRecord, MAX_LOG_RECORD_BYTES, MAX_SUMMARY_BYTES, Record, RecordError,
 };
--- a/crates/core/src/config/replica.rs
+++ b/crates/core/src/config/replica.rs
@@ -13,6 +13,7 @@
     gap_scan::{GapScan, ScanResult},
     intent::Intent,
     plan::{KnownTarget, NoChangeSnafu, Plan, PlanError},
+    position::Progress,
     record::{Batch, Confirm, MAX_SUMMARY_BYTES, Record},
     state::{Decision, PublishedEffect, PublishedRecords, State, VersionInfo},
 };
@@ -129,7 +130,12 @@
         self.state.version()
     }
 
-    /// Returns the first offset that is not applied yet.
+    /// Returns how far this replica has read, also of the operator's records.
+    pub fn progress(&self) -> Progress {
+        self.state.progress()
+    }
+
+    /// Returns the first offset of the `config` stream that is not applied yet.
     pub fn read_to(&self) -> u64 {
         self.state.read_to()
     }
@@ -291,8 +297,11 @@
     /// Replaces the state by that of a peer or a checkpoint if that is valid and has read
     /// further. Of another one only newer routes and evacuations are taken: the last record of the store,
     /// which a node reads when it starts, may hold an older version.
+    ///
+    /// Newer routes and evacuations of this replica stay in force. A peer that has read further has older
+    /// ones if it started after the store was restored from a copy.
     pub fn adopt_state(&mut self, mut state: State) -> Adoption {
-        if state.read_to() <= self.read_to() {
+        if state.progress().read_to <= self.progress().read_to {
             return self.adopt_newer_records(&state);
         }
         if state.validate().is_err() {
@@ -304,6 +313,9 @@
             return Adoption::Conflict;
         }
         state.merge_evacuations(self.evacuations());
+        if let Some(table) = self.routes() {
+            state.put_routes((**table).clone());
+        }
         self.state = state;
         self.drop_finished_scan();
         Adoption::Adopted
@@ -323,7 +335,6 @@
     /// here. This happens when the log lost its records and started again.
     fn conflicts_with(&self, state: &State) -> bool {
         state.version() < self.version()
-            || state.routes_version() < self.state.routes_version()
             || (state.version() == self.version() && state.content() != self.content())
     }
 
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -10,6 +10,7 @@
     content::{Content, ContentError, json_len, validate_name},
     delta::Delta,
     evacuations::{EvacuationChange, Evacuations, MAX_EVACUATION_RECORDS},
+    position::{Position, Progress},
     record::{Confirm, MAX_SUMMARY_BYTES},
 };
 use crate::routing::RouteTable;
@@ -90,12 +91,13 @@
 
 /// State of a reader after it has applied every record below `read_to`.
 ///
-/// Two readers with the same `read_to` on one log have equal states.
+/// Two readers with the same `read_to` on one log have equal states, unless the store was restored: a
+/// reader that has started since does not know the routes that were lost.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct State {
-    /// First offset that is not applied yet.
-    read_to: u64,
+    /// First position that is not applied yet. The `config` stream of a fleet of its own has era 0.
+    read_to: Position,
     /// Content in force; the default content before the first confirmation.
     content: Content,
     /// Recent versions in ascending order, at most [`MAX_VERSIONS`]. The last one is in
@@ -121,11 +123,11 @@
 /// Records that the operator has published in the store, as one read returned them.
 #[derive(Clone, Debug)]
 pub struct PublishedRecords {
-    /// Offset of the first record that was read; `None` for a snapshot of the newest records of all
+    /// Position of the first record that was read; `None` for a snapshot of the newest records of all
     /// keys.
-    pub from: Option<u64>,
-    /// Offset after the last record that was read.
-    pub read_to: u64,
+    pub from: Option<Position>,
+    /// Position after the last record that was read, of the same era as `from`.
+    pub read_to: Position,
     /// The newest routes; `None` if there are none among the records.
     pub table: Option<RouteTable>,
     /// Records about evacuations.
@@ -139,6 +141,8 @@
     pub routes_changed: bool,
     /// Whether the register of evacuations has changed.
     pub evacuations_changed: bool,
+    /// Whether the records are the first ones of a new era.
+    pub era_changed: bool,
     /// Whether the register has no room for one of the evacuations, which was ignored.
     pub is_register_full: bool,
 }
@@ -146,7 +150,7 @@
 impl PublishedEffect {
     /// Returns whether peers should learn of the records.
     pub fn is_change(self) -> bool {
-        self.routes_changed || self.evacuations_changed
+        self.routes_changed || self.evacuations_changed || self.era_changed
     }
 }
 
@@ -166,9 +170,17 @@
 }
 
 impl State {
-    /// Returns the first offset that is not applied yet.
+    /// Returns the first offset of the `config` stream that is not applied yet.
     pub fn read_to(&self) -> u64 {
-        self.read_to
+        self.read_to.offset
+    }
+
+    /// Returns how far the state reaches.
+    pub fn progress(&self) -> Progress {
+        Progress {
+            read_to: self.read_to,
+            routes: self.routes_version(),
+        }
     }
 
     /// Returns the version in force, or `None` before the first confirmation.
@@ -193,8 +205,8 @@
 
     /// Applies published records. Routes that are not newer than those in force are ignored.
     ///
-    /// Without valid routes, `read_to` rises only if the records continue at it. Peers may have routes
-    /// that were published before the records, and a state is replaced only by one that has read further.
+    /// The records of a read continue at those of an earlier one, or are a snapshot. Without valid routes
+    /// among them, peers may still have routes that were published before; see [`Progress`].
     pub(super) fn apply_published(&mut self, published: PublishedRecords) -> PublishedEffect {
         let evacuations = &published.evacuations;
         let evacuations_changed = match published.from {
@@ -206,13 +218,12 @@
         let is_known =
             |change: &EvacuationChange| self.evacuations.contains(change.data_centre.as_str());
         let is_register_full = !evacuations.iter().all(is_known);
-        let continues = published.from.is_some_and(|from| from <= self.read_to);
-        if continues || published.table.is_some() {
-            self.read_to = self.read_to.max(published.read_to);
-        }
+        let era_changed = published.read_to.era > self.read_to.era;
+        self.read_to = self.read_to.max(published.read_to);
         PublishedEffect {
             routes_changed: published.table.is_some_and(|table| self.put_routes(table)),
             evacuations_changed,
+            era_changed,
             is_register_full,
         }
     }
@@ -283,11 +294,11 @@
         let last = self.last_confirmation;
         let known = self.version().max(self.decisions.back().map(|d| d.offset));
         ensure!(
-            last.is_none_or(|at| at < self.read_to) && last >= known,
+            last.is_none_or(|at| at < self.read_to.offset) && last >= known,
             OrderSnafu
         );
         ensure!(
-            self.checkpoint.is_none_or(|to| to < self.read_to),
+            self.checkpoint.is_none_or(|to| to < self.read_to.offset),
             OrderSnafu
         );
         for version in &self.versions {
@@ -302,7 +313,7 @@
     fn is_rising_below_read_to(&self, offsets: impl Iterator<Item = u64>) -> bool {
         let mut floor = 0;
         for offset in offsets {
-            if offset < floor || offset >= self.read_to {
+            if offset < floor || offset >= self.read_to.offset {
                 return false;
             }
             floor = offset + 1;
@@ -312,7 +323,7 @@
 
     /// Advances `read_to` past the record at `offset`.
     pub(super) fn skip_record(&mut self, offset: u64) {
-        self.read_to = offset + 1;
+        self.read_to = Position::from(offset + 1);
     }
 
     /// Applies a checkpoint record, which only updates the newest known checkpoint.
@@ -365,7 +376,7 @@
             verdict: Verdict::InForce,
         };
         *self = State {
-            read_to: offset + 1,
+            read_to: Position::from(offset + 1),
             last_confirmation: Some(offset),
             ..State::default()
         };
--- a/crates/core/src/member/event.rs
+++ b/crates/core/src/member/event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::Message;
-use crate::ids::NodeName;
+use crate::{config::Progress, ids::NodeName};
 
 /// What the caller of the state machine must do.
 #[derive(Clone, Debug, PartialEq)]
@@ -60,11 +60,11 @@
         /// Name of the member.
         name: NodeName,
     },
-    /// A peer has read the configuration log further than this node.
+    /// A peer has a newer configuration than this node, or has read further.
     PeerAhead {
         /// Name of the peer.
         name: NodeName,
-        /// Offset up to which the peer has read.
-        read_to: u64,
+        /// How far the peer has read.
+        progress: Progress,
     },
 }
--- a/crates/core/src/member/membership.rs
+++ b/crates/core/src/member/membership.rs
@@ -12,7 +12,7 @@
 use super::sync::SyncState;
 use super::table::MemberTable;
 use super::{Action, Counters, MemberRecord, MemberSettings, MemberState, TargetInfo};
-use crate::time::Instant;
+use crate::{config::Progress, time::Instant};
 
 /// Attempts to reach unknown contacts after the start, one per probe interval.
 ///
@@ -37,8 +37,8 @@
     /// Record of this node, which is never in `table`. Its state is `Alive`, `Leaving`
     /// or `Left`.
     pub(super) local: MemberRecord,
-    /// Offset up to which this node has read the configuration log. Never decreases.
-    pub(super) read_to: u64,
+    /// How far this node has read the configuration. Never decreases.
+    pub(super) progress: Progress,
     pub(super) contacts: Vec<SocketAddr>,
     pub(super) table: MemberTable,
     pub(super) gossip: GossipQueues,
@@ -81,7 +81,7 @@
         let budget = |rate| ByteBudget::new(rate, settings.burst_bytes, now);
         Membership {
             local,
-            read_to: 0,
+            progress: Progress::default(),
             contacts: contacts.to_vec(),
             table: MemberTable::default(),
             gossip: GossipQueues::default(),
@@ -128,16 +128,21 @@
         }
     }
 
-    /// Sets the configuration version in force at this node and the offset up to which
-    /// it has read the configuration log. Lower values than the current ones are ignored.
-    pub fn set_config(&mut self, version: u64, read_to: u64) {
-        self.read_to = self.read_to.max(read_to);
+    /// Sets the configuration version in force at this node and how far it has read. Lower
+    /// values than the current ones are ignored.
+    pub fn set_config(&mut self, version: u64, progress: Progress) {
+        self.progress = self.progress.merged(progress);
         if version > self.local.config_version {
             self.local.config_version = version;
             self.generation += 1;
         }
     }
 
+    /// Returns how far this node has read the configuration.
+    pub fn progress(&self) -> Progress {
+        self.progress
+    }
+
     /// Adds addresses of contacts, which are tried while no member is known and to
     /// rejoin a partitioned fleet.
     pub fn add_contacts(&mut self, contacts: &[SocketAddr]) {
--- a/crates/core/src/member/message.rs
+++ b/crates/core/src/member/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::MemberRecord;
-use crate::ids::NodeName;
+use crate::{config::Progress, ids::NodeName};
 
 /// Longest encoding of a message in bytes.
 ///
@@ -31,8 +31,8 @@
         /// Name of the member that should answer; `None` if the sender knows only the
         /// address.
         to: Option<NodeName>,
-        /// Offset up to which the sender has read the configuration log.
-        read_to: u64,
+        /// How far the sender has read the configuration.
+        progress: Progress,
         /// Piggybacked records.
         records: Vec<MemberRecord>,
     },
@@ -42,8 +42,8 @@
         seq: u32,
         /// Name of the member that answered the ping.
         from: NodeName,
-        /// Offset up to which that member has read the configuration log.
-        read_to: u64,
+        /// How far that member has read the configuration.
+        progress: Progress,
         /// Piggybacked records.
         records: Vec<MemberRecord>,
     },
--- a/crates/core/src/member/receive.rs
+++ b/crates/core/src/member/receive.rs
@@ -7,7 +7,7 @@
 use super::probe::{Probe, RelayedProbe};
 use super::send::StepContext;
 use super::{Action, MemberEvent, MemberRecord, MemberState, Membership, Message};
-use crate::{ids::NodeName, time::Instant};
+use crate::{config::Progress, ids::NodeName, time::Instant};
 
 impl Membership {
     /// Handles a message received from the address `from`.
@@ -40,10 +40,13 @@
     ) -> bool {
         match message {
             Message::Ping {
-                seq, from, read_to, ..
+                seq,
+                from,
+                progress,
+                ..
             } => {
                 self.apply_records(cx, message.records());
-                self.report_read_to(cx, from, *read_to);
+                self.report_progress(cx, from, *progress);
                 self.answer_ping(cx, addr, *seq, message);
             }
             Message::Ack { seq, from, .. } => {
@@ -100,7 +103,7 @@
         let ack = Message::Ack {
             seq,
             from: self.local.name.clone(),
-            read_to: self.read_to,
+            progress: self.progress,
             records: Vec::new(),
         };
         let sender = self.table.get(from.as_str());
@@ -126,21 +129,21 @@
         addr: SocketAddr,
         ack: &Message,
     ) {
-        let Message::Ack { from, read_to, .. } = ack else {
+        let Message::Ack { from, progress, .. } = ack else {
             return;
         };
         self.isolation_score = self.isolation_score.saturating_sub(1);
-        self.report_read_to(cx, from, *read_to);
+        self.report_progress(cx, from, *progress);
         let relayed = probe.indirect_due_at.is_none();
         if let Some(record) = self.record_to_refute(from, ack).filter(|_| !relayed) {
             self.send_record(cx, addr, &record);
         }
     }
 
-    fn report_read_to(&mut self, cx: &mut StepContext<'_>, from: &NodeName, read_to: u64) {
-        if read_to > self.read_to {
+    fn report_progress(&mut self, cx: &mut StepContext<'_>, from: &NodeName, progress: Progress) {
+        if progress.is_ahead_of(self.progress) {
             let name = from.clone();
-            let event = MemberEvent::PeerAhead { name, read_to };
+            let event = MemberEvent::PeerAhead { name, progress };
             cx.actions.push(Action::Event(event));
         }
     }
@@ -173,15 +176,15 @@
     }
 
     fn relay_ack(&mut self, cx: &mut StepContext<'_>, relay: &RelayedProbe, ack: &Message) {
-        let Message::Ack { from, read_to, .. } = ack else {
+        let Message::Ack { from, progress, .. } = ack else {
             return;
         };
-        self.report_read_to(cx, from, *read_to);
+        self.report_progress(cx, from, *progress);
         let subject_record = ack.records().iter().find(|r| r.name == *from);
         let message = Message::Ack {
             seq: relay.request_seq,
             from: from.clone(),
-            read_to: *read_to,
+            progress: *progress,
             records: subject_record.cloned().into_iter().collect(),
         };
         self.send(cx, relay.requester, message);
--- a/crates/core/src/member/tick.rs
+++ b/crates/core/src/member/tick.rs
@@ -285,7 +285,7 @@
             seq,
             from: self.local.name.clone(),
             to: to.cloned(),
-            read_to: self.read_to,
+            progress: self.progress,
             records: Vec::new(),
         }
     }
--- a/crates/core/tests/config/evacuations.rs
+++ b/crates/core/tests/config/evacuations.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use plantainpost_core::{
     config::{
-        Adoption, ConfigReplica, EvacuationChange, Evacuations, MAX_EVACUATION_RECORDS,
+        Adoption, ConfigReplica, EvacuationChange, Evacuations, MAX_EVACUATION_RECORDS, Position,
         PublishedRecords,
     },
     ids::DataCentre,
@@ -14,7 +14,7 @@
 fn change(data_centre: &str, offset: u64, is_evacuated: bool) -> EvacuationChange {
     EvacuationChange {
         data_centre: DataCentre::from(data_centre),
-        offset,
+        position: Position::from(offset),
         is_evacuated,
     }
 }
@@ -34,7 +34,7 @@
     let mut replica = ConfigReplica::new();
     replica.apply_published(PublishedRecords {
         from: None,
-        read_to,
+        read_to: Position::from(read_to),
         table: Some(table(1)),
         evacuations,
     });
@@ -42,10 +42,12 @@
 }
 
 fn read(replica: &mut ConfigReplica, from: u64, evacuations: Vec<EvacuationChange>) -> bool {
-    let read_to = evacuations.last().map_or(from, |last| last.offset + 1);
+    let read_to = evacuations
+        .last()
+        .map_or(from, |last| last.position.offset + 1);
     let effect = replica.apply_published(PublishedRecords {
-        from: Some(from),
-        read_to,
+        from: Some(Position::from(from)),
+        read_to: Position::from(read_to),
         table: None,
         evacuations,
     });
@@ -99,7 +101,7 @@
     register.apply(&change("arima", 9, true));
     register.apply(&change("sando", 5, true));
     let older = register.clone();
-    expect_true!(register.apply_snapshot(8, &[change("sando", 5, true)]));
+    expect_true!(register.apply_snapshot(Position::from(8), &[change("sando", 5, true)]));
     expect_false!(register.is_evacuated("pos"));
     expect_true!(
         register.is_evacuated("arima"),
@@ -161,7 +163,7 @@
     let mut restarted = ConfigReplica::new();
     let effect = restarted.apply_published(PublishedRecords {
         from: None,
-        read_to: 12,
+        read_to: Position::from(12),
         table: None,
         evacuations: vec![change("pos", 4, true)],
     });
@@ -185,8 +187,8 @@
 fn other_records_advance_the_reader_without_a_change() {
     let mut reader = replica(5, Vec::new());
     let effect = reader.apply_published(PublishedRecords {
-        from: Some(5),
-        read_to: 8,
+        from: Some(Position::from(5)),
+        read_to: Position::from(8),
         table: None,
         evacuations: Vec::new(),
     });
--- a/crates/core/tests/config/fetch.rs
+++ b/crates/core/tests/config/fetch.rs
@@ -1,10 +1,20 @@
 //! Order in which peers are asked for a newer configuration.
 
 use googletest::prelude::*;
-use plantainpost_core::{config::FetchCandidates, ids::NodeName};
+use plantainpost_core::{
+    config::{FetchCandidates, Position, Progress},
+    ids::NodeName,
+};
+
+fn read_to(offset: u64) -> Progress {
+    Progress {
+        read_to: Position::from(offset),
+        routes: None,
+    }
+}
 
 fn next(candidates: &mut FetchCandidates, own_read_to: u64) -> Option<String> {
-    let peer = candidates.next(own_read_to);
+    let peer = candidates.next(read_to(own_read_to));
     peer.map(|peer| peer.as_str().to_owned())
 }
 
@@ -15,14 +25,14 @@
     let [a, b, c] = ["a", "b", "c"].map(NodeName::from);
     let mut candidates = FetchCandidates::default();
     expect_eq!(next(&mut candidates, 0), None);
-    candidates.add(&a, 5);
+    candidates.add(&a, read_to(5));
     expect_that!(candidates.record_failure(&a), eq(false));
-    candidates.add(&b, 4);
-    candidates.add(&c, 5);
+    candidates.add(&b, read_to(4));
+    candidates.add(&c, read_to(5));
     expect_eq!(next(&mut candidates, 3), Some("a".to_owned()));
     expect_that!(candidates.record_failure(&a), eq(true));
     // A notice of the silent peer does not put it first again.
-    candidates.add(&a, 6);
+    candidates.add(&a, read_to(6));
     expect_eq!(next(&mut candidates, 3), Some("b".to_owned()));
     candidates.remove(&b);
     expect_eq!(next(&mut candidates, 4), Some("c".to_owned()));
@@ -35,10 +45,10 @@
 fn candidates_are_bounded() {
     let mut candidates = FetchCandidates::default();
     for i in 0..100 {
-        candidates.add(&NodeName::from(&*format!("n{i}")), 1);
+        candidates.add(&NodeName::from(&*format!("n{i}")), read_to(1));
     }
     let mut count = 0;
-    while let Some(peer) = candidates.next(0) {
+    while let Some(peer) = candidates.next(Progress::default()) {
         candidates.remove(&peer);
         count += 1;
     }
--- a/crates/core/tests/config_freshness.rs
+++ b/crates/core/tests/config_freshness.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use plantainpost_core::{
-    config::{Adoption, ConfigReplica, Freshness, PublishedRecords},
+    config::{Adoption, ConfigReplica, Freshness, Position, PublishedRecords},
     routing::{CallerLimits, RouteTable},
     time::Instant,
 };
@@ -88,7 +88,7 @@
 fn publish(replica: &mut ConfigReplica, read_to: u64, version: u64) -> bool {
     let effect = replica.apply_published(PublishedRecords {
         from: None,
-        read_to,
+        read_to: Position::from(read_to),
         table: Some(table(version)),
         evacuations: Vec::new(),
     });
--- a/crates/core/tests/member/messages.rs
+++ b/crates/core/tests/member/messages.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use plantainpost_core::{
+    config::{Position, Progress},
     ids::{NodeName, ServiceName},
     member::{
         Counters, DIGEST_BUCKETS, MAX_MESSAGE_BYTES, MemberRecord, MemberSettings, MemberState,
@@ -103,7 +104,10 @@
     let message = Message::Ack {
         seq: 77,
         from,
-        read_to: 9,
+        progress: Progress {
+            read_to: Position::from(9),
+            routes: None,
+        },
         records: records.clone(),
     };
     rows.push(DroppedMessage {
@@ -201,7 +205,7 @@
         let ack = Message::Ack {
             seq,
             from: NodeName::from(from),
-            read_to: 0,
+            progress: Progress::default(),
             records: vec![],
         };
         member.receive(at(1), addr(1), &ack, &mut rng());
--- a/crates/core/tests/member/rules.rs
+++ b/crates/core/tests/member/rules.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use plantainpost_core::{
+    config::{Position, Progress},
     ids::{Incarnation, NodeName},
     member::{MemberEvent, MemberRecord, MemberSettings, MemberState, Membership, Message},
 };
@@ -290,37 +291,50 @@
     expect_that!(remote, eq(2));
 }
 
-/// Guards against a configuration version that is missed or that decreases.
+fn progress(era: u64, offset: u64, routes: Option<u64>) -> Progress {
+    Progress {
+        read_to: Position { era, offset },
+        routes,
+    }
+}
+
+/// Guards against a configuration version that is missed or that decreases, also after the store was
+/// restored and its offsets started again.
 #[gtest]
 fn peer_that_has_read_further_is_reported() {
     let mut member = member();
-    member.set_config(100_001, 40);
-    member.set_config(90_000, 30);
+    let own = progress(2, 40, Some(7));
+    member.set_config(100_001, own);
+    member.set_config(90_000, progress(2, 30, Some(6)));
     expect_that!(member.local().config_version, eq(100_001));
-    for (read_to, ahead) in [(39, false), (40, false), (41, true)] {
+    let rows = [
+        (progress(2, 39, Some(7)), false),
+        (progress(2, 40, Some(7)), false),
+        (progress(2, 41, Some(7)), true),
+        (progress(2, 41, None), true),
+        (progress(1, 90, Some(7)), false),
+        (progress(1, 90, Some(8)), true),
+        (progress(3, 1, Some(6)), true),
+    ];
+    for (progress, ahead) in rows {
         let from = NodeName::from("peer");
         let ping = Message::Ping {
             seq: 5,
             from,
             to: None,
-            read_to,
+            progress,
             records: vec![peer()],
         };
         let actions = member.receive(at(1), addr(1), &ping, &mut rng());
         let name = NodeName::from("peer");
-        let event = MemberEvent::PeerAhead { name, read_to };
+        let event = MemberEvent::PeerAhead { name, progress };
         expect_that!(events(&actions).contains(&event), eq(ahead));
         let acks = sent_messages(&actions);
         expect_that!(acks.len(), eq(1));
-        let acked = matches!(
-            &acks[0].1,
-            Message::Ack {
-                seq: 5,
-                read_to: 40,
-                ..
-            }
-        );
-        expect_that!(acked, eq(true));
+        let Message::Ack { seq, progress, .. } = &acks[0].1 else {
+            panic!("not an Ack: {:?}", acks[0].1);
+        };
+        expect_that!((*seq, *progress), eq((5, own)));
     }
 }
 
@@ -393,7 +407,7 @@
                 let ack = Message::Ack {
                     seq,
                     from,
-                    read_to: 0,
+                    progress: Progress::default(),
                     records,
                 };
                 member.receive(at(ms), addr(1), &ack, &mut rng);
--- a/crates/node/src/config_recheck.rs
+++ b/crates/node/src/config_recheck.rs
@@ -7,7 +7,11 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use plantainpost_core::{config::Freshness, ids::NodeName, time::Instant};
+use plantainpost_core::{
+    config::{Freshness, Progress},
+    ids::NodeName,
+    time::Instant,
+};
 use slog::info;
 use tokio::sync::{Notify, mpsc};
 
@@ -86,7 +90,7 @@
             None => None,
         };
         if let Some(peer) = peer
-            && config_sync::refresh_from(&node, &peer, 0).await
+            && config_sync::refresh_from(&node, &peer, Progress::default()).await
         {
             info!(node.logger, "configuration checked after the start"; "peer" => %peer);
             confirm(&node, asked_at);
@@ -193,12 +197,12 @@
         let mut rng = node.rng.borrow_mut();
         node.members.borrow().spread_peers(ASKED_PEERS, &mut *rng)
     };
-    let read_to = node.config.borrow().read_to();
+    let progress = node.config.borrow().progress();
     let (tx, mut rx) = mpsc::unbounded_channel();
     for peer in peers {
         let (node, tx) = (Rc::clone(node), tx.clone());
         actix_rt::spawn(async move {
-            let has_replied = config_sync::refresh_from(&node, &peer, read_to).await;
+            let has_replied = config_sync::refresh_from(&node, &peer, progress).await;
             // Fails if the wait is over.
             let _ = tx.send(has_replied);
         });
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -4,7 +4,9 @@
 
 use bytes::BytesMut;
 use plantainpost_core::{
-    config::{Adoption, BatchOutcome, FetchCandidates, LogPosition, State, Verdict},
+    config::{
+        Adoption, BatchOutcome, FetchCandidates, LogPosition, Position, Progress, State, Verdict,
+    },
     ids::NodeName,
     routing::RouteTable,
     workspace::WorkspaceTable,
@@ -52,10 +54,10 @@
     requested: tokio::sync::Notify,
 }
 
-/// Requests the state of a peer that has read further than this node.
-pub(crate) fn on_peer_ahead(node: &Rc<Node>, peer: &NodeName, read_to: u64) {
-    if read_to > node.config.borrow().read_to() {
-        node.state_fetch.candidates.borrow_mut().add(peer, read_to);
+/// Requests the state of a peer that is ahead of this node.
+pub(crate) fn on_peer_ahead(node: &Rc<Node>, peer: &NodeName, progress: Progress) {
+    if progress.is_ahead_of(node.config.borrow().progress()) {
+        node.state_fetch.candidates.borrow_mut().add(peer, progress);
         node.state_fetch.requested.notify_one();
     }
 }
@@ -138,13 +140,17 @@
 /// Passes a change of the configuration state to the membership, the balancer, the guard and
 /// peers.
 pub(crate) async fn on_state_changed(node: &Rc<Node>, version_changed: bool, advanced: bool) {
-    let (version, read_to) = {
+    let (version, progress) = {
         let config = node.config.borrow();
-        (config.version(), config.read_to())
+        (config.version(), config.progress())
     };
-    node.members
-        .borrow_mut()
-        .set_config(version.map_or(0, |v| v + 1), read_to);
+    let previous = {
+        let mut members = node.members.borrow_mut();
+        let previous = members.progress();
+        members.set_config(version.map_or(0, |v| v + 1), progress);
+        previous
+    };
+    record_era(node, previous.read_to, progress.read_to);
     if version_changed {
         node.metrics.count("config.version_changed");
         audit::record(node, AuditEvent::InForce { version });
@@ -156,6 +162,20 @@
     }
 }
 
+/// Records that the store was restored since the node has read as far as `previous`.
+fn record_era(node: &Node, previous: Position, read_to: Position) {
+    if read_to.era <= previous.era {
+        return;
+    }
+    node.metrics.gauge("store.era", read_to.era);
+    if previous != Position::default() {
+        node.metrics.count("store.restored");
+        warn!(node.logger, "the store was restored"; "old_era" => previous.era,
+            "old_read_to" => previous.offset, "era" => read_to.era, "read_to" => read_to.offset,
+            "routes_version" => node.config.borrow().routes().map(|table| table.version()));
+    }
+}
+
 async fn write_checkpoint_if_due(node: &Rc<Node>, position: &LogPosition) {
     let now = node.now();
     let members = node.members.borrow().members().count();
@@ -203,18 +223,18 @@
     Timeout,
 }
 
-/// Fetches the state of peers that have read further, until the process exits.
+/// Fetches the state of peers that are ahead, until the process exits.
 pub(crate) async fn fetch_from_peers(node: Rc<Node>) {
     let candidates = &node.state_fetch.candidates;
     loop {
-        let read_to = node.config.borrow().read_to();
-        let next_peer = candidates.borrow_mut().next(read_to);
+        let progress = node.config.borrow().progress();
+        let next_peer = candidates.borrow_mut().next(progress);
         let Some(peer) = next_peer else {
             node.state_fetch.requested.notified().await;
             continue;
         };
         let started_at = node.now();
-        match fetch_state(&node, &peer, read_to).await {
+        match fetch_state(&node, &peer, progress).await {
             Ok(state) => {
                 candidates.borrow_mut().remove(&peer);
                 if let Some(state) = state {
@@ -269,12 +289,12 @@
 pub(crate) fn record_routes(
     node: &Node,
     table: &RouteTable,
-    read_to: u64,
+    read_to: Position,
     peer: Option<&NodeName>,
 ) {
     let in_force_unix_ms = clock::unix_ms();
     info!(node.logger, "routes in force"; "version" => table.version(), "routes" => table.len(),
-        "read_to" => read_to, "source" => if peer.is_some() { "peer" } else { "store" },
+        "era" => read_to.era, "read_to" => read_to.offset, "source" => if peer.is_some() { "peer" } else { "store" },
         "peer" => peer.map(NodeName::as_str));
     let sheds_load = table.has_competing_requests();
     node.guard.borrow_mut().set_shedding(sheds_load);
@@ -288,10 +308,10 @@
     });
 }
 
-/// Fetches the state of a peer if that has read further than `read_to`, and takes what is newer in it.
-/// Returns whether the peer has replied.
-pub(crate) async fn refresh_from(node: &Rc<Node>, peer: &NodeName, read_to: u64) -> bool {
-    match fetch_state(node, peer, read_to).await {
+/// Fetches the state of a peer if that is ahead of `progress`, and takes what is newer in it. Returns
+/// whether the peer has replied.
+pub(crate) async fn refresh_from(node: &Rc<Node>, peer: &NodeName, progress: Progress) -> bool {
+    match fetch_state(node, peer, progress).await {
         Ok(Some(state)) => adopt_state(node, peer, state).await,
         Ok(None) => (),
         Err(e) => {
@@ -313,7 +333,7 @@
             .routes()
             .filter(|table| Some(*table) != old_routes.as_ref())
         {
-            record_routes(node, table, config.read_to(), Some(peer));
+            record_routes(node, table, config.progress().read_to, Some(peer));
         }
         (old_version, adoption, config.version())
     };
@@ -332,13 +352,13 @@
     }
 }
 
-/// Fetches the state of a peer. Returns `None` if the peer has not read further than `read_to`.
+/// Fetches the state of a peer. Returns `None` if the peer is not ahead of `progress`.
 ///
 /// The connection is a new one, because idle ones can all be dead after a network fault.
 async fn fetch_state(
     node: &Node,
     peer: &NodeName,
-    read_to: u64,
+    progress: Progress,
 ) -> Result<Option<State>, FetchError> {
     let addr = {
         let members = node.members.borrow();
@@ -349,7 +369,7 @@
     let deadline = node.now().saturating_add_millis(FETCH_TIMEOUT_MS);
     let conn = node.peer_pool.connect(peer, addr, reply_deadline).await;
     let mut conn = conn.context(ConnectSnafu)?;
-    let request = PeerMessage::FetchConfig { read_to };
+    let request = PeerMessage::FetchConfig { progress };
     let sent = node
         .clock
         .timeout_at(reply_deadline, conn.tx.write(&request))
--- a/crates/node/src/evacuation.rs
+++ b/crates/node/src/evacuation.rs
@@ -54,7 +54,7 @@
         let was_evacuated = previous.is_evacuated(data_centre.as_str());
         if state.is_evacuated != was_evacuated {
             info!(node.logger, "evacuation of a data centre"; "data_centre" => %data_centre,
-                "is_evacuated" => state.is_evacuated, "offset" => state.offset);
+                "is_evacuated" => state.is_evacuated, "era" => state.position.era, "offset" => state.position.offset);
         }
         if state.is_evacuated != was_evacuated || !since.contains_key(data_centre) {
             let in_force = InForceSince {
@@ -123,7 +123,7 @@
         if is_settled && !since.is_logged_as_unknown && !known.contains(data_centre) {
             since.is_logged_as_unknown = true;
             warn!(node.logger, "evacuation of an unknown data centre has no effect";
-                "data_centre" => %data_centre, "offset" => state.offset);
+                "data_centre" => %data_centre, "era" => state.position.era, "offset" => state.position.offset);
         }
     }
 }
@@ -149,7 +149,8 @@
             "name": name,
             "members": members_by_data_centre.get(name).copied().unwrap_or_default(),
             "evacuated": record.is_some_and(|(_, state)| state.is_evacuated),
-            "offset": record.map(|(_, state)| state.offset),
+            "era": record.map(|(_, state)| state.position.era),
+            "offset": record.map(|(_, state)| state.position.offset),
             "since_unix_ms": since.get(name).map(|since| since.unix_ms),
         })
     });
--- a/crates/node/src/external.rs
+++ b/crates/node/src/external.rs
@@ -9,7 +9,10 @@
 };
 
 use futures_util::future::LocalBoxFuture;
-use plantainpost_core::{config::EvacuationChange, routing::RouteTable};
+use plantainpost_core::{
+    config::{EvacuationChange, Position},
+    routing::RouteTable,
+};
 use snafu::Snafu;
 
 use crate::{log_service::LogService, settings::NodeSettings};
@@ -72,13 +75,13 @@
 /// Routes and evacuations that operators published in the store.
 #[derive(Clone, Debug)]
 pub struct PublishedRoutes {
-    /// Offset of the first record that was read; `None` for the newest records of all keys.
-    pub from: Option<u64>,
-    /// Offset after the last record that was read.
-    pub read_to: u64,
+    /// Position of the first record that was read; `None` for the newest records of all keys.
+    pub from: Option<Position>,
+    /// Position after the last record that was read, of the same era as `from`.
+    pub read_to: Position,
     /// The newest routes; `None` if the records that were read contain none.
     pub table: Option<RouteTable>,
-    /// Records that request or end the evacuation of a data centre, in the order of their offsets.
+    /// Records that request or end the evacuation of a data centre, in the order of their positions.
     pub evacuations: Vec<EvacuationChange>,
     /// Reasons of the records that could not be decoded, one for each.
     pub rejected_records: Vec<String>,
@@ -91,6 +94,10 @@
     /// The requested records are no longer kept.
     #[snafu(display("the records are no longer kept"))]
     Expired,
+    /// The store was restored from an older copy, after which the position of a read means another
+    /// record.
+    #[snafu(display("the store was restored, and is in era {era}"))]
+    Restored { era: u64 },
     /// The store did not respond, or refused the call. A write may have taken effect.
     #[snafu(display("{reason}"))]
     Unavailable { reason: String },
@@ -98,11 +105,12 @@
 
 /// The platform's store, with the contacts of the nodes and the routes.
 pub trait FleetStore {
-    /// Writes the contact of a node. Replaces an earlier one with the same name.
+    /// Writes the contact of a node, and returns the era of the store that has it. Replaces an earlier
+    /// contact with the same name.
     fn register_contact<'a>(
         &'a self,
         contact: &'a Contact,
-    ) -> LocalBoxFuture<'a, Result<(), StoreError>>;
+    ) -> LocalBoxFuture<'a, Result<u64, StoreError>>;
 
     /// Returns the contacts of all nodes.
     fn contacts(&self) -> LocalBoxFuture<'_, Result<Contacts, StoreError>>;
@@ -110,13 +118,16 @@
     /// Returns the newest routes, and the newest record about each evacuation.
     fn newest_routes(&self) -> LocalBoxFuture<'_, Result<PublishedRoutes, StoreError>>;
 
-    /// Waits for records from offset `from` on, and returns the newest routes and all evacuations among
+    /// Returns the highest era that an answer of the store has stated, also one to a call that failed.
+    fn era(&self) -> u64;
+
+    /// Waits for records from `from` on, and returns the newest routes and all evacuations among
     /// them.
     ///
     /// Returns without either if none are published within `wait_ms` milliseconds.
     fn wait_for_routes(
         &self,
-        from: u64,
+        from: Position,
         wait_ms: u64,
     ) -> LocalBoxFuture<'_, Result<PublishedRoutes, StoreError>>;
 }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -64,9 +64,9 @@
         }
         Datagram::ConfigProgress {
             from: peer,
-            read_to,
+            progress,
         } => {
-            config_sync::on_peer_ahead(node, &peer, read_to);
+            config_sync::on_peer_ahead(node, &peer, progress);
         }
         Datagram::LoadProbe { seq } => probe::send_reply(node, from, seq).await,
         Datagram::LoadReply {
@@ -99,8 +99,8 @@
 
 fn on_member_event(node: &Rc<Node>, event: MemberEvent) {
     match &event {
-        MemberEvent::PeerAhead { name, read_to } => {
-            config_sync::on_peer_ahead(node, name, *read_to);
+        MemberEvent::PeerAhead { name, progress } => {
+            config_sync::on_peer_ahead(node, name, *progress);
             return;
         }
         MemberEvent::Suspected { .. } => node.metrics.count("member.suspected"),
@@ -127,7 +127,7 @@
 
 /// Notifies random peers how far this node has read the configuration log.
 pub(crate) async fn send_config_notices(node: &Node) {
-    let read_to = node.config.borrow().read_to();
+    let progress = node.config.borrow().progress();
     let peers = {
         let mut rng = node.rng.borrow_mut();
         node.members
@@ -136,7 +136,7 @@
     };
     let notice = Datagram::ConfigProgress {
         from: node.name().clone(),
-        read_to,
+        progress,
     };
     for (_, addr) in peers {
         send_datagram(node, addr, &notice).await;
--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -18,7 +18,7 @@
 
 use actix_rt::net::{TcpListener, TcpStream};
 use bytes::Bytes;
-use plantainpost_core::{admission::RequestKey, time::Instant};
+use plantainpost_core::{admission::RequestKey, config::Progress, time::Instant};
 use plantainpost_wire::{
     frame::{self, FrameError, FrameReader, FrameWriter},
     handshake::{self, AcceptedPeer, ClockOffset},
@@ -150,7 +150,7 @@
                 None => fence(node, conn, key, deadline).await,
             }
         }
-        PeerMessage::FetchConfig { read_to } => send_config(node, conn, read_to).await,
+        PeerMessage::FetchConfig { progress } => send_config(node, conn, progress).await,
         _ => ConnState::MustClose,
     }
 }
@@ -178,12 +178,14 @@
     }
 }
 
-/// Sends the configuration state, or an empty body if the peer has read the log as far as this
-/// node.
-async fn send_config(node: &Node, conn: &mut InboundConn, peer_read_to: u64) -> ConnState {
+/// Sends the configuration state, or an empty body if this node is not ahead of the peer.
+async fn send_config(node: &Node, conn: &mut InboundConn, peer: Progress) -> ConnState {
     let config = {
         let register = node.config.borrow();
-        (register.read_to() > peer_read_to).then(|| register.snapshot())
+        register
+            .progress()
+            .is_ahead_of(peer)
+            .then(|| register.snapshot())
     };
     let bytes = config.and_then(|config| postcard::to_allocvec(&config).ok());
     let bytes = Bytes::from(bytes.unwrap_or_default());
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -42,6 +42,7 @@
         "members": member_list,
         "configuration": {
             "version": config.version(),
+            "era": config.progress().read_to.era,
             "read_to": config.read_to(),
             "gap": config.has_gap(),
             "content": config.content(),
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use plantainpost_core::{config::PublishedRecords, time::Instant};
+use plantainpost_core::{
+    config::{Position, PublishedRecords},
+    time::Instant,
+};
 use rand::RngExt;
 use slog::{info, warn};
 
@@ -130,12 +133,13 @@
         task: "routes",
         failed_calls: 0,
     };
-    let mut from: Option<u64> = None;
-    // Reads in a row of records that the store does not have.
-    let mut expired_reads = 0_u32;
+    let mut from: Option<Position> = None;
+    // Reads in a row whose position the store does not have, or no longer has.
+    let mut rejected_reads = 0_u32;
     let mut may_read_from = None;
     loop {
         let mut started_at = node.now();
+        from = from.filter(|from| from.era >= store.era());
         let read = match from {
             None => store.newest_routes().await,
             Some(from) => {
@@ -144,7 +148,7 @@
                     .await;
                 let wait_ms = wait_for_reader_role(&node).await;
                 started_at = node.now();
-                let from = from.max(node.config.borrow().read_to());
+                let from = from.max(node.config.borrow().progress().read_to);
                 tokio::select! {
                     read = store.wait_for_routes(from, wait_ms) => read,
                     () = wait_for_loss_of_reader_role(&node) => continue,
@@ -155,23 +159,24 @@
         match read {
             Ok(published) => {
                 availability.update(&node, started_at, None);
-                backoff = Backoff::new();
                 if published.from.is_some() {
-                    expired_reads = 0;
+                    rejected_reads = 0;
                 }
+                backoff = Backoff::new();
                 node.members.borrow_mut().set_store_reads_fail(false);
                 from = Some(published.read_to);
                 let first_reader_at = node.now().saturating_add_millis(FIRST_READER_DELAY_MS);
                 may_read_from.get_or_insert(first_reader_at);
                 apply_published(&node, published).await;
             }
-            Err(e @ StoreError::Expired) => {
+            Err(e @ (StoreError::Expired | StoreError::Restored { .. })) => {
                 node.metrics.count("store.expired");
-                if expired_reads == 0 {
+                if rejected_reads == 0 {
+                    let read_to = node.config.borrow().progress().read_to;
                     warn!(node.logger, "records of the store are missing"; "error" => %e,
-                        "from" => from, "read_to" => node.config.borrow().read_to());
+                        "era" => read_to.era, "read_to" => read_to.offset);
                 }
-                expired_reads += 1;
+                rejected_reads += 1;
                 from = None;
             }
             Err(e) => {
@@ -258,7 +263,7 @@
     };
     if effect.is_register_full {
         node.metrics.count("store.bad_record");
-        warn!(node.logger, "evacuation ignored"; "read_to" => read_to,
+        warn!(node.logger, "evacuation ignored"; "era" => read_to.era, "read_to" => read_to.offset,
             "reason" => "there are too many evacuated data centres");
     }
     if effect.is_change() {
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,6 +1,7 @@
 //! Datagrams: a message encoded with postcard, followed by a truncated MAC.
 
 use plantainpost_core::{
+    config::Progress,
     ids::{Incarnation, NodeName},
     load::LoadSample,
     member::Message,
@@ -9,7 +10,10 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 
-use crate::auth::{FleetKeys, TRUNCATED_MAC_BYTES};
+use crate::{
+    auth::{FleetKeys, TRUNCATED_MAC_BYTES},
+    message::PROTOCOL_VERSION,
+};
 
 /// Maximum length of a datagram in bytes, including the MAC.
 ///
@@ -34,12 +38,12 @@
 pub enum Datagram {
     /// Message of the membership protocol.
     Member(Message),
-    /// The sender has read the configuration log up to `read_to`.
+    /// Tells how far the sender has read the configuration.
     ConfigProgress {
         /// The sending node.
         from: NodeName,
-        /// Offset of the next record to read.
-        read_to: u64,
+        /// Progress of the sender.
+        progress: Progress,
     },
     /// Asks a guard for the load of its target.
     LoadProbe {
@@ -104,7 +108,9 @@
 /// Returns an error if the datagram would be too long.
 pub fn encode(keys: &FleetKeys, datagram: &Datagram) -> Result<Vec<u8>, DatagramError> {
     let mut buf = postcard::to_allocvec(datagram).context(CodecSnafu)?;
-    let mac = keys.primary().sign(&[MAC_LABEL, &buf]);
+    let mac = keys
+        .primary()
+        .sign(&[MAC_LABEL, &PROTOCOL_VERSION.to_le_bytes(), &buf]);
     buf.extend_from_slice(&mac[..TRUNCATED_MAC_BYTES]);
     let length = buf.len();
     ensure!(length <= MAX_DATAGRAM_BYTES, LengthSnafu { length });
@@ -124,9 +130,11 @@
         LengthSnafu { length }
     );
     let (body, mac) = buf.split_at(length - TRUNCATED_MAC_BYTES);
+    // A datagram of another version could be decoded to other values.
+    let version = PROTOCOL_VERSION.to_le_bytes();
     let authenticated = keys
         .accepted()
-        .any(|key| key.verify_truncated(&[MAC_LABEL, body], mac));
+        .any(|key| key.verify_truncated(&[MAC_LABEL, &version, body], mac));
     ensure!(authenticated, UnauthenticatedSnafu);
     postcard::from_bytes(body).context(CodecSnafu)
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use plantainpost_core::{
     admission::{FenceState, RefuseReason, RequestKey, Urgency},
+    config::Progress,
     ids::{Incarnation, NodeName, ServiceName},
     load::LoadSample,
     time::Instant,
@@ -16,7 +17,7 @@
 use crate::auth::MAC_BYTES;
 
 /// Version of the peer protocol. The handshake with a peer of another version fails.
-pub const PROTOCOL_VERSION: u16 = 5;
+pub const PROTOCOL_VERSION: u16 = 6;
 
 /// Length of a handshake nonce in bytes.
 pub const NONCE_BYTES: usize = 16;
@@ -228,11 +229,10 @@
         state: FenceState,
     },
     /// Requests the configuration state. The reply is a body of `Body` messages and a
-    /// `BodyEnd`; it is empty unless the replying node has read further than `read_to`.
+    /// `BodyEnd`; it is empty unless the replying node is ahead of `progress`.
     FetchConfig {
-        /// Offset of the next record of the configuration log that the requesting node will
-        /// read.
-        read_to: u64,
+        /// How far the requesting node has read.
+        progress: Progress,
     },
     /// A sign of life: the guard has the request and no answer yet. Sent by the schedule of
     /// [`plantainpost_core::progress`].
