--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -162,7 +162,9 @@
                 if published.from.is_some() {
                     rejected_reads = 0;
                 }
-                backoff = Backoff::new();
+                if rejected_reads == 0 {
+                    backoff = Backoff::new();
+                }
                 node.members.borrow_mut().set_store_reads_fail(false);
                 from = Some(published.read_to);
                 let first_reader_at = node.now().saturating_add_millis(FIRST_READER_DELAY_MS);
@@ -175,6 +177,10 @@
                     let read_to = node.config.borrow().progress().read_to;
                     warn!(node.logger, "records of the store are missing"; "error" => %e,
                         "era" => read_to.era, "read_to" => read_to.offset);
+                } else {
+                    // The snapshot did not help, for example because the log became shorter without a
+                    // new era.
+                    backoff.wait(&node, MIN_BACKOFF_MS).await;
                 }
                 rejected_reads += 1;
                 from = None;
--- a/tests/integration/restored_store.rs
+++ b/tests/integration/restored_store.rs
@@ -342,6 +342,32 @@
     }
 }
 
+/// Guards against reads in a loop of a store that states no era and whose log has become shorter.
+#[gtest]
+fn store_without_eras_that_lacks_the_records_gets_few_calls() {
+    let store = ScriptedTarget::start(|head| {
+        let (status, body) = match head.split_whitespace().nth(1) {
+            Some(path) if path.starts_with("/-/log-read") => ("410 Gone", r#"{"first":0}"#),
+            Some(path) if path.starts_with("/-/log-newest") => {
+                ("200 OK", r#"{"items":[],"truncated":false,"end":0}"#)
+            }
+            _ => ("200 OK", r#"{"offset":0,"end":1}"#),
+        };
+        ScriptedReply::Keep(answer(head, status, body))
+    });
+    let _platform = PlatformFleet::start_with_store_addresses(1, |_, _| store.addr);
+    process::wait_until("a read", WAIT_TIMEOUT, || {
+        let heads = store.received_heads();
+        heads.iter().any(|head| head.starts_with("get /-/log-read"))
+    })
+    .expect("a read");
+    let (calls_before, start) = (store.received_heads().len(), Instant::now());
+    thread::sleep(Duration::from_secs(2));
+    let calls = store.received_heads().len() - calls_before;
+    let limit = MAX_CALLS_PER_NODE as f64 * start.elapsed().as_secs_f64();
+    expect_that!(calls as f64, le(limit));
+}
+
 /// Guards against a configuration that is missed because it is written one by one while the end of a
 /// restored store passes the old offset of the readers.
 #[gtest]
