Store: write the contact of a node again after a restore

Cause: a node wrote its contact at its start only. If a restore of the store lost it, nodes that started later found no other node and stayed alone, with the routes of the copy.

Change: when the era of the store rises, each node writes its contact again after a random delay of up to 1 s, and adds the contacts of the others, so that a node that started in between is found.

--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -30,6 +30,10 @@
 /// few members, and each of many nodes that start together would take itself for one.
 const FIRST_READER_DELAY_MS: u64 = 1_000;
 
+/// Longest delay before a node writes its contact again after a restore of the store, in
+/// milliseconds. Nodes that start meanwhile find the others.
+const MAX_CONTACT_DELAY_MS: u64 = 1_000;
+
 /// Interval between checks whether this node reads the store, in milliseconds.
 const READER_CHECK_INTERVAL_MS: u64 = 200;
 
@@ -81,7 +85,8 @@
     }
 }
 
-/// Registers this node in the store, and reads the contacts of the other nodes.
+/// Registers this node in the store, reads the contacts of the other nodes, and registers it again when
+/// the store has lost the contact.
 ///
 /// Each node writes before it reads, so that of two nodes that start at the same time, the one that
 /// writes later finds the other.
@@ -91,6 +96,32 @@
         ip: node.settings.ip,
         udp_port: node.settings.listen_peer_udp.port(),
     };
+    let mut registered_era = find_fleet(&node, &*store, &own_contact).await;
+    loop {
+        let era = wait_for_era_after(&node, registered_era).await;
+        let delay_ms = node.rng.borrow_mut().random_range(0..=MAX_CONTACT_DELAY_MS);
+        let write_at = node.now().saturating_add_millis(delay_ms);
+        node.clock.sleep_until(write_at).await;
+        registered_era = find_fleet(&node, &*store, &own_contact).await.max(era);
+        node.metrics.count("store.contact_rewritten");
+    }
+}
+
+/// Waits until this node knows of an era of the store after `era`, and returns it.
+async fn wait_for_era_after(node: &Node, era: u64) -> u64 {
+    loop {
+        let changed = node.config_changed.notified();
+        let known_era = node.config.borrow().progress().read_to.era;
+        if known_era > era {
+            return known_era;
+        }
+        changed.await;
+    }
+}
+
+/// Writes the contact of this node and adds those of the others, until that has succeeded. Returns the
+/// era of the store in which the contact was written.
+async fn find_fleet(node: &Node, store: &dyn FleetStore, own_contact: &Contact) -> u64 {
     let mut backoff = Backoff::new();
     let mut availability = StoreAvailability {
         task: "join",
@@ -99,15 +130,16 @@
     loop {
         let started_at = node.now();
         let contacts = async {
-            store.register_contact(&own_contact).await?;
-            store.contacts().await
+            let era = store.register_contact(own_contact).await?;
+            Ok((era, store.contacts().await?))
         };
         match contacts.await {
-            Ok(contacts) => {
-                availability.update(&node, started_at, None);
-                count_rejected_records(&node, &contacts.rejected_records);
+            Ok((era, contacts)) => {
+                availability.update(node, started_at, None);
+                count_rejected_records(node, &contacts.rejected_records);
                 let contacts = contacts.contacts;
-                info!(node.logger, "fleet found on the store"; "contacts" => contacts.len());
+                info!(node.logger, "fleet found on the store"; "contacts" => contacts.len(),
+                    "era" => era);
                 let others = contacts
                     .iter()
                     .filter(|contact| contact.name != own_contact.name);
@@ -115,12 +147,12 @@
                     .map(|contact| SocketAddr::new(contact.ip, contact.udp_port))
                     .collect();
                 node.members.borrow_mut().add_contacts(&addrs);
-                return;
+                return era;
             }
             Err(e) => {
                 node.metrics.count("store.join_error");
-                availability.update(&node, started_at, Some(&e));
-                backoff.wait(&node, MIN_BACKOFF_MS).await;
+                availability.update(node, started_at, Some(&e));
+                backoff.wait(node, MIN_BACKOFF_MS).await;
             }
         }
     }
