Members: let the first stand-ins repeat failed reads soon

Callers could get an older configuration for up to 6 s after an outage of the store, if the store then went on to refuse its regular readers.

Cause: in an outage of the whole store every member of a data centre stands in for the regular readers. A stand-in whose read had failed waited 2 to 6 s, on the assumption that the regular readers would notice the end of the outage.

Change: the delay depends on the rank: 0.1 to 0.3 s at first for the regular readers, 0.5 to 1.5 s for the next three members, 2 to 6 s for the others, so that a large fleet does not call a store that is away more often than before by more than three members of each data centre.

--- a/crates/core/src/member/config_readers.rs
+++ b/crates/core/src/member/config_readers.rs
@@ -26,13 +26,20 @@
 /// force 3 s after such a fault.
 const MIN_READ_WAIT_MS: u64 = 1_000;
 
+/// Mean delays before a failed read is repeated, in milliseconds, for the regular readers, the first members
+/// that stand in for them, and all others. In an outage of the whole store every member stands in, and a
+/// large fleet must not call it at the rate of the regular readers.
+const RETRY_DELAYS_MS: [u64; 3] = [200, 1_000, 4_000];
+
 /// Role of a member that reads configuration changes from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConfigReader {
     /// How long a read may wait for a change, in milliseconds.
     pub read_wait_ms: u64,
-    /// Whether this member reads only because reads of other members fail.
-    pub is_stand_in: bool,
+    /// Shortest mean delay before a failed read is repeated, in milliseconds. It rises with the rank, but
+    /// the first stand-ins try again often enough to notice the end of an outage in time: the store may go on
+    /// to refuse the regular readers.
+    pub retry_delay_ms: u64,
 }
 
 impl Membership {
@@ -50,7 +57,7 @@
         if !recently_received {
             return Some(ConfigReader {
                 read_wait_ms: MIN_READ_WAIT_MS,
-                is_stand_in: false,
+                retry_delay_ms: RETRY_DELAYS_MS[0],
             });
         }
         let own_rank = rank(self.local.name.as_str());
@@ -62,9 +69,10 @@
         };
         let working = lower_ranked().filter(|member| !member.store_reads_fail);
         let working = working.count();
+        let group = lower_ranked().count() / READERS_PER_DATA_CENTRE;
         (working < READERS_PER_DATA_CENTRE).then(|| ConfigReader {
             read_wait_ms: MIN_READ_WAIT_MS << working,
-            is_stand_in: lower_ranked().count() >= READERS_PER_DATA_CENTRE,
+            retry_delay_ms: RETRY_DELAYS_MS[group.min(RETRY_DELAYS_MS.len() - 1)],
         })
     }
 }
--- a/crates/core/tests/member/rules.rs
+++ b/crates/core/tests/member/rules.rs
@@ -6,7 +6,9 @@
 use plantainpost_core::{
     config::{Position, Progress},
     ids::{Incarnation, NodeName},
-    member::{MemberEvent, MemberRecord, MemberSettings, MemberState, Membership, Message},
+    member::{
+        ConfigReader, MemberEvent, MemberRecord, MemberSettings, MemberState, Membership, Message,
+    },
 };
 
 use crate::fixture::{
@@ -479,28 +481,51 @@
     }
 }
 
-/// Returns the read waits of those of ten members of a data centre that read the store at `ms`, in
-/// ascending order, after each has heard of the others at `received_ms`. The reads of the members in
-/// `failing` fail.
-fn read_waits_ms(ms: u64, received_ms: u64, failing: &[usize]) -> Vec<(usize, u64)> {
+/// Returns the roles of those of ten members of a data centre that read the store at `ms`, in
+/// ascending order of their read waits, after each has heard of the others at `received_ms`. The reads
+/// of the members in `failing` fail.
+fn readers(ms: u64, received_ms: u64, failing: &[usize]) -> Vec<(usize, ConfigReader)> {
     // Every fourth host of the fixture is in the same data centre.
     let member_record = |i: usize| MemberRecord {
         store_reads_fail: failing.contains(&i),
         ..record(&format!("m{i}"), i * 4, INCARNATION)
     };
-    let read_wait_ms = |local: usize| {
+    let reader = |local: usize| {
         let settings = MemberSettings::default();
         let mut member = Membership::new(settings, member_record(local), &[addr(9)], at(0));
         let records: Vec<_> = (0..10).filter(|i| *i != local).map(member_record).collect();
         for records in records.chunks(3) {
             receive_records(&mut member, received_ms, records);
         }
-        let reader = member.config_reader(at(ms))?;
-        Some((local, reader.read_wait_ms))
+        Some((local, member.config_reader(at(ms))?))
     };
-    let mut waits: Vec<(usize, u64)> = (0..10).filter_map(read_wait_ms).collect();
-    waits.sort_by_key(|(_, wait_ms)| *wait_ms);
-    waits
+    let mut readers: Vec<_> = (0..10).filter_map(reader).collect();
+    readers.sort_by_key(|(_, reader)| reader.read_wait_ms);
+    readers
+}
+
+fn read_waits_ms(ms: u64, received_ms: u64, failing: &[usize]) -> Vec<(usize, u64)> {
+    let readers = readers(ms, received_ms, failing).into_iter();
+    readers
+        .map(|(i, reader)| (i, reader.read_wait_ms))
+        .collect()
+}
+
+/// Guards against a configuration that is in force too late because the store refuses the regular readers
+/// after an outage, and the members that stand in for them wait long after their failed reads; and against
+/// a large fleet that calls a store which is away at the rate of the regular readers.
+#[gtest]
+fn first_stand_ins_repeat_failed_reads_soon() {
+    let all: Vec<usize> = (0..10).collect();
+    let mut delays: Vec<u64> = readers(500, 400, &all)
+        .into_iter()
+        .map(|(_, reader)| reader.retry_delay_ms)
+        .collect();
+    delays.sort_unstable();
+    let expected = [
+        200, 200, 200, 1_000, 1_000, 1_000, 4_000, 4_000, 4_000, 4_000,
+    ];
+    expect_that!(delays, eq(&expected.to_vec()));
 }
 
 /// Guards against a call to the store by every member of a large fleet for each change, and
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -22,10 +22,6 @@
 /// after its confirmation, even right after an outage.
 const MAX_BACKOFF_MS: u64 = 1_000;
 
-/// Mean delay after a failed call of a stand-in, in milliseconds. In an outage of the whole store
-/// every node becomes a stand-in, and the regular readers notice its end.
-const STAND_IN_BACKOFF_MS: u64 = 4_000;
-
 /// Delay after the first read before a node may become a reader, in milliseconds. Until then it knows
 /// few members, and each of many nodes that start together would take itself for one.
 const FIRST_READER_DELAY_MS: u64 = 1_000;
@@ -229,10 +225,8 @@
 
 /// Returns the shortest mean delay before a failed read is repeated, in milliseconds.
 fn min_backoff_ms(node: &Node) -> u64 {
-    match node.members.borrow().config_reader(node.now()) {
-        Some(reader) if reader.is_stand_in => STAND_IN_BACKOFF_MS,
-        _ => MIN_BACKOFF_MS,
-    }
+    let reader = node.members.borrow().config_reader(node.now());
+    reader.map_or(MIN_BACKOFF_MS, |reader| reader.retry_delay_ms)
 }
 
 /// Waits until this node is one of the members that read the store. Returns how long its read may
