Tests: a node that starts after a record with an older version

A restarted node took the last record of the store for the newest version, served it and refused the routes of the newer one with 404, until the next version: its peers, which had ignored the record, had read as far as it had.

--- a/tests/integration/late_configuration.rs
+++ b/tests/integration/late_configuration.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use plantainpost_standin::{
     log::LogFaults,
-    process,
+    process::{self, Signal},
     proxy::{Proxy, ProxyFaults},
 };
 use plantainpost_wire::message::{BodyLength, PeerMessage};
@@ -14,7 +14,9 @@
 use crate::{
     fleet_fixture::WAIT_TIMEOUT,
     http_client::outcome_header,
-    platform_fixture::{PlatformFleet, ScriptedReply, ScriptedTarget, answer, exchange},
+    platform_fixture::{
+        PlatformFleet, ScriptedReply, ScriptedTarget, answer, exchange, start_process,
+    },
     scripted_guard::{ScriptedGuardFleet, response_message},
     scripted_peer::{ScriptedPeer, run_script},
 };
@@ -194,6 +196,37 @@
     expect_that!(delay, le(Duration::from_secs(2)));
 }
 
+/// Guards against a restarted node that takes an older version for the newest one, because it is the last
+/// record of the store. Running nodes have ignored it.
+#[gtest]
+fn restarted_node_gets_the_newest_version_of_its_peers() {
+    let target = ScriptedTarget::start(|head| ScriptedReply::Keep(answer(head, "200 OK", "stock")));
+    let mut platform = PlatformFleet::start(3);
+    platform.publish_routes(4);
+    platform.announce(0, &target, "i-1", 1, "ready");
+    platform.publish_route_list(6, &[("/safe/", "safe", 5_000), ("/added/", "safe", 5_000)]);
+    let is_added = |platform: &PlatformFleet, i: usize| {
+        let text = platform.get(i, "/added/1", "a1");
+        text.starts_with("HTTP/1.1 200")
+    };
+    for i in 0..platform.hosts.len() {
+        process::wait_until("the added route", WAIT_TIMEOUT, || is_added(&platform, i))
+            .expect("version 6 is in force");
+    }
+    platform.publish_route_list(5, &[("/safe/", "safe", 5_000)]);
+    // The target is beside node 0.
+    let host = &mut platform.hosts[1];
+    host.process.signal(Signal::Kill).expect("the node runs");
+    host.process.wait_exit(WAIT_TIMEOUT).expect("an end");
+    host.process = start_process(&host.settings);
+    platform.wait_readyz(1, "200");
+    let start = Instant::now();
+    process::wait_until("the added route", WAIT_TIMEOUT, || is_added(&platform, 1))
+        .expect("version 6 is in force");
+    // A configuration must be in force on all nodes within 2 s.
+    expect_that!(start.elapsed(), le(Duration::from_secs(2)));
+}
+
 /// Guards against a fetch over an idle connection that a network fault has made dead, although the
 /// peer accepts new ones.
 #[gtest]
