Configuration: model of a store that is restored from a copy

Change: crates/core/tests/config/restored_store.rs has a model of the operator's log with eras and two copies, and three replicas that read it as store_sync does and fetch from each other. A failed run is shortened and printed with its seed.

--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -19,5 +19,7 @@
 mod plan;
 #[path = "config/replay.rs"]
 mod replay;
+#[path = "config/restored_store.rs"]
+mod restored_store;
 #[path = "config/size.rs"]
 mod size;
