Config: validate a peer's state before anything of it is taken

Cause: the routes and evacuations of a state that has read no further than this node were taken without a check, so that the name of a data centre that is out of bounds could enter the register.

Change: the check comes first.

Result: the new row of invalid_names_of_data_centres_are_rejected failed before and passes.

--- a/crates/core/src/config/replica.rs
+++ b/crates/core/src/config/replica.rs
@@ -301,13 +301,13 @@
     /// Newer routes and evacuations of this replica stay in force. A peer that has read further has older
     /// ones if it started after the store was restored from a copy.
     pub fn adopt_state(&mut self, mut state: State) -> Adoption {
-        if state.progress().read_to <= self.progress().read_to {
-            return self.adopt_newer_records(&state);
-        }
         if state.validate().is_err() {
             self.counters.invalid_states += 1;
             return Adoption::Invalid;
         }
+        if state.progress().read_to <= self.progress().read_to {
+            return self.adopt_newer_records(&state);
+        }
         if self.conflicts_with(&state) {
             self.counters.conflicts += 1;
             return Adoption::Conflict;
--- a/crates/core/tests/config/evacuations.rs
+++ b/crates/core/tests/config/evacuations.rs
@@ -203,8 +203,11 @@
     let json = serde_json::to_string(&peer.snapshot()).expect("JSON");
     let invalid = json.replace("\"pos\"", "\"\"");
     expect_ne!(invalid, json);
-    let mut node = ConfigReplica::new();
-    let adoption = node.adopt_state(serde_json::from_str(&invalid).expect("a state"));
-    expect_that!(adoption, eq(Adoption::Invalid));
+    // Also from a peer that has read no further.
+    for mut node in [ConfigReplica::new(), replica(9, Vec::new())] {
+        let adoption = node.adopt_state(serde_json::from_str(&invalid).expect("a state"));
+        expect_that!(adoption, eq(Adoption::Invalid));
+        expect_that!(node.evacuations().iter().count(), eq(0));
+    }
     expect_false!(change("", 1, true).is_valid());
 }
