Config: keep a notice that arrives during a fetch from the same peer

Cause: when a peer had answered, everything that it had announced was forgotten, also a version of which its notice arrived while its answer was under way. The next ping of the peer, up to a second later, announced it again.

Change: what the peer announced after it was asked is kept.

Found by reading, seen in no run of nodes.

--- a/crates/core/src/config/fetch.rs
+++ b/crates/core/src/config/fetch.rs
@@ -38,17 +38,20 @@
         }
     }
 
-    /// Returns the peer to ask next, for a node that has itself read as far as `own`. Forgets peers
+    /// Returns the peer to ask next and how far it has read, for a node that has itself read as far as `own`. Forgets peers
     /// that have nothing newer.
-    pub fn next(&mut self, own: Progress) -> Option<NodeName> {
+    pub fn next(&mut self, own: Progress) -> Option<(NodeName, Progress)> {
         self.queue
             .retain(|candidate| candidate.progress.is_ahead_of(own));
-        self.queue.front().map(|candidate| candidate.peer.clone())
+        let candidate = self.queue.front()?;
+        Some((candidate.peer.clone(), candidate.progress))
     }
 
-    /// Forgets a peer that has answered.
-    pub fn remove(&mut self, peer: &NodeName) {
-        self.queue.retain(|candidate| candidate.peer != *peer);
+    /// Forgets a peer that has answered, unless it has announced more than `asked`, for which it was
+    /// asked: the answer may be from before that.
+    pub fn remove(&mut self, peer: &NodeName, asked: Progress) {
+        self.queue
+            .retain(|candidate| candidate.peer != *peer || candidate.progress.is_ahead_of(asked));
     }
 
     /// Records that a peer has not answered. Returns whether another one can be asked at once.
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -233,19 +233,19 @@
     loop {
         let progress = node.config.borrow().progress();
         let next_peer = candidates.borrow_mut().next(progress);
-        let Some(peer) = next_peer else {
+        let Some((peer, asked)) = next_peer else {
             node.state_fetch.requested.notified().await;
             continue;
         };
         let started_at = node.now();
         match fetch_state(&node, &peer, progress).await {
             Ok(state) => {
-                candidates.borrow_mut().remove(&peer);
+                candidates.borrow_mut().remove(&peer, asked);
                 if let Some(state) = state {
                     adopt_state(&node, &peer, state).await;
                 }
             }
-            Err(FetchError::UnknownPeer) => candidates.borrow_mut().remove(&peer),
+            Err(FetchError::UnknownPeer) => candidates.borrow_mut().remove(&peer, asked),
             Err(e) => {
                 node.metrics.count("config.fetch_error");
                 warn!(node.logger, "configuration not fetched"; "peer" => %peer,
