Fault soak: restore the store from an older copy

The store, which now states eras, fails for 0.2 to 1.5 s (refused, closed or 503) and comes back with a copy that was taken 0.5 to 5 s before; about a third of the restores are followed by a second one within 2 s. A configuration is published after the copy, and in half of the cases one more before the operator writes the lost records again, 0.1 to 3 s after the restore: the newest value of each lost key, in the order of writing. The bounds of evacuations and withdrawn keys go on during a restore. Only where a node starts or continues without a record that is lost, they begin again when it is written again.

--- a/crates/standin/src/bin/plantainpost-bench/args.rs
+++ b/crates/standin/src/bin/plantainpost-bench/args.rs
@@ -203,6 +203,10 @@
     #[argh(option, default = "0")]
     pub(crate) withdrawals: usize,
 
+    /// restores of the store from an older copy in each round (default 0)
+    #[argh(option, default = "0")]
+    pub(crate) restores: usize,
+
     /// requests per second (default 120)
     #[argh(option, default = "120.0")]
     pub(crate) rate: f64,
--- a/crates/standin/src/bin/plantainpost-bench/faults.rs
+++ b/crates/standin/src/bin/plantainpost-bench/faults.rs
@@ -17,6 +17,7 @@
             evacuations: args.evacuations,
             restarts: args.restarts,
             withdrawals: args.withdrawals,
+            restores: args.restores,
             rate: args.rate,
             ..Default::default()
         };
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -10,6 +10,7 @@
 mod cold;
 mod evacuations;
 mod injector;
+mod operator;
 mod schedule;
 mod workspaces;
 
@@ -22,6 +23,7 @@
     fleet::{Fleet, FleetSettings, Host},
     history::{self, Summary, Violation},
     load::{self, LoadRoute, LoadSettings, RequestKind},
+    log::LogSettings,
     process,
     target::{ServiceTime, TargetSettings},
 };
@@ -30,7 +32,8 @@
 use evacuations::EVACUATION_GRACE_US;
 use injector::FaultInjector;
 pub use schedule::{
-    Fault, FaultStep, LinkFault, add_evacuations, add_restarts, add_withdrawals, fault_schedule,
+    Fault, FaultStep, LinkFault, add_evacuations, add_restarts, add_restores, add_withdrawals,
+    fault_schedule,
 };
 use workspaces::{KEYS, WITHDRAWAL_GRACE_US, Workspaces};
 
@@ -76,6 +79,9 @@
     /// Number of withdrawals of a key in a round, in addition to the faults. If there are any, requests
     /// need keys, and one workspace has a quota.
     pub withdrawals: usize,
+    /// Number of restores of the store from an older copy in a round, in addition to the faults. Some
+    /// are followed by a second one.
+    pub restores: usize,
     /// Requests per second.
     pub rate: f64,
 }
@@ -93,6 +99,7 @@
             evacuations: 0,
             restarts: 0,
             withdrawals: 0,
+            restores: 0,
             rate: 120.0,
         }
     }
@@ -111,6 +118,8 @@
     pub checked_cold_periods: u64,
     /// Number of withdrawals that lasted long enough to be checked, in all rounds.
     pub checked_withdrawals: u64,
+    /// Number of restores of the store that lost a record of an operator, in all rounds.
+    pub lossy_restores: u64,
 }
 
 /// Why a soak run ended early.
@@ -153,6 +162,10 @@
         &FleetSettings {
             binary: cfg.binary.clone(),
             hosts: hosts(cfg.nodes),
+            log: LogSettings {
+                era: Some(0),
+                ..Default::default()
+            },
             on_platform: true,
             ..Default::default()
         },
@@ -171,6 +184,7 @@
         add_evacuations(&mut steps, seed, &DATA_CENTRES, cfg.evacuations);
         add_restarts(&mut steps, seed, cfg.nodes, cfg.restarts);
         add_withdrawals(&mut steps, seed, cfg.withdrawals);
+        add_restores(&mut steps, seed, cfg.restores);
         report.faults += steps.iter().filter(|step| step.begins).count() as u64;
         let load = load::start(&load_settings(cfg, seed, &injector.fleet))?;
         let injected = injector.run_schedule(&steps);
@@ -180,6 +194,7 @@
         report.checked_cold_periods = injector.cold.as_ref().map_or(0, |cold| cold.checkable);
         let workspaces = injector.workspaces.as_ref();
         report.checked_withdrawals = workspaces.map_or(0, |w| w.checkable);
+        report.lossy_restores = injector.operator.lossy_restores;
         report.requests = check_history(&injector, round, records)?;
         checks::check_recovery(&mut injector).map_err(guarantee_error(round))?;
         checks::check_configuration_update(&mut injector).map_err(guarantee_error(round))?;
--- a/crates/standin/src/soak/evacuations.rs
+++ b/crates/standin/src/soak/evacuations.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::injector::CONFIG_TOPIC;
+use super::operator::{CONFIG_TOPIC, Operator};
 use crate::{
     clock::now_us,
     fleet::Fleet,
@@ -20,13 +20,13 @@
 pub(super) const EVACUATION_GRACE_US: u64 = 5_000_000;
 
 /// A record of an evacuation that was written and not removed by the operator.
+#[derive(Default)]
 struct WrittenRecord {
-    offset: u64,
     /// Whether the store has dropped the record, which ends the evacuation.
     is_expired: bool,
-    /// Since when nodes can read the record, in µs since the Unix epoch; `None` while the bound of
-    /// the evacuation does not apply.
-    readable_since_us: Option<u64>,
+    /// Since when nodes can read the record, in µs since the Unix epoch, by the number of the host to
+    /// which the bound of the evacuation applies.
+    readable_since_us: BTreeMap<usize, u64>,
 }
 
 /// The evacuations that the operator wants, and those that are written to the store.
@@ -52,94 +52,120 @@
 
     /// Writes the wanted changes, and notes since when they can be read. An operator can only write
     /// while the store answers, so a change waits for the end of a fault that prevents that.
-    pub(super) fn update(&mut self, fleet: &Fleet) {
+    ///
+    /// While a restore has lost a record, its bound goes on, except at the hosts of `uninformed`
+    /// nodes, which may not know it. It begins again when the record is written again.
+    pub(super) fn update(&mut self, fleet: &Fleet, operator: &mut Operator, uninformed: &[usize]) {
+        for (data_centre, record) in &mut self.written {
+            if operator.is_lost(&key(data_centre)) {
+                self.checkable += end_bound(&mut self.records, fleet, record, |host, _| {
+                    uninformed.contains(&host)
+                });
+            }
+        }
         if !is_readable(&fleet.log) {
             self.suspend_unread(fleet);
             return;
         }
-        self.end_unwanted(fleet);
+        self.end_unwanted(fleet, operator);
         for data_centre in &self.wanted {
-            let written =
-                self.written
-                    .entry(data_centre.clone())
-                    .or_insert_with(|| WrittenRecord {
-                        offset: append(&fleet.log, data_centre, b"{}"),
-                        is_expired: false,
-                        readable_since_us: None,
-                    });
-            if written.readable_since_us.is_none() && !written.is_expired {
-                let at = now_us();
-                written.readable_since_us = Some(at);
-                let targets = targets_of(fleet, data_centre);
-                let records = targets.map(|target| Record::Evacuated { at, target });
-                self.records.extend(records);
+            let key = key(data_centre);
+            let written = self.written.entry(data_centre.clone()).or_insert_with(|| {
+                operator.write(&fleet.log, &key, b"{}");
+                WrittenRecord::default()
+            });
+            if written.is_expired || operator.is_lost(&key) {
+                continue;
+            }
+            let at = now_us();
+            for (host, target) in targets_of(fleet, data_centre) {
+                written.readable_since_us.entry(host).or_insert_with(|| {
+                    self.records.push(Record::Evacuated { at, target });
+                    at
+                });
             }
         }
     }
 
+    /// Notes that a record was lost and is written again.
+    pub(super) fn on_rewritten(&mut self, rewritten: &str) {
+        for (data_centre, record) in &mut self.written {
+            record.is_expired &= key(data_centre) != rewritten;
+        }
+    }
+
     /// Notes the evacuations that end because the store is about to drop all records but the newest.
-    pub(super) fn on_expiry(&mut self, fleet: &Fleet) {
+    pub(super) fn on_expiry(&mut self, fleet: &Fleet, operator: &Operator) {
         let newest = fleet.log.records(CONFIG_TOPIC).last().map(|r| r.offset);
-        let is_dropped = |offset| newest.is_some_and(|newest| offset < newest);
-        let mut written = std::mem::take(&mut self.written);
-        for (data_centre, record) in &mut written {
-            if is_dropped(record.offset) {
+        for (data_centre, record) in &mut self.written {
+            let key = key(data_centre);
+            if !operator.is_lost(&key) && operator.offset(&key) < newest {
                 record.is_expired = true;
-                self.end_bound(fleet, data_centre, record);
+                self.checkable += end_bound(&mut self.records, fleet, record, |_, _| true);
             }
         }
-        self.written = written;
     }
 
     fn suspend_unread(&mut self, fleet: &Fleet) {
         let now = now_us();
-        let is_unread = |since: u64| now.saturating_sub(since) < MIN_READABLE_US;
-        let mut written = std::mem::take(&mut self.written);
-        for (data_centre, record) in &mut written {
-            if record.readable_since_us.is_some_and(is_unread) {
-                self.end_bound(fleet, data_centre, record);
-            }
+        for record in self.written.values_mut() {
+            self.checkable += end_bound(&mut self.records, fleet, record, |_, since_us| {
+                now.saturating_sub(since_us) < MIN_READABLE_US
+            });
         }
-        self.written = written;
     }
 
     /// Removes the records that are no longer wanted, also those that have expired, because some nodes
     /// may not have noticed that yet.
-    fn end_unwanted(&mut self, fleet: &Fleet) {
-        let mut written = std::mem::take(&mut self.written);
-        written.retain(|data_centre, record| {
+    fn end_unwanted(&mut self, fleet: &Fleet, operator: &mut Operator) {
+        self.written.retain(|data_centre, record| {
             let is_wanted = self.wanted.contains(data_centre);
             if !is_wanted {
-                self.end_bound(fleet, data_centre, record);
-                append(&fleet.log, data_centre, b"");
+                self.checkable += end_bound(&mut self.records, fleet, record, |_, _| true);
+                operator.write(&fleet.log, &key(data_centre), b"");
             }
             is_wanted
         });
-        self.written = written;
     }
+}
 
-    /// Notes that the bound of an evacuation no longer applies, if it did.
-    fn end_bound(&mut self, fleet: &Fleet, data_centre: &str, record: &mut WrittenRecord) {
-        let Some(since_us) = record.readable_since_us.take() else {
-            return;
-        };
-        let at = now_us();
-        self.checkable += u64::from(at.saturating_sub(since_us) > EVACUATION_GRACE_US);
-        let targets = targets_of(fleet, data_centre);
-        let records = targets.map(|target| Record::Returned { at, target });
-        self.records.extend(records);
-    }
+/// Notes that the bound of an evacuation no longer applies at the hosts chosen by their number and the
+/// time since when the bound applied there. Returns 1 if it applied long enough to be checked at any of
+/// them, or else 0.
+fn end_bound(
+    records: &mut Vec<Record>,
+    fleet: &Fleet,
+    record: &mut WrittenRecord,
+    is_ended: impl Fn(usize, u64) -> bool,
+) -> u64 {
+    let at = now_us();
+    let mut is_checkable = false;
+    record.readable_since_us.retain(|host, since_us| {
+        let is_ended = is_ended(*host, *since_us);
+        if is_ended {
+            let target = fleet.targets[*host].name().to_owned();
+            records.push(Record::Returned { at, target });
+            is_checkable |= at.saturating_sub(*since_us) > EVACUATION_GRACE_US;
+        }
+        !is_ended
+    });
+    u64::from(is_checkable)
 }
 
-fn targets_of<'a>(fleet: &'a Fleet, data_centre: &'a str) -> impl Iterator<Item = String> + 'a {
-    let hosts = fleet.targets.iter().zip(fleet.hosts());
+/// Returns the numbers of the hosts of a data centre and the names of their targets.
+fn targets_of<'a>(
+    fleet: &'a Fleet,
+    data_centre: &'a str,
+) -> impl Iterator<Item = (usize, String)> + 'a {
+    let hosts = fleet.targets.iter().zip(fleet.hosts()).enumerate();
     hosts
-        .filter(move |(_, host)| host.data_centre == data_centre)
-        .map(|(target, _)| target.name().to_owned())
+        .filter(move |(_, (_, host))| host.data_centre == data_centre)
+        .map(|(i, (target, _))| (i, target.name().to_owned()))
 }
 
-fn append(log: &LogHandle, data_centre: &str, value: &[u8]) -> u64 {
-    log.append_keyed(CONFIG_TOPIC, &format!("evacuate/{data_centre}"), value)
+/// Returns the key of the record of an evacuation.
+fn key(data_centre: &str) -> String {
+    format!("evacuate/{data_centre}")
 }
 
 /// Returns whether nodes can read the store, late or not.
--- a/crates/standin/src/soak/injector.rs
+++ b/crates/standin/src/soak/injector.rs
@@ -9,11 +9,13 @@
 use super::{
     SERVICES,
     cold::ColdTargets,
-    evacuations::{Evacuations, is_readable},
+    evacuations::{Evacuations, MIN_READABLE_US, is_readable},
+    operator::{CONFIG_TOPIC, Operator},
     schedule::{Fault, FaultStep, LinkFault, STOP_DEADLINE_MS},
     workspaces::Workspaces,
 };
 use crate::{
+    clock::now_us,
     fleet::Fleet,
     log::LogFaults,
     process::Signal,
@@ -21,8 +23,7 @@
     target::{RequestFailure, TargetFaults},
 };
 
-/// Topic and key of the configuration in the store.
-pub(super) const CONFIG_TOPIC: &str = "keyed.op";
+/// Key of the configuration in the store.
 const CONFIG_KEY: &str = "config";
 
 /// Delay of a link in milliseconds, in each direction.
@@ -49,6 +50,9 @@
     killed: Vec<usize>,
     /// Number of overlapping faults by scope. A fault is removed when the last of its scope ends.
     active: BTreeMap<String, u32>,
+    /// Time at which a node last started or continued, in µs since the Unix epoch.
+    resumed_at_us: BTreeMap<usize, u64>,
+    pub(super) operator: Operator,
     pub(super) evacuations: Evacuations,
     /// `None` if targets do not become cold.
     pub(super) cold: Option<ColdTargets>,
@@ -70,6 +74,8 @@
             stopping: BTreeMap::new(),
             killed: Vec::new(),
             active: BTreeMap::new(),
+            resumed_at_us: BTreeMap::new(),
+            operator: Operator::default(),
             evacuations: Evacuations::default(),
         }
     }
@@ -109,9 +115,8 @@
             routes.join(","),
             services.join(",")
         );
-        self.fleet
-            .log
-            .append_keyed(CONFIG_TOPIC, CONFIG_KEY, text.as_bytes());
+        self.operator
+            .write(&self.fleet.log, CONFIG_KEY, text.as_bytes());
     }
 
     /// Runs the steps of a schedule at their times. All faults have ended afterwards.
@@ -124,15 +129,44 @@
             thread::sleep(at.saturating_duration_since(Instant::now()));
             let is_first_or_last = self.count_active(step);
             self.apply(step, is_first_or_last)?;
-            self.evacuations.update(&self.fleet);
-            self.update_workspaces();
+            self.rewrite_lost_records();
+            let uninformed = self.uninformed_nodes();
+            self.evacuations
+                .update(&self.fleet, &mut self.operator, &uninformed);
+            self.update_workspaces(&uninformed);
         }
         Ok(())
     }
 
+    /// Writes the lost records again, if that is wanted. An operator can only write while the store
+    /// answers.
+    fn rewrite_lost_records(&mut self) {
+        if !is_readable(&self.fleet.log) {
+            return;
+        }
+        for key in self.operator.rewrite_lost(&self.fleet.log) {
+            match (&key == CONFIG_KEY, &mut self.workspaces) {
+                (true, Some(workspaces)) => workspaces.on_rewritten(),
+                (true, None) => {}
+                (false, _) => self.evacuations.on_rewritten(&key),
+            }
+        }
+    }
+
+    /// Returns the nodes that may have started or continued without records that the last restore lost,
+    /// because they did so too shortly before the store failed, or later.
+    fn uninformed_nodes(&self) -> Vec<usize> {
+        let since_us = self.operator.failed_at_us.saturating_sub(MIN_READABLE_US);
+        let nodes = self.resumed_at_us.iter();
+        nodes
+            .filter(|(_, at_us)| **at_us >= since_us)
+            .map(|(i, _)| *i)
+            .collect()
+    }
+
     /// Publishes a wanted change of the keys, and notes since when it can be read. Like other writes of
     /// an operator, it waits while the store does not answer.
-    fn update_workspaces(&mut self) {
+    fn update_workspaces(&mut self, uninformed: &[usize]) {
         let is_readable = is_readable(&self.fleet.log);
         let Some(workspaces) = &mut self.workspaces else {
             return;
@@ -141,7 +175,9 @@
             self.publish_configuration();
         }
         if let Some(workspaces) = &mut self.workspaces {
-            workspaces.update_bound(is_readable);
+            let is_lost = self.operator.is_lost(CONFIG_KEY);
+            let may_be_unknown = is_lost && !uninformed.is_empty();
+            workspaces.update_bound(is_readable, is_lost, may_be_unknown);
         }
     }
 
@@ -178,7 +214,7 @@
                 Ok(())
             }
             Fault::ExpireRecords if step.begins => {
-                self.evacuations.on_expiry(&self.fleet);
+                self.evacuations.on_expiry(&self.fleet, &self.operator);
                 if let Some(workspaces) = &mut self.workspaces {
                     workspaces.on_expiry();
                 }
@@ -207,7 +243,30 @@
                 }
                 Ok(())
             }
-            Fault::PublishConfiguration | Fault::ExpireRecords | Fault::ReloadNode(_) => Ok(()),
+            Fault::CopiedStore(number) if step.begins => {
+                self.operator.copy_store(&self.fleet.log, *number);
+                Ok(())
+            }
+            Fault::RestoredStore(number, outage) => {
+                if step.begins {
+                    self.operator.on_store_failed();
+                } else {
+                    self.operator.restore_store(&self.fleet.log, *number);
+                }
+                if step.begins || is_first_or_last {
+                    self.switch_fault(&Fault::Store(outage.clone()), step.begins);
+                }
+                Ok(())
+            }
+            Fault::LostRecords(_) if !step.begins => {
+                self.operator.want_rewrite();
+                Ok(())
+            }
+            Fault::PublishConfiguration
+            | Fault::ExpireRecords
+            | Fault::ReloadNode(_)
+            | Fault::CopiedStore(_)
+            | Fault::LostRecords(_) => Ok(()),
             Fault::FreezeNode(i) if step.begins => {
                 self.signal_node(*i, Signal::Stop);
                 self.stopping
@@ -217,6 +276,7 @@
             }
             Fault::FreezeNode(i) => {
                 self.signal_node(*i, Signal::Cont);
+                self.resumed_at_us.insert(*i, now_us());
                 Ok(())
             }
             fault => {
@@ -319,6 +379,7 @@
 
     fn restart_node(&mut self, i: usize) -> Result<(), String> {
         self.killed.retain(|other| *other != i);
+        self.resumed_at_us.insert(i, now_us());
         self.fleet.restart(i).map_err(|e| e.to_string())
     }
 
@@ -350,7 +411,9 @@
     match fault {
         Fault::StoreLink(i, _) => format!("store link {i}"),
         Fault::TargetLink(i, _) => format!("target link {i}"),
-        Fault::Store(_) => "store".to_owned(),
+        Fault::Store(_) | Fault::RestoredStore(..) => "store".to_owned(),
+        Fault::CopiedStore(number) => format!("copy {number}"),
+        Fault::LostRecords(number) => format!("records lost after copy {number}"),
         Fault::ExpireRecords => "records".to_owned(),
         Fault::FreezeNode(i) => format!("freeze {i}"),
         Fault::KillNode(i) => format!("kill {i}"),
--- a/crates/standin/src/soak/schedule.rs
+++ b/crates/standin/src/soak/schedule.rs
@@ -40,8 +40,28 @@
 /// 2.5 s within which they may still start.
 const WITHDRAWAL_DURATION_MS: std::ops::Range<u64> = 4_500..6_500;
 
-/// Separate the random numbers of restarts and withdrawals, like [`EVACUATION_SEED`].
+/// Range of the time within a round at which the store fails before it is restored, in milliseconds.
+const RESTORE_START_MS: std::ops::Range<u64> = 1_000..5_000;
+
+/// Range of the age of the copy when the store fails, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 500..5_000;
+
+/// Range of the time for which the store fails before it is restored, in milliseconds.
+const RESTORE_DURATION_MS: std::ops::Range<u64> = 200..1_500;
+
+/// Range of the time after a restore at which the operator writes the lost records again, in
+/// milliseconds.
+const REWRITE_DELAY_MS: std::ops::Range<u64> = 100..3_000;
+
+/// Probability in percent that a second restore follows.
+const SECOND_RESTORE_PERCENT: u32 = 35;
+
+/// Range of the time from a restore to the next failure of the store, in milliseconds.
+const SECOND_RESTORE_DELAY_MS: std::ops::Range<u64> = 300..2_000;
+
+/// Separate the random numbers of restarts, withdrawals and restores, like [`EVACUATION_SEED`].
 const RESTART_SEED: u64 = 0xc01d_0000_0000_0000;
+const RESTORE_SEED: u64 = 0x0c0f_0000_0000_0000;
 const WITHDRAWAL_SEED: u64 = 0x6e1d_0000_0000_0000;
 
 /// Time in milliseconds within which a node must exit after SIGTERM: the limit `graceS` of the
@@ -100,6 +120,12 @@
     Evacuation(&'static str),
     /// An operator withdraws a key, and adds it again at the end.
     WithdrawnKey,
+    /// A copy of the store with the given number is taken.
+    CopiedStore(usize),
+    /// The store fails, and is restored from the copy with the given number at the end.
+    RestoredStore(usize, LogFaults),
+    /// Records that an operator wrote are lost, and are written again at the end.
+    LostRecords(usize),
 }
 
 /// The beginning or the end of a fault.
@@ -178,6 +204,39 @@
     steps.sort_by_key(|step| step.at_ms);
 }
 
+/// Adds restores of the store from a copy to the steps of a round, some of them twice within seconds,
+/// and configurations that are lost by them or published before the lost records are written again.
+/// The other steps stay as they are.
+pub fn add_restores(steps: &mut Vec<FaultStep>, seed: u64, restores: usize) {
+    let mut rng = StdRng::seed_from_u64(seed ^ RESTORE_SEED);
+    let mut number = 0;
+    for _ in 0..restores {
+        let mut failed_ms = rng.random_range(RESTORE_START_MS);
+        let is_repeated = rng.random_range(0..100) < SECOND_RESTORE_PERCENT;
+        for _ in 0..=usize::from(is_repeated) {
+            let age_ms = rng.random_range(COPY_AGE_MS).min(failed_ms);
+            let outage_ms = rng.random_range(RESTORE_DURATION_MS);
+            let lost_ms = rng.random_range(REWRITE_DELAY_MS);
+            let copied_ms = failed_ms - age_ms;
+            let restored_ms = failed_ms + outage_ms;
+            let outage = random_outage(&mut rng);
+            push_fault(steps, copied_ms, age_ms, Fault::CopiedStore(number));
+            let fault = Fault::RestoredStore(number, outage);
+            push_fault(steps, failed_ms, outage_ms, fault);
+            push_fault(steps, restored_ms, lost_ms, Fault::LostRecords(number));
+            let published_ms = copied_ms + rng.random_range(1..age_ms);
+            push_fault(steps, published_ms, 0, Fault::PublishConfiguration);
+            let published_ms = restored_ms + rng.random_range(1..lost_ms);
+            if rng.random_bool(0.5) {
+                push_fault(steps, published_ms, 0, Fault::PublishConfiguration);
+            }
+            failed_ms = restored_ms + rng.random_range(SECOND_RESTORE_DELAY_MS);
+            number += 1;
+        }
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 fn push_fault(steps: &mut Vec<FaultStep>, start_ms: u64, duration_ms: u64, fault: Fault) {
     for (at_ms, begins) in [(start_ms, true), (start_ms + duration_ms, false)] {
         let fault = fault.clone();
@@ -237,6 +296,16 @@
     all.choose(rng).copied().unwrap_or(Never)
 }
 
+fn random_outage(rng: &mut StdRng) -> LogFaults {
+    let mut faults = LogFaults::default();
+    match rng.random_range(0..3) {
+        0 => faults.down = DownMode::Refuse,
+        1 => faults.down = DownMode::Close,
+        _ => faults.refuse = true,
+    }
+    faults
+}
+
 fn random_store_fault(rng: &mut StdRng) -> LogFaults {
     let mut faults = LogFaults::default();
     match rng.random_range(0..6) {
--- a/crates/standin/src/soak/workspaces.rs
+++ b/crates/standin/src/soak/workspaces.rs
@@ -73,12 +73,25 @@
         true
     }
 
+    /// Notes that the newest configuration was lost and is written again.
+    pub(super) fn on_rewritten(&mut self) {
+        self.is_expired = false;
+    }
+
     /// Begins the bound of a published withdrawal, or ends it if the store fails so early that all
-    /// nodes may have missed the withdrawal.
-    pub(super) fn update_bound(&mut self, is_readable: bool) {
+    /// nodes may have missed the withdrawal. `is_lost` is set while the store lacks the newest
+    /// configuration, and `may_be_unknown` if a node may have started without it meanwhile.
+    pub(super) fn update_bound(&mut self, is_readable: bool, is_lost: bool, may_be_unknown: bool) {
+        if may_be_unknown {
+            self.end_bound();
+        }
         if !is_readable {
             self.end_early_bound();
-        } else if self.is_withdrawn && !self.is_expired && self.readable_since_us.is_none() {
+        } else if self.is_withdrawn
+            && !self.is_expired
+            && !is_lost
+            && self.readable_since_us.is_none()
+        {
             let at = now_us();
             self.readable_since_us = Some(at);
             let workspace = WITHDRAWN.to_owned();
--- a/tests/integration/soak.rs
+++ b/tests/integration/soak.rs
@@ -72,6 +72,25 @@
     }
 }
 
+/// Guards against configurations, evacuations and withdrawn keys that are not in force after the store
+/// was restored from an older copy and the lost records were written again, during random faults.
+#[gtest]
+fn operator_records_hold_when_the_store_is_restored() {
+    let cfg = SoakSettings {
+        binary: BINARY.into(),
+        seed: 4_801,
+        rounds: 1,
+        evacuations: 1,
+        withdrawals: 1,
+        restores: 1,
+        ..Default::default()
+    };
+    match soak::run(&cfg) {
+        Ok(report) => expect_that!(report.lossy_restores, ge(1)),
+        Err(e) => add_failure!("seed {}: {e}", cfg.seed),
+    }
+}
+
 /// Guards against violated guarantees to callers, targets and operators while links, the
 /// store, targets and nodes fail one after the other and at the same time.
 #[gtest]
