Fault soak: check newest version, versions in force and calls to the store

Cause: after a round only the next configuration was checked, so that one that was never in force was not seen if the next one was; a node that went back to older routes, and reads in a loop, were not seen either.

Change: after each round the newest version on the store is served by every node at most 2 s after the 3 s without faults. During the round each node is asked for the route that only one version has: within an incarnation, its answer is never that neither the version it has served nor a newer one has its route. The nodes call the store at most 10 times a second and node in the mean of a round.

--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -12,9 +12,13 @@
 mod injector;
 mod operator;
 mod schedule;
+mod versions;
 mod workspaces;
 
-use std::{path::PathBuf, time::Duration};
+use std::{
+    path::PathBuf,
+    time::{Duration, Instant},
+};
 
 use snafu::Snafu;
 
@@ -35,6 +39,7 @@
     Fault, FaultStep, LinkFault, add_evacuations, add_restarts, add_restores, add_withdrawals,
     fault_schedule,
 };
+use versions::VersionObservers;
 use workspaces::{KEYS, WITHDRAWAL_GRACE_US, Workspaces};
 
 /// Maximum time until a new fleet is ready.
@@ -106,7 +111,7 @@
 }
 
 /// The result of a soak run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct SoakReport {
     /// Counts for the last round, except for the starts at targets, which are of all rounds.
     pub requests: Summary,
@@ -118,6 +123,11 @@
     pub checked_cold_periods: u64,
     /// Number of withdrawals that lasted long enough to be checked, in all rounds.
     pub checked_withdrawals: u64,
+    /// Number of times that an observer of a node has seen which version of the configuration it serves,
+    /// in all rounds.
+    pub observed_versions: u64,
+    /// Calls to the store a second and node in the round with the most.
+    pub max_store_calls_per_s: f64,
     /// Number of restores of the store that lost a record of an operator, in all rounds.
     pub lossy_restores: u64,
 }
@@ -186,10 +196,17 @@
         add_withdrawals(&mut steps, seed, cfg.withdrawals);
         add_restores(&mut steps, seed, cfg.restores);
         report.faults += steps.iter().filter(|step| step.begins).count() as u64;
+        let start = Instant::now();
+        let calls_at_start = injector.fleet.log.call_count();
         let load = load::start(&load_settings(cfg, seed, &injector.fleet))?;
+        let addresses: Vec<_> = injector.fleet.nodes.iter().map(|n| n.callers).collect();
+        let observers = VersionObservers::start(&injector.published, &addresses);
         let injected = injector.run_schedule(&steps);
-        let records = load.wait()?.records;
+        let loaded = load.wait();
+        let observed = observers.stop();
+        let records = loaded?.records;
         injected.map_err(guarantee_error(round))?;
+        report.observed_versions += observed.map_err(guarantee_error(round))?;
         report.checked_evacuations = injector.evacuations.checkable;
         report.checked_cold_periods = injector.cold.as_ref().map_or(0, |cold| cold.checkable);
         let workspaces = injector.workspaces.as_ref();
@@ -197,6 +214,10 @@
         report.lossy_restores = injector.operator.lossy_restores;
         report.requests = check_history(&injector, round, records)?;
         checks::check_recovery(&mut injector).map_err(guarantee_error(round))?;
+        checks::check_newest_configuration(&injector).map_err(guarantee_error(round))?;
+        let calls = checks::check_store_calls(&injector, start, calls_at_start);
+        let calls = calls.map_err(guarantee_error(round))?;
+        report.max_store_calls_per_s = report.max_store_calls_per_s.max(calls);
         checks::check_configuration_update(&mut injector).map_err(guarantee_error(round))?;
     }
     Ok(report)
--- a/crates/standin/src/soak/checks.rs
+++ b/crates/standin/src/soak/checks.rs
@@ -7,7 +7,11 @@
     time::{Duration, Instant},
 };
 
-use super::{SERVICES, injector::FaultInjector, workspaces::CHECK_KEY};
+use super::{
+    SERVICES,
+    injector::{CONFIG_KEY, FaultInjector},
+    workspaces::CHECK_KEY,
+};
 
 /// Maximum time in seconds until each node serves each service again: the limit `recoverS` of the
 /// users' sites.
@@ -21,6 +25,10 @@
 /// `stabilityWindowMs` of the users' sites.
 const STABILITY_WINDOW_MS: u64 = 3_000;
 
+/// Maximum number of calls to the store a second and node, as a mean over a round. Nodes that read in a
+/// loop call it hundreds of times a second.
+const MAX_STORE_CALLS_PER_S: f64 = 10.0;
+
 /// Maximum wait for a connection and for each read of an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -49,10 +57,54 @@
     Ok(())
 }
 
+/// Checks that the version published last is in force at every node in time, unless the store has
+/// dropped it.
+pub(super) fn check_newest_configuration(injector: &FaultInjector) -> Result<(), String> {
+    thread::sleep(Duration::from_millis(STABILITY_WINDOW_MS));
+    if !injector
+        .operator
+        .is_on_store(&injector.fleet.log, CONFIG_KEY)
+    {
+        return Ok(());
+    }
+    let deadline = Instant::now() + Duration::from_millis(MAX_CONFIGURATION_DELAY_MS);
+    let path = format!("/v{}/1", injector.version);
+    for (i, node) in injector.fleet.nodes.iter().enumerate() {
+        while request_status(node.callers, SERVICES[0], &path) != Some(200) {
+            if Instant::now() >= deadline {
+                return Err(format!(
+                    "host-{i} does not serve {path} {} ms after the last fault",
+                    STABILITY_WINDOW_MS + MAX_CONFIGURATION_DELAY_MS
+                ));
+            }
+            thread::sleep(RETRY_INTERVAL);
+        }
+    }
+    Ok(())
+}
+
+/// Checks that the nodes have not called the store too often since the time `start`, when the number of
+/// calls was `count_at_start`.
+pub(super) fn check_store_calls(
+    injector: &FaultInjector,
+    start: Instant,
+    count_at_start: u64,
+) -> Result<f64, String> {
+    let calls = injector.fleet.log.call_count() - count_at_start;
+    let seconds = start.elapsed().as_secs_f64() * injector.fleet.nodes.len() as f64;
+    let per_second = calls as f64 / seconds;
+    if per_second > MAX_STORE_CALLS_PER_S {
+        return Err(format!(
+            "{calls} calls to the store, which are {per_second:.1} a second and node instead of \
+             at most {MAX_STORE_CALLS_PER_S}"
+        ));
+    }
+    Ok(per_second)
+}
+
 /// Publishes a configuration and checks that it is in force at every node in time: the route that it
 /// adds is served and the one that it removes is not.
 pub(super) fn check_configuration_update(injector: &mut FaultInjector) -> Result<(), String> {
-    thread::sleep(Duration::from_millis(STABILITY_WINDOW_MS));
     let removed_path = format!("/v{}/1", injector.version);
     injector.publish_configuration();
     thread::sleep(Duration::from_millis(MAX_CONFIGURATION_DELAY_MS));
@@ -73,7 +125,7 @@
 }
 
 /// Sends a GET request and returns the status of its answer; `None` if there is none.
-fn request_status(addr: SocketAddr, host: &str, path: &str) -> Option<u16> {
+pub(super) fn request_status(addr: SocketAddr, host: &str, path: &str) -> Option<u16> {
     let mut io = TcpStream::connect_timeout(&addr, ANSWER_TIMEOUT).ok()?;
     io.set_read_timeout(Some(ANSWER_TIMEOUT)).ok()?;
     let request = format!(
--- a/crates/standin/src/soak/injector.rs
+++ b/crates/standin/src/soak/injector.rs
@@ -2,6 +2,10 @@
 
 use std::{
     collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -12,6 +16,7 @@
     evacuations::{Evacuations, MIN_READABLE_US, is_readable},
     operator::{CONFIG_TOPIC, Operator},
     schedule::{Fault, FaultStep, LinkFault, STOP_DEADLINE_MS},
+    versions::Published,
     workspaces::Workspaces,
 };
 use crate::{
@@ -24,7 +29,7 @@
 };
 
 /// Key of the configuration in the store.
-const CONFIG_KEY: &str = "config";
+pub(super) const CONFIG_KEY: &str = "config";
 
 /// Delay of a link in milliseconds, in each direction.
 const LINK_DELAY_MS: u64 = 150;
@@ -43,6 +48,8 @@
     pub(super) fleet: Fleet,
     /// Version of the last published configuration; 0 before the first.
     pub(super) version: u64,
+    /// The version and the restarts of the nodes, for their observers.
+    pub(super) published: Arc<Published>,
     /// Nodes that received SIGTERM and have not been restarted, and whether they were frozen
     /// meanwhile. A frozen node cannot exit, so the stop deadline does not apply to it.
     stopping: BTreeMap<usize, bool>,
@@ -66,7 +73,12 @@
         cold: Option<ColdTargets>,
         workspaces: Option<Workspaces>,
     ) -> Self {
+        let restarts = fleet.nodes.iter().map(|_| AtomicU64::new(0)).collect();
         FaultInjector {
+            published: Arc::new(Published {
+                version: AtomicU64::new(0),
+                restarts,
+            }),
             cold,
             workspaces,
             fleet,
@@ -85,6 +97,7 @@
     pub(super) fn publish_configuration(&mut self) {
         self.version += 1;
         let version = self.version;
+        self.published.version.store(version, Ordering::SeqCst);
         let mut routes = Vec::new();
         let version_prefix = format!("/v{version}/");
         for service in SERVICES {
@@ -145,7 +158,7 @@
             return;
         }
         for key in self.operator.rewrite_lost(&self.fleet.log) {
-            match (&key == CONFIG_KEY, &mut self.workspaces) {
+            match (key == CONFIG_KEY, &mut self.workspaces) {
                 (true, Some(workspaces)) => workspaces.on_rewritten(),
                 (true, None) => {}
                 (false, _) => self.evacuations.on_rewritten(&key),
@@ -380,6 +393,12 @@
     fn restart_node(&mut self, i: usize) -> Result<(), String> {
         self.killed.retain(|other| *other != i);
         self.resumed_at_us.insert(i, now_us());
+        // The process has ended before the restart is counted, so that observers don't take its answers
+        // for those of the new one. Both calls fail only when it has ended.
+        let process = &mut self.fleet.nodes[i].process;
+        drop(process.signal(Signal::Kill));
+        drop(process.wait_exit(Duration::from_secs(5)));
+        self.published.restarts[i].fetch_add(1, Ordering::SeqCst);
         self.fleet.restart(i).map_err(|e| e.to_string())
     }
 
--- a/crates/standin/src/soak/operator.rs
+++ b/crates/standin/src/soak/operator.rs
@@ -62,6 +62,13 @@
         self.stored.get(key).map(|record| record.offset)
     }
 
+    /// Returns whether the store has the newest value of a key.
+    pub(super) fn is_on_store(&self, log: &LogHandle, key: &str) -> bool {
+        let offset = self.offset(key);
+        let records = log.records(CONFIG_TOPIC);
+        !self.is_lost(key) && records.iter().any(|record| Some(record.offset) == offset)
+    }
+
     /// Takes a copy of the store.
     pub(super) fn copy_store(&mut self, log: &LogHandle, number: usize) {
         self.copies
