--- a/tests/integration/evacuation_faults.rs
+++ b/tests/integration/evacuation_faults.rs
@@ -202,6 +202,11 @@
                 conn.send(scripted_request(id)).await;
             }
             wait_queued(&platform, 1);
+            // The guard counts a request as started before the target has read it.
+            wait_until("the started requests at the target", WAIT_TIMEOUT, || {
+                slow.received_heads().len() == SLOTS
+            })
+            .expect("the started requests");
             // The scripted entry sends the requests in order, but the node may read them in another.
             let started: Vec<usize> = (0..=SLOTS)
                 .filter(|id| {
