--- a/crates/core/src/config/evacuations.rs
+++ b/crates/core/src/config/evacuations.rs
@@ -67,13 +67,17 @@
         self.by_data_centre.contains_key(data_centre)
     }
 
-    /// Applies a record unless a later one of the same data centre is known. Returns whether the register
-    /// has changed.
+    /// Applies a record of the log unless a later one of the same data centre is known. Another decision at
+    /// the same position is one that the store has lost. Returns whether the register has changed.
     pub fn apply(&mut self, change: &EvacuationChange) -> bool {
         let state = EvacuationState {
             position: change.position,
             is_evacuated: change.is_evacuated,
         };
+        let known = self.by_data_centre.get_mut(&change.data_centre);
+        if let Some(known) = known.filter(|known| known.position == state.position) {
+            return std::mem::replace(known, state) != state;
+        }
         self.put(&change.data_centre, state)
     }
 
@@ -82,7 +86,8 @@
     ///
     /// A known record of an earlier era is compared by its offset, because the store was restored from a
     /// copy of the log that it was in. If the snapshot does not reach it, the store has lost it: it takes
-    /// precedence over the snapshot, until a later record.
+    /// precedence over the snapshot, until a later record. A record at `end` replaces it, see
+    /// [`Evacuations::apply`].
     pub fn apply_snapshot(&mut self, end: Position, newest: &[EvacuationChange]) -> bool {
         let mut changed = false;
         let last = end.before();
@@ -90,11 +95,10 @@
             let is_missing = newest.iter().all(|known| known.data_centre != *data_centre);
             let is_lost = state.position.era < end.era && state.position.offset >= end.offset;
             let is_removed = state.is_evacuated && is_missing && state.position < last;
-            // Without any record, nothing precedes the next one.
-            let is_empty = end.offset == 0;
-            if (is_lost || is_removed) && !is_empty {
+            if is_lost || is_removed {
                 *state = EvacuationState {
-                    position: last,
+                    // A lost record is ahead of all that the copy has.
+                    position: if is_lost { end } else { last },
                     is_evacuated: is_lost && state.is_evacuated,
                 };
                 changed = true;
