Start: ask peers for their state if the store states an era

Cause: a node that starts after a restore of the store has read as far as its peers, and has routes of the same version, so that it fetches nothing from them. An evacuation whose record was lost stayed unknown to it, and it sent requests to the data centre. With workspaces one peer was asked, which may have started at the same moment.

Change: a node asks some peers for their whole state after its start with workspaces, as before, and also if the store states an era above 0. Without eras nothing changes.

--- a/crates/node/src/config_recheck.rs
+++ b/crates/node/src/config_recheck.rs
@@ -71,28 +71,28 @@
     actix_rt::spawn(ask_peers(Rc::clone(node), now, pause_us));
 }
 
-/// Returns whether the configuration has workspaces, for which its age matters; `None` without a
-/// configuration.
-fn has_workspaces(node: &Node) -> Option<bool> {
+/// Returns whether a state that the store has lost matters: with workspaces, whose keys may be withdrawn,
+/// and if the store states its era, because it may have been restored without the evacuations that peers
+/// know. `None` without a configuration.
+fn needs_check_at_start(node: &Node) -> Option<bool> {
     let config = node.config.borrow();
-    config.routes().map(|table| table.workspaces().is_some())
+    let has_eras = config.progress().read_to.era > 0;
+    let table = config.routes()?;
+    Some(has_eras || table.workspaces().is_some())
 }
 
-/// Asks one peer for its whole state after the start of this node, once it has a configuration with
-/// workspaces and knows a peer.
+/// Asks some peers for their whole state after the start of this node, once it has a configuration and
+/// knows a peer. One of them may have started together with this node.
 pub(crate) async fn check_at_start(node: Rc<Node>) {
     let end = node.now().saturating_add_millis(MAX_START_MS);
     let mut asked_at = node.now();
     while asked_at < end {
-        let peer = match has_workspaces(&node) {
-            Some(true) => random_peers(&node, 1).pop(),
-            Some(false) => return,
-            None => None,
-        };
-        if let Some(peer) = peer
-            && config_sync::refresh_from(&node, &peer, Progress::default()).await
-        {
-            info!(node.logger, "configuration checked after the start"; "peer" => %peer);
+        let needs_check = needs_check_at_start(&node);
+        if needs_check == Some(false) {
+            return;
+        }
+        if needs_check == Some(true) && ask_some_peers(&node, asked_at, Progress::default()).await {
+            info!(node.logger, "configuration checked after the start");
             confirm(&node, asked_at);
             return;
         }
@@ -165,7 +165,8 @@
 async fn ask_peers(node: Rc<Node>, resumed_at: Instant, pause_us: u64) {
     let mut asked_at = resumed_at;
     let is_confirmed = loop {
-        if ask_some_peers(&node, asked_at).await {
+        let progress = node.config.borrow().progress();
+        if ask_some_peers(&node, asked_at, progress).await {
             break confirm(&node, asked_at);
         }
         let next_try = asked_at.saturating_add_millis(CHECK_INTERVAL_MS);
@@ -188,16 +189,15 @@
     freshness.doubted_until(now).is_some()
 }
 
-/// Asks a few peers. Returns whether one has replied.
+/// Asks a few peers for what is newer than `progress`. Returns whether one has replied.
 ///
 /// Waits some time for the replies of all, because one that was suspended as well may reply first, with an
 /// old configuration. Replies that come later are still used.
-async fn ask_some_peers(node: &Rc<Node>, asked_at: Instant) -> bool {
+async fn ask_some_peers(node: &Rc<Node>, asked_at: Instant, progress: Progress) -> bool {
     let peers = {
         let mut rng = node.rng.borrow_mut();
         node.members.borrow().spread_peers(ASKED_PEERS, &mut *rng)
     };
-    let progress = node.config.borrow().progress();
     let (tx, mut rx) = mpsc::unbounded_channel();
     for peer in peers {
         let (node, tx) = (Rc::clone(node), tx.clone());
--- a/tests/integration/restored_store.rs
+++ b/tests/integration/restored_store.rs
@@ -671,3 +671,42 @@
     });
     drill.expect_in_force(OLD_VERSION + 1, start, MAX_DELAY_AFTER_FAULT);
 }
+
+/// Guards against a node that starts before operators have written a lost evacuation again, and sends requests to
+/// the data centre that its peers keep evacuated.
+#[gtest]
+fn node_started_after_a_restore_gets_the_lost_evacuation_of_its_peers() {
+    for node_count in FLEET_SIZES {
+        let mut drill = start_with_lost_decision(node_count, false);
+        let start = drill.restore(OUTAGE, |_| ());
+        let delays = drill.wait_for_each(start, GIVE_UP_AFTER, |i| {
+            admin(&drill.platform, i, "/v1/status")["configuration"]["era"] == 1
+        });
+        expect_delays(&delays, MAX_DELAY_AFTER_FAULT, "era");
+        let added = drill.platform.add_node();
+        drill.platform.wait_readyz(added, "200");
+        drill.running = vec![added];
+        let delays = drill.wait_for_evacuation("arima", true, Instant::now());
+        expect_delays(&delays, IN_FORCE_LIMIT, "evacuation at the added node");
+        drill.running = (0..=added).collect();
+        let delays = drill.wait_for_evacuation("arima", true, Instant::now());
+        expect_delays(&delays, IN_FORCE_LIMIT, "evacuation at all nodes");
+    }
+}
+
+/// Guards against a second restore of the same copy that ends an evacuation whose record the first one has lost.
+#[gtest]
+fn evacuation_whose_record_was_lost_stays_in_force_after_two_restores() {
+    for node_count in FLEET_SIZES {
+        let drill = start_with_lost_decision(node_count, false);
+        for era in 1..=2 {
+            let start = drill.restore(OUTAGE, |_| ());
+            let delays = drill.wait_for_each(start, GIVE_UP_AFTER, |i| {
+                admin(&drill.platform, i, "/v1/status")["configuration"]["era"] == era
+            });
+            expect_delays(&delays, MAX_DELAY_AFTER_FAULT, "era");
+            let delays = drill.wait_for_evacuation("arima", true, Instant::now());
+            expect_delays(&delays, IN_FORCE_LIMIT, &format!("evacuation in era {era}"));
+        }
+    }
+}
