--- a/crates/core/src/config/fetch.rs
+++ b/crates/core/src/config/fetch.rs
@@ -38,8 +38,8 @@
         }
     }
 
-    /// Returns the peer to ask next and how far it has read, for a node that has itself read as far as `own`. Forgets peers
-    /// that have nothing newer.
+    /// Returns the peer to ask next and how far it has read, for a node that has itself read as far as
+    /// `own`. Forgets peers that have nothing newer.
     pub fn next(&mut self, own: Progress) -> Option<(NodeName, Progress)> {
         self.queue
             .retain(|candidate| candidate.progress.is_ahead_of(own));
