Store: spread the contacts after a restore by the size of the fleet

Cause: each node waited up to 1 s before it wrote its contact again, also in a fleet of four, where a node that starts meanwhile has to find the others; a fleet of hundreds of nodes would have exceeded the writes that a store takes.

Change: the longest delay follows from the number of nodes, at 200 contacts a second.

--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -26,9 +26,9 @@
 /// few members, and each of many nodes that start together would take itself for one.
 const FIRST_READER_DELAY_MS: u64 = 1_000;
 
-/// Longest delay before a node writes its contact again after a restore of the store, in
-/// milliseconds. Nodes that start meanwhile find the others.
-const MAX_CONTACT_DELAY_MS: u64 = 1_000;
+/// Contacts that all nodes of a fleet together write again in a second after a restore of the store. A
+/// store takes several hundred writes a second, and nodes that start meanwhile find no other.
+const FLEET_CONTACTS_PER_SECOND: u64 = 200;
 
 /// Interval between checks whether this node reads the store, in milliseconds.
 const READER_CHECK_INTERVAL_MS: u64 = 200;
@@ -95,7 +95,9 @@
     let mut registered_era = find_fleet(&node, &*store, &own_contact).await;
     loop {
         let era = wait_for_era_after(&node, registered_era).await;
-        let delay_ms = node.rng.borrow_mut().random_range(0..=MAX_CONTACT_DELAY_MS);
+        let nodes = node.members.borrow().members().count() as u64 + 1;
+        let max_delay_ms = nodes * 1_000 / FLEET_CONTACTS_PER_SECOND;
+        let delay_ms = node.rng.borrow_mut().random_range(0..=max_delay_ms);
         let write_at = node.now().saturating_add_millis(delay_ms);
         node.clock.sleep_until(write_at).await;
         registered_era = find_fleet(&node, &*store, &own_contact).await.max(era);
