--- a/crates/core/src/config/evacuations.rs
+++ b/crates/core/src/config/evacuations.rs
@@ -28,7 +28,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EvacuationState {
-    /// Position of the record, or of the last record of a snapshot that did not contain it any more.
+    /// Position of the record. Of a record that was removed before a snapshot, the position of the last
+    /// record of the snapshot; of one that a restore of the store has lost, the end of the first snapshot
+    /// after it.
     #[serde(rename = "offset")]
     pub position: Position,
     /// Whether the data centre is evacuated.
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -298,7 +298,8 @@
 ) {
     let in_force_unix_ms = clock::unix_ms();
     info!(node.logger, "routes in force"; "version" => table.version(), "routes" => table.len(),
-        "era" => read_to.era, "read_to" => read_to.offset, "source" => if peer.is_some() { "peer" } else { "store" },
+        "era" => read_to.era, "read_to" => read_to.offset,
+        "source" => if peer.is_some() { "peer" } else { "store" },
         "peer" => peer.map(NodeName::as_str));
     let sheds_load = table.has_competing_requests();
     node.guard.borrow_mut().set_shedding(sheds_load);
